A thin whole path: gate, keeper, mangoctl, load tool and stand-ins

Cause: nothing existed; every later measurement needs a request served from end to end by separate processes.

Change: libmangocourse holds the decisions (fold of the fleet stream, job ledger, dispatcher, maintenance planner, settings tree, validated TOML); gate, keeper, mangoctl, mangoload and two stand-ins are built on them.

Found on the way: Beast 1.74 treats boost::none as the smallest body limit; g++ 12 destroys temporaries of a co_await inside a conditional expression twice (crash of the gate). Both are worked round with a comment at the place.

--- /dev/null
+++ b/src/cmake/dependencies.cmake
@@ -0,0 +1,12 @@
+# Libraries, all from Debian packages; INSTALL names them.
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(gflags REQUIRED)
+find_package(GTest REQUIRED)
+find_package(benchmark REQUIRED)
+find_library(THRIFT_LIBRARY thrift REQUIRED)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(TOMLPLUSPLUS_LIBRARY tomlplusplus REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
--- /dev/null
+++ b/src/gate/forward.cpp
@@ -0,0 +1,163 @@
+// Upstream side of the gate.
+#include "forward.h"
+
+namespace MangoCourse {
+
+namespace {
+
+constexpr std::string_view requestIdHeader = "X-Request-Id";
+
+Attempt notRun(AttemptResult result, std::string reason)
+{
+    Attempt attempt;
+    attempt.result = result;
+    attempt.verdict = Verdict::NotRun;
+    attempt.status = http::status::service_unavailable;
+    attempt.reason = std::move(reason);
+    return attempt;
+}
+
+Attempt mayHaveRun(const ErrorCodeSystem &error)
+{
+    Attempt attempt;
+    const bool isTimeout = error == beast::error::timeout;
+    // A deadline that passed says nothing of the executor; a broken connection does.
+    attempt.result = isTimeout ? AttemptResult::Abandoned : AttemptResult::Failed;
+    attempt.status = isTimeout ? http::status::gateway_timeout : http::status::bad_gateway;
+    attempt.reason = isTimeout ? "no answer before the deadline" : "connection to the executor broke: " + error.message();
+    return attempt;
+}
+
+http::request<http::string_body> buildRequest(const Endpoint &endpoint, const UpstreamRequest &request)
+{
+    http::request<http::string_body> message(http::verb::post, request.target, 11);
+    message.set(http::field::host, toString(endpoint));
+    message.set("X-Request-Id", request.requestId);
+    if (!request.idempotencyKey.empty()) {
+        message.set("Idempotency-Key", request.idempotencyKey);
+    }
+    if (!request.contentType.empty()) {
+        message.set(http::field::content_type, request.contentType);
+    }
+    return message;
+}
+
+// An executor refuses before it starts with 503 and Retry-After; with "Connection: close" it is leaving.
+bool isRefusal(const HttpResponse &response)
+{
+    return response.result() == http::status::service_unavailable && response.find(http::field::retry_after) != response.end();
+}
+
+Attempt judge(HttpResponse &response, const UpstreamRequest &request)
+{
+    if (isRefusal(response)) {
+        return notRun(response.keep_alive() ? AttemptResult::RefusedBusy : AttemptResult::RefusedLeaving, "the executor refused before it started");
+    }
+    Attempt attempt;
+    const auto id = response[boost::beast::string_view(requestIdHeader.data(), requestIdHeader.size())];
+    if (std::string_view(id.data(), id.size()) != request.requestId) {
+        attempt.reason = "the answer belongs to another request";
+        return attempt;
+    }
+    attempt.status = response.result();
+    attempt.verdict = Verdict::Ran;
+    attempt.result = response.result_int() < 500 ? AttemptResult::Succeeded : AttemptResult::Failed;
+    const auto type = response[http::field::content_type];
+    attempt.contentType.assign(type.data(), type.size());
+    attempt.body = std::move(response.body());
+    attempt.reason = attempt.result == AttemptResult::Failed ? "the executor failed the request" : "";
+    return attempt;
+}
+
+net::awaitable<Result<HttpResponse>> readAnswer(UpstreamConnection &connection, std::size_t limit, ErrorCodeSystem &error)
+{
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(limit);
+    co_await http::async_read(connection.stream, connection.buffer, parser, into(error));
+    if (error) {
+        co_return makeError(ErrorCode::Unavailable, error.message());
+    }
+    co_return parser.release();
+}
+
+// Sends the header alone and relays the body only after "100 Continue", so that a refused request still has its body at the caller.
+net::awaitable<Result<HttpResponse>>
+sendRelayed(UpstreamConnection &connection, http::request<http::string_body> message, const BodyRelay &relay, std::uint64_t bodyLength, std::size_t limit, ErrorCodeSystem &error)
+{
+    http::request<http::empty_body> header(std::move(message.base()));
+    header.set(http::field::expect, "100-continue");
+    header.content_length(bodyLength);
+    http::request_serializer<http::empty_body> serializer(header);
+    co_await http::async_write_header(connection.stream, serializer, into(error));
+    if (error) {
+        co_return makeError(ErrorCode::Unavailable, error.message());
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(limit);
+    co_await http::async_read_header(connection.stream, connection.buffer, parser, into(error));
+    if (error) {
+        co_return makeError(ErrorCode::Unavailable, error.message());
+    }
+    if (parser.get().result() != http::status::continue_) {
+        co_await http::async_read(connection.stream, connection.buffer, parser, into(error));
+        if (error) {
+            co_return makeError(ErrorCode::Unavailable, error.message());
+        }
+        co_return parser.release();
+    }
+    if (!co_await relay(connection.stream)) {
+        error = net::error::connection_aborted;
+        co_return makeError(ErrorCode::Unavailable, "the body could not be relayed whole");
+    }
+    co_return co_await readAnswer(connection, limit, error);
+}
+
+net::awaitable<Result<HttpResponse>>
+sendHeld(UpstreamConnection &connection, http::request<http::string_body> message, const UpstreamRequest &request, std::size_t limit, ErrorCodeSystem &error)
+{
+    message.body() = request.body;
+    message.prepare_payload();
+    co_await http::async_write(connection.stream, message, into(error));
+    if (error) {
+        co_return makeError(ErrorCode::Unavailable, error.message());
+    }
+    co_return co_await readAnswer(connection, limit, error);
+}
+
+}
+
+net::awaitable<Attempt>
+forward(Serving &serving, const ServingLimits &limits, Endpoint endpoint, const UpstreamRequest &request, TimePoint deadline, const BodyRelay &relay, std::uint64_t bodyLength)
+{
+    std::unique_ptr<UpstreamConnection> connection = serving.upstreams.take(endpoint);
+    ErrorCodeSystem error;
+    connection->stream.expires_at(deadline);
+    if (!connection->isReused) {
+        const auto address = net::ip::make_address(endpoint.host, error);
+        co_await connection->stream.async_connect(tcp::endpoint(address, endpoint.port), into(error));
+        if (error) {
+            co_return notRun(AttemptResult::Unreachable, "cannot connect to the executor: " + error.message());
+        }
+        connection->stream.socket().set_option(tcp::no_delay(true), error);
+    }
+    http::request<http::string_body> message = buildRequest(endpoint, request);
+    // Not a conditional expression: g++ 12 destroys the temporaries of a co_await inside one twice.
+    Result<HttpResponse> response = makeError(ErrorCode::Unavailable, "not sent");
+    if (relay) {
+        response = co_await sendRelayed(*connection, std::move(message), relay, bodyLength, limits.answerBytes, error);
+    } else {
+        response = co_await sendHeld(*connection, std::move(message), request, limits.answerBytes, error);
+    }
+    if (!response) {
+        co_return mayHaveRun(error);
+    }
+    Attempt attempt = judge(*response, request);
+    const bool isClean = attempt.verdict == Verdict::Ran || attempt.verdict == Verdict::NotRun;
+    if (isClean && response->keep_alive()) {
+        connection->stream.expires_never();
+        serving.upstreams.give(endpoint, std::move(connection));
+    }
+    co_return attempt;
+}
+
+}
--- /dev/null
+++ b/src/gate/gatestate.h
@@ -0,0 +1,146 @@
+// What the duties of a gate share.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+#include <mangocourse/dispatcher.h>
+#include <mangocourse/fleetstate.h>
+#include <mangocourse/processsettings.h>
+#include <mangocourse/supervisor.h>
+
+#include "asiotypes.h"
+#include "metrics.h"
+#include "upstreampool.h"
+
+namespace MangoCourse {
+
+// What a request needs to know of its service, at one revision.
+struct ServiceView {
+    PoolId pool;
+    WorkClass workClass = WorkClass::Counter;
+    bool idempotent = true;
+    std::chrono::milliseconds timeout{};
+};
+
+// An immutable view of the fleet. A request holds one from its arrival to its answer.
+struct GateView {
+    Offset offset = 0;
+    Revision revision = 0;
+    std::map<ServiceId, ServiceView> services;
+    std::unordered_map<InstanceId, Endpoint> endpoints;
+    std::chrono::milliseconds jobLease{};
+};
+
+// A request that waits for its turn on one of the serving threads.
+struct Waiter {
+    explicit Waiter(net::io_context &context)
+        : context(context)
+        , timer(context)
+    {
+    }
+    net::io_context &context;
+    net::steady_timer timer;
+    bool started = false;
+    InstanceId instance;
+};
+
+// One serving thread's own things.
+struct Serving {
+    explicit Serving(int number)
+        : number(number)
+        , context(1)
+        , upstreams(context)
+    {
+    }
+    int number;
+    net::io_context context;
+    UpstreamPool upstreams;
+    // Connections between two requests, closed at a graceful stop.
+    std::map<const void *, tcp::socket *> idleCallers;
+};
+
+// The dispatcher with its waiters, for several serving threads.
+class SharedDispatcher
+{
+public:
+    static Result<std::unique_ptr<SharedDispatcher>> create(std::uint64_t seed);
+
+    explicit SharedDispatcher(Dispatcher created)
+        : dispatcher(std::move(created))
+    {
+    }
+
+    // Starts a request, or waits for its turn until the deadline. A refused admission carries the reason.
+    net::awaitable<Admission> admit(net::io_context &context, WorkRequest request);
+
+    void finish(Ticket ticket, AttemptResult result);
+    void updateView(const DispatchView &view);
+    void noteLeaving(const InstanceId &instance);
+    bool tryRetry();
+    void poll();
+
+    DispatchStats stats() const;
+    std::vector<ExecutorReport> executors() const;
+
+private:
+    void wake(const std::vector<Started> &started);
+
+    mutable std::mutex mutex;
+    Dispatcher dispatcher;
+    std::unordered_map<Ticket, std::shared_ptr<Waiter>> waiters;
+    SteadyClock clock;
+};
+
+struct GateState {
+    explicit GateState(ProcessSettings given)
+        : settings(std::move(given))
+    {
+    }
+
+    ProcessSettings settings;
+    std::unique_ptr<SharedDispatcher> dispatcher;
+    std::vector<std::unique_ptr<Serving>> serving;
+    Metrics metrics;
+    SteadyClock clock;
+    std::atomic<bool> stopping{false};
+    std::atomic<int> inFlight{0};
+    std::atomic<int> callers{0};
+    std::atomic<std::uint64_t> requestCounter{0};
+    std::atomic<int> keeperIndex{0};
+    std::atomic<bool> keeperReachable{false};
+    std::atomic<int> liveGates{1};
+    std::atomic<int> runningJobs{0};
+
+    std::shared_ptr<const GateView> view() const
+    {
+        const std::scoped_lock lock(this->viewMutex);
+        return this->currentView;
+    }
+    void setView(std::shared_ptr<const GateView> next)
+    {
+        const std::scoped_lock lock(this->viewMutex);
+        this->currentView = std::move(next);
+    }
+
+    // Returns an id that is unique over all gates and their lives.
+    std::string newRequestId();
+
+    // Returns the keeper that this gate follows now.
+    Endpoint currentKeeper() const
+    {
+        const auto index = static_cast<std::size_t>(this->keeperIndex.load());
+        return this->settings.keepers.at(index % this->settings.keepers.size());
+    }
+
+private:
+    mutable std::mutex viewMutex;
+    std::shared_ptr<const GateView> currentView = std::make_shared<const GateView>();
+    std::string incarnation = makeIncarnation();
+    static std::string makeIncarnation();
+};
+
+}
--- /dev/null
+++ b/src/gate/peercall.cpp
@@ -0,0 +1,37 @@
+// Thrift over HTTP from a coroutine.
+#include "peercall.h"
+
+namespace MangoCourse {
+
+net::awaitable<Result<std::string>> postToPeer(net::io_context &context, Endpoint endpoint, std::string token, std::string target, std::string body, std::chrono::milliseconds limit)
+{
+    ErrorCodeSystem error;
+    beast::tcp_stream stream(context);
+    stream.expires_after(limit);
+    const auto address = net::ip::make_address(endpoint.host, error);
+    co_await stream.async_connect(tcp::endpoint(address, endpoint.port), into(error));
+    if (error) {
+        co_return makeError(ErrorCode::Unavailable, "cannot connect: " + error.message(), toString(endpoint));
+    }
+    HttpRequest request(http::verb::post, target, 11);
+    request.set(http::field::host, toString(endpoint));
+    request.set(http::field::authorization, "Bearer " + token);
+    request.body() = std::move(body);
+    request.keep_alive(false);
+    request.prepare_payload();
+    co_await http::async_write(stream, request, into(error));
+    HttpResponse response;
+    beast::flat_buffer buffer;
+    if (!error) {
+        co_await http::async_read(stream, buffer, response, into(error));
+    }
+    if (error) {
+        co_return makeError(ErrorCode::Timeout, "no answer: " + error.message(), toString(endpoint));
+    }
+    if (response.result() != http::status::ok) {
+        co_return makeError(ErrorCode::Refused, std::to_string(response.result_int()), toString(endpoint) + target);
+    }
+    co_return std::move(response.body());
+}
+
+}
--- /dev/null
+++ b/src/gate/upstreampool.cpp
@@ -0,0 +1,42 @@
+// Reuse of upstream connections.
+#include "upstreampool.h"
+
+#include <sys/socket.h>
+
+namespace MangoCourse {
+
+namespace {
+
+// A closed peer or bytes that nobody asked for make a connection unfit for the next request.
+bool isQuiet(tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}
+
+std::unique_ptr<UpstreamConnection> UpstreamPool::take(const Endpoint &endpoint)
+{
+    std::vector<std::unique_ptr<UpstreamConnection>> &kept = this->idle[endpoint];
+    while (!kept.empty()) {
+        std::unique_ptr<UpstreamConnection> connection = std::move(kept.back());
+        kept.pop_back();
+        if (isQuiet(connection->stream.socket())) {
+            connection->isReused = true;
+            return connection;
+        }
+    }
+    return std::make_unique<UpstreamConnection>(this->context);
+}
+
+void UpstreamPool::give(const Endpoint &endpoint, std::unique_ptr<UpstreamConnection> connection)
+{
+    std::vector<std::unique_ptr<UpstreamConnection>> &kept = this->idle[endpoint];
+    if (kept.size() < idlePerExecutor) {
+        kept.push_back(std::move(connection));
+    }
+}
+
+}
--- /dev/null
+++ b/src/gate/work.cpp
@@ -0,0 +1,93 @@
+// Attempts and retries.
+#include "work.h"
+
+namespace MangoCourse {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int attemptLimit = 4;
+constexpr std::chrono::milliseconds retryAfterRefusal = 500ms;
+
+Attempt refusedAttempt(const Admission &admission)
+{
+    Attempt attempt;
+    attempt.verdict = Verdict::NotRun;
+    attempt.result = AttemptResult::Abandoned;
+    attempt.status = admission.reason == RefuseReason::UnknownService ? http::status::not_found : http::status::service_unavailable;
+    attempt.reason = std::string(toString(admission.reason));
+    return attempt;
+}
+
+bool mayTryAgain(GateState &state, const GateRequest &request, const Attempt &attempt, int attempts)
+{
+    const bool isOver = attempt.result == AttemptResult::Succeeded || attempts >= attemptLimit || state.clock.now() >= request.deadline;
+    if (isOver || *request.bodyTaken) {
+        return false;
+    }
+    // A 5xx of an executor is an outcome of a run: only idempotent work may run again.
+    const Verdict verdict = attempt.verdict == Verdict::Ran ? Verdict::MayHaveRun : attempt.verdict;
+    return isRetrySafe(verdict, request.spec.idempotent) && state.dispatcher->tryRetry();
+}
+
+void countAttempt(GateState &state, const Attempt &attempt)
+{
+    static const std::string name = "mangocourse_attempts_total";
+    static const std::string help = "Attempts on executors by verdict.";
+    state.metrics.add(name, help, "verdict=\"" + std::string(toString(attempt.verdict)) + "\"");
+}
+
+}
+
+net::awaitable<Attempt> runRequest(GateState &state, Serving &serving, const GateRequest &request)
+{
+    const std::shared_ptr<const GateView> view = state.view();
+    WorkRequest work{request.service, request.team, request.spec.workClass, request.deadline, {}};
+    Attempt attempt;
+    // Once any attempt may have run, no later refusal can be told as "not run".
+    bool mayHaveRunBefore = false;
+    for (int attempts = 1;; ++attempts) {
+        const Admission admission = co_await state.dispatcher->admit(serving.context, work);
+        if (admission.kind == Admission::Kind::Refused) {
+            attempt = refusedAttempt(admission);
+            break;
+        }
+        const auto endpoint = view->endpoints.find(admission.instance);
+        const auto newest = endpoint == view->endpoints.end() ? state.view() : view;
+        const auto found = newest->endpoints.find(admission.instance);
+        if (found == newest->endpoints.end()) {
+            attempt = Attempt{AttemptResult::Unreachable, Verdict::NotRun, http::status::service_unavailable, {}, {}, "the executor has no address"};
+        } else {
+            attempt = co_await forward(serving, state.settings.serving, found->second, request.upstream, request.deadline, request.relay, request.bodyLength);
+        }
+        state.dispatcher->finish(admission.ticket, attempt.result);
+        countAttempt(state, attempt);
+        mayHaveRunBefore = mayHaveRunBefore || attempt.verdict != Verdict::NotRun;
+        if (!mayTryAgain(state, request, attempt, attempts)) {
+            break;
+        }
+        work.tried.push_back(admission.instance);
+    }
+    if (attempt.verdict == Verdict::NotRun && mayHaveRunBefore) {
+        attempt.verdict = Verdict::MayHaveRun;
+        attempt.status = http::status::bad_gateway;
+    }
+    co_return attempt;
+}
+
+CallerAnswer toAnswer(const Attempt &attempt)
+{
+    if (attempt.verdict != Verdict::Ran) {
+        const bool comesBack = attempt.verdict == Verdict::NotRun && attempt.status == http::status::service_unavailable;
+        return failureAnswer(attempt.status, attempt.verdict, attempt.reason, comesBack ? retryAfterRefusal : 0ms);
+    }
+    CallerAnswer answer;
+    answer.status = attempt.status;
+    answer.verdict = Verdict::Ran;
+    answer.body = attempt.body;
+    answer.contentType = attempt.contentType;
+    return answer;
+}
+
+}
--- /dev/null
+++ b/src/include/mangocourse/ids.h
@@ -0,0 +1,48 @@
+// Strong identifiers, so that a pool's name is never passed where an instance's is meant.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace MangoCourse {
+
+// A name of one kind of thing; empty means "none".
+template<typename Tag>
+struct Id {
+    std::string value;
+
+    auto operator<=>(const Id &) const = default;
+    bool isEmpty() const
+    {
+        return this->value.empty();
+    }
+};
+
+using InstanceId = Id<struct InstanceTag>;
+using PoolId = Id<struct PoolTag>;
+using DataCentreId = Id<struct DataCentreTag>;
+using RackId = Id<struct RackTag>;
+using ServiceId = Id<struct ServiceTag>;
+using TeamId = Id<struct TeamTag>;
+using WaveId = Id<struct WaveTag>;
+using JobId = Id<struct JobTag>;
+using RecordId = Id<struct RecordTag>;
+using ProcessId = Id<struct ProcessTag>;
+
+// A position in a stream of the platform's log; the first record is at 1, 0 means "before the first".
+using Offset = std::int64_t;
+
+// Counts accepted settings changes; a process's revision only rises.
+using Revision = std::int64_t;
+
+}
+
+template<typename Tag>
+struct std::hash<MangoCourse::Id<Tag>> {
+    std::size_t operator()(const MangoCourse::Id<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>{}(id.value);
+    }
+};
--- /dev/null
+++ b/src/include/mangocourse/maintenanceplanner.h
@@ -0,0 +1,87 @@
+// What a keeper does next for waves, moves and health: records to propose and acts on the platform.
+#pragma once
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include <mangocourse/clock.h>
+#include <mangocourse/fleetstate.h>
+#include <mangocourse/platform.h>
+
+namespace MangoCourse {
+
+// An act on the platform, allowed by the record at `token`.
+struct PlatformAct {
+    enum class Kind {
+        Drain,
+        Undrain,
+        Reboot,
+        Relabel,
+    };
+    Kind kind = Kind::Drain;
+    InstanceId instance;
+    Offset token = 0;
+    PoolId pool;
+};
+
+// One round of the planner. Records are proposals: the fold decides.
+struct MaintenancePlan {
+    std::vector<RecordBody> records;
+    std::vector<PlatformAct> acts;
+};
+
+// Why an instance of a wave is not further, for operators.
+struct WaveExplanation {
+    std::string summary;
+    int granted = 0;
+    int waiting = 0;
+    int headroom = 0;
+};
+
+// Keeps only times of its own; everything agreed is in the FleetState. Any keeper's planner can go on where another stopped.
+class MaintenancePlanner
+{
+public:
+    // Creates a planner that proposes grants in the name of `holder`.
+    static Result<MaintenancePlanner> create(ProcessId holder);
+
+    MaintenancePlanner(MaintenancePlanner &&other) noexcept;
+    MaintenancePlanner &operator=(MaintenancePlanner &&other) noexcept;
+    MaintenancePlanner(const MaintenancePlanner &) = delete;
+    MaintenancePlanner &operator=(const MaintenancePlanner &) = delete;
+    ~MaintenancePlanner();
+
+    // Plans the next round from the folded state and a reading of the list.
+    MaintenancePlan plan(const FleetState &fleet, const InstanceListing &listing, TimePoint now);
+
+    // Returns true where the act is still allowed by the newest state: the check immediately before a drain or a reboot.
+    static bool isStillAllowed(const FleetState &fleet, const PlatformAct &act);
+
+private:
+    class Private;
+    explicit MaintenancePlanner(std::unique_ptr<Private> impl);
+    std::unique_ptr<Private> d;
+};
+
+// Says in one sentence what a wave waits for.
+WaveExplanation explainWave(const FleetState &fleet, const WaveId &wave);
+
+// Performs an act on a platform.
+template<Platform P>
+Result<void> perform(P &platform, const PlatformAct &act)
+{
+    switch (act.kind) {
+    case PlatformAct::Kind::Drain:
+        return platform.drain(act.instance, act.token);
+    case PlatformAct::Kind::Undrain:
+        return platform.undrain(act.instance, act.token);
+    case PlatformAct::Kind::Reboot:
+        return platform.reboot(act.instance, act.token);
+    case PlatformAct::Kind::Relabel:
+        return platform.relabel(act.instance, act.token, act.pool);
+    }
+    return {};
+}
+
+}
--- /dev/null
+++ b/src/libmangocourse/textfile_pvt.h
@@ -0,0 +1,35 @@
+// Reading whole files and parsing TOML text, with errors as results.
+#pragma once
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include <toml++/toml.h>
+
+#include <mangocourse/error.h>
+
+namespace MangoCourse {
+
+inline Result<std::string> readTextFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return makeError(ErrorCode::InvalidConfig, "cannot be read", path);
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+inline Result<toml::table> parseToml(std::string_view text, const std::string &name)
+{
+    // toml++ reports syntax errors by exception here; it ends at this boundary.
+    try {
+        return toml::parse(text, name);
+    } catch (const toml::parse_error &error) {
+        return makeError(ErrorCode::InvalidConfig, name + ":" + std::to_string(error.source().begin.line) + ": " + std::string(error.description()));
+    }
+}
+
+}
--- /dev/null
+++ b/src/libservice/httpclient.cpp
@@ -0,0 +1,136 @@
+// The blocking client: a private io_context driven for the length of one call.
+#include "httpclient.h"
+
+#include <nlohmann/json.hpp>
+
+namespace MangoCourse {
+
+class HttpClient::Private
+{
+public:
+    Endpoint endpoint;
+    std::string token;
+    net::io_context context{1};
+    std::unique_ptr<beast::tcp_stream> stream;
+    beast::flat_buffer buffer;
+
+    net::awaitable<Result<HttpResponse>> exchange(HttpRequest request, std::chrono::milliseconds limit);
+    net::awaitable<Result<void>> connect();
+    Result<HttpResponse> run(const HttpRequest &request, std::chrono::milliseconds limit);
+};
+
+net::awaitable<Result<void>> HttpClient::Private::connect()
+{
+    ErrorCodeSystem error;
+    const auto address = net::ip::make_address(this->endpoint.host, error);
+    if (error) {
+        co_return makeError(ErrorCode::InvalidArgument, "not an IP number", this->endpoint.host);
+    }
+    co_await this->stream->async_connect(tcp::endpoint(address, this->endpoint.port), into(error));
+    if (error) {
+        co_return makeError(ErrorCode::Unavailable, "cannot connect: " + error.message(), toString(this->endpoint));
+    }
+    this->stream->socket().set_option(tcp::no_delay(true), error);
+    co_return Result<void>{};
+}
+
+net::awaitable<Result<HttpResponse>> HttpClient::Private::exchange(HttpRequest request, std::chrono::milliseconds limit)
+{
+    ErrorCodeSystem error;
+    const bool isFresh = !this->stream;
+    if (isFresh) {
+        this->stream = std::make_unique<beast::tcp_stream>(this->context);
+        this->buffer.clear();
+    }
+    this->stream->expires_after(limit);
+    if (isFresh) {
+        if (const Result<void> connected = co_await this->connect(); !connected) {
+            co_return tl::unexpected(connected.error());
+        }
+    }
+    co_await http::async_write(*this->stream, request, into(error));
+    HttpResponse response;
+    if (!error) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(unlimitedBody);
+        co_await http::async_read(*this->stream, this->buffer, parser, into(error));
+        if (!error) {
+            response = parser.release();
+        }
+    }
+    if (error) {
+        co_return makeError(ErrorCode::Timeout, "no answer: " + error.message(), toString(this->endpoint));
+    }
+    co_return response;
+}
+
+Result<HttpResponse> HttpClient::Private::run(const HttpRequest &request, std::chrono::milliseconds limit)
+{
+    Result<HttpResponse> result = makeError(ErrorCode::Timeout, "no answer", toString(this->endpoint));
+    this->context.restart();
+    net::co_spawn(
+        this->context,
+        [&]() -> net::awaitable<void> {
+            result = co_await this->exchange(request, limit);
+        },
+        net::detached);
+    this->context.run();
+    if (!result || !result->keep_alive()) {
+        this->stream.reset();
+    }
+    return result;
+}
+
+HttpClient::HttpClient(std::unique_ptr<Private> impl)
+    : d(std::move(impl))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+Result<std::unique_ptr<HttpClient>> HttpClient::create(Endpoint endpoint, std::string token)
+{
+    auto impl = std::make_unique<Private>();
+    impl->endpoint = std::move(endpoint);
+    impl->token = std::move(token);
+    return std::unique_ptr<HttpClient>(new HttpClient(std::move(impl)));
+}
+
+Result<HttpResponse> HttpClient::request(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds limit)
+{
+    HttpRequest request(method, target, 11);
+    request.set(http::field::host, toString(this->d->endpoint));
+    if (!this->d->token.empty()) {
+        request.set(http::field::authorization, "Bearer " + this->d->token);
+    }
+    request.body() = body;
+    request.prepare_payload();
+    const bool wasOpen = this->d->stream != nullptr;
+    Result<HttpResponse> result = this->d->run(request, limit);
+    // A kept connection may have been closed meanwhile. Every control call is idempotent, so one fresh try is safe.
+    if (!result && wasOpen) {
+        result = this->d->run(request, limit);
+    }
+    return result;
+}
+
+Result<std::string> HttpClient::call(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds limit)
+{
+    Result<HttpResponse> response = this->request(method, target, body, limit);
+    if (!response) {
+        return tl::unexpected(response.error());
+    }
+    if (response->result_int() >= 400) {
+        const auto json = nlohmann::json::parse(response->body(), nullptr, false);
+        const std::string reason = json.is_object() ? json.value("reason", std::string("refused")) : "refused";
+        return makeError(ErrorCode::Refused, std::to_string(response->result_int()) + " " + reason, toString(this->d->endpoint) + target);
+    }
+    return std::move(response->body());
+}
+
+const Endpoint &HttpClient::endpoint() const
+{
+    return this->d->endpoint;
+}
+
+}
--- /dev/null
+++ b/src/mangoctl/keeperclient.cpp
@@ -0,0 +1,80 @@
+// Operators' calls over HTTP.
+#include "keeperclient.h"
+
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+namespace MangoCourse {
+
+namespace {
+
+constexpr std::chrono::milliseconds callLimit{12'000};
+
+}
+
+Result<KeeperClient> KeeperClient::create(const std::string &addresses, const std::string &token)
+{
+    KeeperClient client;
+    client.token = token;
+    std::stringstream stream(addresses);
+    std::string text;
+    while (std::getline(stream, text, ',')) {
+        const Result<Endpoint> endpoint = parseEndpoint(text);
+        if (!endpoint) {
+            return tl::unexpected(endpoint.error());
+        }
+        client.addresses.push_back(*endpoint);
+    }
+    if (client.addresses.empty()) {
+        return makeError(ErrorCode::InvalidArgument, "name at least one keeper, such as --keepers=127.0.0.1:8181", "--keepers");
+    }
+    return client;
+}
+
+Result<std::string> KeeperClient::call(http::verb method, const std::string &target, const std::string &body)
+{
+    Result<std::string> answer = makeError(ErrorCode::Unavailable, "no keeper");
+    for (const Endpoint &endpoint : this->addresses) {
+        auto http = HttpClient::create(endpoint, this->token);
+        answer = (*http)->call(method, target, body, callLimit);
+        // Only a keeper that cannot be reached is passed over: any other error is an answer, or leaves doubt that the id settles.
+        if (answer || answer.error().code != ErrorCode::Unavailable) {
+            return answer;
+        }
+    }
+    return answer;
+}
+
+Result<std::string> KeeperClient::get(const std::string &target)
+{
+    return this->call(http::verb::get, target, {});
+}
+
+Result<FleetState> KeeperClient::fleet()
+{
+    const Result<std::string> text = this->get("/v1/fleet");
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    return FleetState::fromJson(*text);
+}
+
+Result<std::vector<RecordResult>> KeeperClient::submit(const std::vector<Record> &records)
+{
+    nlohmann::json body = nlohmann::json::array();
+    for (const Record &record : records) {
+        body.push_back(nlohmann::json::parse(encodeRecord(record)));
+    }
+    const Result<std::string> answer = this->call(http::verb::post, "/v1/records", body.dump());
+    if (!answer) {
+        return tl::unexpected(answer.error());
+    }
+    std::vector<RecordResult> results;
+    for (const auto &entry : nlohmann::json::parse(*answer)) {
+        results.push_back({entry.at("id"), entry.at("result"), entry.at("reason"), entry.at("offset")});
+    }
+    return results;
+}
+
+}
--- /dev/null
+++ b/src/mangoload/main.cpp
@@ -0,0 +1,242 @@
+// mangoload: open-loop or closed-loop load on gates, with every answer checked.
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include "caller.h"
+#include "httpclient.h"
+#include "tool.h"
+
+DEFINE_string(gates, "", "addresses of the gates, comma-separated");
+DEFINE_string(fleet, "", "fleet file that names services and their load");
+DEFINE_string(upstream, "", "control address of the stand-in upstream, asked which requests told \"not run\" ran all the same");
+DEFINE_string(mode, "open", "open: arrivals at the fleet file's rates; closed: as fast as --connections allow");
+DEFINE_string(service, "", "closed mode: the service to call");
+DEFINE_int32(connections, 16, "closed mode: requests in flight");
+DEFINE_int32(body_bytes, 512, "closed mode: body size in bytes");
+DEFINE_int32(seconds, 40, "length of the load in seconds");
+DEFINE_double(scale, 1.0, "factor on every rate");
+DEFINE_double(burst_seconds, 4.0, "length of each burst; 0 for none");
+DEFINE_int32(large_bodies, 40, "open mode: requests with a body of 8 MiB, spread over the run");
+DEFINE_uint64(seed, 1, "seed of arrivals and bodies");
+
+namespace MangoCourse {
+
+namespace {
+
+using Steady = std::chrono::steady_clock;
+
+constexpr double burstFactor = 5.0;
+constexpr double lullFactor = 0.05;
+constexpr std::size_t largeBody = 8 * 1024 * 1024;
+constexpr std::chrono::seconds callLimit{70};
+constexpr std::size_t idsPerCheck = 5000;
+
+class Load
+{
+public:
+    Load(net::io_context &context, const FleetFile &fleet, std::vector<Endpoint> gates)
+        : context(context)
+        , fleet(fleet)
+        , gates(std::move(gates))
+        , pool(context)
+        , random(FLAGS_seed)
+        , started(Steady::now())
+    {
+    }
+
+    void startOpen();
+    void startClosed();
+    LoadReport &report()
+    {
+        return this->figures;
+    }
+
+private:
+    double factorAt(std::size_t service, double second) const;
+    net::awaitable<void> arrivals(std::size_t service);
+    net::awaitable<void> largeArrivals();
+    net::awaitable<void> closedCaller(const ServiceSpec &service);
+    LoadRequest makeRequest(const ServiceSpec &service, std::size_t bytes);
+    double elapsed() const
+    {
+        return std::chrono::duration<double>(Steady::now() - this->started).count();
+    }
+
+    net::io_context &context;
+    const FleetFile &fleet;
+    std::vector<Endpoint> gates;
+    CallerPool pool;
+    std::mt19937_64 random;
+    Steady::time_point started;
+    LoadReport figures;
+    std::uint64_t counter = 0;
+};
+
+// Each queue in turn asks for five times its mean for some seconds, then for a twentieth of it.
+double Load::factorAt(std::size_t service, double second) const
+{
+    if (FLAGS_burst_seconds <= 0) {
+        return 1.0;
+    }
+    const double period = FLAGS_burst_seconds * static_cast<double>(this->fleet.services.size());
+    const double begin = FLAGS_burst_seconds * static_cast<double>(service);
+    const double phase = second - period * static_cast<double>(static_cast<std::int64_t>(second / period));
+    if (phase >= begin && phase < begin + FLAGS_burst_seconds) {
+        return burstFactor;
+    }
+    const double lullBegin = begin + FLAGS_burst_seconds;
+    return phase >= lullBegin && phase < lullBegin + FLAGS_burst_seconds ? lullFactor : 1.0;
+}
+
+LoadRequest Load::makeRequest(const ServiceSpec &service, std::size_t bytes)
+{
+    LoadRequest request;
+    request.service = &service;
+    ++this->counter;
+    request.id = "load-" + std::to_string(FLAGS_seed) + "-" + std::to_string(this->counter);
+    request.team = this->fleet.teams.empty() ? "default" : this->fleet.teams[this->counter % this->fleet.teams.size()].value;
+    request.body = request.id;
+    request.body.resize(std::max(bytes, request.id.size()), static_cast<char>('a' + this->random() % 26));
+    request.target = this->gates[this->counter % this->gates.size()];
+    return request;
+}
+
+net::awaitable<void> Load::arrivals(std::size_t index)
+{
+    const ServiceSpec &service = this->fleet.services[index];
+    net::steady_timer timer(this->context);
+    // Arrivals are due at set times, so that a slow answer never thins out the load.
+    double due = 0;
+    while (due < FLAGS_seconds) {
+        const double rate = service.requestsPerSecond * FLAGS_scale * this->factorAt(index, due);
+        std::exponential_distribution<double> gap(std::max(rate, 0.01));
+        due += std::min(gap(this->random), 1.0 + FLAGS_burst_seconds);
+        ErrorCodeSystem error;
+        timer.expires_at(this->started + std::chrono::microseconds(static_cast<std::int64_t>(due * 1e6)));
+        co_await timer.async_wait(into(error));
+        LoadRequest request = this->makeRequest(service, static_cast<std::size_t>(service.bodyBytes));
+        net::co_spawn(this->context, callOnce(this->pool, this->figures, std::move(request), callLimit), net::detached);
+    }
+}
+
+net::awaitable<void> Load::largeArrivals()
+{
+    net::steady_timer timer(this->context);
+    for (int number = 0; number < FLAGS_large_bodies; ++number) {
+        const double due = FLAGS_seconds * (number + 0.5) / FLAGS_large_bodies;
+        ErrorCodeSystem error;
+        timer.expires_at(this->started + std::chrono::microseconds(static_cast<std::int64_t>(due * 1e6)));
+        co_await timer.async_wait(into(error));
+        LoadRequest request = this->makeRequest(this->fleet.services.front(), largeBody);
+        net::co_spawn(this->context, callOnce(this->pool, this->figures, std::move(request), callLimit), net::detached);
+    }
+}
+
+net::awaitable<void> Load::closedCaller(const ServiceSpec &service)
+{
+    while (this->elapsed() < FLAGS_seconds) {
+        co_await callOnce(this->pool, this->figures, this->makeRequest(service, static_cast<std::size_t>(FLAGS_body_bytes)), callLimit);
+    }
+}
+
+void Load::startOpen()
+{
+    for (std::size_t index = 0; index < this->fleet.services.size(); ++index) {
+        net::co_spawn(this->context, this->arrivals(index), net::detached);
+    }
+    net::co_spawn(this->context, this->largeArrivals(), net::detached);
+}
+
+void Load::startClosed()
+{
+    const ServiceSpec *service = this->fleet.service(ServiceId{FLAGS_service});
+    for (int number = 0; service != nullptr && number < FLAGS_connections; ++number) {
+        net::co_spawn(this->context, this->closedCaller(*service), net::detached);
+    }
+}
+
+Result<std::vector<Endpoint>> parseEndpoints(const std::string &list)
+{
+    std::vector<Endpoint> endpoints;
+    std::stringstream stream(list);
+    std::string text;
+    while (std::getline(stream, text, ',')) {
+        const Result<Endpoint> endpoint = parseEndpoint(text);
+        if (!endpoint) {
+            return tl::unexpected(endpoint.error());
+        }
+        endpoints.push_back(*endpoint);
+    }
+    if (endpoints.empty()) {
+        return makeError(ErrorCode::InvalidArgument, "needs at least one address", "--gates");
+    }
+    return endpoints;
+}
+
+std::int64_t countNotRunButRan(const LoadReport &report)
+{
+    const Result<Endpoint> endpoint = parseEndpoint(FLAGS_upstream);
+    auto client = HttpClient::create(endpoint.value_or(Endpoint{}));
+    std::int64_t ran = 0;
+    for (std::size_t begin = 0; begin < report.notRunIds.size(); begin += idsPerCheck) {
+        const std::size_t end = std::min(begin + idsPerCheck, report.notRunIds.size());
+        const std::vector<std::string> ids(report.notRunIds.begin() + static_cast<std::ptrdiff_t>(begin), report.notRunIds.begin() + static_cast<std::ptrdiff_t>(end));
+        const Result<std::string> answer = (*client)->call(http::verb::post, "/ran", nlohmann::json(ids).dump(), std::chrono::seconds(10));
+        if (!answer) {
+            std::cerr << describe(answer.error()) << "\n";
+            return -1;
+        }
+        ran += nlohmann::json::parse(*answer).at("ran").get<std::int64_t>();
+    }
+    return ran;
+}
+
+int runLoad()
+{
+    const Result<FleetFile> fleet = readFleetFile(FLAGS_fleet);
+    const Result<std::vector<Endpoint>> gates = parseEndpoints(FLAGS_gates);
+    if (!fleet || !gates) {
+        std::cerr << describe(fleet ? gates.error() : fleet.error()) << "\n";
+        return ExitCode::badUsage;
+    }
+    if (FLAGS_mode == "closed" && fleet->service(ServiceId{FLAGS_service}) == nullptr) {
+        std::cerr << "--service: found \"" << FLAGS_service << "\", allowed are services of " << FLAGS_fleet << "\n";
+        return ExitCode::badUsage;
+    }
+    net::io_context context{1};
+    Load load(context, *fleet, *gates);
+    if (FLAGS_mode == "closed") {
+        load.startClosed();
+    } else {
+        load.startOpen();
+    }
+    const auto started = Steady::now();
+    context.run();
+    nlohmann::json json = toJson(load.report());
+    json["seconds"] = std::chrono::duration<double>(Steady::now() - started).count();
+    if (!FLAGS_upstream.empty()) {
+        json["not_run_but_ran"] = countNotRunButRan(load.report());
+    }
+    std::cout << json.dump() << std::endl;
+    return ExitCode::success;
+}
+
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    MangoCourse::parseFlags(argc,
+                            argv,
+                            "--gates=LIST --fleet=FILE [flags]\n\nLoads gates and checks every answer; prints one JSON object.\n\n"
+                            "Examples:\n"
+                            "  mangoload --gates=127.0.0.1:8080,127.0.0.1:8090 --fleet=examples/kocka-znova/fleet.toml --seconds=40\n"
+                            "  mangoload --gates=127.0.0.1:8080 --fleet=fleet.toml --mode=closed --service=part-identification --connections=32");
+    return MangoCourse::runLoad();
+}
