--- a/src/include/mangocourse/clock.h
+++ b/src/include/mangocourse/clock.h
@@ -10,8 +10,9 @@
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 // A source of monotonic time. Times of two processes are never compared.
-template<typename T>
-concept Clock = requires(const T clock) {
+template <typename T>
+concept Clock = requires(const T clock)
+{
     {
         clock.now()
         } -> std::same_as<TimePoint>;
--- a/src/include/mangocourse/platform.h
+++ b/src/include/mangocourse/platform.h
@@ -37,8 +37,9 @@
 
 // Acts on one instance. Each carries the offset of the record that allows it; the platform refuses a token below the
 // last one it saw, and a token that an undrain has closed, so a repeated or late call cannot do harm.
-template<typename T>
-concept Platform = requires(T platform, const InstanceId &instance, Offset token, const PoolId &pool) {
+template <typename T>
+concept Platform = requires(T platform, const InstanceId& instance, Offset token, const PoolId& pool)
+{
     {
         platform.drain(instance, token)
         } -> std::same_as<Result<void>>;
--- a/src/libmangocourse/record.cpp
+++ b/src/libmangocourse/record.cpp
@@ -29,8 +29,8 @@
     "define-service",
 };
 
-template<std::size_t Index = 0>
-std::optional<RecordBody> decodeBody(std::string_view kind, const Json &json)
+template <std::size_t Index = 0>
+std::optional<RecordBody> decodeBody(std::string_view kind, const Json& json)
 {
     if constexpr (Index < std::variant_size_v<RecordBody>) {
         if (kindNames[Index] == kind) {
@@ -47,18 +47,34 @@
 std::string_view toString(Refusal refusal)
 {
     static constexpr std::array<std::string_view, 19> names = {
-        "none",           "unknown-pool",     "unknown-instance", "unknown-wave",   "unknown-job",    "already-exists", "stale-revision",
-        "invalid-setting", "budget-exhausted", "wave-paused",      "not-in-wave",    "stale-token",    "wrong-pool",     "busy",
-        "already-claimed", "already-final",    "unchanged",        "not-for-this-stream", "undecodable",
+        "none",
+        "unknown-pool",
+        "unknown-instance",
+        "unknown-wave",
+        "unknown-job",
+        "already-exists",
+        "stale-revision",
+        "invalid-setting",
+        "budget-exhausted",
+        "wave-paused",
+        "not-in-wave",
+        "stale-token",
+        "wrong-pool",
+        "busy",
+        "already-claimed",
+        "already-final",
+        "unchanged",
+        "not-for-this-stream",
+        "undecodable",
     };
     return names.at(static_cast<std::size_t>(refusal));
 }
 
-std::string encodeRecord(const Record &record)
+std::string encodeRecord(const Record& record)
 {
     Json json;
     std::visit(
-        [&json](const auto &body) {
+        [&json](const auto& body) {
             json = body;
         },
         record.body);
@@ -77,8 +93,8 @@
         if (!body) {
             return makeError(ErrorCode::Decode, "unknown record kind \"" + kind + "\"", "kind");
         }
-        return Record{RecordId{json.at("id").get<std::string>()}, std::move(*body)};
-    } catch (const Json::exception &exception) {
+        return Record{ RecordId{ json.at("id").get<std::string>() }, std::move(*body) };
+    } catch (const Json::exception& exception) {
         return makeError(ErrorCode::Decode, exception.what(), "record");
     }
 }
--- a/src/libservice/platformclient.h
+++ b/src/libservice/platformclient.h
@@ -40,27 +40,27 @@
 class PlatformClient
 {
 public:
-    static Result<std::unique_ptr<PlatformClient>> create(const Endpoint &endpoint);
+    static Result<std::unique_ptr<PlatformClient>> create(const Endpoint& endpoint);
     ~PlatformClient();
 
     // Appends all payloads in order. On Timeout they may have been appended: append them again, the fold drops the second ones.
-    Result<Offset> append(const std::string &stream, const std::vector<std::string> &payloads);
+    Result<Offset> append(const std::string& stream, const std::vector<std::string>& payloads);
 
     // Reads after an offset; waits up to `wait` for the first new record.
-    Result<LogBatch> read(const std::string &stream, Offset after, int limit, std::chrono::milliseconds wait);
+    Result<LogBatch> read(const std::string& stream, Offset after, int limit, std::chrono::milliseconds wait);
 
     // Reads the newest record of a stream, or none.
-    Result<LogBatch> readNewest(const std::string &stream);
+    Result<LogBatch> readNewest(const std::string& stream);
 
     // Reads what changed in the list; waits up to `wait` for a change.
     Result<ListingDelta> listing(std::int64_t sinceVersion, std::chrono::milliseconds wait);
 
-    Result<void> drain(const InstanceId &instance, Offset token);
-    Result<void> undrain(const InstanceId &instance, Offset token);
-    Result<void> reboot(const InstanceId &instance, Offset token);
-    Result<void> relabel(const InstanceId &instance, Offset token, const PoolId &pool);
+    Result<void> drain(const InstanceId& instance, Offset token);
+    Result<void> undrain(const InstanceId& instance, Offset token);
+    Result<void> reboot(const InstanceId& instance, Offset token);
+    Result<void> relabel(const InstanceId& instance, Offset token, const PoolId& pool);
 
-    static constexpr std::chrono::milliseconds callLimit{3000};
+    static constexpr std::chrono::milliseconds callLimit{ 3000 };
 
 private:
     class Private;
--- a/src/libservice/streamfollower.h
+++ b/src/libservice/streamfollower.h
@@ -15,16 +15,16 @@
 
 // What a follower knows of its stream, for dumps and readiness.
 struct FollowerStatus {
-    std::atomic<bool> reachable{false};
-    std::atomic<bool> caughtUp{false};
-    std::atomic<bool> gap{false};
-    std::atomic<Offset> end{0};
-    std::atomic<Offset> snapshotOffset{0};
+    std::atomic<bool> reachable{ false };
+    std::atomic<bool> caughtUp{ false };
+    std::atomic<bool> gap{ false };
+    std::atomic<Offset> end{ 0 };
+    std::atomic<Offset> snapshotOffset{ 0 };
 };
 
 // Applies one payload to a state; an undecodable one is counted and skipped, the same at every reader.
-template<typename State>
-void applyPayload(State &state, Offset offset, const std::string &payload)
+template <typename State>
+void applyPayload(State& state, Offset offset, const std::string& payload)
 {
     const Result<Record> record = decodeRecord(payload);
     if (record) {
@@ -36,13 +36,13 @@
 }
 
 // State is FleetState or JobLedger. One duty calls step() in a loop.
-template<typename State>
+template <typename State>
 class StreamFollower
 {
 public:
-    using RecordSeen = std::function<void(Offset, const std::string &)>;
+    using RecordSeen = std::function<void(Offset, const std::string&)>;
 
-    StreamFollower(std::string stream, Guarded<State> &state, FollowerStatus &status, RecordSeen seen)
+    StreamFollower(std::string stream, Guarded<State>& state, FollowerStatus& status, RecordSeen seen)
         : stream(std::move(stream))
         , state(state)
         , status(status)
@@ -52,7 +52,7 @@
 
     // Reads and folds once, waiting up to `wait` for news. Unavailable or Timeout where the log cannot be reached, Gap where
     // records are gone that no snapshot covers.
-    Result<void> step(PlatformClient &platform, std::chrono::milliseconds wait)
+    Result<void> step(PlatformClient& platform, std::chrono::milliseconds wait)
     {
         const Offset after = this->offset();
         const Result<LogBatch> batch = platform.read(this->stream, after, batchLimit, this->status.caughtUp ? wait : std::chrono::milliseconds(0));
@@ -71,13 +71,13 @@
     }
 
     // Applies records in order, from the log or from a peer. Records at or below the current offset are dropped.
-    void apply(const std::vector<LogBatch::Entry> &entries)
+    void apply(const std::vector<LogBatch::Entry>& entries)
     {
         if (entries.empty()) {
             return;
         }
-        this->state.write([&](State &folded) {
-            for (const LogBatch::Entry &entry : entries) {
+        this->state.write([&](State& folded) {
+            for (const LogBatch::Entry& entry : entries) {
                 if (entry.offset == folded.offset() + 1) {
                     applyPayload(folded, entry.offset, entry.payload);
                     this->seen(entry.offset, entry.payload);
@@ -89,7 +89,7 @@
     // Replaces the state by a newer snapshot; an older one is ignored, so that nothing reverts.
     void replace(State snapshot)
     {
-        this->state.write([&snapshot](State &folded) {
+        this->state.write([&snapshot](State& folded) {
             if (snapshot.offset() > folded.offset()) {
                 folded = std::move(snapshot);
             }
@@ -98,7 +98,7 @@
 
     Offset offset() const
     {
-        return this->state.read([](const State &folded) {
+        return this->state.read([](const State& folded) {
             return folded.offset();
         });
     }
@@ -112,7 +112,7 @@
     static constexpr int batchLimit = 2000;
 
 private:
-    Result<void> restore(PlatformClient &platform, Offset oldest)
+    Result<void> restore(PlatformClient& platform, Offset oldest)
     {
         const Result<LogBatch> newest = platform.readNewest(this->snapshotStream());
         if (!newest) {
@@ -132,8 +132,8 @@
     }
 
     std::string stream;
-    Guarded<State> &state;
-    FollowerStatus &status;
+    Guarded<State>& state;
+    FollowerStatus& status;
     RecordSeen seen;
 };
 
--- a/src/standin_platform/instancestore.h
+++ b/src/libstandin/instancestore.h
@@ -53,18 +53,18 @@
 {
 public:
     // Budgets for the observer come from the fleet file; an empty one observes nothing.
-    InstanceStore(const FleetFile &fleet, Duration listLag, Duration rebootTime);
+    InstanceStore(const FleetFile& fleet, Duration listLag, Duration rebootTime);
 
     // The executors' host reports one instance and gets back what the platform wants of it: "live", "draining" or "down".
-    std::string report(const InstanceId &instance, const PoolId &pool, const Endpoint &endpoint, int inFlight, bool up, TimePoint now);
+    std::string report(const InstanceId& instance, const PoolId& pool, const Endpoint& endpoint, int inFlight, bool up, TimePoint now);
 
-    ActRefusal drain(const InstanceId &instance, Offset token, TimePoint now);
-    ActRefusal undrain(const InstanceId &instance, Offset token, TimePoint now);
-    ActRefusal reboot(const InstanceId &instance, Offset token, TimePoint now);
-    ActRefusal relabel(const InstanceId &instance, Offset token, const PoolId &pool, TimePoint now);
+    ActRefusal drain(const InstanceId& instance, Offset token, TimePoint now);
+    ActRefusal undrain(const InstanceId& instance, Offset token, TimePoint now);
+    ActRefusal reboot(const InstanceId& instance, Offset token, TimePoint now);
+    ActRefusal relabel(const InstanceId& instance, Offset token, const PoolId& pool, TimePoint now);
 
     // Faults: an instance that dies, and its return.
-    ActRefusal fail(const InstanceId &instance, bool down, TimePoint now);
+    ActRefusal fail(const InstanceId& instance, bool down, TimePoint now);
 
     // Lets time pass: reboots end, the list catches up, the observer looks. Returns true where the list changed.
     bool tick(TimePoint now);
@@ -73,7 +73,7 @@
     nlohmann::json listingSince(std::int64_t version) const;
 
     // Time since the list began to say that the instance leaves, or -1 ms where it does not.
-    std::chrono::milliseconds listedLeavingFor(const InstanceId &instance, TimePoint now) const;
+    std::chrono::milliseconds listedLeavingFor(const InstanceId& instance, TimePoint now) const;
 
     nlohmann::json observations() const;
 
@@ -83,8 +83,8 @@
         InstanceId instance;
     };
 
-    ActRefusal checkToken(const InstanceId &instance, Offset token);
-    void changed(const InstanceId &instance, TimePoint now);
+    ActRefusal checkToken(const InstanceId& instance, Offset token);
+    void changed(const InstanceId& instance, TimePoint now);
     bool publishDue(TimePoint now);
     void observe();
 
