--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -1,8 +1,9 @@
 # Warnings, the compiler cache and the sanitizers: -DMANGOCOURSE_SANITIZE=address,undefined or thread.
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
-    set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
-    set(ENV{CCACHE_SLOPPINESS} pch_defines,time_macros)
+    # What ccache needs to work with precompiled headers.
+    set(CMAKE_CXX_COMPILER_LAUNCHER ${CMAKE_COMMAND} -E env CCACHE_SLOPPINESS=pch_defines,time_macros ${CCACHE_PROGRAM})
+    add_compile_options(-fpch-preprocess)
 endif()
 
 add_compile_options(-Wall -Wextra -Wno-psabi)
--- /dev/null
+++ b/src/demo/end_to_end_test.py
@@ -0,0 +1,249 @@
+"""End-to-end tests: real processes on loopback, failures one by one, judged by the stand-ins and the load tool."""
+
+import argparse
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import unittest
+import urllib.error
+import urllib.request
+
+from deployment import Deployment, OPERATOR_TOKEN, http as call
+
+FLEET = os.path.join(os.path.dirname(__file__), "..", "..", "examples", "kocka-znova", "fleet.toml")
+CENTRES = ["kz-a", "kz-b", "kz-c"]
+BINARIES = None
+LARGE_BODY = 8 * 1024 * 1024
+AWAIT_LIMIT_S = 20
+
+
+def post(address, target, body=b"x", headers=None):
+    """Posts to a gate and returns status and parsed body."""
+    connection = http.client.HTTPConnection(address, timeout=30)
+    connection.request("POST", target, body=body, headers=headers or {})
+    answer = connection.getresponse()
+    text = answer.read()
+    connection.close()
+    return answer.status, json.loads(text)
+
+
+def raw(address, data, limit=15):
+    """Sends raw bytes and returns all that comes back until the gate closes."""
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout=limit) as sock:
+        sock.sendall(data)
+        received = b""
+        while True:
+            piece = sock.recv(65536)
+            if not piece:
+                return received
+            received += piece
+
+
+def await_value(read, limit=AWAIT_LIMIT_S):
+    """Waits until read() is true and returns it."""
+    until = time.monotonic() + limit
+    while time.monotonic() < until:
+        value = read()
+        if value:
+            return value
+        time.sleep(0.05)
+    raise AssertionError("not reached in time")
+
+
+class EndToEnd(unittest.TestCase):
+    """One deployment for all tests; each leaves it whole."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = Deployment(BINARIES, FLEET, CENTRES, serving_threads=2)
+        cls.deployment.publish_fleet()
+        cls.gates = [entry["callers"] for entry in cls.deployment.entries]
+
+    @classmethod
+    def tearDownClass(cls):
+        unclean = cls.deployment.stop()
+        if unclean:
+            raise AssertionError(f"did not stop gracefully: {unclean}")
+
+    def load(self, seconds, gates=None):
+        argv = [
+            os.path.join(BINARIES, "mangoload"),
+            f"--gates={','.join(gates or self.gates)}",
+            f"--fleet={FLEET}",
+            f"--seconds={seconds}",
+            "--scale=0.3",
+            "--large_bodies=4",
+            f"--seed={int(time.monotonic() * 1000)}",
+            f"--upstream={self.deployment.upstream.address}",
+        ]
+        return subprocess.Popen(argv, stdout=subprocess.PIPE, text=True)
+
+    def finish(self, load):
+        figures = json.loads(load.stdout.read())
+        load.wait()
+        self.assertEqual(figures["wrong"], 0, figures)
+        self.assertEqual(figures["partial"], 0, figures)
+        self.assertEqual(figures["not_run_but_ran"], 0, figures)
+        observed = call(self.deployment.upstream.address, "/observations")
+        self.assertEqual(observed["ran_twice"], 0)
+        return figures
+
+    def test_whole_answer_to_a_large_body(self):
+        status, answer = post(self.gates[0], "/v1/part-identification", b"p" * LARGE_BODY, {"X-Request-Id": "large-1"})
+        self.assertEqual((status, answer["id"]), (200, "large-1"))
+
+    def test_large_bodies_need_a_bounded_buffer(self):
+        pid = self.deployment.processes["gate-kz-a-1"].popen.pid
+
+        def resident():
+            with open(f"/proc/{pid}/statm", encoding="ascii") as statm:
+                return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+        before = resident()
+        for _ in range(4):
+            post(self.gates[0], "/v1/part-identification", b"p" * LARGE_BODY)
+        self.assertLess(resident() - before, LARGE_BODY // 2)
+
+    def test_bad_requests_end_in_a_verdict(self):
+        cases = [
+            (b"garbage\r\n\r\n", b"400"),
+            (b"POST /v1/part-identification HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n", b"413"),
+            (b"POST /v1/part-identification HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b"411"),
+            (b"POST /v1/nothing HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx", b"404"),
+            (b"GET /state HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", b"404"),
+            (b"POST /v1/inventory-reconciliation HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx", b"400"),
+        ]
+        for data, status in cases:
+            answer = raw(self.gates[0], data)
+            self.assertIn(b"HTTP/1.1 " + status, answer, data)
+            self.assertIn(b'"verdict":"not-run"', answer, data)
+
+    def test_silent_caller_is_let_go(self):
+        self.assertEqual(raw(self.gates[0], b"POST /v1/part"), b"")
+
+    def test_operators_and_peers_need_their_tokens(self):
+        entry = self.deployment.entries[0]
+        for address, path, body in [
+            (entry["admin"], "/state", None),
+            (entry["keeper"], "/state", None),
+            (entry["keeper"], "/v1/fleet", None),
+            (entry["keeper"], "/v1/records", []),
+            (entry["keeper"], "/v1/jobs/x", None),
+            (entry["keeper"], "/peer/pull", {}),
+            (entry["keeper"], "/peer/submit", {}),
+            (entry["keeper"], "/peer/claim", {}),
+            (entry["keeper"], "/peer/job", {}),
+            (entry["keeper"], "/peer/exchange", {}),
+        ]:
+            for token in (None, "wrong"):
+                with self.assertRaises(urllib.error.HTTPError) as raised:
+                    call(address, path, body, token)
+                self.assertEqual(raised.exception.code, 401, path)
+                raised.exception.close()
+        with urllib.request.urlopen(f"http://{entry['admin']}/metrics", timeout=5) as answer:
+            self.assertIn(b"mangocourse_settings_revision", answer.read())
+
+    def test_a_key_runs_once_whichever_gate_is_asked(self):
+        headers = {"Idempotency-Key": "order-1", "X-Team": "sorting"}
+        first = await_value(lambda: self._outcome(self.gates[0], headers))
+        again = await_value(lambda: self._outcome(self.gates[3 - 2], headers))
+        self.assertEqual(first, again)
+        self.assertEqual(call(self.deployment.upstream.address, "/observations")["ran_twice"], 0)
+        self.assertIn("finished", self.deployment.ctl("job", "sorting:order-1"))
+
+    @staticmethod
+    def _outcome(gate, headers):
+        status, answer = post(gate, "/v1/inventory-reconciliation", b"order", headers)
+        return answer if status == 200 else None
+
+    def test_graceful_stop_of_a_gate_cuts_nothing(self):
+        load = self.load(6)
+        time.sleep(2)
+        self.assertEqual(self.deployment.processes["gate-kz-b-1"].stop(), 0)
+        figures = self.finish(load)
+        self.assertEqual(figures["cut"], 0, figures["reasons"])
+        self.deployment.start_gate(self.deployment.entries[2])
+        self.await_gate(2)
+
+    def await_gate(self, index):
+        entry = self.deployment.entries[index]
+        self.deployment.await_state(lambda state: any(line["takes_new_work"] for line in state["executors"]), AWAIT_LIMIT_S, [entry["admin"]])
+
+    def test_killed_keepers_do_not_stop_the_traffic(self):
+        load = self.load(6)
+        time.sleep(1)
+        self.deployment.processes["keeper-kz-a-1"].kill()
+        self.deployment.processes["keeper-kz-c-2"].signal(signal.SIGSTOP)
+        figures = self.finish(load)
+        self.assertEqual(figures["cut"], 0, figures["reasons"])
+        self.assertGreater(figures["counter_in_time"], 0.999, figures)
+        self.deployment.processes["keeper-kz-c-2"].signal(signal.SIGCONT)
+        self.deployment.start_keeper(self.deployment.entries[0])
+        self.deployment.await_state(lambda state: state["settings_revision"] >= 0, AWAIT_LIMIT_S)
+
+    def test_killed_gate_runs_nothing_twice(self):
+        load = self.load(6)
+        time.sleep(2)
+        self.deployment.processes["gate-kz-c-1"].kill()
+        self.finish(load)
+        self.deployment.start_gate(self.deployment.entries[4])
+        self.await_gate(4)
+
+    def test_log_outage_serves_and_refuses_changes(self):
+        platform = self.deployment.platform.address
+        before = json.loads(self.deployment.ctl("settings", "get", "jobs.lease_ms", "--output=json"))
+        call(platform, "/faults/log", {"mode": "down"})
+        load = self.load(4)
+        refused = self.deployment.ctl("settings", "set", "jobs.lease_ms", "20000", check=False)
+        self.assertIn("not-run", refused)
+        status, answer = post(self.gates[0], "/v1/inventory-reconciliation", b"x", {"Idempotency-Key": "during-outage"})
+        self.assertEqual((status, answer["verdict"]), (503, "not-run"))
+        figures = self.finish(load)
+        self.assertGreater(figures["counter_in_time"], 0.999, figures)
+        call(platform, "/faults/log", {"mode": "none"})
+        self.deployment.await_state(lambda state: state.get("role") == "gate" or state["fleet_follower"]["reachable"], AWAIT_LIMIT_S)
+        after = json.loads(self.deployment.ctl("settings", "get", "jobs.lease_ms", "--output=json"))
+        self.assertEqual(before["value"], after["value"])
+
+    def test_lost_answers_of_the_log_count_once(self):
+        call(self.deployment.platform.address, "/faults/log", {"mode": "lose-answers"})
+        before = json.loads(self.deployment.ctl("settings", "get", "retry.budget_percent", "--output=json"))["tree_revision"]
+        self.deployment.ctl("settings", "set", "retry.budget_percent", "11")
+        call(self.deployment.platform.address, "/faults/log", {"mode": "none"})
+        self.deployment.await_state(lambda state: state["settings_revision"] == before + 1, AWAIT_LIMIT_S)
+
+    def test_worker_that_fails_everything_is_taken_out(self):
+        instance = "sorting-kz-a-1"
+        call(self.deployment.upstream.address, "/faults/failing", {"instance": instance, "failing": True})
+        figures = self.finish(self.load(4))
+        self.assertGreater(figures["counter_in_time"], 0.99, figures)
+        call(self.deployment.upstream.address, "/faults/failing", {"instance": instance, "failing": False})
+
+    def test_state_on_signal_and_command_line(self):
+        process = self.deployment.processes["gate-kz-a-2"]
+        process.signal(signal.SIGUSR1)
+        path = os.path.join(self.deployment.folder, "gate-kz-a-2.log")
+        await_value(lambda: '"role":"gate"' in open(path, encoding="utf-8").read())
+        self.assertIn("Everything is all right", self.deployment.ctl("status"))
+        self.assertIn("would append", self.deployment.ctl("--dry_run", "settings", "set", "retry.budget_percent", "9"))
+        self.assertIn("unknown key", self._error("settings", "set", "retry.budget", "9"))
+
+    def _error(self, *words):
+        argv = [os.path.join(BINARIES, "mangoctl"), f"--keepers={self.deployment.entries[0]['keeper']}", f"--token={OPERATOR_TOKEN}", *words]
+        done = subprocess.run(argv, capture_output=True, text=True, check=False, timeout=30)
+        self.assertNotEqual(done.returncode, 0)
+        return done.stderr
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--binaries", required=True)
+    arguments, rest = parser.parse_known_args()
+    BINARIES = arguments.binaries
+    unittest.main(argv=[sys.argv[0], *rest], verbosity=2)
--- a/src/gate/answer.cpp
+++ b/src/gate/answer.cpp
@@ -7,7 +7,7 @@
 
 CallerAnswer failureAnswer(http::status status, Verdict verdict, std::string_view reason, std::chrono::milliseconds retryAfter)
 {
-    nlohmann::json json = { { "verdict", toString(verdict) }, { "reason", reason } };
+    nlohmann::json json = {{"verdict", toString(verdict)}, {"reason", reason}};
     if (retryAfter.count() > 0) {
         json["retryAfter"] = std::chrono::duration<double>(retryAfter).count();
     }
@@ -19,7 +19,7 @@
     return answer;
 }
 
-HttpResponse toResponse(const CallerAnswer& answer, const std::string& requestId, bool keepAlive)
+HttpResponse toResponse(const CallerAnswer &answer, const std::string &requestId, bool keepAlive)
 {
     HttpResponse response(answer.status, 11);
     response.set(http::field::content_type, answer.contentType);
--- a/src/gate/answer.h
+++ b/src/gate/answer.h
@@ -25,6 +25,6 @@
 CallerAnswer failureAnswer(http::status status, Verdict verdict, std::string_view reason, std::chrono::milliseconds retryAfter = {});
 
 // Turns an answer into the message for the caller.
-HttpResponse toResponse(const CallerAnswer& answer, const std::string& requestId, bool keepAlive);
+HttpResponse toResponse(const CallerAnswer &answer, const std::string &requestId, bool keepAlive);
 
 }
--- a/src/gate/base64.h
+++ b/src/gate/base64.h
@@ -10,7 +10,7 @@
 namespace MangoCourse {
 
 // Returns the unpadded base64 text of the bytes.
-inline std::string toBase64(const std::string& bytes)
+inline std::string toBase64(const std::string &bytes)
 {
     using namespace boost::archive::iterators;
     using Encoder = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
@@ -18,7 +18,7 @@
 }
 
 // Returns the bytes of toBase64()'s text.
-inline std::string fromBase64(const std::string& text)
+inline std::string fromBase64(const std::string &text)
 {
     using namespace boost::archive::iterators;
     using Decoder = transform_width<binary_from_base64<std::string::const_iterator>, 8, 6>;
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -6,9 +6,9 @@
 #include <spdlog/spdlog.h>
 
 #include <mangocourse/platform.h>
+#include <mangocourse/streamfollower.h>
 
 #include "httpclient.h"
-#include "streamfollower.h"
 #include "thriftcodec.h"
 
 namespace MangoCourse {
@@ -25,22 +25,22 @@
 class Follower
 {
 public:
-    explicit Follower(GateState& state)
+    explicit Follower(GateState &state)
         : state(state)
     {
     }
 
-    Result<void> pull(HttpClient& keeper);
+    Result<void> pull(HttpClient &keeper);
 
 private:
-    Result<void> apply(const Rpc::PullReply& reply);
-    Result<void> applyRecords(const Rpc::PullReply& reply);
-    void applyListing(const Rpc::PullReply& reply);
+    Result<void> apply(const Rpc::PullReply &reply);
+    Result<void> applyRecords(const Rpc::PullReply &reply);
+    void applyListing(const Rpc::PullReply &reply);
     void publish();
     DispatchView dispatchView() const;
-    bool isListedLive(const InstanceId& instance) const;
+    bool isListedLive(const InstanceId &instance) const;
 
-    GateState& state;
+    GateState &state;
     FleetState fleet;
     std::map<InstanceId, Rpc::ListingEntry> listing;
     std::int64_t listingVersion = 0;
@@ -48,7 +48,7 @@
     bool hasPublished = false;
 };
 
-Result<void> Follower::applyRecords(const Rpc::PullReply& reply)
+Result<void> Follower::applyRecords(const Rpc::PullReply &reply)
 {
     if (!reply.snapshot.empty() && reply.snapshotOffset > this->fleet.offset()) {
         Result<FleetState> snapshot = FleetState::fromJson(reply.snapshot);
@@ -57,7 +57,7 @@
         }
         this->fleet = std::move(*snapshot);
     }
-    for (const Rpc::LogRecord& record : reply.records) {
+    for (const Rpc::LogRecord &record : reply.records) {
         if (record.offset == this->fleet.offset() + 1) {
             applyPayload(this->fleet, record.offset, record.payload);
         }
@@ -65,10 +65,10 @@
     return {};
 }
 
-void Follower::applyListing(const Rpc::PullReply& reply)
+void Follower::applyListing(const Rpc::PullReply &reply)
 {
-    for (const Rpc::ListingEntry& entry : reply.listing) {
-        Rpc::ListingEntry& known = this->listing[InstanceId{ entry.instance }];
+    for (const Rpc::ListingEntry &entry : reply.listing) {
+        Rpc::ListingEntry &known = this->listing[InstanceId{entry.instance}];
         if (entry.version >= known.version) {
             known = entry;
         }
@@ -76,7 +76,7 @@
     this->listingVersion = std::max(this->listingVersion, reply.listingVersion);
 }
 
-bool Follower::isListedLive(const InstanceId& instance) const
+bool Follower::isListedLive(const InstanceId &instance) const
 {
     const auto found = this->listing.find(instance);
     return found != this->listing.end() && found->second.state == toString(InstanceState::Live);
@@ -87,16 +87,16 @@
     DispatchView view;
     view.gates = this->gates;
     view.retryPercent = static_cast<int>(this->fleet.settings().value("", Keys::retryPercent));
-    for (const auto& [id, pool] : this->fleet.pools()) {
-        PoolView entry{ id, pool.spec.services, pool.spec.lenders, 0, 0 };
+    for (const auto &[id, pool] : this->fleet.pools()) {
+        PoolView entry{id, pool.spec.services, pool.spec.lenders, 0, 0};
         entry.queueLimit = static_cast<int>(this->fleet.settings().value(id.value, Keys::queueLimit));
         entry.ejectPercent = static_cast<int>(this->fleet.settings().value(id.value, Keys::ejectPercent));
         view.pools.push_back(std::move(entry));
     }
-    for (const auto& [id, instance] : this->fleet.instances()) {
+    for (const auto &[id, instance] : this->fleet.instances()) {
         const bool isLocal = instance.spec.dataCentre == this->state.settings.dataCentre;
         const bool takesNewWork = instance.takesNewWork() && this->isListedLive(id);
-        view.executors.push_back({ id, instance.pool, instance.spec.slots, isLocal, takesNewWork });
+        view.executors.push_back({id, instance.pool, instance.spec.slots, isLocal, takesNewWork});
     }
     return view;
 }
@@ -107,25 +107,25 @@
     next->offset = this->fleet.offset();
     next->revision = this->fleet.settings().revision();
     next->jobLease = std::chrono::milliseconds(this->fleet.settings().value("", Keys::jobLeaseMs));
-    for (const auto& [id, pool] : this->fleet.pools()) {
-        for (const ServiceId& service : pool.spec.services) {
+    for (const auto &[id, pool] : this->fleet.pools()) {
+        for (const ServiceId &service : pool.spec.services) {
             const auto definition = this->fleet.services().find(service);
             if (definition == this->fleet.services().end()) {
                 continue;
             }
             const std::string path = id.value + "/" + service.value;
             const std::chrono::milliseconds timeout(this->fleet.settings().value(path, Keys::requestTimeoutMs));
-            next->services[service] = { id, definition->second.workClass, definition->second.idempotent, timeout };
+            next->services[service] = {id, definition->second.workClass, definition->second.idempotent, timeout};
         }
     }
-    for (const auto& [id, entry] : this->listing) {
-        next->endpoints[id] = Endpoint{ entry.host, static_cast<std::uint16_t>(entry.port) };
+    for (const auto &[id, entry] : this->listing) {
+        next->endpoints[id] = Endpoint{entry.host, static_cast<std::uint16_t>(entry.port)};
     }
     this->state.setView(std::move(next));
     this->state.dispatcher->updateView(this->dispatchView());
 }
 
-Result<void> Follower::apply(const Rpc::PullReply& reply)
+Result<void> Follower::apply(const Rpc::PullReply &reply)
 {
     if (reply.endOffset < this->fleet.offset()) {
         return makeError(ErrorCode::Conflict, "the keeper is behind this gate");
@@ -146,7 +146,7 @@
     return {};
 }
 
-Result<void> Follower::pull(HttpClient& keeper)
+Result<void> Follower::pull(HttpClient &keeper)
 {
     Rpc::PullRequest request;
     request.process = this->state.settings.name.value;
@@ -168,7 +168,7 @@
 
 }
 
-Result<void> followKeeper(const std::stop_token& stop, GateState& state)
+Result<void> followKeeper(const std::stop_token &stop, GateState &state)
 {
     Follower follower(state);
     std::unique_ptr<HttpClient> keeper;
--- a/src/gate/forward.cpp
+++ b/src/gate/forward.cpp
@@ -17,7 +17,7 @@
     return attempt;
 }
 
-Attempt mayHaveRun(const ErrorCodeSystem& error)
+Attempt mayHaveRun(const ErrorCodeSystem &error)
 {
     Attempt attempt;
     const bool isTimeout = error == beast::error::timeout;
@@ -28,7 +28,7 @@
     return attempt;
 }
 
-http::request<http::string_body> buildRequest(const Endpoint& endpoint, const UpstreamRequest& request)
+http::request<http::string_body> buildRequest(const Endpoint &endpoint, const UpstreamRequest &request)
 {
     http::request<http::string_body> message(http::verb::post, request.target, 11);
     message.set(http::field::host, toString(endpoint));
@@ -43,12 +43,12 @@
 }
 
 // An executor refuses before it starts with 503 and Retry-After; with "Connection: close" it is leaving.
-bool isRefusal(const HttpResponse& response)
+bool isRefusal(const HttpResponse &response)
 {
     return response.result() == http::status::service_unavailable && response.find(http::field::retry_after) != response.end();
 }
 
-Attempt judge(HttpResponse& response, const UpstreamRequest& request)
+Attempt judge(HttpResponse &response, const UpstreamRequest &request)
 {
     if (isRefusal(response)) {
         return notRun(response.keep_alive() ? AttemptResult::RefusedBusy : AttemptResult::RefusedLeaving, "the executor refused before it started");
@@ -69,7 +69,7 @@
     return attempt;
 }
 
-net::awaitable<Result<HttpResponse>> readAnswer(UpstreamConnection& connection, std::size_t limit, ErrorCodeSystem& error)
+net::awaitable<Result<HttpResponse>> readAnswer(UpstreamConnection &connection, std::size_t limit, ErrorCodeSystem &error)
 {
     http::response_parser<http::string_body> parser;
     parser.body_limit(limit);
@@ -81,8 +81,8 @@
 }
 
 // Sends the header alone and relays the body only after "100 Continue", so that a refused request still has its body at the caller.
-net::awaitable<Result<HttpResponse>> sendRelayed(UpstreamConnection& connection, http::request<http::string_body> message, const BodyRelay& relay,
-    std::uint64_t bodyLength, std::size_t limit, ErrorCodeSystem& error)
+net::awaitable<Result<HttpResponse>> sendRelayed(UpstreamConnection &connection, http::request<http::string_body> message, const BodyRelay &relay,
+    std::uint64_t bodyLength, std::size_t limit, ErrorCodeSystem &error)
 {
     http::request<http::empty_body> header(std::move(message.base()));
     header.set(http::field::expect, "100-continue");
@@ -113,7 +113,7 @@
 }
 
 net::awaitable<Result<HttpResponse>> sendHeld(
-    UpstreamConnection& connection, http::request<http::string_body> message, const UpstreamRequest& request, std::size_t limit, ErrorCodeSystem& error)
+    UpstreamConnection &connection, http::request<http::string_body> message, const UpstreamRequest &request, std::size_t limit, ErrorCodeSystem &error)
 {
     message.body() = request.body;
     message.prepare_payload();
@@ -126,8 +126,8 @@
 
 }
 
-net::awaitable<Attempt> forward(Serving& serving, const ServingLimits& limits, Endpoint endpoint, const UpstreamRequest& request, TimePoint deadline,
-    const BodyRelay& relay, std::uint64_t bodyLength)
+net::awaitable<Attempt> forward(Serving &serving, const ServingLimits &limits, Endpoint endpoint, const UpstreamRequest &request, TimePoint deadline,
+    const BodyRelay &relay, std::uint64_t bodyLength)
 {
     std::unique_ptr<UpstreamConnection> connection = serving.upstreams.take(endpoint);
     ErrorCodeSystem error;
--- a/src/gate/forward.h
+++ b/src/gate/forward.h
@@ -31,10 +31,10 @@
 };
 
 // Relays a body in bounded pieces. Called once the executor has agreed to take it; returns false where either side failed.
-using BodyRelay = std::function<net::awaitable<bool>(beast::tcp_stream& upstream)>;
+using BodyRelay = std::function<net::awaitable<bool>(beast::tcp_stream &upstream)>;
 
 // Sends the request and reads the whole answer, at most until the deadline. With a relay, `bodyLength` bytes come from it.
-net::awaitable<Attempt> forward(Serving& serving, const ServingLimits& limits, Endpoint endpoint, const UpstreamRequest& request, TimePoint deadline,
-    const BodyRelay& relay, std::uint64_t bodyLength);
+net::awaitable<Attempt> forward(Serving &serving, const ServingLimits &limits, Endpoint endpoint, const UpstreamRequest &request, TimePoint deadline,
+    const BodyRelay &relay, std::uint64_t bodyLength);
 
 }
--- a/src/gate/gatestate.cpp
+++ b/src/gate/gatestate.cpp
@@ -14,9 +14,9 @@
     return std::make_unique<SharedDispatcher>(std::move(*dispatcher));
 }
 
-void SharedDispatcher::wake(const std::vector<Started>& started)
+void SharedDispatcher::wake(const std::vector<Started> &started)
 {
-    for (const Started& next : started) {
+    for (const Started &next : started) {
         const auto found = this->waiters.find(next.ticket);
         if (found == this->waiters.end()) {
             continue;
@@ -31,7 +31,7 @@
     }
 }
 
-net::awaitable<Admission> SharedDispatcher::admit(net::io_context& context, WorkRequest request)
+net::awaitable<Admission> SharedDispatcher::admit(net::io_context &context, WorkRequest request)
 {
     std::shared_ptr<Waiter> waiter;
     Admission admission;
@@ -70,13 +70,13 @@
     this->wake(this->dispatcher.finish(ticket, result, this->clock.now()));
 }
 
-void SharedDispatcher::updateView(const DispatchView& view)
+void SharedDispatcher::updateView(const DispatchView &view)
 {
     const std::scoped_lock lock(this->mutex);
     this->wake(this->dispatcher.updateView(view, this->clock.now()));
 }
 
-void SharedDispatcher::noteLeaving(const InstanceId& instance)
+void SharedDispatcher::noteLeaving(const InstanceId &instance)
 {
     const std::scoped_lock lock(this->mutex);
     this->dispatcher.noteLeaving(instance, this->clock.now());
--- a/src/gate/gatestate.h
+++ b/src/gate/gatestate.h
@@ -37,12 +37,12 @@
 
 // A request that waits for its turn on one of the serving threads.
 struct Waiter {
-    explicit Waiter(net::io_context& context)
+    explicit Waiter(net::io_context &context)
         : context(context)
         , timer(context)
     {
     }
-    net::io_context& context;
+    net::io_context &context;
     net::steady_timer timer;
     bool started = false;
     InstanceId instance;
@@ -60,7 +60,7 @@
     net::io_context context;
     UpstreamPool upstreams;
     // Connections between two requests, closed at a graceful stop.
-    std::map<const void*, tcp::socket*> idleCallers;
+    std::map<const void *, tcp::socket *> idleCallers;
 };
 
 // The dispatcher with its waiters, for several serving threads.
@@ -75,11 +75,11 @@
     }
 
     // Starts a request, or waits for its turn until the deadline. A refused admission carries the reason.
-    net::awaitable<Admission> admit(net::io_context& context, WorkRequest request);
+    net::awaitable<Admission> admit(net::io_context &context, WorkRequest request);
 
     void finish(Ticket ticket, AttemptResult result);
-    void updateView(const DispatchView& view);
-    void noteLeaving(const InstanceId& instance);
+    void updateView(const DispatchView &view);
+    void noteLeaving(const InstanceId &instance);
     bool tryRetry();
     void poll();
 
@@ -87,7 +87,7 @@
     std::vector<ExecutorReport> executors() const;
 
 private:
-    void wake(const std::vector<Started>& started);
+    void wake(const std::vector<Started> &started);
 
     mutable std::mutex mutex;
     Dispatcher dispatcher;
@@ -106,14 +106,14 @@
     std::vector<std::unique_ptr<Serving>> serving;
     Metrics metrics;
     SteadyClock clock;
-    std::atomic<bool> stopping{ false };
-    std::atomic<int> inFlight{ 0 };
-    std::atomic<int> callers{ 0 };
-    std::atomic<std::uint64_t> requestCounter{ 0 };
-    std::atomic<int> keeperIndex{ 0 };
-    std::atomic<bool> keeperReachable{ false };
-    std::atomic<int> liveGates{ 1 };
-    std::atomic<int> runningJobs{ 0 };
+    std::atomic<bool> stopping{false};
+    std::atomic<int> inFlight{0};
+    std::atomic<int> callers{0};
+    std::atomic<std::uint64_t> requestCounter{0};
+    std::atomic<int> keeperIndex{0};
+    std::atomic<bool> keeperReachable{false};
+    std::atomic<int> liveGates{1};
+    std::atomic<int> runningJobs{0};
 
     std::shared_ptr<const GateView> view() const
     {
--- a/src/gate/jobs.cpp
+++ b/src/gate/jobs.cpp
@@ -30,12 +30,12 @@
 constexpr std::size_t outcomeBodyLimit = JobLedger::outcomeLimit * 3 / 4 - 64;
 
 // Job ids are scoped by team, so that two teams' keys cannot meet.
-JobId jobIdOf(const GateRequest& request)
+JobId jobIdOf(const GateRequest &request)
 {
-    return JobId{ request.team.value + ":" + request.upstream.idempotencyKey };
+    return JobId{request.team.value + ":" + request.upstream.idempotencyKey};
 }
 
-net::awaitable<Result<Rpc::SubmitVerdict>> submitRecord(GateState& state, Serving& serving, Record record)
+net::awaitable<Result<Rpc::SubmitVerdict>> submitRecord(GateState &state, Serving &serving, Record record)
 {
     Rpc::SubmitRequest request;
     request.records.push_back(encodeRecord(record));
@@ -51,9 +51,9 @@
     co_return reply->verdicts.front();
 }
 
-CallerAnswer describeJob(const JobId& job, const Rpc::JobView& view)
+CallerAnswer describeJob(const JobId &job, const Rpc::JobView &view)
 {
-    nlohmann::json json = { { "job", job.value }, { "state", view.state }, { "reason", view.reason } };
+    nlohmann::json json = {{"job", job.value}, {"state", view.state}, {"reason", view.reason}};
     CallerAnswer answer;
     if (view.state == "finished") {
         answer.status = http::int_to_status(static_cast<unsigned>(view.status));
@@ -69,7 +69,7 @@
     return answer;
 }
 
-net::awaitable<CallerAnswer> readJob(GateState& state, Serving& serving, JobId job)
+net::awaitable<CallerAnswer> readJob(GateState &state, Serving &serving, JobId job)
 {
     Rpc::JobQuery query;
     query.job = job.value;
@@ -81,28 +81,28 @@
     co_return describeJob(job, *view);
 }
 
-std::string finishReason(const Attempt& attempt)
+std::string finishReason(const Attempt &attempt)
 {
     return attempt.body.size() <= outcomeBodyLimit ? attempt.body : R"({"reason":"the outcome is larger than the ledger keeps"})";
 }
 
-Record endOfClaim(GateState& state, const JobId& job, Offset claim, const Attempt& attempt, bool idempotent)
+Record endOfClaim(GateState &state, const JobId &job, Offset claim, const Attempt &attempt, bool idempotent)
 {
-    const RecordId id{ state.newRequestId() };
+    const RecordId id{state.newRequestId()};
     if (attempt.result == AttemptResult::Succeeded) {
-        return Record{ id, FinishJob{ job, claim, static_cast<int>(attempt.status), toBase64(finishReason(attempt)) } };
+        return Record{id, FinishJob{job, claim, static_cast<int>(attempt.status), toBase64(finishReason(attempt))}};
     }
     if (attempt.verdict == Verdict::NotRun) {
-        return Record{ id, ReleaseJob{ job, claim, ReleaseReason::NotRun } };
+        return Record{id, ReleaseJob{job, claim, ReleaseReason::NotRun}};
     }
     // A run that the executor reported as failed is an outcome of work that may run once.
     if (attempt.verdict == Verdict::Ran && !idempotent) {
-        return Record{ id, FinishJob{ job, claim, static_cast<int>(attempt.status), toBase64(finishReason(attempt)) } };
+        return Record{id, FinishJob{job, claim, static_cast<int>(attempt.status), toBase64(finishReason(attempt))}};
     }
-    return Record{ id, ReleaseJob{ job, claim, attempt.verdict == Verdict::Ran ? ReleaseReason::RunFailed : ReleaseReason::LeaseLapsed } };
+    return Record{id, ReleaseJob{job, claim, attempt.verdict == Verdict::Ran ? ReleaseReason::RunFailed : ReleaseReason::LeaseLapsed}};
 }
 
-net::awaitable<void> reportEnd(GateState& state, Serving& serving, Record record)
+net::awaitable<void> reportEnd(GateState &state, Serving &serving, Record record)
 {
     net::steady_timer timer(serving.context);
     for (int attempt = 0; attempt < finishAttempts; ++attempt) {
@@ -119,10 +119,10 @@
 }
 
 // The lease counts from before the claim was asked for, on this process's own clock; a paused holder finds it lapsed.
-net::awaitable<void> runJob(GateState& state, Serving& serving, Rpc::ClaimedJob job, TimePoint leaseEnd)
+net::awaitable<void> runJob(GateState &state, Serving &serving, Rpc::ClaimedJob job, TimePoint leaseEnd)
 {
-    const JobId id{ job.job };
-    const ServiceId service{ job.serviceName };
+    const JobId id{job.job};
+    const ServiceId service{job.serviceName};
     const auto view = state.view();
     const auto known = view->services.find(service);
     Attempt attempt;
@@ -130,11 +130,11 @@
     if (known != view->services.end() && state.clock.now() < leaseEnd) {
         GateRequest request;
         request.service = service;
-        request.team = TeamId{ job.team };
+        request.team = TeamId{job.team};
         request.spec = known->second;
         // Within one claim nothing is tried twice unless the first attempt provably did not run.
         request.spec.idempotent = false;
-        request.upstream = { "/v1/" + job.serviceName, state.newRequestId(), job.job, "application/octet-stream", fromBase64(job.payload) };
+        request.upstream = {"/v1/" + job.serviceName, state.newRequestId(), job.job, "application/octet-stream", fromBase64(job.payload)};
         request.deadline = leaseEnd;
         attempt = co_await runRequest(state, serving, request);
     }
@@ -142,10 +142,10 @@
     --state.runningJobs;
 }
 
-void startJobs(GateState& state, const Rpc::ClaimReply& reply, TimePoint askedAt)
+void startJobs(GateState &state, const Rpc::ClaimReply &reply, TimePoint askedAt)
 {
-    for (const Rpc::ClaimedJob& job : reply.jobs) {
-        Serving& serving = *state.serving[static_cast<std::size_t>(job.claim) % state.serving.size()];
+    for (const Rpc::ClaimedJob &job : reply.jobs) {
+        Serving &serving = *state.serving[static_cast<std::size_t>(job.claim) % state.serving.size()];
         const TimePoint leaseEnd = askedAt + std::chrono::milliseconds(job.leaseMs);
         ++state.runningJobs;
         net::co_spawn(serving.context, runJob(state, serving, job, leaseEnd), net::detached);
@@ -154,7 +154,7 @@
 
 }
 
-net::awaitable<CallerAnswer> submitJob(GateState& state, Serving& serving, const GateRequest& request)
+net::awaitable<CallerAnswer> submitJob(GateState &state, Serving &serving, const GateRequest &request)
 {
     if (request.upstream.idempotencyKey.empty()) {
         co_return failureAnswer(http::status::bad_request, Verdict::NotRun, "this service may run once: send an Idempotency-Key");
@@ -163,8 +163,8 @@
         co_return failureAnswer(http::status::payload_too_large, Verdict::NotRun, "a job's body is at most " + std::to_string(jobBodyLimit) + " bytes");
     }
     const JobId job = jobIdOf(request);
-    const Record record{ RecordId{ state.newRequestId() },
-        AcceptJob{ job, request.service, request.team, request.spec.idempotent, toBase64(request.upstream.body) } };
+    const Record record{
+        RecordId{state.newRequestId()}, AcceptJob{job, request.service, request.team, request.spec.idempotent, toBase64(request.upstream.body)}};
     const Result<Rpc::SubmitVerdict> verdict = co_await submitRecord(state, serving, record);
     if (!verdict && verdict.error().code == ErrorCode::Unavailable) {
         co_return failureAnswer(http::status::service_unavailable, Verdict::NotRun, "no keeper can be reached", unreachablePause);
@@ -179,7 +179,7 @@
     co_return co_await readJob(state, serving, job);
 }
 
-Result<void> runJobs(const std::stop_token& stop, GateState& state)
+Result<void> runJobs(const std::stop_token &stop, GateState &state)
 {
     std::unique_ptr<HttpClient> keeper;
     while (!stop.stop_requested()) {
--- a/src/gate/main.cpp
+++ b/src/gate/main.cpp
@@ -26,7 +26,7 @@
 constexpr std::chrono::milliseconds pollInterval = 50ms;
 constexpr std::chrono::milliseconds stopPoll = 10ms;
 
-Result<void> runContext(const std::stop_token& stop, net::io_context& context)
+Result<void> runContext(const std::stop_token &stop, net::io_context &context)
 {
     const std::stop_callback wake(stop, [&context] {
         context.stop();
@@ -37,11 +37,11 @@
     return {};
 }
 
-net::awaitable<void> acceptCallers(GateState& state, tcp::acceptor& acceptor)
+net::awaitable<void> acceptCallers(GateState &state, tcp::acceptor &acceptor)
 {
     std::size_t next = 0;
     while (!state.stopping) {
-        Serving& serving = *state.serving[next++ % state.serving.size()];
+        Serving &serving = *state.serving[next++ % state.serving.size()];
         ErrorCodeSystem error;
         tcp::socket socket(serving.context);
         co_await acceptor.async_accept(socket, into(error));
@@ -61,7 +61,7 @@
 }
 
 // Ends ejections and starts waiters while nothing else happens.
-net::awaitable<void> pollDispatcher(GateState& state)
+net::awaitable<void> pollDispatcher(GateState &state)
 {
     net::steady_timer timer(co_await net::this_coro::executor);
     while (true) {
@@ -72,61 +72,60 @@
     }
 }
 
-std::string dumpState(const GateState& state, const Supervisor& supervisor)
+std::string dumpState(const GateState &state, const Supervisor &supervisor)
 {
     const auto view = state.view();
     const DispatchStats stats = state.dispatcher->stats();
     Json executors = Json::array();
-    for (const ExecutorReport& report : state.dispatcher->executors()) {
-        executors.push_back({ { "instance", report.instance.value }, { "pool", report.pool.value }, { "running", report.running }, { "limit", report.limit },
-            { "takes_new_work", report.takesNewWork }, { "ejected", report.ejected } });
+    for (const ExecutorReport &report : state.dispatcher->executors()) {
+        executors.push_back({{"instance", report.instance.value}, {"pool", report.pool.value}, {"running", report.running}, {"limit", report.limit},
+            {"takes_new_work", report.takesNewWork}, {"ejected", report.ejected}});
     }
     Json duties = Json::array();
-    for (const DutyReport& duty : supervisor.report()) {
-        duties.push_back({ { "name", duty.name }, { "running", duty.running }, { "restarts", duty.restarts }, { "last_error", duty.lastError } });
+    for (const DutyReport &duty : supervisor.report()) {
+        duties.push_back({{"name", duty.name}, {"running", duty.running}, {"restarts", duty.restarts}, {"last_error", duty.lastError}});
     }
-    return Json{
-        { "process", state.settings.name.value }, { "role", "gate" }, { "data_centre", state.settings.dataCentre.value }, { "offset", view->offset },
-        { "settings_revision", view->revision }, { "keeper", toString(state.currentKeeper()) }, { "keeper_reachable", state.keeperReachable.load() },
-        { "live_gates", state.liveGates.load() }, { "callers", state.callers.load() }, { "in_flight", state.inFlight.load() },
-        { "running_jobs", state.runningJobs.load() }, { "stopping", state.stopping.load() },
-        { "dispatch",
-            { { "submitted", stats.submitted }, { "started", stats.started }, { "refused", stats.refused }, { "retries", stats.retries },
-                { "ejections", stats.ejections }, { "waiting", stats.waiting }, { "running", stats.running } } },
-        { "executors", std::move(executors) }, { "duties", std::move(duties) }
-    }.dump();
+    return Json{{"process", state.settings.name.value}, {"role", "gate"}, {"data_centre", state.settings.dataCentre.value}, {"offset", view->offset},
+        {"settings_revision", view->revision}, {"keeper", toString(state.currentKeeper())}, {"keeper_reachable", state.keeperReachable.load()},
+        {"live_gates", state.liveGates.load()}, {"callers", state.callers.load()}, {"in_flight", state.inFlight.load()},
+        {"running_jobs", state.runningJobs.load()}, {"stopping", state.stopping.load()},
+        {"dispatch",
+            {{"submitted", stats.submitted}, {"started", stats.started}, {"refused", stats.refused}, {"retries", stats.retries}, {"ejections", stats.ejections},
+                {"waiting", stats.waiting}, {"running", stats.running}}},
+        {"executors", std::move(executors)}, {"duties", std::move(duties)}}
+        .dump();
 }
 
-bool isReady(const GateState& state)
+bool isReady(const GateState &state)
 {
     return !state.stopping && !state.view()->services.empty();
 }
 
-void addAdminRoutes(HttpServer& server, GateState& state, const Supervisor& supervisor)
+void addAdminRoutes(HttpServer &server, GateState &state, const Supervisor &supervisor)
 {
     server.route(
         http::verb::get, "/state",
-        [&state, &supervisor](const HttpRequest&) -> net::awaitable<HttpResponse> {
+        [&state, &supervisor](const HttpRequest &) -> net::awaitable<HttpResponse> {
             co_return jsonResponse(http::status::ok, dumpState(state, supervisor));
         },
         state.settings.operatorToken);
-    server.route(http::verb::get, "/metrics", [&state](const HttpRequest&) -> net::awaitable<HttpResponse> {
+    server.route(http::verb::get, "/metrics", [&state](const HttpRequest &) -> net::awaitable<HttpResponse> {
         state.metrics.set(
             "mangocourse_settings_revision", "Settings revision that new requests are served under.", static_cast<double>(state.view()->revision));
         HttpResponse response = jsonResponse(http::status::ok, state.metrics.toText());
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         co_return response;
     });
-    server.route(http::verb::get, "/healthz", [](const HttpRequest&) -> net::awaitable<HttpResponse> {
+    server.route(http::verb::get, "/healthz", [](const HttpRequest &) -> net::awaitable<HttpResponse> {
         co_return jsonResponse(http::status::ok, R"({"alive":true})");
     });
-    server.route(http::verb::get, "/readyz", [&state](const HttpRequest&) -> net::awaitable<HttpResponse> {
+    server.route(http::verb::get, "/readyz", [&state](const HttpRequest &) -> net::awaitable<HttpResponse> {
         co_return isReady(state) ? jsonResponse(http::status::ok, R"({"ready":true})")
                                  : errorResponse(http::status::service_unavailable, "stopping or without a view");
     });
 }
 
-Result<void> listen(tcp::acceptor& acceptor, const Endpoint& endpoint)
+Result<void> listen(tcp::acceptor &acceptor, const Endpoint &endpoint)
 {
     ErrorCodeSystem error;
     const auto address = net::ip::make_address(endpoint.host, error);
@@ -145,7 +144,7 @@
     return {};
 }
 
-template <typename Condition>
+template<typename Condition>
 void awaitCondition(std::chrono::milliseconds limit, Condition condition)
 {
     const TimePoint until = SteadyClock().now() + limit;
@@ -154,10 +153,10 @@
     }
 }
 
-void closeIdleCallers(Serving& serving)
+void closeIdleCallers(Serving &serving)
 {
     net::post(serving.context, [&serving] {
-        for (const auto& [session, socket] : serving.idleCallers) {
+        for (const auto &[session, socket] : serving.idleCallers) {
             ErrorCodeSystem error;
             socket->cancel(error);
         }
@@ -165,9 +164,9 @@
 }
 
 // Readiness goes first, so that the balancer stops sending; then no new connections; then what is in flight ends.
-void stopGracefully(GateState& state, net::io_context& admin, tcp::acceptor& acceptor)
+void stopGracefully(GateState &state, net::io_context &admin, tcp::acceptor &acceptor)
 {
-    const ServingLimits& limits = state.settings.serving;
+    const ServingLimits &limits = state.settings.serving;
     state.stopping = true;
     std::this_thread::sleep_for(limits.stopDelay);
     net::post(admin, [&acceptor] {
@@ -177,7 +176,7 @@
     awaitCondition(limits.stopLimit, [&state] {
         return state.inFlight == 0 && state.runningJobs == 0;
     });
-    for (const auto& serving : state.serving) {
+    for (const auto &serving : state.serving) {
         closeIdleCallers(*serving);
     }
     awaitCondition(limits.stopDelay, [&state] {
@@ -199,7 +198,7 @@
     startLogging(settings->name.value, settings->logLevel);
     GateState state(std::move(*settings));
     auto dispatcher = SharedDispatcher::create(std::hash<std::string>{}(state.settings.name.value));
-    net::io_context admin{ 1 };
+    net::io_context admin{1};
     tcp::acceptor acceptor(admin);
     auto server = HttpServer::create(admin, state.settings.admin);
     const Result<void> listening = listen(acceptor, state.settings.callers);
@@ -211,23 +210,23 @@
     auto supervisor = Supervisor::create("gate");
     for (int number = 0; number < state.settings.serving.threads; ++number) {
         state.serving.push_back(std::make_unique<Serving>(number));
-        (*supervisor)->start(Duty{ "serving-" + std::to_string(number), [&context = state.serving.back()->context](const std::stop_token& stop) {
+        (*supervisor)->start(Duty{"serving-" + std::to_string(number), [&context = state.serving.back()->context](const std::stop_token &stop) {
                                       return runContext(stop, context);
-                                  } });
+                                  }});
     }
     addAdminRoutes(**server, state, **supervisor);
     (*server)->start();
     net::co_spawn(admin, acceptCallers(state, acceptor), net::detached);
     net::co_spawn(admin, pollDispatcher(state), net::detached);
-    (*supervisor)->start(Duty{ "control", [&state](const std::stop_token& stop) {
+    (*supervisor)->start(Duty{"control", [&state](const std::stop_token &stop) {
                                   return followKeeper(stop, state);
-                              } });
-    (*supervisor)->start(Duty{ "jobs", [&state](const std::stop_token& stop) {
+                              }});
+    (*supervisor)->start(Duty{"jobs", [&state](const std::stop_token &stop) {
                                   return runJobs(stop, state);
-                              } });
-    (*supervisor)->start(Duty{ "admin", [&admin](const std::stop_token& stop) {
+                              }});
+    (*supervisor)->start(Duty{"admin", [&admin](const std::stop_token &stop) {
                                   return runContext(stop, admin);
-                              } });
+                              }});
     spdlog::info("event=started role=gate callers={} admin={}", toString(state.settings.callers), toString((*server)->endpoint()));
     waitForStop([&] {
         std::cout << dumpState(state, **supervisor) << std::endl;
@@ -243,7 +242,7 @@
 
 }
 
-int main(int argc, char** argv)
+int main(int argc, char **argv)
 {
     MangoCourse::blockSignals();
     MangoCourse::parseFlags(argc, argv,
--- a/src/gate/peercall.cpp
+++ b/src/gate/peercall.cpp
@@ -4,7 +4,7 @@
 namespace MangoCourse {
 
 net::awaitable<Result<std::string>> postToPeer(
-    net::io_context& context, Endpoint endpoint, std::string token, std::string target, std::string body, std::chrono::milliseconds limit)
+    net::io_context &context, Endpoint endpoint, std::string token, std::string target, std::string body, std::chrono::milliseconds limit)
 {
     ErrorCodeSystem error;
     beast::tcp_stream stream(context);
--- a/src/gate/peercall.h
+++ b/src/gate/peercall.h
@@ -10,12 +10,12 @@
 
 // Posts bytes and returns the answer's body; Unavailable where nothing was sent, Timeout where it may have arrived.
 net::awaitable<Result<std::string>> postToPeer(
-    net::io_context& context, Endpoint endpoint, std::string token, std::string target, std::string body, std::chrono::milliseconds limit);
+    net::io_context &context, Endpoint endpoint, std::string token, std::string target, std::string body, std::chrono::milliseconds limit);
 
 // The same with Thrift messages.
-template <typename Reply, typename Message>
+template<typename Reply, typename Message>
 net::awaitable<Result<Reply>> callPeer(
-    net::io_context& context, Endpoint endpoint, std::string token, std::string target, Message message, std::chrono::milliseconds limit)
+    net::io_context &context, Endpoint endpoint, std::string token, std::string target, Message message, std::chrono::milliseconds limit)
 {
     const Result<std::string> answer = co_await postToPeer(context, std::move(endpoint), std::move(token), std::move(target), toThrift(message), limit);
     if (!answer) {
--- a/src/gate/session.cpp
+++ b/src/gate/session.cpp
@@ -18,14 +18,14 @@
 
 std::string text(beast::string_view view)
 {
-    return { view.data(), view.size() };
+    return {view.data(), view.size()};
 }
 
 // One caller's connection.
 class Session
 {
 public:
-    Session(GateState& state, Serving& serving, tcp::socket socket)
+    Session(GateState &state, Serving &serving, tcp::socket socket)
         : state(state)
         , serving(serving)
         , stream(std::move(socket))
@@ -36,20 +36,20 @@
 
 private:
     net::awaitable<bool> serveOne();
-    net::awaitable<CallerAnswer> answer(HeaderParser& header, const std::string& requestId);
-    net::awaitable<CallerAnswer> runService(HeaderParser& header, GateRequest request, std::uint64_t length);
-    net::awaitable<bool> readBody(HeaderParser& header, std::uint64_t length, std::string& body);
-    BodyRelay makeRelay(HeaderParser& header, std::shared_ptr<bool> taken);
-    net::awaitable<void> continueCaller(HeaderParser& header);
-
-    GateState& state;
-    Serving& serving;
+    net::awaitable<CallerAnswer> answer(HeaderParser &header, const std::string &requestId);
+    net::awaitable<CallerAnswer> runService(HeaderParser &header, GateRequest request, std::uint64_t length);
+    net::awaitable<bool> readBody(HeaderParser &header, std::uint64_t length, std::string &body);
+    BodyRelay makeRelay(HeaderParser &header, std::shared_ptr<bool> taken);
+    net::awaitable<void> continueCaller(HeaderParser &header);
+
+    GateState &state;
+    Serving &serving;
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool bodyConsumed = false;
 };
 
-net::awaitable<void> Session::continueCaller(HeaderParser& header)
+net::awaitable<void> Session::continueCaller(HeaderParser &header)
 {
     if (header.get()[http::field::expect] != "100-continue") {
         co_return;
@@ -59,7 +59,7 @@
     co_await http::async_write(this->stream, goOn, into(error));
 }
 
-net::awaitable<bool> Session::readBody(HeaderParser& header, std::uint64_t length, std::string& body)
+net::awaitable<bool> Session::readBody(HeaderParser &header, std::uint64_t length, std::string &body)
 {
     co_await this->continueCaller(header);
     ErrorCodeSystem error;
@@ -72,9 +72,9 @@
 }
 
 // The relay holds one buffer of the configured size, whatever the body's length.
-BodyRelay Session::makeRelay(HeaderParser& header, std::shared_ptr<bool> taken)
+BodyRelay Session::makeRelay(HeaderParser &header, std::shared_ptr<bool> taken)
 {
-    return [this, &header, taken](beast::tcp_stream& upstream) -> net::awaitable<bool> {
+    return [this, &header, taken](beast::tcp_stream &upstream) -> net::awaitable<bool> {
         *taken = true;
         co_await this->continueCaller(header);
         http::request_parser<http::buffer_body> parser(std::move(header));
@@ -99,9 +99,9 @@
     };
 }
 
-net::awaitable<CallerAnswer> Session::runService(HeaderParser& header, GateRequest request, std::uint64_t length)
+net::awaitable<CallerAnswer> Session::runService(HeaderParser &header, GateRequest request, std::uint64_t length)
 {
-    const ServingLimits& limits = this->state.settings.serving;
+    const ServingLimits &limits = this->state.settings.serving;
     if (length <= limits.bufferBytes || !request.spec.idempotent) {
         if (!co_await this->readBody(header, length, request.upstream.body)) {
             co_return failureAnswer(http::status::bad_request, Verdict::NotRun, "the body did not arrive whole");
@@ -116,14 +116,14 @@
     co_return toAnswer(co_await runRequest(this->state, this->serving, request));
 }
 
-net::awaitable<CallerAnswer> Session::answer(HeaderParser& header, const std::string& requestId)
+net::awaitable<CallerAnswer> Session::answer(HeaderParser &header, const std::string &requestId)
 {
-    const auto& message = header.get();
+    const auto &message = header.get();
     const std::string target = text(message.target());
     if (message.method() != http::verb::post || !target.starts_with(servicePrefix)) {
         co_return failureAnswer(http::status::not_found, Verdict::NotRun, "requests are POST /v1/SERVICE");
     }
-    const ServiceId service{ target.substr(servicePrefix.size()) };
+    const ServiceId service{target.substr(servicePrefix.size())};
     const std::shared_ptr<const GateView> view = this->state.view();
     const auto known = view->services.find(service);
     if (known == view->services.end()) {
@@ -139,9 +139,9 @@
     }
     GateRequest request;
     request.service = service;
-    request.team = TeamId{ text(message["X-Team"]) };
+    request.team = TeamId{text(message["X-Team"])};
     request.spec = known->second;
-    request.upstream = { target, requestId, text(message["Idempotency-Key"]), text(message[http::field::content_type]), {} };
+    request.upstream = {target, requestId, text(message["Idempotency-Key"]), text(message[http::field::content_type]), {}};
     request.deadline = this->state.clock.now() + known->second.timeout;
     co_return co_await this->runService(header, std::move(request), *length);
 }
@@ -198,7 +198,7 @@
 
 }
 
-net::awaitable<void> serveCaller(GateState& state, Serving& serving, tcp::socket socket)
+net::awaitable<void> serveCaller(GateState &state, Serving &serving, tcp::socket socket)
 {
     ++state.callers;
     Session session(state, serving, std::move(socket));
--- a/src/gate/session.h
+++ b/src/gate/session.h
@@ -7,6 +7,6 @@
 namespace MangoCourse {
 
 // Serves one caller's connection until either side ends it.
-net::awaitable<void> serveCaller(GateState& state, Serving& serving, tcp::socket socket);
+net::awaitable<void> serveCaller(GateState &state, Serving &serving, tcp::socket socket);
 
 }
--- a/src/gate/upstreampool.cpp
+++ b/src/gate/upstreampool.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // A closed peer or bytes that nobody asked for make a connection unfit for the next request.
-bool isQuiet(tcp::socket& socket)
+bool isQuiet(tcp::socket &socket)
 {
     char byte = 0;
     const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -17,9 +17,9 @@
 
 }
 
-std::unique_ptr<UpstreamConnection> UpstreamPool::take(const Endpoint& endpoint)
+std::unique_ptr<UpstreamConnection> UpstreamPool::take(const Endpoint &endpoint)
 {
-    std::vector<std::unique_ptr<UpstreamConnection>>& kept = this->idle[endpoint];
+    std::vector<std::unique_ptr<UpstreamConnection>> &kept = this->idle[endpoint];
     while (!kept.empty()) {
         std::unique_ptr<UpstreamConnection> connection = std::move(kept.back());
         kept.pop_back();
@@ -31,9 +31,9 @@
     return std::make_unique<UpstreamConnection>(this->context);
 }
 
-void UpstreamPool::give(const Endpoint& endpoint, std::unique_ptr<UpstreamConnection> connection)
+void UpstreamPool::give(const Endpoint &endpoint, std::unique_ptr<UpstreamConnection> connection)
 {
-    std::vector<std::unique_ptr<UpstreamConnection>>& kept = this->idle[endpoint];
+    std::vector<std::unique_ptr<UpstreamConnection>> &kept = this->idle[endpoint];
     if (kept.size() < idlePerExecutor) {
         kept.push_back(std::move(connection));
     }
--- a/src/gate/work.cpp
+++ b/src/gate/work.cpp
@@ -10,7 +10,7 @@
 constexpr int attemptLimit = 4;
 constexpr std::chrono::milliseconds retryAfterRefusal = 500ms;
 
-Attempt refusedAttempt(const Admission& admission)
+Attempt refusedAttempt(const Admission &admission)
 {
     Attempt attempt;
     attempt.verdict = Verdict::NotRun;
@@ -20,7 +20,7 @@
     return attempt;
 }
 
-bool mayTryAgain(GateState& state, const GateRequest& request, const Attempt& attempt, int attempts)
+bool mayTryAgain(GateState &state, const GateRequest &request, const Attempt &attempt, int attempts)
 {
     const bool isOver = attempt.result == AttemptResult::Succeeded || attempts >= attemptLimit || state.clock.now() >= request.deadline;
     if (isOver || *request.bodyTaken) {
@@ -31,7 +31,7 @@
     return isRetrySafe(verdict, request.spec.idempotent) && state.dispatcher->tryRetry();
 }
 
-void countAttempt(GateState& state, const Attempt& attempt)
+void countAttempt(GateState &state, const Attempt &attempt)
 {
     static const std::string name = "mangocourse_attempts_total";
     static const std::string help = "Attempts on executors by verdict.";
@@ -40,10 +40,10 @@
 
 }
 
-net::awaitable<Attempt> runRequest(GateState& state, Serving& serving, const GateRequest& request)
+net::awaitable<Attempt> runRequest(GateState &state, Serving &serving, const GateRequest &request)
 {
     const std::shared_ptr<const GateView> view = state.view();
-    WorkRequest work{ request.service, request.team, request.spec.workClass, request.deadline, {} };
+    WorkRequest work{request.service, request.team, request.spec.workClass, request.deadline, {}};
     Attempt attempt;
     // Once any attempt may have run, no later refusal can be told as "not run".
     bool mayHaveRunBefore = false;
@@ -57,7 +57,7 @@
         const auto newest = endpoint == view->endpoints.end() ? state.view() : view;
         const auto found = newest->endpoints.find(admission.instance);
         if (found == newest->endpoints.end()) {
-            attempt = Attempt{ AttemptResult::Unreachable, Verdict::NotRun, http::status::service_unavailable, {}, {}, "the executor has no address" };
+            attempt = Attempt{AttemptResult::Unreachable, Verdict::NotRun, http::status::service_unavailable, {}, {}, "the executor has no address"};
         } else {
             attempt = co_await forward(serving, state.settings.serving, found->second, request.upstream, request.deadline, request.relay, request.bodyLength);
         }
@@ -76,7 +76,7 @@
     co_return attempt;
 }
 
-CallerAnswer toAnswer(const Attempt& attempt)
+CallerAnswer toAnswer(const Attempt &attempt)
 {
     if (attempt.verdict != Verdict::Ran) {
         const bool comesBack = attempt.verdict == Verdict::NotRun && attempt.status == http::status::service_unavailable;
--- a/src/gate/work.h
+++ b/src/gate/work.h
@@ -21,9 +21,9 @@
 };
 
 // Runs the request to its end. The last attempt's verdict is in the result.
-net::awaitable<Attempt> runRequest(GateState& state, Serving& serving, const GateRequest& request);
+net::awaitable<Attempt> runRequest(GateState &state, Serving &serving, const GateRequest &request);
 
 // Turns the end of a request into the caller's answer.
-CallerAnswer toAnswer(const Attempt& attempt);
+CallerAnswer toAnswer(const Attempt &attempt);
 
 }
--- a/src/include/mangocourse/clock.h
+++ b/src/include/mangocourse/clock.h
@@ -10,7 +10,7 @@
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 // A source of monotonic time. Times of two processes are never compared.
-template <typename T>
+template<typename T>
 concept Clock = requires(const T clock)
 {
     {
--- a/src/include/mangocourse/dispatcher.h
+++ b/src/include/mangocourse/dispatcher.h
@@ -127,17 +127,17 @@
     // Creates an empty dispatcher; `seed` fixes its random choices. Never fails today, but callers must check.
     static Result<Dispatcher> create(std::uint64_t seed);
 
-    Dispatcher(Dispatcher&& other) noexcept;
-    Dispatcher& operator=(Dispatcher&& other) noexcept;
-    Dispatcher(const Dispatcher&) = delete;
-    Dispatcher& operator=(const Dispatcher&) = delete;
+    Dispatcher(Dispatcher &&other) noexcept;
+    Dispatcher &operator=(Dispatcher &&other) noexcept;
+    Dispatcher(const Dispatcher &) = delete;
+    Dispatcher &operator=(const Dispatcher &) = delete;
     ~Dispatcher();
 
     // Replaces the view and returns the waiters that may start under the new one. Records of executors that stay are kept.
-    std::vector<Started> updateView(const DispatchView& view, TimePoint now);
+    std::vector<Started> updateView(const DispatchView &view, TimePoint now);
 
     // Starts, queues or refuses a request.
-    Admission submit(const WorkRequest& request, TimePoint now);
+    Admission submit(const WorkRequest &request, TimePoint now);
 
     // Ends a started request and returns the waiters that may start in its place.
     std::vector<Started> finish(Ticket ticket, AttemptResult result, TimePoint now);
@@ -149,7 +149,7 @@
     bool tryRetry();
 
     // Marks an executor as leaving before the log says so, after it said so itself.
-    void noteLeaving(const InstanceId& instance, TimePoint now);
+    void noteLeaving(const InstanceId &instance, TimePoint now);
 
     // Lets time pass: ejections end, waiters may start.
     std::vector<Started> poll(TimePoint now);
--- a/src/include/mangocourse/error.h
+++ b/src/include/mangocourse/error.h
@@ -27,17 +27,17 @@
     std::string where;
 };
 
-template <typename T>
+template<typename T>
 using Result = tl::expected<T, Error>;
 
 // Builds the error side of a Result.
 inline tl::unexpected<Error> makeError(ErrorCode code, std::string message, std::string where = {})
 {
-    return tl::unexpected<Error>(Error{ code, std::move(message), std::move(where) });
+    return tl::unexpected<Error>(Error{code, std::move(message), std::move(where)});
 }
 
 // Returns "where: message", or the message alone where the place is unknown.
-inline std::string describe(const Error& error)
+inline std::string describe(const Error &error)
 {
     return error.where.empty() ? error.message : error.where + ": " + error.message;
 }
--- a/src/include/mangocourse/fleetfile.h
+++ b/src/include/mangocourse/fleetfile.h
@@ -52,16 +52,16 @@
     std::vector<SettingEntrySpec> settings;
 
     // Returns the service, or nullptr where there is none of that name.
-    const ServiceSpec* service(const ServiceId& id) const;
+    const ServiceSpec *service(const ServiceId &id) const;
 };
 
 // Reads and validates the file. All faults come in one InvalidConfig error, a line each: file, line, key, found and allowed.
-Result<FleetFile> readFleetFile(const std::string& path);
+Result<FleetFile> readFleetFile(const std::string &path);
 
 // The same from text; `name` stands for the file in messages.
-Result<FleetFile> parseFleetFile(std::string_view text, const std::string& name);
+Result<FleetFile> parseFleetFile(std::string_view text, const std::string &name);
 
 // Returns the records that publish the fleet; their ids depend on the content only, so a second publication is harmless.
-std::vector<Record> fleetRecords(const FleetFile& file);
+std::vector<Record> fleetRecords(const FleetFile &file);
 
 }
--- a/src/include/mangocourse/fleetstate.h
+++ b/src/include/mangocourse/fleetstate.h
@@ -82,39 +82,39 @@
 
     FleetState();
     ~FleetState();
-    FleetState(const FleetState& other);
-    FleetState(FleetState&& other) noexcept;
-    FleetState& operator=(const FleetState& other);
-    FleetState& operator=(FleetState&& other) noexcept;
+    FleetState(const FleetState &other);
+    FleetState(FleetState &&other) noexcept;
+    FleetState &operator=(const FleetState &other);
+    FleetState &operator=(FleetState &&other) noexcept;
 
     // Applies the record at `offset`, which must be above offset(). A second record with an id seen before gets the first one's
     // verdict and changes nothing.
-    FoldVerdict apply(Offset offset, const Record& record);
+    FoldVerdict apply(Offset offset, const Record &record);
 
     // Counts a record that could not be decoded.
     FoldVerdict skipUndecodable(Offset offset);
 
     // Returns the verdict on a record among the last `verdictWindow` ones.
-    std::optional<FoldVerdict> verdictOf(const RecordId& id) const;
+    std::optional<FoldVerdict> verdictOf(const RecordId &id) const;
 
     // Returns the offset of the last record applied.
     Offset offset() const;
 
-    const std::map<PoolId, Pool>& pools() const;
-    const std::map<InstanceId, Instance>& instances() const;
-    const std::map<WaveId, Wave>& waves() const;
-    const SettingsTree& settings() const;
-    const std::map<ServiceId, ServiceDefinition>& services() const;
+    const std::map<PoolId, Pool> &pools() const;
+    const std::map<InstanceId, Instance> &instances() const;
+    const std::map<WaveId, Wave> &waves() const;
+    const SettingsTree &settings() const;
+    const std::map<ServiceId, ServiceDefinition> &services() const;
 
     // Returns the instance or the pool, or nullptr where there is none of that name.
-    const Instance* instance(const InstanceId& id) const;
-    const Pool* pool(const PoolId& id) const;
+    const Instance *instance(const InstanceId &id) const;
+    const Pool *pool(const PoolId &id) const;
 
     // Returns how many more instances of the pool may be taken down at this offset; never negative, 0 for an unknown pool.
-    int headroom(const PoolId& id) const;
+    int headroom(const PoolId &id) const;
 
     // Returns the margin kept above the budget: the spec's, or the size of the pool's largest rack.
-    int margin(const PoolId& id) const;
+    int margin(const PoolId &id) const;
 
     // Returns the state as JSON for a snapshot or a state dump.
     std::string toJson() const;
--- a/src/libservice/guarded.h
+++ b/src/include/mangocourse/guarded.h
@@ -8,27 +8,27 @@
 namespace MangoCourse {
 
 // Safe for concurrent use. Readers and the one writer work under the lock, so that big states are never copied.
-template <typename T>
+template<typename T>
 class Guarded
 {
 public:
     // Calls the reader with the value and returns its result; the result must not refer into the value.
-    template <typename Reader>
+    template<typename Reader>
     auto read(Reader reader) const
     {
         const std::scoped_lock lock(this->mutex);
-        return reader(static_cast<const T&>(this->value));
+        return reader(static_cast<const T &>(this->value));
     }
 
     // Calls the writer with the value, then the listeners on this thread, without the lock.
-    template <typename Writer>
+    template<typename Writer>
     void write(Writer writer)
     {
         {
             const std::scoped_lock lock(this->mutex);
             writer(this->value);
         }
-        for (const auto& listener : this->listeners) {
+        for (const auto &listener : this->listeners) {
             listener();
         }
     }
--- a/src/include/mangocourse/ids.h
+++ b/src/include/mangocourse/ids.h
@@ -9,11 +9,11 @@
 namespace MangoCourse {
 
 // A name of one kind of thing; empty means "none".
-template <typename Tag>
+template<typename Tag>
 struct Id {
     std::string value;
 
-    auto operator<=>(const Id&) const = default;
+    auto operator<=>(const Id &) const = default;
     bool isEmpty() const
     {
         return this->value.empty();
@@ -39,9 +39,9 @@
 
 }
 
-template <typename Tag>
+template<typename Tag>
 struct std::hash<MangoCourse::Id<Tag>> {
-    std::size_t operator()(const MangoCourse::Id<Tag>& id) const noexcept
+    std::size_t operator()(const MangoCourse::Id<Tag> &id) const noexcept
     {
         return std::hash<std::string>{}(id.value);
     }
--- a/src/include/mangocourse/jobledger.h
+++ b/src/include/mangocourse/jobledger.h
@@ -53,22 +53,22 @@
 
     JobLedger();
     ~JobLedger();
-    JobLedger(const JobLedger& other);
-    JobLedger(JobLedger&& other) noexcept;
-    JobLedger& operator=(const JobLedger& other);
-    JobLedger& operator=(JobLedger&& other) noexcept;
+    JobLedger(const JobLedger &other);
+    JobLedger(JobLedger &&other) noexcept;
+    JobLedger &operator=(const JobLedger &other);
+    JobLedger &operator=(JobLedger &&other) noexcept;
 
     // Applies the record at `offset`; fleet records are refused as NotForThisStream.
-    FoldVerdict apply(Offset offset, const Record& record);
+    FoldVerdict apply(Offset offset, const Record &record);
 
     // Counts a record that could not be decoded.
     FoldVerdict skipUndecodable(Offset offset);
 
-    std::optional<FoldVerdict> verdictOf(const RecordId& id) const;
+    std::optional<FoldVerdict> verdictOf(const RecordId &id) const;
     Offset offset() const;
 
     // Returns the job or nullptr. Final jobs are forgotten, oldest first, beyond `finalJobsKept`.
-    const Job* job(const JobId& id) const;
+    const Job *job(const JobId &id) const;
 
     // Returns waiting jobs, first accepted first, at most `limit`.
     std::vector<JobId> waiting(std::size_t limit) const;
--- a/src/include/mangocourse/leasewatch.h
+++ b/src/include/mangocourse/leasewatch.h
@@ -16,16 +16,16 @@
 {
 public:
     // Returns the releases to propose now; each is returned again after another lease where the fold has not answered.
-    std::vector<ReleaseJob> lapsed(const std::map<JobId, Offset>& claims, std::chrono::milliseconds lease, TimePoint now)
+    std::vector<ReleaseJob> lapsed(const std::map<JobId, Offset> &claims, std::chrono::milliseconds lease, TimePoint now)
     {
         std::vector<ReleaseJob> releases;
         std::unordered_map<JobId, Sighting> still;
-        for (const auto& [job, claim] : claims) {
+        for (const auto &[job, claim] : claims) {
             const auto known = this->sightings.find(job);
             const bool isSame = known != this->sightings.end() && known->second.claim == claim;
-            Sighting seen = isSame ? known->second : Sighting{ claim, now };
+            Sighting seen = isSame ? known->second : Sighting{claim, now};
             if (now - seen.since > std::chrono::duration_cast<Duration>(lease * grace)) {
-                releases.push_back(ReleaseJob{ job, claim, ReleaseReason::LeaseLapsed });
+                releases.push_back(ReleaseJob{job, claim, ReleaseReason::LeaseLapsed});
                 seen.since = now;
             }
             still.emplace(job, seen);
--- a/src/include/mangocourse/maintenanceplanner.h
+++ b/src/include/mangocourse/maintenanceplanner.h
@@ -49,17 +49,17 @@
     // Creates a planner that proposes grants in the name of `holder`.
     static Result<MaintenancePlanner> create(ProcessId holder);
 
-    MaintenancePlanner(MaintenancePlanner&& other) noexcept;
-    MaintenancePlanner& operator=(MaintenancePlanner&& other) noexcept;
-    MaintenancePlanner(const MaintenancePlanner&) = delete;
-    MaintenancePlanner& operator=(const MaintenancePlanner&) = delete;
+    MaintenancePlanner(MaintenancePlanner &&other) noexcept;
+    MaintenancePlanner &operator=(MaintenancePlanner &&other) noexcept;
+    MaintenancePlanner(const MaintenancePlanner &) = delete;
+    MaintenancePlanner &operator=(const MaintenancePlanner &) = delete;
     ~MaintenancePlanner();
 
     // Plans the next round from the folded state and a reading of the list.
-    MaintenancePlan plan(const FleetState& fleet, const InstanceListing& listing, TimePoint now);
+    MaintenancePlan plan(const FleetState &fleet, const InstanceListing &listing, TimePoint now);
 
     // Returns true where the act is still allowed by the newest state: the check immediately before a drain or a reboot.
-    static bool isStillAllowed(const FleetState& fleet, const PlatformAct& act);
+    static bool isStillAllowed(const FleetState &fleet, const PlatformAct &act);
 
 private:
     class Private;
@@ -68,11 +68,11 @@
 };
 
 // Says in one sentence what a wave waits for.
-WaveExplanation explainWave(const FleetState& fleet, const WaveId& wave);
+WaveExplanation explainWave(const FleetState &fleet, const WaveId &wave);
 
 // Performs an act on a platform.
-template <Platform P>
-Result<void> perform(P& platform, const PlatformAct& act)
+template<Platform P>
+Result<void> perform(P &platform, const PlatformAct &act)
 {
     switch (act.kind) {
     case PlatformAct::Kind::Drain:
--- a/src/include/mangocourse/maintenancerunner.h
+++ b/src/include/mangocourse/maintenancerunner.h
@@ -10,11 +10,11 @@
 namespace MangoCourse {
 
 // Something whose read(f) calls f with the newest folded state, under whatever lock it needs.
-template <typename T>
+template<typename T>
 concept FleetReader = requires(const T reader)
 {
     {
-        reader.read([](const FleetState& fleet) {
+        reader.read([](const FleetState &fleet) {
             return fleet.offset();
         })
         } -> std::same_as<Offset>;
@@ -36,7 +36,7 @@
 {
 public:
     // Creates a runner that proposes in the name of `holder`.
-    static Result<MaintenanceRunner> create(const ProcessId& holder)
+    static Result<MaintenanceRunner> create(const ProcessId &holder)
     {
         Result<MaintenancePlanner> planner = MaintenancePlanner::create(holder);
         if (!planner) {
@@ -46,30 +46,30 @@
     }
 
     // Plans from the newest state, performs the allowed acts on the platform and returns what to propose.
-    template <FleetReader R, Platform P>
-    MaintenanceRound round(const R& reader, const InstanceListing& listing, P& platform, TimePoint now)
+    template<FleetReader R, Platform P>
+    MaintenanceRound round(const R &reader, const InstanceListing &listing, P &platform, TimePoint now)
     {
-        const MaintenancePlan plan = reader.read([&](const FleetState& fleet) {
+        const MaintenancePlan plan = reader.read([&](const FleetState &fleet) {
             return this->planner.plan(fleet, listing, now);
         });
         MaintenanceRound round;
-        for (const RecordBody& body : plan.records) {
-            if (this->isDue(encodeRecord(Record{ RecordId{}, body }), now)) {
+        for (const RecordBody &body : plan.records) {
+            if (this->isDue(encodeRecord(Record{RecordId{}, body}), now)) {
                 round.proposals.push_back(body);
             }
         }
-        for (const PlatformAct& act : plan.acts) {
+        for (const PlatformAct &act : plan.acts) {
             if (!this->isDue(keyOf(act), now)) {
                 continue;
             }
-            const bool isAllowed = reader.read([&act](const FleetState& fleet) {
+            const bool isAllowed = reader.read([&act](const FleetState &fleet) {
                 return MaintenancePlanner::isStillAllowed(fleet, act);
             });
             if (isAllowed) {
-                round.acts.push_back({ act, perform(platform, act) });
+                round.acts.push_back({act, perform(platform, act)});
             }
         }
-        std::erase_if(this->doneAt, [now](const auto& entry) {
+        std::erase_if(this->doneAt, [now](const auto &entry) {
             return now - entry.second > repeatAfter;
         });
         return round;
@@ -84,12 +84,12 @@
     {
     }
 
-    static std::string keyOf(const PlatformAct& act)
+    static std::string keyOf(const PlatformAct &act)
     {
         return std::to_string(static_cast<int>(act.kind)) + "/" + act.instance.value + "/" + std::to_string(act.token);
     }
 
-    bool isDue(const std::string& key, TimePoint now)
+    bool isDue(const std::string &key, TimePoint now)
     {
         const auto [entry, isNew] = this->doneAt.try_emplace(key, now);
         if (isNew || now - entry->second > repeatAfter) {
--- a/src/include/mangocourse/platform.h
+++ b/src/include/mangocourse/platform.h
@@ -25,20 +25,22 @@
 // Returns the state of that name, or ErrorCode::Decode.
 Result<InstanceState> parseInstanceState(std::string_view name);
 
-// One line of the instance list. `token` is the fencing token of the last act, `rebooted` that of the last finished reboot.
+// One line of the instance list. `token` is the fencing token of the last act, `rebooted` that of the last finished reboot, `closed` the
+// highest one under which no act can come any more: an undrain or a finished reboot closes its token.
 struct ListedInstance {
     InstanceState state = InstanceState::Live;
     PoolId pool;
     Offset token = 0;
     Offset rebooted = 0;
+    Offset closed = 0;
 };
 
 using InstanceListing = std::map<InstanceId, ListedInstance>;
 
 // Acts on one instance. Each carries the offset of the record that allows it; the platform refuses a token below the
-// last one it saw, and a token that an undrain has closed, so a repeated or late call cannot do harm.
-template <typename T>
-concept Platform = requires(T platform, const InstanceId& instance, Offset token, const PoolId& pool)
+// last one it saw, and a closed one, so a repeated or late call cannot do harm.
+template<typename T>
+concept Platform = requires(T platform, const InstanceId &instance, Offset token, const PoolId &pool)
 {
     {
         platform.drain(instance, token)
--- a/src/include/mangocourse/processsettings.h
+++ b/src/include/mangocourse/processsettings.h
@@ -16,11 +16,11 @@
     std::string host;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Endpoint&) const = default;
+    auto operator<=>(const Endpoint &) const = default;
 };
 
 // Returns "host:port".
-std::string toString(const Endpoint& endpoint);
+std::string toString(const Endpoint &endpoint);
 
 // Returns the endpoint of "host:port", or InvalidArgument.
 Result<Endpoint> parseEndpoint(std::string_view text);
@@ -60,9 +60,9 @@
 };
 
 // Reads and validates the file; all faults come in one InvalidConfig error, a line each.
-Result<ProcessSettings> readProcessSettings(const std::string& path, ProcessRole role);
+Result<ProcessSettings> readProcessSettings(const std::string &path, ProcessRole role);
 
 // The same from text; `name` stands for the file in messages.
-Result<ProcessSettings> parseProcessSettings(std::string_view text, const std::string& name, ProcessRole role);
+Result<ProcessSettings> parseProcessSettings(std::string_view text, const std::string &name, ProcessRole role);
 
 }
--- a/src/include/mangocourse/record.h
+++ b/src/include/mangocourse/record.h
@@ -210,7 +210,7 @@
 };
 
 // Returns the record as one line of JSON, the form in which it stands in the log.
-std::string encodeRecord(const Record& record);
+std::string encodeRecord(const Record &record);
 
 // Returns the record, or ErrorCode::Decode naming the field that is missing or of the wrong type.
 Result<Record> decodeRecord(std::string_view text);
--- a/src/include/mangocourse/rendezvous.h
+++ b/src/include/mangocourse/rendezvous.h
@@ -9,6 +9,6 @@
 namespace MangoCourse {
 
 // Returns the process of highest weight for the subject, or an empty id where there are none.
-ProcessId rendezvousLeader(const std::vector<ProcessId>& processes, std::string_view subject);
+ProcessId rendezvousLeader(const std::vector<ProcessId> &processes, std::string_view subject);
 
 }
--- a/src/include/mangocourse/ring.h
+++ b/src/include/mangocourse/ring.h
@@ -12,7 +12,7 @@
 namespace MangoCourse {
 
 // One producer thread, one consumer thread, no locks.
-template <typename T>
+template<typename T>
 class SpscRing
 {
 public:
@@ -42,7 +42,7 @@
 };
 
 // The same contract for several producers, as the appender's ring has one per server thread.
-template <typename T>
+template<typename T>
 class MpscRing
 {
 public:
--- a/src/include/mangocourse/settingstree.h
+++ b/src/include/mangocourse/settingstree.h
@@ -33,7 +33,7 @@
 }
 
 // Returns all keys with their ranges and defaults.
-const std::vector<SettingKey>& settingKeys();
+const std::vector<SettingKey> &settingKeys();
 
 // Checks a path ("" is the fleet, then "pool" or "pool/service"), key and value.
 // Returns the parsed value, or InvalidArgument saying what is allowed and the nearest known key.
@@ -52,7 +52,7 @@
 {
 public:
     // Sets or unsets one value at the next revision. The caller has checked it.
-    void change(const std::string& path, const std::string& key, std::optional<std::int64_t> value);
+    void change(const std::string &path, const std::string &key, std::optional<std::int64_t> value);
 
     // Returns the value in force at the node and the ancestor that it comes from. Unknown keys give 0.
     SettingOrigin explain(std::string_view path, std::string_view key) const;
@@ -73,7 +73,7 @@
     std::vector<Entry> entries() const;
 
     // Rebuilds a tree from entries, as a snapshot's reader does.
-    static SettingsTree fromEntries(const std::vector<Entry>& entries, Revision revision);
+    static SettingsTree fromEntries(const std::vector<Entry> &entries, Revision revision);
 
 private:
     struct Stored {
--- a/src/libservice/streamfollower.h
+++ b/src/include/mangocourse/streamfollower.h
@@ -3,28 +3,27 @@
 
 #include <atomic>
 #include <functional>
+#include <string>
+#include <vector>
 
-#include <spdlog/spdlog.h>
-
+#include <mangocourse/guarded.h>
+#include <mangocourse/log.h>
 #include <mangocourse/record.h>
 
-#include "guarded.h"
-#include "platformclient.h"
-
 namespace MangoCourse {
 
 // What a follower knows of its stream, for dumps and readiness.
 struct FollowerStatus {
-    std::atomic<bool> reachable{ false };
-    std::atomic<bool> caughtUp{ false };
-    std::atomic<bool> gap{ false };
-    std::atomic<Offset> end{ 0 };
-    std::atomic<Offset> snapshotOffset{ 0 };
+    std::atomic<bool> reachable{false};
+    std::atomic<bool> caughtUp{false};
+    std::atomic<bool> gap{false};
+    std::atomic<Offset> end{0};
+    std::atomic<Offset> snapshotOffset{0};
 };
 
 // Applies one payload to a state; an undecodable one is counted and skipped, the same at every reader.
-template <typename State>
-void applyPayload(State& state, Offset offset, const std::string& payload)
+template<typename State>
+void applyPayload(State &state, Offset offset, const std::string &payload)
 {
     const Result<Record> record = decodeRecord(payload);
     if (record) {
@@ -32,17 +31,16 @@
         return;
     }
     state.skipUndecodable(offset);
-    spdlog::warn("event=record_undecodable offset={} reason={}", offset, describe(record.error()));
 }
 
 // State is FleetState or JobLedger. One duty calls step() in a loop.
-template <typename State>
+template<typename State>
 class StreamFollower
 {
 public:
-    using RecordSeen = std::function<void(Offset, const std::string&)>;
+    using RecordSeen = std::function<void(Offset, const std::string &)>;
 
-    StreamFollower(std::string stream, Guarded<State>& state, FollowerStatus& status, RecordSeen seen)
+    StreamFollower(std::string stream, Guarded<State> &state, FollowerStatus &status, RecordSeen seen)
         : stream(std::move(stream))
         , state(state)
         , status(status)
@@ -52,10 +50,11 @@
 
     // Reads and folds once, waiting up to `wait` for news. Unavailable or Timeout where the log cannot be reached, Gap where
     // records are gone that no snapshot covers.
-    Result<void> step(PlatformClient& platform, std::chrono::milliseconds wait)
+    template<Log L>
+    Result<void> step(L &log, std::chrono::milliseconds wait)
     {
         const Offset after = this->offset();
-        const Result<LogBatch> batch = platform.read(this->stream, after, batchLimit, this->status.caughtUp ? wait : std::chrono::milliseconds(0));
+        const Result<LogBatch> batch = log.read(this->stream, after, batchLimit, this->status.caughtUp ? wait : std::chrono::milliseconds(0));
         if (!batch) {
             this->status.reachable = false;
             return tl::unexpected(batch.error());
@@ -63,7 +62,7 @@
         this->status.reachable = true;
         this->status.end = batch->end;
         if (batch->oldest > after + 1) {
-            return this->restore(platform, batch->oldest);
+            return this->restore(log, batch->oldest);
         }
         this->apply(batch->entries);
         this->status.caughtUp = this->offset() >= batch->end;
@@ -71,13 +70,13 @@
     }
 
     // Applies records in order, from the log or from a peer. Records at or below the current offset are dropped.
-    void apply(const std::vector<LogBatch::Entry>& entries)
+    void apply(const std::vector<LogBatch::Entry> &entries)
     {
         if (entries.empty()) {
             return;
         }
-        this->state.write([&](State& folded) {
-            for (const LogBatch::Entry& entry : entries) {
+        this->state.write([&](State &folded) {
+            for (const LogBatch::Entry &entry : entries) {
                 if (entry.offset == folded.offset() + 1) {
                     applyPayload(folded, entry.offset, entry.payload);
                     this->seen(entry.offset, entry.payload);
@@ -89,7 +88,7 @@
     // Replaces the state by a newer snapshot; an older one is ignored, so that nothing reverts.
     void replace(State snapshot)
     {
-        this->state.write([&snapshot](State& folded) {
+        this->state.write([&snapshot](State &folded) {
             if (snapshot.offset() > folded.offset()) {
                 folded = std::move(snapshot);
             }
@@ -98,7 +97,7 @@
 
     Offset offset() const
     {
-        return this->state.read([](const State& folded) {
+        return this->state.read([](const State &folded) {
             return folded.offset();
         });
     }
@@ -112,9 +111,10 @@
     static constexpr int batchLimit = 2000;
 
 private:
-    Result<void> restore(PlatformClient& platform, Offset oldest)
+    template<Log L>
+    Result<void> restore(L &log, Offset oldest)
     {
-        const Result<LogBatch> newest = platform.readNewest(this->snapshotStream());
+        const Result<LogBatch> newest = log.readNewest(this->snapshotStream());
         if (!newest) {
             return tl::unexpected(newest.error());
         }
@@ -132,8 +132,8 @@
     }
 
     std::string stream;
-    Guarded<State>& state;
-    FollowerStatus& status;
+    Guarded<State> &state;
+    FollowerStatus &status;
     RecordSeen seen;
 };
 
--- a/src/include/mangocourse/supervisor.h
+++ b/src/include/mangocourse/supervisor.h
@@ -32,8 +32,8 @@
 public:
     static Result<std::unique_ptr<Supervisor>> create(std::string name);
     ~Supervisor();
-    Supervisor(const Supervisor&) = delete;
-    Supervisor& operator=(const Supervisor&) = delete;
+    Supervisor(const Supervisor &) = delete;
+    Supervisor &operator=(const Supervisor &) = delete;
 
     // Starts a duty after all earlier ones. Calls after stop() are refused.
     Result<void> start(Duty duty);
@@ -43,8 +43,8 @@
 
     std::vector<DutyReport> report() const;
 
-    static constexpr std::chrono::milliseconds firstPause{ 50 };
-    static constexpr std::chrono::milliseconds longestPause{ 2000 };
+    static constexpr std::chrono::milliseconds firstPause{50};
+    static constexpr std::chrono::milliseconds longestPause{2000};
 
 private:
     class Private;
--- a/src/include/mangocourse/workclass.h
+++ b/src/include/mangocourse/workclass.h
@@ -19,7 +19,7 @@
 // Returns "counter", "shop" or "overnight".
 constexpr std::string_view toString(WorkClass workClass)
 {
-    constexpr std::array<std::string_view, workClassCount> names = { "counter", "shop", "overnight" };
+    constexpr std::array<std::string_view, workClassCount> names = {"counter", "shop", "overnight"};
     return names.at(static_cast<std::size_t>(workClass));
 }
 
--- a/src/keeper/api.h
+++ b/src/keeper/api.h
@@ -8,10 +8,10 @@
 namespace MangoCourse {
 
 // Adds the operators' endpoints: state dump, fleet, records, jobs, metrics, health and readiness.
-void addOperatorRoutes(HttpServer& server, KeeperState& state, AsyncSignal& changed, const Supervisor& supervisor);
+void addOperatorRoutes(HttpServer &server, KeeperState &state, AsyncSignal &changed, const Supervisor &supervisor);
 
 // Adds the endpoints that gates and keepers use: pull, submit, claim, job and exchange.
-void addPeerRoutes(HttpServer& server, KeeperState& state, AsyncSignal& changed);
+void addPeerRoutes(HttpServer &server, KeeperState &state, AsyncSignal &changed);
 
 // One record with its fate after submitAndWait().
 struct SubmitOutcome {
@@ -24,9 +24,9 @@
 // Submits records to a stream and waits until the fold has answered each, the log has refused them, or the limit has passed.
 // An outcome that is not known and not refused may still be accepted later: ask again with the same id.
 net::awaitable<std::vector<SubmitOutcome>> submitAndWait(
-    KeeperState& state, AsyncSignal& changed, std::string stream, std::vector<Record> records, std::chrono::milliseconds limit);
+    KeeperState &state, AsyncSignal &changed, std::string stream, std::vector<Record> records, std::chrono::milliseconds limit);
 
 // Returns the whole state of the process as JSON.
-std::string dumpState(const KeeperState& state, const Supervisor& supervisor);
+std::string dumpState(const KeeperState &state, const Supervisor &supervisor);
 
 }
--- a/src/keeper/appender.cpp
+++ b/src/keeper/appender.cpp
@@ -18,25 +18,25 @@
 // How long an append whose answer was lost is repeated before its waiters are told that it is unknown.
 constexpr std::chrono::milliseconds doubtLimit = 10s;
 
-void settle(const std::vector<PendingAppend>& batch, AppendState state)
+void settle(const std::vector<PendingAppend> &batch, AppendState state)
 {
-    for (const PendingAppend& pending : batch) {
+    for (const PendingAppend &pending : batch) {
         pending.ticket->state = state;
     }
 }
 
 // Refusals and failed connects say that nothing was appended; anything else leaves doubt.
-bool isSurelyNotAppended(const Error& error)
+bool isSurelyNotAppended(const Error &error)
 {
     return error.code == ErrorCode::Unavailable || (error.code == ErrorCode::Refused && error.message.starts_with("503"));
 }
 
 }
 
-std::shared_ptr<AppendTicket> Appender::submit(const std::string& stream, const Record& record)
+std::shared_ptr<AppendTicket> Appender::submit(const std::string &stream, const Record &record)
 {
     auto ticket = std::make_shared<AppendTicket>();
-    if (!this->ring.tryPush(PendingAppend{ stream, encodeRecord(record), ticket })) {
+    if (!this->ring.tryPush(PendingAppend{stream, encodeRecord(record), ticket})) {
         return nullptr;
     }
     return ticket;
@@ -55,10 +55,10 @@
     return batch;
 }
 
-void Appender::appendStream(const std::stop_token& stop, PlatformClient& platform, const std::string& stream, const std::vector<PendingAppend>& batch)
+void Appender::appendStream(const std::stop_token &stop, PlatformClient &platform, const std::string &stream, const std::vector<PendingAppend> &batch)
 {
     std::vector<std::string> payloads;
-    for (const PendingAppend& pending : batch) {
+    for (const PendingAppend &pending : batch) {
         payloads.push_back(pending.payload);
     }
     const TimePoint started = SteadyClock().now();
@@ -86,7 +86,7 @@
     }
 }
 
-Result<void> Appender::run(const std::stop_token& stop, PlatformClient& platform)
+Result<void> Appender::run(const std::stop_token &stop, PlatformClient &platform)
 {
     TimePoint next{};
     while (!stop.stop_requested()) {
@@ -95,14 +95,14 @@
             continue;
         }
         std::map<std::string, std::vector<PendingAppend>> byStream;
-        for (PendingAppend& pending : this->takeBatch()) {
+        for (PendingAppend &pending : this->takeBatch()) {
             byStream[pending.stream].push_back(std::move(pending));
         }
         if (byStream.empty()) {
             std::this_thread::sleep_for(idlePause);
             continue;
         }
-        for (const auto& [stream, batch] : byStream) {
+        for (const auto &[stream, batch] : byStream) {
             this->appendStream(stop, platform, stream, batch);
         }
         next = SteadyClock().now() + this->interval;
--- a/src/keeper/appender.h
+++ b/src/keeper/appender.h
@@ -24,7 +24,7 @@
 
 // Shared by the one who waits and the appender.
 struct AppendTicket {
-    std::atomic<AppendState> state{ AppendState::Queued };
+    std::atomic<AppendState> state{AppendState::Queued};
 };
 
 // One record on its way to a stream.
@@ -45,10 +45,10 @@
     }
 
     // Returns the ticket, or nullptr where the ring is full: the record is then surely not appended.
-    std::shared_ptr<AppendTicket> submit(const std::string& stream, const Record& record);
+    std::shared_ptr<AppendTicket> submit(const std::string &stream, const Record &record);
 
     // Appends batches at most once per interval until asked to stop.
-    Result<void> run(const std::stop_token& stop, PlatformClient& platform);
+    Result<void> run(const std::stop_token &stop, PlatformClient &platform);
 
     // Counts append calls made.
     std::uint64_t appends() const
@@ -60,11 +60,11 @@
 
 private:
     std::vector<PendingAppend> takeBatch();
-    void appendStream(const std::stop_token& stop, PlatformClient& platform, const std::string& stream, const std::vector<PendingAppend>& batch);
+    void appendStream(const std::stop_token &stop, PlatformClient &platform, const std::string &stream, const std::vector<PendingAppend> &batch);
 
     std::chrono::milliseconds interval;
     MpscRing<PendingAppend> ring;
-    std::atomic<std::uint64_t> appendCount{ 0 };
+    std::atomic<std::uint64_t> appendCount{0};
 };
 
 }
--- a/src/keeper/duties.cpp
+++ b/src/keeper/duties.cpp
@@ -26,7 +26,7 @@
 constexpr Offset snapshotInterval = 2000;
 
 // Takes records or a snapshot from one peer; true where it gave news.
-bool pullFromPeer(KeeperState& state, StreamFollower<FleetState>& follower, const Endpoint& peer)
+bool pullFromPeer(KeeperState &state, StreamFollower<FleetState> &follower, const Endpoint &peer)
 {
     auto client = HttpClient::create(peer, state.settings.peerToken);
     Rpc::PullRequest request;
@@ -50,25 +50,25 @@
         }
     }
     std::vector<LogBatch::Entry> entries;
-    for (const Rpc::LogRecord& record : reply->records) {
-        entries.push_back({ record.offset, record.payload });
+    for (const Rpc::LogRecord &record : reply->records) {
+        entries.push_back({record.offset, record.payload});
     }
     follower.apply(entries);
     return !entries.empty() || !reply->snapshot.empty();
 }
 
-void pullFromPeers(KeeperState& state, StreamFollower<FleetState>& follower)
+void pullFromPeers(KeeperState &state, StreamFollower<FleetState> &follower)
 {
-    for (const Endpoint& peer : state.settings.keepers) {
+    for (const Endpoint &peer : state.settings.keepers) {
         if (peer != state.settings.admin && pullFromPeer(state, follower, peer)) {
             return;
         }
     }
 }
 
-template <typename State>
+template<typename State>
 void logReachability(
-    const std::string& stream, bool& wasReachable, const FollowerStatus& status, const Result<void>& step, const StreamFollower<State>& follower)
+    const std::string &stream, bool &wasReachable, const FollowerStatus &status, const Result<void> &step, const StreamFollower<State> &follower)
 {
     const bool isReachable = step.has_value();
     if (isReachable == wasReachable) {
@@ -83,59 +83,59 @@
     }
 }
 
-template <typename State>
-void writeSnapshot(const std::string& stream, const Guarded<State>& guarded, FollowerStatus& status, PlatformClient& platform)
+template<typename State>
+void writeSnapshot(const std::string &stream, const Guarded<State> &guarded, FollowerStatus &status, PlatformClient &platform)
 {
-    const Offset offset = guarded.read([](const State& folded) {
+    const Offset offset = guarded.read([](const State &folded) {
         return folded.offset();
     });
     if (offset - status.snapshotOffset < snapshotInterval) {
         return;
     }
-    const std::string snapshot = guarded.read([](const State& folded) {
+    const std::string snapshot = guarded.read([](const State &folded) {
         return folded.toJson();
     });
-    if (platform.append(stream + "-snapshots", { snapshot })) {
+    if (platform.append(stream + "-snapshots", {snapshot})) {
         status.snapshotOffset = offset;
         spdlog::info("event=snapshot_written stream={} offset={} bytes={}", stream, offset, snapshot.size());
     }
 }
 
-void keepLedger(KeeperState& state, LeaseWatch& leases, PlatformClient& platform)
+void keepLedger(KeeperState &state, LeaseWatch &leases, PlatformClient &platform)
 {
     const std::string stream = jobsStream(state.settings.dataCentre);
-    const auto lease = std::chrono::milliseconds(state.fleet.read([](const FleetState& fleet) {
+    const auto lease = std::chrono::milliseconds(state.fleet.read([](const FleetState &fleet) {
         return fleet.settings().value("", Keys::jobLeaseMs);
     }));
-    const auto claims = state.ledger.read([](const JobLedger& ledger) {
+    const auto claims = state.ledger.read([](const JobLedger &ledger) {
         return ledger.claimed();
     });
-    for (const ReleaseJob& release : leases.lapsed(claims, lease, state.clock.now())) {
-        state.appender.submit(stream, Record{ state.newRecordId(), release });
+    for (const ReleaseJob &release : leases.lapsed(claims, lease, state.clock.now())) {
+        state.appender.submit(stream, Record{state.newRecordId(), release});
     }
     writeSnapshot(stream, state.ledger, state.ledgerStatus, platform);
 }
 
-void logActs(const MaintenanceRound& round)
+void logActs(const MaintenanceRound &round)
 {
-    for (const PerformedAct& done : round.acts) {
+    for (const PerformedAct &done : round.acts) {
         spdlog::info("event=platform_act kind={} instance={} token={} result={}", toString(done.act.kind), done.act.instance.value, done.act.token,
             done.result ? "ok" : describe(done.result.error()));
     }
 }
 
 // New grants need the log's end, not a peer's copy or a state with a gap.
-bool mayProposeGrants(const KeeperState& state)
+bool mayProposeGrants(const KeeperState &state)
 {
     return state.fleetStatus.reachable && state.fleetStatus.caughtUp && !state.fleetStatus.gap;
 }
 
 }
 
-Result<void> followFleet(const std::stop_token& stop, KeeperState& state)
+Result<void> followFleet(const std::stop_token &stop, KeeperState &state)
 {
     auto platform = PlatformClient::create(state.settings.platform);
-    StreamFollower<FleetState> follower(fleetStream, state.fleet, state.fleetStatus, [&state](Offset offset, const std::string& payload) {
+    StreamFollower<FleetState> follower(fleetStream, state.fleet, state.fleetStatus, [&state](Offset offset, const std::string &payload) {
         state.recent.add(offset, payload);
     });
     bool wasReachable = false;
@@ -150,11 +150,11 @@
     return {};
 }
 
-Result<void> followLedger(const std::stop_token& stop, KeeperState& state)
+Result<void> followLedger(const std::stop_token &stop, KeeperState &state)
 {
     auto platform = PlatformClient::create(state.settings.platform);
     const std::string stream = jobsStream(state.settings.dataCentre);
-    StreamFollower<JobLedger> follower(stream, state.ledger, state.ledgerStatus, [](Offset, const std::string&) {
+    StreamFollower<JobLedger> follower(stream, state.ledger, state.ledgerStatus, [](Offset, const std::string &) {
     });
     bool wasReachable = false;
     while (!stop.stop_requested()) {
@@ -167,7 +167,7 @@
     return {};
 }
 
-Result<void> followListing(const std::stop_token& stop, KeeperState& state)
+Result<void> followListing(const std::stop_token &stop, KeeperState &state)
 {
     auto platform = PlatformClient::create(state.settings.platform);
     while (!stop.stop_requested()) {
@@ -178,19 +178,19 @@
         }
         state.listing.merge(*delta);
         // The fleet's listeners wake the pulls of gates, which carry the list too.
-        state.fleet.write([](FleetState&) {
+        state.fleet.write([](FleetState &) {
         });
     }
     return {};
 }
 
-Result<void> appendRecords(const std::stop_token& stop, KeeperState& state)
+Result<void> appendRecords(const std::stop_token &stop, KeeperState &state)
 {
     auto platform = PlatformClient::create(state.settings.platform);
     return state.appender.run(stop, **platform);
 }
 
-Result<void> maintain(const std::stop_token& stop, KeeperState& state)
+Result<void> maintain(const std::stop_token &stop, KeeperState &state)
 {
     auto platform = PlatformClient::create(state.settings.platform);
     Result<MaintenanceRunner> runner = MaintenanceRunner::create(state.settings.name);
@@ -212,18 +212,18 @@
         const MaintenanceRound round = runner->round(state.fleet, state.listing.listing(), **platform, state.clock.now());
         ++state.maintenanceRounds;
         logActs(round);
-        for (const RecordBody& body : round.proposals) {
-            state.appender.submit(fleetStream, Record{ state.newRecordId(), body });
+        for (const RecordBody &body : round.proposals) {
+            state.appender.submit(fleetStream, Record{state.newRecordId(), body});
         }
         writeSnapshot(fleetStream, state.fleet, state.fleetStatus, **platform);
     }
     return {};
 }
 
-Result<void> exchangeWithPeers(const std::stop_token& stop, KeeperState& state)
+Result<void> exchangeWithPeers(const std::stop_token &stop, KeeperState &state)
 {
     std::vector<std::unique_ptr<HttpClient>> peers;
-    for (const Endpoint& endpoint : state.settings.keepers) {
+    for (const Endpoint &endpoint : state.settings.keepers) {
         if (endpoint != state.settings.admin) {
             peers.push_back(std::move(*HttpClient::create(endpoint, state.settings.peerToken)));
         }
@@ -236,7 +236,7 @@
         Rpc::PeerStatus status;
         status.process = state.settings.name.value;
         status.dataCentre = state.settings.dataCentre.value;
-        state.fleet.read([&status](const FleetState& fleet) {
+        state.fleet.read([&status](const FleetState &fleet) {
             status.offset = fleet.offset();
             status.revision = fleet.settings().revision();
             return 0;
@@ -246,7 +246,7 @@
         const Result<Rpc::PeerStatus> peer = answer ? fromThrift<Rpc::PeerStatus>(*answer) : tl::unexpected(answer.error());
         if (peer) {
             state.membership.sawKeeper(
-                ProcessId{ peer->process }, { DataCentreId{ peer->dataCentre }, peer->offset, peer->revision, peer->liveGates, state.clock.now() });
+                ProcessId{peer->process}, {DataCentreId{peer->dataCentre}, peer->offset, peer->revision, peer->liveGates, state.clock.now()});
         }
     }
     return {};
--- a/src/keeper/keeperstate.cpp
+++ b/src/keeper/keeperstate.cpp
@@ -7,14 +7,14 @@
 
 namespace MangoCourse {
 
-void RecentRecords::add(Offset offset, const std::string& payload)
+void RecentRecords::add(Offset offset, const std::string &payload)
 {
     const std::scoped_lock lock(this->mutex);
     // A snapshot jumps over records; followers behind the jump get the snapshot too.
     if (!this->entries.empty() && this->entries.back().offset + 1 != offset) {
         this->entries.clear();
     }
-    this->entries.push_back({ offset, payload });
+    this->entries.push_back({offset, payload});
     if (this->entries.size() > capacity) {
         this->entries.pop_front();
     }
@@ -34,11 +34,11 @@
     return found;
 }
 
-void ListingStore::merge(const ListingDelta& delta)
+void ListingStore::merge(const ListingDelta &delta)
 {
     const std::scoped_lock lock(this->mutex);
-    for (const auto& [id, line] : delta.changed) {
-        AddressedInstance& known = this->lines[id];
+    for (const auto &[id, line] : delta.changed) {
+        AddressedInstance &known = this->lines[id];
         if (line.version >= known.version) {
             known = line;
         }
@@ -56,7 +56,7 @@
 {
     const std::scoped_lock lock(this->mutex);
     std::map<InstanceId, AddressedInstance> changed;
-    for (const auto& [id, line] : this->lines) {
+    for (const auto &[id, line] : this->lines) {
         if (line.version > version) {
             changed.emplace(id, line);
         }
@@ -68,7 +68,7 @@
 {
     const std::scoped_lock lock(this->mutex);
     InstanceListing listing;
-    for (const auto& [id, line] : this->lines) {
+    for (const auto &[id, line] : this->lines) {
         listing.emplace(id, line.listed);
     }
     return listing;
@@ -76,10 +76,10 @@
 
 namespace {
 
-std::map<ProcessId, SeenProcess> liveOnes(const std::map<ProcessId, SeenProcess>& all, TimePoint now, std::chrono::seconds timeout)
+std::map<ProcessId, SeenProcess> liveOnes(const std::map<ProcessId, SeenProcess> &all, TimePoint now, std::chrono::seconds timeout)
 {
     std::map<ProcessId, SeenProcess> live;
-    for (const auto& [id, process] : all) {
+    for (const auto &[id, process] : all) {
         if (now - process.seen <= timeout) {
             live.emplace(id, process);
         }
@@ -89,13 +89,13 @@
 
 }
 
-void Membership::sawGate(const ProcessId& process, SeenProcess seen)
+void Membership::sawGate(const ProcessId &process, SeenProcess seen)
 {
     const std::scoped_lock lock(this->mutex);
     this->gates[process] = std::move(seen);
 }
 
-void Membership::sawKeeper(const ProcessId& process, SeenProcess seen)
+void Membership::sawKeeper(const ProcessId &process, SeenProcess seen)
 {
     const std::scoped_lock lock(this->mutex);
     this->keepers[process] = std::move(seen);
@@ -113,13 +113,13 @@
     return liveOnes(this->keepers, now, keeperTimeout);
 }
 
-int Membership::gatesIn(const DataCentreId& dataCentre, TimePoint now) const
+int Membership::gatesIn(const DataCentreId &dataCentre, TimePoint now) const
 {
     int count = 0;
-    for (const auto& [id, gate] : this->liveGates(now)) {
+    for (const auto &[id, gate] : this->liveGates(now)) {
         count += gate.dataCentre == dataCentre ? 1 : 0;
     }
-    for (const auto& [id, keeper] : this->liveKeepers(now)) {
+    for (const auto &[id, keeper] : this->liveKeepers(now)) {
         count += keeper.dataCentre == dataCentre ? keeper.liveGates : 0;
     }
     return std::max(1, count);
@@ -134,13 +134,13 @@
 
 RecordId KeeperState::newRecordId()
 {
-    return RecordId{ this->settings.name.value + "-" + this->incarnation + "-" + std::to_string(++this->recordCounter) };
+    return RecordId{this->settings.name.value + "-" + this->incarnation + "-" + std::to_string(++this->recordCounter)};
 }
 
 bool KeeperState::isLead() const
 {
-    std::vector<ProcessId> keepers = { this->settings.name };
-    for (const auto& [id, keeper] : this->membership.liveKeepers(this->clock.now())) {
+    std::vector<ProcessId> keepers = {this->settings.name};
+    for (const auto &[id, keeper] : this->membership.liveKeepers(this->clock.now())) {
         keepers.push_back(id);
     }
     return rendezvousLeader(keepers, "maintenance") == this->settings.name;
@@ -148,8 +148,8 @@
 
 bool KeeperState::isLedgerLead() const
 {
-    std::vector<ProcessId> keepers = { this->settings.name };
-    for (const auto& [id, keeper] : this->membership.liveKeepers(this->clock.now())) {
+    std::vector<ProcessId> keepers = {this->settings.name};
+    for (const auto &[id, keeper] : this->membership.liveKeepers(this->clock.now())) {
         if (keeper.dataCentre == this->settings.dataCentre) {
             keepers.push_back(id);
         }
--- a/src/keeper/keeperstate.h
+++ b/src/keeper/keeperstate.h
@@ -8,21 +8,21 @@
 
 #include <mangocourse/clock.h>
 #include <mangocourse/fleetstate.h>
+#include <mangocourse/guarded.h>
 #include <mangocourse/jobledger.h>
 #include <mangocourse/processsettings.h>
+#include <mangocourse/streamfollower.h>
 #include <mangocourse/supervisor.h>
 
 #include "appender.h"
-#include "guarded.h"
 #include "metrics.h"
 #include "platformclient.h"
-#include "streamfollower.h"
 
 namespace MangoCourse {
 
 // Names of the streams.
 inline const std::string fleetStream = "fleet";
-inline std::string jobsStream(const DataCentreId& dataCentre)
+inline std::string jobsStream(const DataCentreId &dataCentre)
 {
     return "jobs-" + dataCentre.value;
 }
@@ -31,7 +31,7 @@
 class RecentRecords
 {
 public:
-    void add(Offset offset, const std::string& payload);
+    void add(Offset offset, const std::string &payload);
 
     // Returns the records after the offset, or nothing where some are no longer kept.
     std::optional<std::vector<LogBatch::Entry>> after(Offset offset, std::size_t limit) const;
@@ -47,7 +47,7 @@
 class ListingStore
 {
 public:
-    void merge(const ListingDelta& delta);
+    void merge(const ListingDelta &delta);
     std::int64_t version() const;
     std::map<InstanceId, AddressedInstance> changedSince(std::int64_t version) const;
     InstanceListing listing() const;
@@ -71,16 +71,16 @@
 class Membership
 {
 public:
-    void sawGate(const ProcessId& process, SeenProcess seen);
-    void sawKeeper(const ProcessId& process, SeenProcess seen);
+    void sawGate(const ProcessId &process, SeenProcess seen);
+    void sawKeeper(const ProcessId &process, SeenProcess seen);
     std::map<ProcessId, SeenProcess> liveGates(TimePoint now) const;
     std::map<ProcessId, SeenProcess> liveKeepers(TimePoint now) const;
 
     // Counts the live gates of a data centre: this keeper's own and those that its peers there report.
-    int gatesIn(const DataCentreId& dataCentre, TimePoint now) const;
+    int gatesIn(const DataCentreId &dataCentre, TimePoint now) const;
 
-    static constexpr std::chrono::seconds gateTimeout{ 3 };
-    static constexpr std::chrono::seconds keeperTimeout{ 10 };
+    static constexpr std::chrono::seconds gateTimeout{3};
+    static constexpr std::chrono::seconds keeperTimeout{10};
 
 private:
     mutable std::mutex mutex;
@@ -106,8 +106,8 @@
     Appender appender;
     Metrics metrics;
     SteadyClock clock;
-    std::atomic<std::uint64_t> recordCounter{ 0 };
-    std::atomic<std::uint64_t> maintenanceRounds{ 0 };
+    std::atomic<std::uint64_t> recordCounter{0};
+    std::atomic<std::uint64_t> maintenanceRounds{0};
 
     // Returns a record id that no other process and no earlier life of this one has used.
     RecordId newRecordId();
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 // Runs the server until the duty is asked to stop.
-Result<void> serve(const std::stop_token& stop, net::io_context& context)
+Result<void> serve(const std::stop_token &stop, net::io_context &context)
 {
     const std::stop_callback wake(stop, [&context] {
         context.stop();
@@ -28,12 +28,12 @@
     return {};
 }
 
-void startDuties(Supervisor& supervisor, KeeperState& state, net::io_context& context)
+void startDuties(Supervisor &supervisor, KeeperState &state, net::io_context &context)
 {
-    const auto add = [&](const std::string& name, auto duty) {
-        supervisor.start(Duty{ name, [&state, duty](const std::stop_token& stop) {
+    const auto add = [&](const std::string &name, auto duty) {
+        supervisor.start(Duty{name, [&state, duty](const std::stop_token &stop) {
                                   return duty(stop, state);
-                              } });
+                              }});
     };
     add("appender", appendRecords);
     add("fleet-follower", followFleet);
@@ -41,9 +41,9 @@
     add("listing", followListing);
     add("peers", exchangeWithPeers);
     add("maintenance", maintain);
-    supervisor.start(Duty{ "server", [&context](const std::stop_token& stop) {
+    supervisor.start(Duty{"server", [&context](const std::stop_token &stop) {
                               return serve(stop, context);
-                          } });
+                          }});
 }
 
 int runKeeper()
@@ -58,7 +58,7 @@
         return ExitCode::success;
     }
     startLogging(settings->name.value, settings->logLevel);
-    net::io_context context{ 1 };
+    net::io_context context{1};
     KeeperState state(std::move(*settings));
     AsyncSignal changed(context);
     state.fleet.onChange([&changed] {
@@ -91,7 +91,7 @@
 
 }
 
-int main(int argc, char** argv)
+int main(int argc, char **argv)
 {
     MangoCourse::blockSignals();
     MangoCourse::parseFlags(argc, argv,
--- a/src/keeper/peerapi.cpp
+++ b/src/keeper/peerapi.cpp
@@ -16,8 +16,8 @@
     return std::clamp(std::chrono::milliseconds(waitMs), 0ms, longestWait);
 }
 
-template <typename Message>
-HttpResponse thriftResponse(const Message& message)
+template<typename Message>
+HttpResponse thriftResponse(const Message &message)
 {
     HttpResponse response(http::status::ok, 11);
     response.set(http::field::content_type, "application/vnd.apache.thrift.compact");
@@ -26,9 +26,9 @@
 }
 
 // Fills the records after the asked offset, or the snapshot where they are no longer kept. Returns true where there is news.
-bool fillRecords(const KeeperState& state, Offset after, Rpc::PullReply& reply)
+bool fillRecords(const KeeperState &state, Offset after, Rpc::PullReply &reply)
 {
-    const Offset offset = state.fleet.read([](const FleetState& fleet) {
+    const Offset offset = state.fleet.read([](const FleetState &fleet) {
         return fleet.offset();
     });
     reply.endOffset = offset;
@@ -37,13 +37,13 @@
     }
     const auto records = state.recent.after(after, pullLimit);
     if (!records) {
-        reply.snapshot = state.fleet.read([](const FleetState& fleet) {
+        reply.snapshot = state.fleet.read([](const FleetState &fleet) {
             return fleet.toJson();
         });
         reply.snapshotOffset = offset;
         return true;
     }
-    for (const LogBatch::Entry& entry : *records) {
+    for (const LogBatch::Entry &entry : *records) {
         Rpc::LogRecord record;
         record.offset = entry.offset;
         record.payload = entry.payload;
@@ -52,10 +52,10 @@
     return true;
 }
 
-bool fillListing(const KeeperState& state, std::int64_t since, Rpc::PullReply& reply)
+bool fillListing(const KeeperState &state, std::int64_t since, Rpc::PullReply &reply)
 {
     reply.listingVersion = state.listing.version();
-    for (const auto& [id, line] : state.listing.changedSince(since)) {
+    for (const auto &[id, line] : state.listing.changedSince(since)) {
         Rpc::ListingEntry entry;
         entry.instance = id.value;
         entry.host = line.endpoint.host;
@@ -67,16 +67,16 @@
     return !reply.listing.empty();
 }
 
-net::awaitable<HttpResponse> pull(KeeperState& state, AsyncSignal& changed, const HttpRequest& request)
+net::awaitable<HttpResponse> pull(KeeperState &state, AsyncSignal &changed, const HttpRequest &request)
 {
     const Result<Rpc::PullRequest> asked = fromThrift<Rpc::PullRequest>(request.body());
     if (!asked) {
         co_return errorResponse(http::status::bad_request, describe(asked.error()));
     }
-    const DataCentreId dataCentre{ asked->dataCentre };
+    const DataCentreId dataCentre{asked->dataCentre};
     const auto note = [&] {
         if (asked->role == "gate") {
-            state.membership.sawGate(ProcessId{ asked->process }, { dataCentre, asked->afterOffset, 0, 0, state.clock.now() });
+            state.membership.sawGate(ProcessId{asked->process}, {dataCentre, asked->afterOffset, 0, 0, state.clock.now()});
         }
     };
     note();
@@ -97,7 +97,7 @@
     co_return thriftResponse(reply);
 }
 
-Rpc::SubmitVerdict toRpc(const SubmitOutcome& outcome)
+Rpc::SubmitVerdict toRpc(const SubmitOutcome &outcome)
 {
     Rpc::SubmitVerdict verdict;
     verdict.id = outcome.id.value;
@@ -108,14 +108,14 @@
     return verdict;
 }
 
-net::awaitable<HttpResponse> submit(KeeperState& state, AsyncSignal& changed, const HttpRequest& request)
+net::awaitable<HttpResponse> submit(KeeperState &state, AsyncSignal &changed, const HttpRequest &request)
 {
     const Result<Rpc::SubmitRequest> asked = fromThrift<Rpc::SubmitRequest>(request.body());
     if (!asked) {
         co_return errorResponse(http::status::bad_request, describe(asked.error()));
     }
     std::vector<Record> records;
-    for (const std::string& payload : asked->records) {
+    for (const std::string &payload : asked->records) {
         const Result<Record> record = decodeRecord(payload);
         if (!record) {
             co_return errorResponse(http::status::bad_request, describe(record.error()));
@@ -125,17 +125,17 @@
     const std::string stream = jobsStream(state.settings.dataCentre);
     const auto outcomes = co_await submitAndWait(state, changed, stream, std::move(records), boundedWait(asked->waitMs));
     Rpc::SubmitReply reply;
-    for (const SubmitOutcome& outcome : outcomes) {
+    for (const SubmitOutcome &outcome : outcomes) {
         reply.verdicts.push_back(toRpc(outcome));
     }
     co_return thriftResponse(reply);
 }
 
-Rpc::ClaimedJob toRpc(const KeeperState& state, const JobId& id, Offset claim)
+Rpc::ClaimedJob toRpc(const KeeperState &state, const JobId &id, Offset claim)
 {
     Rpc::ClaimedJob claimed;
-    state.ledger.read([&](const JobLedger& ledger) {
-        const Job* job = ledger.job(id);
+    state.ledger.read([&](const JobLedger &ledger) {
+        const Job *job = ledger.job(id);
         if (job != nullptr) {
             claimed.serviceName = job->service.value;
             claimed.team = job->team.value;
@@ -146,13 +146,13 @@
     });
     claimed.job = id.value;
     claimed.claim = claim;
-    claimed.leaseMs = static_cast<std::int32_t>(state.fleet.read([](const FleetState& fleet) {
+    claimed.leaseMs = static_cast<std::int32_t>(state.fleet.read([](const FleetState &fleet) {
         return fleet.settings().value("", Keys::jobLeaseMs);
     }));
     return claimed;
 }
 
-net::awaitable<HttpResponse> claim(KeeperState& state, AsyncSignal& changed, const HttpRequest& request)
+net::awaitable<HttpResponse> claim(KeeperState &state, AsyncSignal &changed, const HttpRequest &request)
 {
     const Result<Rpc::ClaimRequest> asked = fromThrift<Rpc::ClaimRequest>(request.body());
     if (!asked) {
@@ -160,7 +160,7 @@
     }
     const auto limit = static_cast<std::size_t>(std::clamp(asked->maxJobs, 0, 256));
     const auto readWaiting = [&state, limit] {
-        return state.ledger.read([limit](const JobLedger& ledger) {
+        return state.ledger.read([limit](const JobLedger &ledger) {
             return ledger.waiting(limit);
         });
     };
@@ -170,8 +170,8 @@
         waiting = readWaiting();
     }
     std::vector<Record> records;
-    for (const JobId& job : waiting) {
-        records.push_back(Record{ state.newRecordId(), ClaimJob{ job, ProcessId{ asked->gate } } });
+    for (const JobId &job : waiting) {
+        records.push_back(Record{state.newRecordId(), ClaimJob{job, ProcessId{asked->gate}}});
     }
     Rpc::ClaimReply reply;
     if (!records.empty()) {
@@ -185,11 +185,11 @@
     co_return thriftResponse(reply);
 }
 
-Rpc::JobView viewJob(const KeeperState& state, const JobId& id)
+Rpc::JobView viewJob(const KeeperState &state, const JobId &id)
 {
-    return state.ledger.read([&id](const JobLedger& ledger) {
+    return state.ledger.read([&id](const JobLedger &ledger) {
         Rpc::JobView view;
-        const Job* job = ledger.job(id);
+        const Job *job = ledger.job(id);
         if (job == nullptr) {
             view.state = "unknown";
             return view;
@@ -205,35 +205,35 @@
     });
 }
 
-net::awaitable<HttpResponse> describeJob(KeeperState& state, AsyncSignal& changed, const HttpRequest& request)
+net::awaitable<HttpResponse> describeJob(KeeperState &state, AsyncSignal &changed, const HttpRequest &request)
 {
     const Result<Rpc::JobQuery> asked = fromThrift<Rpc::JobQuery>(request.body());
     if (!asked) {
         co_return errorResponse(http::status::bad_request, describe(asked.error()));
     }
     const TimePoint until = state.clock.now() + boundedWait(asked->waitMs);
-    Rpc::JobView view = viewJob(state, JobId{ asked->job });
+    Rpc::JobView view = viewJob(state, JobId{asked->job});
     while (view.known && (view.state == "waiting" || view.state == "claimed") && state.clock.now() < until) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - state.clock.now());
         co_await changed.wait(left + 1ms);
-        view = viewJob(state, JobId{ asked->job });
+        view = viewJob(state, JobId{asked->job});
     }
     co_return thriftResponse(view);
 }
 
-net::awaitable<HttpResponse> exchange(KeeperState& state, const HttpRequest& request)
+net::awaitable<HttpResponse> exchange(KeeperState &state, const HttpRequest &request)
 {
     const Result<Rpc::PeerStatus> peer = fromThrift<Rpc::PeerStatus>(request.body());
     if (!peer) {
         co_return errorResponse(http::status::bad_request, describe(peer.error()));
     }
     const TimePoint now = state.clock.now();
-    state.membership.sawKeeper(ProcessId{ peer->process }, { DataCentreId{ peer->dataCentre }, peer->offset, peer->revision, peer->liveGates, now });
+    state.membership.sawKeeper(ProcessId{peer->process}, {DataCentreId{peer->dataCentre}, peer->offset, peer->revision, peer->liveGates, now});
     Rpc::PeerStatus own;
     own.process = state.settings.name.value;
     own.dataCentre = state.settings.dataCentre.value;
     own.liveGates = static_cast<std::int32_t>(state.membership.liveGates(now).size());
-    state.fleet.read([&own](const FleetState& fleet) {
+    state.fleet.read([&own](const FleetState &fleet) {
         own.offset = fleet.offset();
         own.revision = fleet.settings().revision();
         return 0;
@@ -243,13 +243,13 @@
 
 }
 
-void addPeerRoutes(HttpServer& server, KeeperState& state, AsyncSignal& changed)
+void addPeerRoutes(HttpServer &server, KeeperState &state, AsyncSignal &changed)
 {
-    const std::string& token = state.settings.peerToken;
-    const auto add = [&](const std::string& path, auto handler) {
+    const std::string &token = state.settings.peerToken;
+    const auto add = [&](const std::string &path, auto handler) {
         server.route(
             http::verb::post, path,
-            [&state, &changed, handler](const HttpRequest& request) {
+            [&state, &changed, handler](const HttpRequest &request) {
                 return handler(state, changed, request);
             },
             token);
@@ -258,7 +258,7 @@
     add("/peer/submit", submit);
     add("/peer/claim", claim);
     add("/peer/job", describeJob);
-    add("/peer/exchange", [](KeeperState& shared, AsyncSignal&, const HttpRequest& request) {
+    add("/peer/exchange", [](KeeperState &shared, AsyncSignal &, const HttpRequest &request) {
         return exchange(shared, request);
     });
 }
--- a/src/keeper/submit.cpp
+++ b/src/keeper/submit.cpp
@@ -5,14 +5,14 @@
 
 namespace {
 
-std::optional<FoldVerdict> findVerdict(const KeeperState& state, const std::string& stream, const RecordId& id)
+std::optional<FoldVerdict> findVerdict(const KeeperState &state, const std::string &stream, const RecordId &id)
 {
     if (stream == fleetStream) {
-        return state.fleet.read([&id](const FleetState& fleet) {
+        return state.fleet.read([&id](const FleetState &fleet) {
             return fleet.verdictOf(id);
         });
     }
-    return state.ledger.read([&id](const JobLedger& ledger) {
+    return state.ledger.read([&id](const JobLedger &ledger) {
         return ledger.verdictOf(id);
     });
 }
@@ -28,7 +28,7 @@
     }
 };
 
-void refresh(Underway& record, const KeeperState& state, const std::string& stream)
+void refresh(Underway &record, const KeeperState &state, const std::string &stream)
 {
     if (const auto verdict = findVerdict(state, stream, record.outcome.id)) {
         record.outcome.known = true;
@@ -41,17 +41,17 @@
 }
 
 net::awaitable<std::vector<SubmitOutcome>> submitAndWait(
-    KeeperState& state, AsyncSignal& changed, std::string stream, std::vector<Record> records, std::chrono::milliseconds limit)
+    KeeperState &state, AsyncSignal &changed, std::string stream, std::vector<Record> records, std::chrono::milliseconds limit)
 {
     const TimePoint until = state.clock.now() + limit;
     std::vector<Underway> underway;
-    for (const Record& record : records) {
-        underway.push_back({ SubmitOutcome{ record.id, false, true, {} }, state.appender.submit(stream, record) });
+    for (const Record &record : records) {
+        underway.push_back({SubmitOutcome{record.id, false, true, {}}, state.appender.submit(stream, record)});
     }
-    constexpr std::chrono::milliseconds lookAgain{ 100 };
+    constexpr std::chrono::milliseconds lookAgain{100};
     while (true) {
         bool allSettled = true;
-        for (Underway& record : underway) {
+        for (Underway &record : underway) {
             refresh(record, state, stream);
             allSettled = allSettled && record.isSettled();
         }
@@ -61,7 +61,7 @@
         co_await changed.wait(lookAgain);
     }
     std::vector<SubmitOutcome> outcomes;
-    for (const Underway& record : underway) {
+    for (const Underway &record : underway) {
         outcomes.push_back(record.outcome);
     }
     co_return outcomes;
--- a/src/libmangocourse/dispatcher.cpp
+++ b/src/libmangocourse/dispatcher.cpp
@@ -30,12 +30,12 @@
 constexpr double limitDrop = 1.0;
 constexpr Duration shortestRetryAfter = 100ms;
 
-bool wasTried(const std::vector<InstanceId>& tried, const InstanceId& instance)
+bool wasTried(const std::vector<InstanceId> &tried, const InstanceId &instance)
 {
     return std::find(tried.begin(), tried.end(), instance) != tried.end();
 }
 
-double initialLimit(const ExecutorView& view, int gates)
+double initialLimit(const ExecutorView &view, int gates)
 {
     if (!view.local) {
         return std::min<double>(remoteShare, view.slots);
@@ -47,21 +47,21 @@
 
 std::string_view toString(RefuseReason reason)
 {
-    static constexpr std::array<std::string_view, 5> names = { "none", "unknown-service", "no-executor", "queue-full", "would-miss-deadline" };
+    static constexpr std::array<std::string_view, 5> names = {"none", "unknown-service", "no-executor", "queue-full", "would-miss-deadline"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
-std::optional<std::size_t> Dispatcher::Private::pick(const std::vector<std::size_t>& candidates, const std::vector<InstanceId>& tried, TimePoint now)
+std::optional<std::size_t> Dispatcher::Private::pick(const std::vector<std::size_t> &candidates, const std::vector<InstanceId> &tried, TimePoint now)
 {
     if (candidates.empty()) {
         return std::nullopt;
     }
     const auto usable = [&](std::size_t index) {
-        const ExecutorEntry& executor = this->executors[index];
+        const ExecutorEntry &executor = this->executors[index];
         return executor.canStart(now) && !wasTried(tried, executor.view.instance);
     };
     const auto load = [this](std::size_t index) {
-        const ExecutorEntry& executor = this->executors[index];
+        const ExecutorEntry &executor = this->executors[index];
         return executor.running / executor.limit;
     };
     const std::size_t first = candidates[this->random() % candidates.size()];
@@ -78,12 +78,12 @@
     return best;
 }
 
-std::optional<std::size_t> Dispatcher::Private::place(const PoolEntry& pool, const std::vector<InstanceId>& tried, TimePoint now)
+std::optional<std::size_t> Dispatcher::Private::place(const PoolEntry &pool, const std::vector<InstanceId> &tried, TimePoint now)
 {
     if (const auto local = this->pick(pool.local, tried, now)) {
         return local;
     }
-    for (const PoolId& lender : pool.view.lenders) {
+    for (const PoolId &lender : pool.view.lenders) {
         const auto found = this->pools.find(lender);
         if (found == this->pools.end()) {
             continue;
@@ -98,7 +98,7 @@
     return std::nullopt;
 }
 
-void Dispatcher::Private::start(Ticket ticket, RequestEntry& entry, std::size_t executor, TimePoint now)
+void Dispatcher::Private::start(Ticket ticket, RequestEntry &entry, std::size_t executor, TimePoint now)
 {
     entry.started = true;
     entry.executor = executor;
@@ -110,11 +110,11 @@
     (void)ticket;
 }
 
-double Dispatcher::Private::capacity(const PoolEntry& pool) const
+double Dispatcher::Private::capacity(const PoolEntry &pool) const
 {
     double total = 0;
     for (const std::size_t index : pool.local) {
-        const ExecutorEntry& executor = this->executors[index];
+        const ExecutorEntry &executor = this->executors[index];
         if (executor.view.takesNewWork) {
             total += executor.limit;
         }
@@ -122,7 +122,7 @@
     return total;
 }
 
-Duration Dispatcher::Private::expectedWait(const PoolEntry& pool, const WorkRequest& request) const
+Duration Dispatcher::Private::expectedWait(const PoolEntry &pool, const WorkRequest &request) const
 {
     const auto learned = this->runTime.find(request.service);
     if (learned == this->runTime.end()) {
@@ -137,14 +137,14 @@
     return Duration(static_cast<Duration::rep>(rounds * learned->second));
 }
 
-bool Dispatcher::Private::hasWaiting(const PoolEntry& pool) const
+bool Dispatcher::Private::hasWaiting(const PoolEntry &pool) const
 {
-    return std::any_of(pool.queues.begin(), pool.queues.end(), [](const ClassQueue& queue) {
+    return std::any_of(pool.queues.begin(), pool.queues.end(), [](const ClassQueue &queue) {
         return queue.alive > 0;
     });
 }
 
-std::optional<Ticket> Dispatcher::Private::popFair(ClassQueue& queue)
+std::optional<Ticket> Dispatcher::Private::popFair(ClassQueue &queue)
 {
     while (queue.alive > 0) {
         auto best = queue.byTeam.end();
@@ -176,7 +176,7 @@
     return std::nullopt;
 }
 
-std::optional<Ticket> Dispatcher::Private::popWaiting(PoolEntry& pool)
+std::optional<Ticket> Dispatcher::Private::popWaiting(PoolEntry &pool)
 {
     const bool lowestFirst = ++pool.starts % starvationInterval == 0;
     for (std::size_t step = 0; step < workClassCount; ++step) {
@@ -188,13 +188,13 @@
     return std::nullopt;
 }
 
-void Dispatcher::Private::startWaiting(const PoolId& id, TimePoint now, std::vector<Started>& started)
+void Dispatcher::Private::startWaiting(const PoolId &id, TimePoint now, std::vector<Started> &started)
 {
     const auto found = this->pools.find(id);
     if (found == this->pools.end()) {
         return;
     }
-    PoolEntry& pool = found->second;
+    PoolEntry &pool = found->second;
     while (this->hasWaiting(pool)) {
         const auto executor = this->place(pool, {}, now);
         if (!executor) {
@@ -206,11 +206,11 @@
         }
         this->start(*ticket, this->requests.at(*ticket), *executor, now);
         --this->stats.waiting;
-        started.push_back(Started{ *ticket, this->executors[*executor].view.instance });
+        started.push_back(Started{*ticket, this->executors[*executor].view.instance});
     }
 }
 
-std::vector<Started> Dispatcher::Private::fill(const PoolId& freed, TimePoint now)
+std::vector<Started> Dispatcher::Private::fill(const PoolId &freed, TimePoint now)
 {
     std::vector<Started> started;
     const auto found = this->pools.find(freed);
@@ -218,7 +218,7 @@
         return started;
     }
     // Borrowers with counter work go before the lender's own queue: its overnight work is the buffer.
-    for (const PoolId& borrower : found->second.borrowers) {
+    for (const PoolId &borrower : found->second.borrowers) {
         const auto entry = this->pools.find(borrower);
         const bool urgent = entry != this->pools.end() && entry->second.queues.front().alive > 0;
         if (urgent) {
@@ -226,13 +226,13 @@
         }
     }
     this->startWaiting(freed, now, started);
-    for (const PoolId& borrower : found->second.borrowers) {
+    for (const PoolId &borrower : found->second.borrowers) {
         this->startWaiting(borrower, now, started);
     }
     return started;
 }
 
-bool Dispatcher::Private::mayEject(const PoolEntry& pool, TimePoint now) const
+bool Dispatcher::Private::mayEject(const PoolEntry &pool, TimePoint now) const
 {
     const auto ejected = std::count_if(pool.local.begin(), pool.local.end(), [this, now](std::size_t index) {
         return this->executors[index].ejectedUntil > now;
@@ -240,7 +240,7 @@
     return (ejected + 1) * 100 <= static_cast<std::ptrdiff_t>(pool.local.size()) * pool.view.ejectPercent;
 }
 
-void Dispatcher::Private::judge(ExecutorEntry& executor, AttemptResult result, TimePoint now)
+void Dispatcher::Private::judge(ExecutorEntry &executor, AttemptResult result, TimePoint now)
 {
     const auto found = this->pools.find(executor.view.pool);
     if (result == AttemptResult::Succeeded) {
@@ -281,8 +281,8 @@
 {
 }
 
-Dispatcher::Dispatcher(Dispatcher&& other) noexcept = default;
-Dispatcher& Dispatcher::operator=(Dispatcher&& other) noexcept = default;
+Dispatcher::Dispatcher(Dispatcher &&other) noexcept = default;
+Dispatcher &Dispatcher::operator=(Dispatcher &&other) noexcept = default;
 Dispatcher::~Dispatcher() = default;
 
 Result<Dispatcher> Dispatcher::create(std::uint64_t seed)
@@ -290,33 +290,33 @@
     return Dispatcher(std::make_unique<Private>(seed));
 }
 
-std::vector<Started> Dispatcher::updateView(const DispatchView& view, TimePoint now)
+std::vector<Started> Dispatcher::updateView(const DispatchView &view, TimePoint now)
 {
-    Private& state = *this->d;
+    Private &state = *this->d;
     state.retryBudget.setPercent(view.retryPercent);
     std::unordered_map<InstanceId, std::size_t> known;
     for (std::size_t index = 0; index < state.executors.size(); ++index) {
         known.emplace(state.executors[index].view.instance, index);
         state.executors[index].view.takesNewWork = false;
     }
-    for (auto& [id, pool] : state.pools) {
+    for (auto &[id, pool] : state.pools) {
         pool.local.clear();
         pool.remote.clear();
         pool.borrowers.clear();
     }
     state.poolOfService.clear();
-    for (const PoolView& pool : view.pools) {
+    for (const PoolView &pool : view.pools) {
         state.pools[pool.pool].view = pool;
-        for (const ServiceId& service : pool.services) {
+        for (const ServiceId &service : pool.services) {
             state.poolOfService[service] = pool.pool;
         }
     }
-    for (const PoolView& pool : view.pools) {
-        for (const PoolId& lender : pool.lenders) {
+    for (const PoolView &pool : view.pools) {
+        for (const PoolId &lender : pool.lenders) {
             state.pools[lender].borrowers.push_back(pool.pool);
         }
     }
-    for (const ExecutorView& executor : view.executors) {
+    for (const ExecutorView &executor : view.executors) {
         const auto found = known.find(executor.instance);
         std::size_t index = state.executors.size();
         if (found == known.end()) {
@@ -326,19 +326,19 @@
         } else {
             index = found->second;
         }
-        ExecutorEntry& entry = state.executors[index];
+        ExecutorEntry &entry = state.executors[index];
         const bool returned = !entry.view.takesNewWork && executor.takesNewWork && found != known.end();
         entry.view = executor;
         entry.limit = returned ? std::min(entry.limit, initialLimit(executor, view.gates)) : entry.limit;
-        PoolEntry& pool = state.pools[executor.pool];
+        PoolEntry &pool = state.pools[executor.pool];
         (executor.local ? pool.local : pool.remote).push_back(index);
     }
     return this->poll(now);
 }
 
-Admission Dispatcher::submit(const WorkRequest& request, TimePoint now)
+Admission Dispatcher::submit(const WorkRequest &request, TimePoint now)
 {
-    Private& state = *this->d;
+    Private &state = *this->d;
     ++state.stats.submitted;
     if (request.tried.empty()) {
         state.retryBudget.countRequest();
@@ -354,11 +354,11 @@
     if (service == state.poolOfService.end()) {
         return refuse(RefuseReason::UnknownService, 1s);
     }
-    PoolEntry& pool = state.pools.at(service->second);
-    ClassQueue& queue = pool.queues.at(static_cast<std::size_t>(request.workClass));
+    PoolEntry &pool = state.pools.at(service->second);
+    ClassQueue &queue = pool.queues.at(static_cast<std::size_t>(request.workClass));
     Admission admission;
     admission.ticket = ++state.lastTicket;
-    RequestEntry entry{ request, service->second, false, 0, {} };
+    RequestEntry entry{request, service->second, false, 0, {}};
     // A request never overtakes waiting ones of its own class.
     if (queue.alive == 0) {
         if (const auto executor = state.place(pool, request.tried, now)) {
@@ -386,7 +386,7 @@
 
 std::vector<Started> Dispatcher::finish(Ticket ticket, AttemptResult result, TimePoint now)
 {
-    Private& state = *this->d;
+    Private &state = *this->d;
     const auto found = state.requests.find(ticket);
     if (found == state.requests.end() || !found->second.started) {
         return {};
@@ -397,12 +397,12 @@
     if (--state.runningOfTeam[entry.request.team] <= 0) {
         state.runningOfTeam.erase(entry.request.team);
     }
-    ExecutorEntry& executor = state.executors[entry.executor];
+    ExecutorEntry &executor = state.executors[entry.executor];
     --executor.running;
     state.judge(executor, result, now);
     if (result == AttemptResult::Succeeded) {
         const auto ran = static_cast<double>((now - entry.startedAt).count());
-        double& learned = state.runTime.try_emplace(entry.request.service, ran).first->second;
+        double &learned = state.runTime.try_emplace(entry.request.service, ran).first->second;
         learned += runTimeWeight * (ran - learned);
     }
     return state.fill(executor.view.pool, now);
@@ -410,12 +410,12 @@
 
 bool Dispatcher::cancel(Ticket ticket)
 {
-    Private& state = *this->d;
+    Private &state = *this->d;
     const auto found = state.requests.find(ticket);
     if (found == state.requests.end() || found->second.started) {
         return false;
     }
-    const RequestEntry& entry = found->second;
+    const RequestEntry &entry = found->second;
     --state.pools.at(entry.pool).queues.at(static_cast<std::size_t>(entry.request.workClass)).alive;
     --state.stats.waiting;
     state.requests.erase(found);
@@ -431,9 +431,9 @@
     return true;
 }
 
-void Dispatcher::noteLeaving(const InstanceId& instance, TimePoint now)
+void Dispatcher::noteLeaving(const InstanceId &instance, TimePoint now)
 {
-    for (ExecutorEntry& executor : this->d->executors) {
+    for (ExecutorEntry &executor : this->d->executors) {
         if (executor.view.instance == instance) {
             executor.leavingUntil = now + leavingHold;
         }
@@ -443,7 +443,7 @@
 std::vector<Started> Dispatcher::poll(TimePoint now)
 {
     std::vector<Started> started;
-    for (const auto& [id, pool] : this->d->pools) {
+    for (const auto &[id, pool] : this->d->pools) {
         this->d->startWaiting(id, now, started);
     }
     return started;
@@ -457,9 +457,9 @@
 std::vector<ExecutorReport> Dispatcher::executors(TimePoint now) const
 {
     std::vector<ExecutorReport> reports;
-    for (const ExecutorEntry& executor : this->d->executors) {
+    for (const ExecutorEntry &executor : this->d->executors) {
         reports.push_back(
-            { executor.view.instance, executor.view.pool, executor.running, executor.limit, executor.view.takesNewWork, executor.ejectedUntil > now });
+            {executor.view.instance, executor.view.pool, executor.running, executor.limit, executor.view.takesNewWork, executor.ejectedUntil > now});
     }
     return reports;
 }
--- a/src/libmangocourse/dispatcher_pvt.h
+++ b/src/libmangocourse/dispatcher_pvt.h
@@ -31,7 +31,7 @@
 class ClassQueue
 {
 public:
-    void push(const TeamId& team, Ticket ticket)
+    void push(const TeamId &team, Ticket ticket)
     {
         this->byTeam[team].push_back(ticket);
     }
@@ -77,18 +77,18 @@
     DispatchStats stats;
     Ticket lastTicket = 0;
 
-    std::optional<std::size_t> place(const PoolEntry& pool, const std::vector<InstanceId>& tried, TimePoint now);
-    std::optional<std::size_t> pick(const std::vector<std::size_t>& candidates, const std::vector<InstanceId>& tried, TimePoint now);
-    void start(Ticket ticket, RequestEntry& entry, std::size_t executor, TimePoint now);
-    void startWaiting(const PoolId& id, TimePoint now, std::vector<Started>& started);
-    std::optional<Ticket> popWaiting(PoolEntry& pool);
-    std::optional<Ticket> popFair(ClassQueue& queue);
-    std::vector<Started> fill(const PoolId& freed, TimePoint now);
-    Duration expectedWait(const PoolEntry& pool, const WorkRequest& request) const;
-    double capacity(const PoolEntry& pool) const;
-    void judge(ExecutorEntry& executor, AttemptResult result, TimePoint now);
-    bool mayEject(const PoolEntry& pool, TimePoint now) const;
-    bool hasWaiting(const PoolEntry& pool) const;
+    std::optional<std::size_t> place(const PoolEntry &pool, const std::vector<InstanceId> &tried, TimePoint now);
+    std::optional<std::size_t> pick(const std::vector<std::size_t> &candidates, const std::vector<InstanceId> &tried, TimePoint now);
+    void start(Ticket ticket, RequestEntry &entry, std::size_t executor, TimePoint now);
+    void startWaiting(const PoolId &id, TimePoint now, std::vector<Started> &started);
+    std::optional<Ticket> popWaiting(PoolEntry &pool);
+    std::optional<Ticket> popFair(ClassQueue &queue);
+    std::vector<Started> fill(const PoolId &freed, TimePoint now);
+    Duration expectedWait(const PoolEntry &pool, const WorkRequest &request) const;
+    double capacity(const PoolEntry &pool) const;
+    void judge(ExecutorEntry &executor, AttemptResult result, TimePoint now);
+    bool mayEject(const PoolEntry &pool, TimePoint now) const;
+    bool hasWaiting(const PoolEntry &pool) const;
 };
 
 }
--- a/src/libmangocourse/fleetfile.cpp
+++ b/src/libmangocourse/fleetfile.cpp
@@ -19,21 +19,21 @@
 constexpr std::int64_t longestMs = 86'400'000;
 constexpr std::int64_t largestBody = 1024 * 1024 * 1024;
 
-template <typename IdType>
-std::vector<IdType> toIds(const std::vector<std::string>& names)
+template<typename IdType>
+std::vector<IdType> toIds(const std::vector<std::string> &names)
 {
     std::vector<IdType> ids;
-    for (const std::string& name : names) {
-        ids.push_back(IdType{ name });
+    for (const std::string &name : names) {
+        ids.push_back(IdType{name});
     }
     return ids;
 }
 
-void readService(const toml::table& table, ConfigFaults& faults, FleetFile& file)
+void readService(const toml::table &table, ConfigFaults &faults, FleetFile &file)
 {
     TableReader reader(table, "service.", faults);
     ServiceSpec service;
-    service.service = ServiceId{ reader.string("name") };
+    service.service = ServiceId{reader.string("name")};
     const std::string className = reader.string("class");
     const std::optional<WorkClass> workClass = parseWorkClass(className);
     if (!workClass) {
@@ -51,11 +51,11 @@
     file.services.push_back(service);
 }
 
-void readPool(const toml::table& table, ConfigFaults& faults, FleetFile& file)
+void readPool(const toml::table &table, ConfigFaults &faults, FleetFile &file)
 {
     TableReader reader(table, "pool.", faults);
     PoolEntrySpec pool;
-    pool.pool = PoolId{ reader.string("name") };
+    pool.pool = PoolId{reader.string("name")};
     pool.spec.minAvailable = static_cast<int>(reader.integer("min_available", 0, largestCount));
     const auto margin = reader.optionalInteger("margin", 0, largestCount);
     if (margin) {
@@ -63,7 +63,7 @@
     }
     pool.spec.services = toIds<ServiceId>(reader.strings("services", false));
     pool.spec.lenders = toIds<PoolId>(reader.strings("lenders", false));
-    for (const ServiceId& service : pool.spec.services) {
+    for (const ServiceId &service : pool.spec.services) {
         if (file.service(service) == nullptr) {
             reader.fault("services", "found \"" + service.value + "\", allowed are names of [[service]] tables");
         }
@@ -77,28 +77,28 @@
         const std::int64_t count = perDataCentre + (static_cast<std::int64_t>(centre) < extra ? 1 : 0);
         for (std::int64_t number = 1; number <= count; ++number) {
             spec.dataCentre = file.dataCentres[centre];
-            const InstanceId id{ pool.pool.value + "-" + spec.dataCentre.value + "-" + std::to_string(number) };
-            file.instances.push_back({ id, pool.pool, spec });
+            const InstanceId id{pool.pool.value + "-" + spec.dataCentre.value + "-" + std::to_string(number)};
+            file.instances.push_back({id, pool.pool, spec});
         }
     }
     file.pools.push_back(std::move(pool));
 }
 
 // Fills racks in the order of the file, data centre by data centre, so that a rack holds instances of several pools.
-void assignRacks(FleetFile& file, std::int64_t perRack)
+void assignRacks(FleetFile &file, std::int64_t perRack)
 {
     std::map<DataCentreId, std::int64_t> placed;
-    for (InstanceEntrySpec& entry : file.instances) {
+    for (InstanceEntrySpec &entry : file.instances) {
         const std::int64_t position = placed[entry.spec.dataCentre]++;
-        const std::int64_t perCentre = std::count_if(file.instances.begin(), file.instances.end(), [&entry](const InstanceEntrySpec& other) {
+        const std::int64_t perCentre = std::count_if(file.instances.begin(), file.instances.end(), [&entry](const InstanceEntrySpec &other) {
             return other.spec.dataCentre == entry.spec.dataCentre;
         });
         const std::int64_t racks = std::max<std::int64_t>(1, (perCentre + perRack - 1) / perRack);
-        entry.spec.rack = RackId{ "rack-" + std::to_string(position % racks + 1) };
+        entry.spec.rack = RackId{"rack-" + std::to_string(position % racks + 1)};
     }
 }
 
-void readSetting(const toml::table& table, ConfigFaults& faults, FleetFile& file)
+void readSetting(const toml::table &table, ConfigFaults &faults, FleetFile &file)
 {
     TableReader reader(table, "setting.", faults);
     SettingEntrySpec setting;
@@ -111,16 +111,16 @@
     file.settings.push_back(std::move(setting));
 }
 
-void checkLenders(const toml::table& root, ConfigFaults& faults, const FleetFile& file)
+void checkLenders(const toml::table &root, ConfigFaults &faults, const FleetFile &file)
 {
     std::set<PoolId> names;
-    for (const PoolEntrySpec& pool : file.pools) {
+    for (const PoolEntrySpec &pool : file.pools) {
         if (!names.insert(pool.pool).second) {
             faults.add(root.source(), "pool.name", "found \"" + pool.pool.value + "\" twice");
         }
     }
-    for (const PoolEntrySpec& pool : file.pools) {
-        for (const PoolId& lender : pool.spec.lenders) {
+    for (const PoolEntrySpec &pool : file.pools) {
+        for (const PoolId &lender : pool.spec.lenders) {
             if (!names.contains(lender)) {
                 faults.add(root.source(), "pool.lenders", "found \"" + lender.value + "\", allowed are names of [[pool]] tables");
             }
@@ -128,43 +128,43 @@
     }
 }
 
-void readRoot(const toml::table& root, ConfigFaults& faults, FleetFile& file)
+void readRoot(const toml::table &root, ConfigFaults &faults, FleetFile &file)
 {
     TableReader reader(root, "", faults);
     file.name = reader.string("name");
     file.dataCentres = toIds<DataCentreId>(reader.strings("data_centres", true));
     file.teams = toIds<TeamId>(reader.strings("teams", false));
     const std::int64_t perRack = reader.integer("workers_per_rack", 1, largestCount, 4);
-    for (const toml::table* table : reader.tables("service")) {
+    for (const toml::table *table : reader.tables("service")) {
         readService(*table, faults, file);
     }
-    for (const toml::table* table : reader.tables("pool")) {
+    for (const toml::table *table : reader.tables("pool")) {
         readPool(*table, faults, file);
     }
-    for (const toml::table* table : reader.tables("setting")) {
+    for (const toml::table *table : reader.tables("setting")) {
         readSetting(*table, faults, file);
     }
     checkLenders(root, faults, file);
     assignRacks(file, perRack);
 }
 
-RecordId contentId(const RecordBody& body)
+RecordId contentId(const RecordBody &body)
 {
-    const std::string text = encodeRecord(Record{ RecordId{}, body });
-    return RecordId{ "fleet-" + std::to_string(XXH3_64bits(text.data(), text.size())) };
+    const std::string text = encodeRecord(Record{RecordId{}, body});
+    return RecordId{"fleet-" + std::to_string(XXH3_64bits(text.data(), text.size()))};
 }
 
 }
 
-const ServiceSpec* FleetFile::service(const ServiceId& id) const
+const ServiceSpec *FleetFile::service(const ServiceId &id) const
 {
-    const auto found = std::find_if(this->services.begin(), this->services.end(), [&id](const ServiceSpec& spec) {
+    const auto found = std::find_if(this->services.begin(), this->services.end(), [&id](const ServiceSpec &spec) {
         return spec.service == id;
     });
     return found == this->services.end() ? nullptr : &*found;
 }
 
-Result<FleetFile> parseFleetFile(std::string_view text, const std::string& name)
+Result<FleetFile> parseFleetFile(std::string_view text, const std::string &name)
 {
     const Result<toml::table> root = parseToml(text, name);
     if (!root) {
@@ -179,7 +179,7 @@
     return file;
 }
 
-Result<FleetFile> readFleetFile(const std::string& path)
+Result<FleetFile> readFleetFile(const std::string &path)
 {
     const Result<std::string> text = readTextFile(path);
     if (!text) {
@@ -188,26 +188,26 @@
     return parseFleetFile(*text, path);
 }
 
-std::vector<Record> fleetRecords(const FleetFile& file)
+std::vector<Record> fleetRecords(const FleetFile &file)
 {
     std::vector<Record> records;
     const auto add = [&records](RecordBody body) {
         RecordId id = contentId(body);
-        records.push_back(Record{ std::move(id), std::move(body) });
+        records.push_back(Record{std::move(id), std::move(body)});
     };
-    for (const ServiceSpec& service : file.services) {
-        add(DefineService{ service.service, { service.workClass, service.idempotent } });
+    for (const ServiceSpec &service : file.services) {
+        add(DefineService{service.service, {service.workClass, service.idempotent}});
     }
-    for (const PoolEntrySpec& pool : file.pools) {
-        add(DefinePool{ pool.pool, pool.spec });
+    for (const PoolEntrySpec &pool : file.pools) {
+        add(DefinePool{pool.pool, pool.spec});
     }
-    for (const InstanceEntrySpec& entry : file.instances) {
-        add(DefineInstance{ entry.instance, entry.pool, entry.spec });
+    for (const InstanceEntrySpec &entry : file.instances) {
+        add(DefineInstance{entry.instance, entry.pool, entry.spec});
     }
     // Each expects the revision of a fresh fleet, so that publishing the file again cannot undo an operator's later change.
     Revision expected = 0;
-    for (const SettingEntrySpec& setting : file.settings) {
-        add(ChangeSetting{ setting.path, setting.key, setting.value, expected });
+    for (const SettingEntrySpec &setting : file.settings) {
+        add(ChangeSetting{setting.path, setting.key, setting.value, expected});
         ++expected;
     }
     return records;
--- a/src/libmangocourse/fleetsnapshot_pvt.h
+++ b/src/libmangocourse/fleetsnapshot_pvt.h
@@ -7,9 +7,9 @@
 namespace MangoCourse {
 
 // Returns everything that the fold needs to go on, the remembered verdicts included.
-nlohmann::json fleetToJson(const FleetState::Private& state);
+nlohmann::json fleetToJson(const FleetState::Private &state);
 
 // Fills an empty state, or returns ErrorCode::Decode.
-Result<void> fleetFromJson(std::string_view text, FleetState::Private& state);
+Result<void> fleetFromJson(std::string_view text, FleetState::Private &state);
 
 }
--- a/src/libmangocourse/fleetstate.cpp
+++ b/src/libmangocourse/fleetstate.cpp
@@ -9,34 +9,34 @@
 
 namespace MangoCourse {
 
-void FleetState::Private::refreshAvailability(const PoolId& id)
+void FleetState::Private::refreshAvailability(const PoolId &id)
 {
-    Pool& pool = this->pools.at(id);
-    pool.available = static_cast<int>(std::count_if(pool.members.begin(), pool.members.end(), [this](const InstanceId& member) {
+    Pool &pool = this->pools.at(id);
+    pool.available = static_cast<int>(std::count_if(pool.members.begin(), pool.members.end(), [this](const InstanceId &member) {
         return this->instances.at(member).countsAsAvailable();
     }));
 }
 
-int FleetState::Private::margin(const Pool& pool) const
+int FleetState::Private::margin(const Pool &pool) const
 {
     if (pool.spec.margin) {
         return *pool.spec.margin;
     }
     std::map<std::pair<DataCentreId, RackId>, int> perRack;
     int largest = 0;
-    for (const InstanceId& member : pool.members) {
-        const InstanceSpec& spec = this->instances.at(member).spec;
-        largest = std::max(largest, ++perRack[{ spec.dataCentre, spec.rack }]);
+    for (const InstanceId &member : pool.members) {
+        const InstanceSpec &spec = this->instances.at(member).spec;
+        largest = std::max(largest, ++perRack[{spec.dataCentre, spec.rack}]);
     }
     return largest;
 }
 
-int FleetState::Private::headroom(const Pool& pool) const
+int FleetState::Private::headroom(const Pool &pool) const
 {
     return std::max(0, pool.available - pool.spec.minAvailable - this->margin(pool));
 }
 
-Refusal FleetState::Private::accept(Offset /*offset*/, const DefinePool& body)
+Refusal FleetState::Private::accept(Offset /*offset*/, const DefinePool &body)
 {
     if (body.pool.isEmpty() || body.spec.minAvailable < 0) {
         return Refusal::UnknownPool;
@@ -45,7 +45,7 @@
     return Refusal::None;
 }
 
-Refusal FleetState::Private::accept(Offset /*offset*/, const DefineInstance& body)
+Refusal FleetState::Private::accept(Offset /*offset*/, const DefineInstance &body)
 {
     if (!this->pools.contains(body.pool)) {
         return Refusal::UnknownPool;
@@ -62,7 +62,7 @@
     return Refusal::None;
 }
 
-Refusal FleetState::Private::accept(Offset /*offset*/, const DefineService& body)
+Refusal FleetState::Private::accept(Offset /*offset*/, const DefineService &body)
 {
     if (body.service.isEmpty()) {
         return Refusal::Undecodable;
@@ -71,7 +71,7 @@
     return Refusal::None;
 }
 
-Refusal FleetState::Private::accept(Offset /*offset*/, const ChangeSetting& body)
+Refusal FleetState::Private::accept(Offset /*offset*/, const ChangeSetting &body)
 {
     if (body.expected >= 0 && body.expected != this->settings.revision()) {
         return Refusal::StaleRevision;
@@ -88,7 +88,7 @@
     return Refusal::None;
 }
 
-Refusal FleetState::Private::accept(Offset /*offset*/, const StartWave& body)
+Refusal FleetState::Private::accept(Offset /*offset*/, const StartWave &body)
 {
     const auto pool = this->pools.find(body.pool);
     if (pool == this->pools.end()) {
@@ -97,8 +97,8 @@
     if (body.wave.isEmpty() || this->waves.contains(body.wave)) {
         return Refusal::AlreadyExists;
     }
-    const bool hasOpenWave = std::any_of(this->waves.begin(), this->waves.end(), [&body](const auto& entry) {
-        const Wave& wave = entry.second;
+    const bool hasOpenWave = std::any_of(this->waves.begin(), this->waves.end(), [&body](const auto &entry) {
+        const Wave &wave = entry.second;
         return wave.pool == body.pool && (wave.status == WaveStatus::Running || wave.status == WaveStatus::Paused);
     });
     if (hasOpenWave) {
@@ -112,13 +112,13 @@
     return Refusal::None;
 }
 
-Refusal FleetState::Private::accept(Offset /*offset*/, const ControlWave& body)
+Refusal FleetState::Private::accept(Offset /*offset*/, const ControlWave &body)
 {
     const auto found = this->waves.find(body.wave);
     if (found == this->waves.end()) {
         return Refusal::UnknownWave;
     }
-    WaveStatus& status = found->second.status;
+    WaveStatus &status = found->second.status;
     if (status == WaveStatus::Aborted || status == WaveStatus::Finished) {
         return Refusal::AlreadyFinal;
     }
@@ -135,7 +135,7 @@
     return Refusal::None;
 }
 
-Refusal FleetState::Private::accept(Offset offset, const GrantMaintenance& body)
+Refusal FleetState::Private::accept(Offset offset, const GrantMaintenance &body)
 {
     const auto wave = this->waves.find(body.wave);
     if (wave == this->waves.end()) {
@@ -148,7 +148,7 @@
     if (found == this->instances.end()) {
         return Refusal::UnknownInstance;
     }
-    Instance& instance = found->second;
+    Instance &instance = found->second;
     if (!wave->second.remaining.contains(body.instance)) {
         return Refusal::NotInWave;
     }
@@ -159,25 +159,25 @@
     if (instance.available && this->headroom(this->pools.at(instance.pool)) < 1) {
         return Refusal::BudgetExhausted;
     }
-    instance.grant = Grant{ body.wave, body.holder, offset, MaintenancePhase::Draining };
+    instance.grant = Grant{body.wave, body.holder, offset, MaintenancePhase::Draining};
     this->refreshAvailability(instance.pool);
     return Refusal::None;
 }
 
-Refusal FleetState::Private::accept(Offset /*offset*/, const AdvanceMaintenance& body)
+Refusal FleetState::Private::accept(Offset /*offset*/, const AdvanceMaintenance &body)
 {
     const auto found = this->instances.find(body.instance);
     if (found == this->instances.end()) {
         return Refusal::UnknownInstance;
     }
-    Instance& instance = found->second;
+    Instance &instance = found->second;
     if (!instance.grant || instance.grant->token != body.grant) {
         return Refusal::StaleToken;
     }
     const MaintenancePhase from = instance.grant->phase;
-    // A reboot may have happened once it was asked for, so Rebooting cannot be handed back.
+    // Handing back is proposed only once the platform shows the token closed, also while Rebooting.
     const bool isStep = (from == MaintenancePhase::Draining && body.phase == MaintenancePhase::Rebooting)
-        || (from == MaintenancePhase::Draining && body.phase == MaintenancePhase::HandedBack)
+        || (instance.grant->isOpen() && body.phase == MaintenancePhase::HandedBack)
         || (from == MaintenancePhase::Rebooting && body.phase == MaintenancePhase::Returned);
     if (!isStep) {
         return Refusal::Unchanged;
@@ -190,13 +190,13 @@
     return Refusal::None;
 }
 
-void FleetState::Private::finishInWave(const WaveId& id, const InstanceId& instance)
+void FleetState::Private::finishInWave(const WaveId &id, const InstanceId &instance)
 {
     const auto found = this->waves.find(id);
     if (found == this->waves.end()) {
         return;
     }
-    Wave& wave = found->second;
+    Wave &wave = found->second;
     wave.remaining.erase(instance);
     ++wave.maintained;
     if (wave.remaining.empty() && wave.status != WaveStatus::Aborted) {
@@ -204,7 +204,7 @@
     }
 }
 
-Refusal FleetState::Private::accept(Offset /*offset*/, const ReportHealth& body)
+Refusal FleetState::Private::accept(Offset /*offset*/, const ReportHealth &body)
 {
     const auto found = this->instances.find(body.instance);
     if (found == this->instances.end()) {
@@ -218,7 +218,7 @@
     return Refusal::None;
 }
 
-Refusal FleetState::Private::accept(Offset offset, const StartMove& body)
+Refusal FleetState::Private::accept(Offset offset, const StartMove &body)
 {
     const auto found = this->instances.find(body.instance);
     if (found == this->instances.end()) {
@@ -227,7 +227,7 @@
     if (!this->pools.contains(body.to)) {
         return Refusal::UnknownPool;
     }
-    Instance& instance = found->second;
+    Instance &instance = found->second;
     if (instance.pool != body.from || body.from == body.to) {
         return Refusal::WrongPool;
     }
@@ -237,18 +237,18 @@
     if (instance.available && this->headroom(this->pools.at(instance.pool)) < 1) {
         return Refusal::BudgetExhausted;
     }
-    instance.move = Move{ body.to, offset };
+    instance.move = Move{body.to, offset};
     this->refreshAvailability(instance.pool);
     return Refusal::None;
 }
 
-Refusal FleetState::Private::accept(Offset /*offset*/, const FinishMove& body)
+Refusal FleetState::Private::accept(Offset /*offset*/, const FinishMove &body)
 {
     const auto found = this->instances.find(body.instance);
     if (found == this->instances.end()) {
         return Refusal::UnknownInstance;
     }
-    Instance& instance = found->second;
+    Instance &instance = found->second;
     if (!instance.move || instance.move->token != body.move) {
         return Refusal::StaleToken;
     }
@@ -265,9 +265,9 @@
     return Refusal::None;
 }
 
-void FleetState::Private::dropFromWaves(const InstanceId& instance)
+void FleetState::Private::dropFromWaves(const InstanceId &instance)
 {
-    for (auto& [id, wave] : this->waves) {
+    for (auto &[id, wave] : this->waves) {
         if (wave.remaining.erase(instance) > 0 && wave.remaining.empty() && wave.status != WaveStatus::Aborted) {
             wave.status = WaveStatus::Finished;
         }
@@ -281,14 +281,14 @@
 
 FleetState::~FleetState() = default;
 
-FleetState::FleetState(const FleetState& other)
+FleetState::FleetState(const FleetState &other)
     : d(std::make_unique<Private>(*other.d))
 {
 }
 
-FleetState::FleetState(FleetState&& other) noexcept = default;
+FleetState::FleetState(FleetState &&other) noexcept = default;
 
-FleetState& FleetState::operator=(const FleetState& other)
+FleetState &FleetState::operator=(const FleetState &other)
 {
     if (this != &other) {
         this->d = std::make_unique<Private>(*other.d);
@@ -296,20 +296,20 @@
     return *this;
 }
 
-FleetState& FleetState::operator=(FleetState&& other) noexcept = default;
+FleetState &FleetState::operator=(FleetState &&other) noexcept = default;
 
-FoldVerdict FleetState::apply(Offset offset, const Record& record)
+FoldVerdict FleetState::apply(Offset offset, const Record &record)
 {
     this->d->offset = offset;
     if (const auto earlier = this->d->verdicts.find(record.id)) {
         return *earlier;
     }
     const Refusal refusal = std::visit(
-        [this, offset](const auto& body) {
+        [this, offset](const auto &body) {
             return this->d->accept(offset, body);
         },
         record.body);
-    const FoldVerdict verdict{ offset, refusal };
+    const FoldVerdict verdict{offset, refusal};
     this->d->verdicts.remember(record.id, verdict);
     return verdict;
 }
@@ -317,10 +317,10 @@
 FoldVerdict FleetState::skipUndecodable(Offset offset)
 {
     this->d->offset = offset;
-    return FoldVerdict{ offset, Refusal::Undecodable };
+    return FoldVerdict{offset, Refusal::Undecodable};
 }
 
-std::optional<FoldVerdict> FleetState::verdictOf(const RecordId& id) const
+std::optional<FoldVerdict> FleetState::verdictOf(const RecordId &id) const
 {
     return this->d->verdicts.find(id);
 }
@@ -330,52 +330,52 @@
     return this->d->offset;
 }
 
-const std::map<PoolId, Pool>& FleetState::pools() const
+const std::map<PoolId, Pool> &FleetState::pools() const
 {
     return this->d->pools;
 }
 
-const std::map<InstanceId, Instance>& FleetState::instances() const
+const std::map<InstanceId, Instance> &FleetState::instances() const
 {
     return this->d->instances;
 }
 
-const std::map<WaveId, Wave>& FleetState::waves() const
+const std::map<WaveId, Wave> &FleetState::waves() const
 {
     return this->d->waves;
 }
 
-const std::map<ServiceId, ServiceDefinition>& FleetState::services() const
+const std::map<ServiceId, ServiceDefinition> &FleetState::services() const
 {
     return this->d->services;
 }
 
-const SettingsTree& FleetState::settings() const
+const SettingsTree &FleetState::settings() const
 {
     return this->d->settings;
 }
 
-const Instance* FleetState::instance(const InstanceId& id) const
+const Instance *FleetState::instance(const InstanceId &id) const
 {
     const auto found = this->d->instances.find(id);
     return found == this->d->instances.end() ? nullptr : &found->second;
 }
 
-const Pool* FleetState::pool(const PoolId& id) const
+const Pool *FleetState::pool(const PoolId &id) const
 {
     const auto found = this->d->pools.find(id);
     return found == this->d->pools.end() ? nullptr : &found->second;
 }
 
-int FleetState::headroom(const PoolId& id) const
+int FleetState::headroom(const PoolId &id) const
 {
-    const Pool* pool = this->pool(id);
+    const Pool *pool = this->pool(id);
     return pool == nullptr ? 0 : this->d->headroom(*pool);
 }
 
-int FleetState::margin(const PoolId& id) const
+int FleetState::margin(const PoolId &id) const
 {
-    const Pool* pool = this->pool(id);
+    const Pool *pool = this->pool(id);
     return pool == nullptr ? 0 : this->d->margin(*pool);
 }
 
--- a/src/libmangocourse/jobledger.cpp
+++ b/src/libmangocourse/jobledger.cpp
@@ -13,13 +13,13 @@
 
 std::string_view toString(JobStatus status)
 {
-    static constexpr std::array<std::string_view, 6> names = { "waiting", "claimed", "finished", "cancelled", "failed", "abandoned" };
+    static constexpr std::array<std::string_view, 6> names = {"waiting", "claimed", "finished", "cancelled", "failed", "abandoned"};
     return names.at(static_cast<std::size_t>(status));
 }
 
 NLOHMANN_JSON_SERIALIZE_ENUM(JobStatus,
-    { { JobStatus::Waiting, "waiting" }, { JobStatus::Claimed, "claimed" }, { JobStatus::Finished, "finished" }, { JobStatus::Cancelled, "cancelled" },
-        { JobStatus::Failed, "failed" }, { JobStatus::Abandoned, "abandoned" } })
+    {{JobStatus::Waiting, "waiting"}, {JobStatus::Claimed, "claimed"}, {JobStatus::Finished, "finished"}, {JobStatus::Cancelled, "cancelled"},
+        {JobStatus::Failed, "failed"}, {JobStatus::Abandoned, "abandoned"}})
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Job, service, team, idempotent, payload, status, holder, accepted, claim, failures, outcomeStatus, outcome, reason)
 
 class JobLedger::Private
@@ -31,29 +31,29 @@
     std::set<JobId> claimedJobs;
     std::deque<JobId> finalOldestFirst;
     std::array<std::size_t, 6> counts{};
-    VerdictWindow verdicts{ verdictWindow };
+    VerdictWindow verdicts{verdictWindow};
     Offset offset = 0;
 
     static constexpr std::size_t verdictWindow = 8192;
 
-    void setStatus(const JobId& id, Job& job, JobStatus status);
-    void enter(const JobId& id, const Job& job);
-    Job* standingClaim(const JobId& id, Offset claim, Refusal& refusal);
+    void setStatus(const JobId &id, Job &job, JobStatus status);
+    void enter(const JobId &id, const Job &job);
+    Job *standingClaim(const JobId &id, Offset claim, Refusal &refusal);
 
-    Refusal accept(Offset offset, const AcceptJob& body);
-    Refusal accept(Offset offset, const ClaimJob& body);
-    Refusal accept(Offset offset, const FinishJob& body);
-    Refusal accept(Offset offset, const ReleaseJob& body);
-    Refusal accept(Offset offset, const CancelJob& body);
+    Refusal accept(Offset offset, const AcceptJob &body);
+    Refusal accept(Offset offset, const ClaimJob &body);
+    Refusal accept(Offset offset, const FinishJob &body);
+    Refusal accept(Offset offset, const ReleaseJob &body);
+    Refusal accept(Offset offset, const CancelJob &body);
 
-    template <typename Other>
-    Refusal accept(Offset /*offset*/, const Other& /*body*/)
+    template<typename Other>
+    Refusal accept(Offset /*offset*/, const Other & /*body*/)
     {
         return Refusal::NotForThisStream;
     }
 };
 
-void JobLedger::Private::enter(const JobId& id, const Job& job)
+void JobLedger::Private::enter(const JobId &id, const Job &job)
 {
     ++this->counts.at(static_cast<std::size_t>(job.status));
     if (job.status == JobStatus::Waiting) {
@@ -65,7 +65,7 @@
     }
 }
 
-void JobLedger::Private::setStatus(const JobId& id, Job& job, JobStatus status)
+void JobLedger::Private::setStatus(const JobId &id, Job &job, JobStatus status)
 {
     --this->counts.at(static_cast<std::size_t>(job.status));
     this->waitingByOffset.erase(job.accepted);
@@ -84,7 +84,7 @@
     }
 }
 
-Job* JobLedger::Private::standingClaim(const JobId& id, Offset claim, Refusal& refusal)
+Job *JobLedger::Private::standingClaim(const JobId &id, Offset claim, Refusal &refusal)
 {
     const auto found = this->jobs.find(id);
     if (found == this->jobs.end()) {
@@ -102,7 +102,7 @@
     return &found->second;
 }
 
-Refusal JobLedger::Private::accept(Offset offset, const AcceptJob& body)
+Refusal JobLedger::Private::accept(Offset offset, const AcceptJob &body)
 {
     if (body.job.isEmpty() || body.payload.size() > JobLedger::payloadLimit) {
         return Refusal::Undecodable;
@@ -121,13 +121,13 @@
     return Refusal::None;
 }
 
-Refusal JobLedger::Private::accept(Offset offset, const ClaimJob& body)
+Refusal JobLedger::Private::accept(Offset offset, const ClaimJob &body)
 {
     const auto found = this->jobs.find(body.job);
     if (found == this->jobs.end()) {
         return Refusal::UnknownJob;
     }
-    Job& job = found->second;
+    Job &job = found->second;
     if (isFinal(job.status)) {
         return Refusal::AlreadyFinal;
     }
@@ -140,13 +140,13 @@
     return Refusal::None;
 }
 
-Refusal JobLedger::Private::accept(Offset /*offset*/, const FinishJob& body)
+Refusal JobLedger::Private::accept(Offset /*offset*/, const FinishJob &body)
 {
     const auto found = this->jobs.find(body.job);
     if (found == this->jobs.end()) {
         return Refusal::UnknownJob;
     }
-    Job& job = found->second;
+    Job &job = found->second;
     // A late outcome of a lapsed claim is still the first outcome; it settles what the lapse left in doubt.
     const bool settlesDoubt = job.status == JobStatus::Abandoned && job.claim == body.claim;
     if (isFinal(job.status) && !settlesDoubt) {
@@ -168,10 +168,10 @@
     return Refusal::None;
 }
 
-Refusal JobLedger::Private::accept(Offset /*offset*/, const ReleaseJob& body)
+Refusal JobLedger::Private::accept(Offset /*offset*/, const ReleaseJob &body)
 {
     Refusal refusal = Refusal::None;
-    Job* job = this->standingClaim(body.job, body.claim, refusal);
+    Job *job = this->standingClaim(body.job, body.claim, refusal);
     if (job == nullptr) {
         return refusal;
     }
@@ -189,13 +189,13 @@
     return Refusal::None;
 }
 
-Refusal JobLedger::Private::accept(Offset /*offset*/, const CancelJob& body)
+Refusal JobLedger::Private::accept(Offset /*offset*/, const CancelJob &body)
 {
     const auto found = this->jobs.find(body.job);
     if (found == this->jobs.end()) {
         return Refusal::UnknownJob;
     }
-    Job& job = found->second;
+    Job &job = found->second;
     if (isFinal(job.status)) {
         return Refusal::AlreadyFinal;
     }
@@ -215,14 +215,14 @@
 
 JobLedger::~JobLedger() = default;
 
-JobLedger::JobLedger(const JobLedger& other)
+JobLedger::JobLedger(const JobLedger &other)
     : d(std::make_unique<Private>(*other.d))
 {
 }
 
-JobLedger::JobLedger(JobLedger&& other) noexcept = default;
+JobLedger::JobLedger(JobLedger &&other) noexcept = default;
 
-JobLedger& JobLedger::operator=(const JobLedger& other)
+JobLedger &JobLedger::operator=(const JobLedger &other)
 {
     if (this != &other) {
         this->d = std::make_unique<Private>(*other.d);
@@ -230,20 +230,20 @@
     return *this;
 }
 
-JobLedger& JobLedger::operator=(JobLedger&& other) noexcept = default;
+JobLedger &JobLedger::operator=(JobLedger &&other) noexcept = default;
 
-FoldVerdict JobLedger::apply(Offset offset, const Record& record)
+FoldVerdict JobLedger::apply(Offset offset, const Record &record)
 {
     this->d->offset = offset;
     if (const auto earlier = this->d->verdicts.find(record.id)) {
         return *earlier;
     }
     const Refusal refusal = std::visit(
-        [this, offset](const auto& body) {
+        [this, offset](const auto &body) {
             return this->d->accept(offset, body);
         },
         record.body);
-    const FoldVerdict verdict{ offset, refusal };
+    const FoldVerdict verdict{offset, refusal};
     this->d->verdicts.remember(record.id, verdict);
     return verdict;
 }
@@ -251,10 +251,10 @@
 FoldVerdict JobLedger::skipUndecodable(Offset offset)
 {
     this->d->offset = offset;
-    return FoldVerdict{ offset, Refusal::Undecodable };
+    return FoldVerdict{offset, Refusal::Undecodable};
 }
 
-std::optional<FoldVerdict> JobLedger::verdictOf(const RecordId& id) const
+std::optional<FoldVerdict> JobLedger::verdictOf(const RecordId &id) const
 {
     return this->d->verdicts.find(id);
 }
@@ -264,7 +264,7 @@
     return this->d->offset;
 }
 
-const Job* JobLedger::job(const JobId& id) const
+const Job *JobLedger::job(const JobId &id) const
 {
     const auto found = this->d->jobs.find(id);
     return found == this->d->jobs.end() ? nullptr : &found->second;
@@ -273,7 +273,7 @@
 std::vector<JobId> JobLedger::waiting(std::size_t limit) const
 {
     std::vector<JobId> first;
-    for (const auto& [offset, id] : this->d->waitingByOffset) {
+    for (const auto &[offset, id] : this->d->waitingByOffset) {
         if (first.size() >= limit) {
             break;
         }
@@ -285,7 +285,7 @@
 std::map<JobId, Offset> JobLedger::claimed() const
 {
     std::map<JobId, Offset> claims;
-    for (const JobId& id : this->d->claimedJobs) {
+    for (const JobId &id : this->d->claimedJobs) {
         claims.emplace(id, this->d->jobs.at(id).claim);
     }
     return claims;
@@ -300,15 +300,15 @@
 {
     nlohmann::json jobs = nlohmann::json::array();
     // Final jobs go first and in their order, so that a restored ledger forgets them in the same order.
-    for (const JobId& id : this->d->finalOldestFirst) {
-        jobs.push_back({ id, this->d->jobs.at(id) });
+    for (const JobId &id : this->d->finalOldestFirst) {
+        jobs.push_back({id, this->d->jobs.at(id)});
     }
-    for (const auto& [id, job] : this->d->jobs) {
+    for (const auto &[id, job] : this->d->jobs) {
         if (!isFinal(job.status)) {
-            jobs.push_back({ id, job });
+            jobs.push_back({id, job});
         }
     }
-    return nlohmann::json{ { "offset", this->d->offset }, { "jobs", std::move(jobs) }, { "verdicts", verdictsToJson(this->d->verdicts) } }.dump(
+    return nlohmann::json{{"offset", this->d->offset}, {"jobs", std::move(jobs)}, {"verdicts", verdictsToJson(this->d->verdicts)}}.dump(
         -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -318,13 +318,13 @@
     try {
         const nlohmann::json json = nlohmann::json::parse(text);
         ledger.d->offset = json.at("offset");
-        for (const nlohmann::json& entry : json.at("jobs")) {
-            const JobId id{ entry.at(0).get<std::string>() };
+        for (const nlohmann::json &entry : json.at("jobs")) {
+            const JobId id{entry.at(0).get<std::string>()};
             const auto stored = ledger.d->jobs.emplace(id, entry.at(1).get<Job>()).first;
             ledger.d->enter(id, stored->second);
         }
         verdictsFromJson(json.at("verdicts"), ledger.d->verdicts);
-    } catch (const std::exception& exception) {
+    } catch (const std::exception &exception) {
         return makeError(ErrorCode::Decode, exception.what(), "ledger snapshot");
     }
     return ledger;
--- a/src/libmangocourse/maintenanceplanner.cpp
+++ b/src/libmangocourse/maintenanceplanner.cpp
@@ -14,7 +14,7 @@
 // The list lags and has holes: an instance is reported missing only after this long.
 constexpr Duration missingAfter = 5s;
 
-constexpr std::array<std::string_view, 5> stateNames = { "live", "draining", "drained", "rebooting", "down" };
+constexpr std::array<std::string_view, 5> stateNames = {"live", "draining", "drained", "rebooting", "down"};
 
 }
 
@@ -25,7 +25,7 @@
 
 std::string_view toString(PlatformAct::Kind kind)
 {
-    static constexpr std::array<std::string_view, 4> names = { "drain", "undrain", "reboot", "relabel" };
+    static constexpr std::array<std::string_view, 4> names = {"drain", "undrain", "reboot", "relabel"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -56,31 +56,32 @@
     std::unordered_map<InstanceId, Sighting> grantsSeen;
     std::unordered_map<InstanceId, TimePoint> missingSince;
 
-    void planGrant(const FleetState& fleet, const InstanceId& id, const Instance& instance, const ListedInstance& listed, TimePoint now, MaintenancePlan& plan);
+    void planGrant(const FleetState &fleet, const InstanceId &id, const Instance &instance, const ListedInstance &listed, TimePoint now, MaintenancePlan &plan);
     void planDraining(
-        const FleetState& fleet, const InstanceId& id, const Instance& instance, const ListedInstance& listed, TimePoint now, MaintenancePlan& plan);
-    void planWave(const FleetState& fleet, const WaveId& id, const Wave& wave, const InstanceListing& listing, MaintenancePlan& plan) const;
-    bool isMissingFor(const InstanceId& id, bool listed, TimePoint now);
-    void planHealth(const InstanceId& id, const Instance& instance, const InstanceListing& listing, TimePoint now, MaintenancePlan& plan);
+        const FleetState &fleet, const InstanceId &id, const Instance &instance, const ListedInstance &listed, TimePoint now, MaintenancePlan &plan);
+    void planWave(const FleetState &fleet, const WaveId &id, const Wave &wave, const InstanceListing &listing, MaintenancePlan &plan) const;
+    bool isMissingFor(const InstanceId &id, bool listed, TimePoint now);
+    void planHealth(const InstanceId &id, const Instance &instance, const InstanceListing &listing, TimePoint now, MaintenancePlan &plan);
 };
 
 namespace {
 
-void planMove(const InstanceId& id, const Instance& instance, const ListedInstance& listed, MaintenancePlan& plan)
+void planMove(const InstanceId &id, const Instance &instance, const ListedInstance &listed, MaintenancePlan &plan)
 {
-    const Move& move = *instance.move;
-    if (listed.state == InstanceState::Live) {
-        plan.acts.push_back({ PlatformAct::Kind::Drain, id, move.token, {} });
+    const Move &move = *instance.move;
+    const bool isClosed = listed.closed >= move.token;
+    if (isClosed && listed.state == InstanceState::Live) {
+        // Live again, in whichever pool the platform has it: a token closed before the relabel cancels the move.
+        plan.records.emplace_back(FinishMove{id, move.token, listed.pool != move.to});
+    } else if (listed.state == InstanceState::Live) {
+        plan.acts.push_back({PlatformAct::Kind::Drain, id, move.token, {}});
     } else if (listed.state == InstanceState::Drained && listed.token == move.token) {
-        if (listed.pool == move.to) {
-            plan.records.emplace_back(FinishMove{ id, move.token, false });
-        } else {
-            plan.acts.push_back({ PlatformAct::Kind::Relabel, id, move.token, move.to });
-        }
+        const PlatformAct::Kind next = listed.pool == move.to ? PlatformAct::Kind::Undrain : PlatformAct::Kind::Relabel;
+        plan.acts.push_back({next, id, move.token, move.to});
     }
 }
 
-bool isOutOfService(const ListedInstance& listed)
+bool isOutOfService(const ListedInstance &listed)
 {
     return listed.state == InstanceState::Draining || listed.state == InstanceState::Drained;
 }
@@ -88,45 +89,54 @@
 }
 
 void MaintenancePlanner::Private::planDraining(
-    const FleetState& fleet, const InstanceId& id, const Instance& instance, const ListedInstance& listed, TimePoint now, MaintenancePlan& plan)
+    const FleetState &fleet, const InstanceId &id, const Instance &instance, const ListedInstance &listed, TimePoint now, MaintenancePlan &plan)
 {
-    const Grant& grant = *instance.grant;
-    Sighting& seen = this->grantsSeen[id];
+    const Grant &grant = *instance.grant;
+    Sighting &seen = this->grantsSeen[id];
     if (seen.token != grant.token) {
-        seen = Sighting{ grant.token, now };
+        seen = Sighting{grant.token, now};
     }
     if (listed.state == InstanceState::Drained && listed.token == grant.token) {
-        plan.records.emplace_back(AdvanceMaintenance{ id, grant.token, MaintenancePhase::Rebooting });
+        plan.records.emplace_back(AdvanceMaintenance{id, grant.token, MaintenancePhase::Rebooting});
         return;
     }
-    const Pool& pool = *fleet.pool(instance.pool);
+    const Pool &pool = *fleet.pool(instance.pool);
     const Duration drainTimeout = std::chrono::milliseconds(fleet.settings().value(instance.pool.value, Keys::drainTimeoutMs));
     const bool isBelowBudget = pool.available < pool.spec.minAvailable;
+    const bool isClosed = listed.closed >= grant.token;
+    if (isClosed) {
+        plan.records.emplace_back(AdvanceMaintenance{id, grant.token, MaintenancePhase::HandedBack});
+        return;
+    }
+    // The token is closed before the log says that the instance is back: no late drain can take it out under a budget that counts it.
     if (isBelowBudget || now - seen.since > drainTimeout) {
-        plan.records.emplace_back(AdvanceMaintenance{ id, grant.token, MaintenancePhase::HandedBack });
+        plan.acts.push_back({PlatformAct::Kind::Undrain, id, grant.token, {}});
         return;
     }
     if (listed.state == InstanceState::Live) {
-        plan.acts.push_back({ PlatformAct::Kind::Drain, id, grant.token, {} });
+        plan.acts.push_back({PlatformAct::Kind::Drain, id, grant.token, {}});
     }
 }
 
 void MaintenancePlanner::Private::planGrant(
-    const FleetState& fleet, const InstanceId& id, const Instance& instance, const ListedInstance& listed, TimePoint now, MaintenancePlan& plan)
+    const FleetState &fleet, const InstanceId &id, const Instance &instance, const ListedInstance &listed, TimePoint now, MaintenancePlan &plan)
 {
-    const Grant& grant = *instance.grant;
+    const Grant &grant = *instance.grant;
     if (grant.phase == MaintenancePhase::Draining) {
         this->planDraining(fleet, id, instance, listed, now, plan);
         return;
     }
     if (listed.state == InstanceState::Live && listed.rebooted == grant.token) {
-        plan.records.emplace_back(AdvanceMaintenance{ id, grant.token, MaintenancePhase::Returned });
+        plan.records.emplace_back(AdvanceMaintenance{id, grant.token, MaintenancePhase::Returned});
+    } else if (listed.rebooted != grant.token && listed.closed >= grant.token) {
+        // Another keeper handed the instance back while this phase was being recorded: no reboot can come under this token.
+        plan.records.emplace_back(AdvanceMaintenance{id, grant.token, MaintenancePhase::HandedBack});
     } else if (listed.rebooted != grant.token && listed.state != InstanceState::Rebooting) {
-        plan.acts.push_back({ PlatformAct::Kind::Reboot, id, grant.token, {} });
+        plan.acts.push_back({PlatformAct::Kind::Reboot, id, grant.token, {}});
     }
 }
 
-bool MaintenancePlanner::Private::isMissingFor(const InstanceId& id, bool listed, TimePoint now)
+bool MaintenancePlanner::Private::isMissingFor(const InstanceId &id, bool listed, TimePoint now)
 {
     if (listed) {
         this->missingSince.erase(id);
@@ -137,28 +147,28 @@
 }
 
 void MaintenancePlanner::Private::planHealth(
-    const InstanceId& id, const Instance& instance, const InstanceListing& listing, TimePoint now, MaintenancePlan& plan)
+    const InstanceId &id, const Instance &instance, const InstanceListing &listing, TimePoint now, MaintenancePlan &plan)
 {
     const auto found = listing.find(id);
     const bool listed = found != listing.end();
     const bool missing = this->isMissingFor(id, listed, now);
     const bool isDown = missing || (listed && found->second.state == InstanceState::Down);
     if (isDown && instance.available) {
-        plan.records.emplace_back(ReportHealth{ id, false });
+        plan.records.emplace_back(ReportHealth{id, false});
     } else if (listed && found->second.state == InstanceState::Live && !instance.available) {
-        plan.records.emplace_back(ReportHealth{ id, true });
+        plan.records.emplace_back(ReportHealth{id, true});
     }
 }
 
 void MaintenancePlanner::Private::planWave(
-    const FleetState& fleet, const WaveId& id, const Wave& wave, const InstanceListing& listing, MaintenancePlan& plan) const
+    const FleetState &fleet, const WaveId &id, const Wave &wave, const InstanceListing &listing, MaintenancePlan &plan) const
 {
     if (wave.status != WaveStatus::Running || fleet.settings().value(wave.pool.value, Keys::maintenanceEnabled) == 0) {
         return;
     }
     std::vector<InstanceId> candidates;
-    for (const InstanceId& instance : wave.remaining) {
-        const Instance* known = fleet.instance(instance);
+    for (const InstanceId &instance : wave.remaining) {
+        const Instance *known = fleet.instance(instance);
         const auto listed = listing.find(instance);
         const bool isLive = listed != listing.end() && listed->second.state == InstanceState::Live;
         if (known != nullptr && known->takesNewWork() && isLive) {
@@ -166,14 +176,14 @@
         }
     }
     // Instances of one rack go together, so that later racks stay whole as long as possible.
-    std::stable_sort(candidates.begin(), candidates.end(), [&fleet](const InstanceId& left, const InstanceId& right) {
-        const InstanceSpec& a = fleet.instance(left)->spec;
-        const InstanceSpec& b = fleet.instance(right)->spec;
+    std::stable_sort(candidates.begin(), candidates.end(), [&fleet](const InstanceId &left, const InstanceId &right) {
+        const InstanceSpec &a = fleet.instance(left)->spec;
+        const InstanceSpec &b = fleet.instance(right)->spec;
         return std::tie(a.dataCentre, a.rack) < std::tie(b.dataCentre, b.rack);
     });
     const auto granted = std::min<std::size_t>(candidates.size(), static_cast<std::size_t>(fleet.headroom(wave.pool)));
     for (std::size_t index = 0; index < granted; ++index) {
-        plan.records.emplace_back(GrantMaintenance{ id, candidates[index], this->holder });
+        plan.records.emplace_back(GrantMaintenance{id, candidates[index], this->holder});
     }
 }
 
@@ -182,8 +192,8 @@
 {
 }
 
-MaintenancePlanner::MaintenancePlanner(MaintenancePlanner&& other) noexcept = default;
-MaintenancePlanner& MaintenancePlanner::operator=(MaintenancePlanner&& other) noexcept = default;
+MaintenancePlanner::MaintenancePlanner(MaintenancePlanner &&other) noexcept = default;
+MaintenancePlanner &MaintenancePlanner::operator=(MaintenancePlanner &&other) noexcept = default;
 MaintenancePlanner::~MaintenancePlanner() = default;
 
 Result<MaintenancePlanner> MaintenancePlanner::create(ProcessId holder)
@@ -194,10 +204,10 @@
     return MaintenancePlanner(std::make_unique<Private>(std::move(holder)));
 }
 
-MaintenancePlan MaintenancePlanner::plan(const FleetState& fleet, const InstanceListing& listing, TimePoint now)
+MaintenancePlan MaintenancePlanner::plan(const FleetState &fleet, const InstanceListing &listing, TimePoint now)
 {
     MaintenancePlan plan;
-    for (const auto& [id, instance] : fleet.instances()) {
+    for (const auto &[id, instance] : fleet.instances()) {
         const auto listed = listing.find(id);
         const bool hasGrant = instance.grant && instance.grant->isOpen();
         if (!hasGrant) {
@@ -212,18 +222,18 @@
             planMove(id, instance, listed->second, plan);
         } else if (isOutOfService(listed->second)) {
             // The token of the finished act: a drain under a newer grant outranks it at the platform.
-            plan.acts.push_back({ PlatformAct::Kind::Undrain, id, listed->second.token, {} });
+            plan.acts.push_back({PlatformAct::Kind::Undrain, id, listed->second.token, {}});
         }
     }
-    for (const auto& [id, wave] : fleet.waves()) {
+    for (const auto &[id, wave] : fleet.waves()) {
         this->d->planWave(fleet, id, wave, listing, plan);
     }
     return plan;
 }
 
-bool MaintenancePlanner::isStillAllowed(const FleetState& fleet, const PlatformAct& act)
+bool MaintenancePlanner::isStillAllowed(const FleetState &fleet, const PlatformAct &act)
 {
-    const Instance* instance = fleet.instance(act.instance);
+    const Instance *instance = fleet.instance(act.instance);
     if (instance == nullptr) {
         return false;
     }
@@ -237,12 +247,12 @@
     case PlatformAct::Kind::Relabel:
         return isMoves;
     case PlatformAct::Kind::Undrain:
-        return !isGrants && !isMoves;
+        return isMoves || !isGrants || instance->grant->phase == MaintenancePhase::Draining;
     }
     return false;
 }
 
-WaveExplanation explainWave(const FleetState& fleet, const WaveId& id)
+WaveExplanation explainWave(const FleetState &fleet, const WaveId &id)
 {
     WaveExplanation explanation;
     const auto found = fleet.waves().find(id);
@@ -250,14 +260,14 @@
         explanation.summary = "there is no such wave";
         return explanation;
     }
-    const Wave& wave = found->second;
+    const Wave &wave = found->second;
     explanation.headroom = fleet.headroom(wave.pool);
-    for (const InstanceId& instance : wave.remaining) {
-        const Instance* known = fleet.instance(instance);
+    for (const InstanceId &instance : wave.remaining) {
+        const Instance *known = fleet.instance(instance);
         const bool granted = known != nullptr && known->grant && known->grant->isOpen();
         ++(granted ? explanation.granted : explanation.waiting);
     }
-    const Pool& pool = *fleet.pool(wave.pool);
+    const Pool &pool = *fleet.pool(wave.pool);
     const std::string budget = std::to_string(pool.available) + " available, budget " + std::to_string(pool.spec.minAvailable) + " and margin "
         + std::to_string(fleet.margin(wave.pool));
     if (wave.status == WaveStatus::Finished) {
--- a/src/libmangocourse/nearestname_pvt.h
+++ b/src/libmangocourse/nearestname_pvt.h
@@ -13,23 +13,23 @@
 inline std::size_t editDistance(std::string_view left, std::string_view right)
 {
     std::vector<std::size_t> row(right.size() + 1);
-    std::iota(row.begin(), row.end(), std::size_t{ 0 });
+    std::iota(row.begin(), row.end(), std::size_t{0});
     for (std::size_t i = 1; i <= left.size(); ++i) {
         std::size_t diagonal = row[0];
         row[0] = i;
         for (std::size_t j = 1; j <= right.size(); ++j) {
             const std::size_t substituted = diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
             diagonal = row[j];
-            row[j] = std::min({ row[j] + 1, row[j - 1] + 1, substituted });
+            row[j] = std::min({row[j] + 1, row[j - 1] + 1, substituted});
         }
     }
     return row.back();
 }
 
 // Returns the nearest of the names, or an empty string where there are none.
-inline std::string nearestName(std::string_view word, const std::vector<std::string>& names)
+inline std::string nearestName(std::string_view word, const std::vector<std::string> &names)
 {
-    const auto nearest = std::min_element(names.begin(), names.end(), [word](const std::string& left, const std::string& right) {
+    const auto nearest = std::min_element(names.begin(), names.end(), [word](const std::string &left, const std::string &right) {
         return editDistance(word, left) < editDistance(word, right);
     });
     return nearest == names.end() ? std::string{} : *nearest;
--- a/src/libmangocourse/processsettings.cpp
+++ b/src/libmangocourse/processsettings.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::int64_t mebibyte = 1024 * 1024;
 
-Endpoint readEndpoint(TableReader& reader, std::string_view key)
+Endpoint readEndpoint(TableReader &reader, std::string_view key)
 {
     const Result<Endpoint> endpoint = parseEndpoint(reader.string(key));
     if (!endpoint) {
@@ -24,16 +24,16 @@
     return *endpoint;
 }
 
-std::chrono::milliseconds readMilliseconds(TableReader& reader, std::string_view key, std::int64_t minimum, std::int64_t maximum, std::int64_t fallback)
+std::chrono::milliseconds readMilliseconds(TableReader &reader, std::string_view key, std::int64_t minimum, std::int64_t maximum, std::int64_t fallback)
 {
     return std::chrono::milliseconds(reader.integer(key, minimum, maximum, fallback));
 }
 
-void readProcess(const toml::table& table, ConfigFaults& faults, ProcessSettings& settings)
+void readProcess(const toml::table &table, ConfigFaults &faults, ProcessSettings &settings)
 {
     TableReader reader(table, "process.", faults);
-    settings.name = ProcessId{ reader.string("name") };
-    settings.dataCentre = DataCentreId{ reader.string("data_centre") };
+    settings.name = ProcessId{reader.string("name")};
+    settings.dataCentre = DataCentreId{reader.string("data_centre")};
     settings.logLevel = reader.string("log_level", "info");
     settings.fleetFile = reader.string("fleet_file", "");
     if (settings.logLevel != "debug" && settings.logLevel != "info" && settings.logLevel != "warn" && settings.logLevel != "err") {
@@ -41,7 +41,7 @@
     }
 }
 
-void readServing(const toml::table& table, ConfigFaults& faults, ServingLimits& limits)
+void readServing(const toml::table &table, ConfigFaults &faults, ServingLimits &limits)
 {
     TableReader reader(table, "serving.", faults);
     limits.threads = static_cast<int>(reader.integer("threads", 1, 64, 2));
@@ -54,7 +54,7 @@
     limits.stopLimit = readMilliseconds(reader, "stop_limit_ms", 100, 3'600'000, 30'000);
 }
 
-void readListen(const toml::table& table, ConfigFaults& faults, ProcessRole role, ProcessSettings& settings)
+void readListen(const toml::table &table, ConfigFaults &faults, ProcessRole role, ProcessSettings &settings)
 {
     TableReader reader(table, "listen.", faults);
     settings.admin = readEndpoint(reader, "admin");
@@ -63,10 +63,10 @@
     }
 }
 
-void readPeers(const toml::table& table, ConfigFaults& faults, ProcessSettings& settings)
+void readPeers(const toml::table &table, ConfigFaults &faults, ProcessSettings &settings)
 {
     TableReader reader(table, "peers.", faults);
-    for (const std::string& text : reader.strings("keepers", true)) {
+    for (const std::string &text : reader.strings("keepers", true)) {
         const Result<Endpoint> endpoint = parseEndpoint(text);
         if (endpoint) {
             settings.keepers.push_back(*endpoint);
@@ -76,7 +76,7 @@
     }
 }
 
-void readAccess(const toml::table& table, ConfigFaults& faults, ProcessSettings& settings)
+void readAccess(const toml::table &table, ConfigFaults &faults, ProcessSettings &settings)
 {
     TableReader reader(table, "access.", faults);
     settings.operatorToken = reader.string("operator_token");
@@ -86,7 +86,7 @@
     }
 }
 
-void readPlatform(const toml::table& table, ConfigFaults& faults, ProcessSettings& settings)
+void readPlatform(const toml::table &table, ConfigFaults &faults, ProcessSettings &settings)
 {
     TableReader reader(table, "platform.", faults);
     settings.platform = readEndpoint(reader, "address");
@@ -95,7 +95,7 @@
 
 }
 
-std::string toString(const Endpoint& endpoint)
+std::string toString(const Endpoint &endpoint)
 {
     return endpoint.host + ":" + std::to_string(endpoint.port);
 }
@@ -104,16 +104,16 @@
 {
     const auto colon = text.rfind(':');
     std::uint16_t port = 0;
-    const char* end = text.data() + text.size();
+    const char *end = text.data() + text.size();
     const bool hasPort = colon != std::string_view::npos && colon > 0;
-    const auto parsed = hasPort ? std::from_chars(text.data() + colon + 1, end, port) : std::from_chars_result{ text.data(), std::errc::invalid_argument };
+    const auto parsed = hasPort ? std::from_chars(text.data() + colon + 1, end, port) : std::from_chars_result{text.data(), std::errc::invalid_argument};
     if (parsed.ec != std::errc{} || parsed.ptr != end) {
         return makeError(ErrorCode::InvalidArgument, "found \"" + std::string(text) + "\", allowed is an IP number, a colon and a port");
     }
-    return Endpoint{ std::string(text.substr(0, colon)), port };
+    return Endpoint{std::string(text.substr(0, colon)), port};
 }
 
-Result<ProcessSettings> parseProcessSettings(std::string_view text, const std::string& name, ProcessRole role)
+Result<ProcessSettings> parseProcessSettings(std::string_view text, const std::string &name, ProcessRole role)
 {
     const Result<toml::table> root = parseToml(text, name);
     if (!root) {
@@ -124,8 +124,8 @@
     {
         static const toml::table empty;
         TableReader reader(*root, "", faults);
-        const auto section = [&reader](std::string_view key) -> const toml::table& {
-            const toml::table* table = reader.table(key, true);
+        const auto section = [&reader](std::string_view key) -> const toml::table & {
+            const toml::table *table = reader.table(key, true);
             return table == nullptr ? empty : *table;
         };
         readProcess(section("process"), faults, settings);
@@ -134,7 +134,7 @@
         readPeers(section("peers"), faults, settings);
         readAccess(section("access"), faults, settings);
         if (role == ProcessRole::Gate) {
-            const toml::table* serving = reader.table("serving", false);
+            const toml::table *serving = reader.table("serving", false);
             readServing(serving == nullptr ? empty : *serving, faults, settings.serving);
         }
     }
@@ -144,7 +144,7 @@
     return settings;
 }
 
-Result<ProcessSettings> readProcessSettings(const std::string& path, ProcessRole role)
+Result<ProcessSettings> readProcessSettings(const std::string &path, ProcessRole role)
 {
     const Result<std::string> text = readTextFile(path);
     if (!text) {
--- a/src/libmangocourse/record.cpp
+++ b/src/libmangocourse/record.cpp
@@ -29,8 +29,8 @@
     "define-service",
 };
 
-template <std::size_t Index = 0>
-std::optional<RecordBody> decodeBody(std::string_view kind, const Json& json)
+template<std::size_t Index = 0>
+std::optional<RecordBody> decodeBody(std::string_view kind, const Json &json)
 {
     if constexpr (Index < std::variant_size_v<RecordBody>) {
         if (kindNames[Index] == kind) {
@@ -70,11 +70,11 @@
     return names.at(static_cast<std::size_t>(refusal));
 }
 
-std::string encodeRecord(const Record& record)
+std::string encodeRecord(const Record &record)
 {
     Json json;
     std::visit(
-        [&json](const auto& body) {
+        [&json](const auto &body) {
             json = body;
         },
         record.body);
@@ -93,8 +93,8 @@
         if (!body) {
             return makeError(ErrorCode::Decode, "unknown record kind \"" + kind + "\"", "kind");
         }
-        return Record{ RecordId{ json.at("id").get<std::string>() }, std::move(*body) };
-    } catch (const Json::exception& exception) {
+        return Record{RecordId{json.at("id").get<std::string>()}, std::move(*body)};
+    } catch (const Json::exception &exception) {
         return makeError(ErrorCode::Decode, exception.what(), "record");
     }
 }
