--- a/src/libmangocourse/record_pvt.h
+++ b/src/libmangocourse/record_pvt.h
@@ -9,9 +9,9 @@
 
 namespace nlohmann {
 
-template <typename T>
+template<typename T>
 struct adl_serializer<std::optional<T>> {
-    static void to_json(json& json, const std::optional<T>& value)
+    static void to_json(json &json, const std::optional<T> &value)
     {
         if (value) {
             json = *value;
@@ -19,7 +19,7 @@
             json = nullptr;
         }
     }
-    static void from_json(const json& json, std::optional<T>& value)
+    static void from_json(const json &json, std::optional<T> &value)
     {
         if (json.is_null()) {
             value.reset();
@@ -33,26 +33,26 @@
 
 namespace MangoCourse {
 
-template <typename Tag>
-void to_json(nlohmann::json& json, const Id<Tag>& id)
+template<typename Tag>
+void to_json(nlohmann::json &json, const Id<Tag> &id)
 {
     json = id.value;
 }
 
-template <typename Tag>
-void from_json(const nlohmann::json& json, Id<Tag>& id)
+template<typename Tag>
+void from_json(const nlohmann::json &json, Id<Tag> &id)
 {
     json.get_to(id.value);
 }
 
-NLOHMANN_JSON_SERIALIZE_ENUM(WaveAction, { { WaveAction::Pause, "pause" }, { WaveAction::Resume, "resume" }, { WaveAction::Abort, "abort" } })
+NLOHMANN_JSON_SERIALIZE_ENUM(WaveAction, {{WaveAction::Pause, "pause"}, {WaveAction::Resume, "resume"}, {WaveAction::Abort, "abort"}})
 NLOHMANN_JSON_SERIALIZE_ENUM(MaintenancePhase,
-    { { MaintenancePhase::Draining, "draining" }, { MaintenancePhase::Rebooting, "rebooting" }, { MaintenancePhase::Returned, "returned" },
-        { MaintenancePhase::HandedBack, "handed-back" } })
+    {{MaintenancePhase::Draining, "draining"}, {MaintenancePhase::Rebooting, "rebooting"}, {MaintenancePhase::Returned, "returned"},
+        {MaintenancePhase::HandedBack, "handed-back"}})
 NLOHMANN_JSON_SERIALIZE_ENUM(
-    ReleaseReason, { { ReleaseReason::NotRun, "not-run" }, { ReleaseReason::LeaseLapsed, "lease-lapsed" }, { ReleaseReason::RunFailed, "run-failed" } })
+    ReleaseReason, {{ReleaseReason::NotRun, "not-run"}, {ReleaseReason::LeaseLapsed, "lease-lapsed"}, {ReleaseReason::RunFailed, "run-failed"}})
 
-NLOHMANN_JSON_SERIALIZE_ENUM(WorkClass, { { WorkClass::Counter, "counter" }, { WorkClass::Shop, "shop" }, { WorkClass::Overnight, "overnight" } })
+NLOHMANN_JSON_SERIALIZE_ENUM(WorkClass, {{WorkClass::Counter, "counter"}, {WorkClass::Shop, "shop"}, {WorkClass::Overnight, "overnight"}})
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceDefinition, workClass, idempotent)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DefineService, service, definition)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolSpec, minAvailable, margin, services, lenders)
--- a/src/libmangocourse/settingstree.cpp
+++ b/src/libmangocourse/settingstree.cpp
@@ -8,16 +8,16 @@
 
 namespace MangoCourse {
 
-const std::vector<SettingKey>& settingKeys()
+const std::vector<SettingKey> &settingKeys()
 {
     static const std::vector<SettingKey> keys = {
-        { Keys::queueLimit, 0, 100'000, 512, "requests that may wait per pool and class at one gate" },
-        { Keys::drainTimeoutMs, 100, 3'600'000, 60'000, "how long a drain may take before the instance is handed back, ms" },
-        { Keys::maintenanceEnabled, 0, 1, 1, "0 holds every grant of the pool back" },
-        { Keys::requestTimeoutMs, 50, 3'600'000, 4'000, "time from a request's arrival to its whole answer, ms" },
-        { Keys::retryPercent, 0, 100, 10, "retries allowed per hundred requests" },
-        { Keys::ejectPercent, 0, 100, 30, "share of a pool's instances that outlier ejection may take out" },
-        { Keys::jobLeaseMs, 500, 3'600'000, 30'000, "how long a claim stands without an outcome, ms" },
+        {Keys::queueLimit, 0, 100'000, 512, "requests that may wait per pool and class at one gate"},
+        {Keys::drainTimeoutMs, 100, 3'600'000, 60'000, "how long a drain may take before the instance is handed back, ms"},
+        {Keys::maintenanceEnabled, 0, 1, 1, "0 holds every grant of the pool back"},
+        {Keys::requestTimeoutMs, 50, 3'600'000, 4'000, "time from a request's arrival to its whole answer, ms"},
+        {Keys::retryPercent, 0, 100, 10, "retries allowed per hundred requests"},
+        {Keys::ejectPercent, 0, 100, 30, "share of a pool's instances that outlier ejection may take out"},
+        {Keys::jobLeaseMs, 500, 3'600'000, 30'000, "how long a claim stands without an outcome, ms"},
     };
     return keys;
 }
@@ -26,10 +26,10 @@
 
 constexpr std::ptrdiff_t deepestPath = 2;
 
-const SettingKey* findKey(std::string_view key)
+const SettingKey *findKey(std::string_view key)
 {
-    const auto& keys = settingKeys();
-    const auto found = std::find_if(keys.begin(), keys.end(), [key](const SettingKey& known) {
+    const auto &keys = settingKeys();
+    const auto found = std::find_if(keys.begin(), keys.end(), [key](const SettingKey &known) {
         return known.name == key;
     });
     return found == keys.end() ? nullptr : &*found;
@@ -62,16 +62,16 @@
     if (!isValidPath(path)) {
         return makeError(ErrorCode::InvalidArgument, "a path is empty (the fleet), POOL or POOL/SERVICE", std::string(path));
     }
-    const SettingKey* known = findKey(key);
+    const SettingKey *known = findKey(key);
     if (known == nullptr) {
         std::vector<std::string> names;
-        for (const SettingKey& candidate : settingKeys()) {
+        for (const SettingKey &candidate : settingKeys()) {
             names.emplace_back(candidate.name);
         }
         return makeError(ErrorCode::InvalidArgument, "unknown key; the nearest known key is " + nearestName(key, names), std::string(key));
     }
     std::int64_t number = 0;
-    const char* end = value.data() + value.size();
+    const char *end = value.data() + value.size();
     const auto [rest, code] = std::from_chars(value.data(), end, number);
     if (code != std::errc{} || rest != end || number < known->minimum || number > known->maximum) {
         return makeError(ErrorCode::InvalidArgument,
@@ -81,11 +81,11 @@
     return number;
 }
 
-void SettingsTree::change(const std::string& path, const std::string& key, std::optional<std::int64_t> value)
+void SettingsTree::change(const std::string &path, const std::string &key, std::optional<std::int64_t> value)
 {
     ++this->currentRevision;
     if (value) {
-        this->nodes[path][key] = Stored{ *value, this->currentRevision };
+        this->nodes[path][key] = Stored{*value, this->currentRevision};
         return;
     }
     const auto node = this->nodes.find(path);
@@ -107,11 +107,11 @@
         }
         const auto stored = node->second.find(key);
         if (stored != node->second.end()) {
-            return SettingOrigin{ stored->second.value, std::string(*at), false, stored->second.revision };
+            return SettingOrigin{stored->second.value, std::string(*at), false, stored->second.revision};
         }
     }
-    const SettingKey* known = findKey(key);
-    return SettingOrigin{ known == nullptr ? 0 : known->defaultValue, {}, true, 0 };
+    const SettingKey *known = findKey(key);
+    return SettingOrigin{known == nullptr ? 0 : known->defaultValue, {}, true, 0};
 }
 
 std::int64_t SettingsTree::value(std::string_view path, std::string_view key) const
@@ -127,19 +127,19 @@
 std::vector<SettingsTree::Entry> SettingsTree::entries() const
 {
     std::vector<Entry> all;
-    for (const auto& [path, keys] : this->nodes) {
-        for (const auto& [key, stored] : keys) {
-            all.push_back(Entry{ path, key, stored.value, stored.revision });
+    for (const auto &[path, keys] : this->nodes) {
+        for (const auto &[key, stored] : keys) {
+            all.push_back(Entry{path, key, stored.value, stored.revision});
         }
     }
     return all;
 }
 
-SettingsTree SettingsTree::fromEntries(const std::vector<Entry>& entries, Revision revision)
+SettingsTree SettingsTree::fromEntries(const std::vector<Entry> &entries, Revision revision)
 {
     SettingsTree tree;
-    for (const Entry& entry : entries) {
-        tree.nodes[entry.path][entry.key] = Stored{ entry.value, entry.revision };
+    for (const Entry &entry : entries) {
+        tree.nodes[entry.path][entry.key] = Stored{entry.value, entry.revision};
     }
     tree.currentRevision = revision;
     return tree;
--- a/src/libmangocourse/supervisor.cpp
+++ b/src/libmangocourse/supervisor.cpp
@@ -18,17 +18,17 @@
     std::jthread thread;
 };
 
-Result<void> runOnce(const Duty& duty, const std::stop_token& stop)
+Result<void> runOnce(const Duty &duty, const std::stop_token &stop)
 {
     // A fault in one duty must not end the process: it becomes an error that the supervisor records.
     try {
         return duty.run(stop);
-    } catch (const std::exception& exception) {
+    } catch (const std::exception &exception) {
         return makeError(ErrorCode::Unavailable, exception.what(), duty.name);
     }
 }
 
-void superviseDuty(RunningDuty& running, const std::stop_token& stop)
+void superviseDuty(RunningDuty &running, const std::stop_token &stop)
 {
     auto pause = Supervisor::firstPause;
     while (!stop.stop_requested()) {
@@ -86,9 +86,9 @@
     running->report.name = this->d->name + "/" + duty.name;
     running->report.running = true;
     running->duty = std::move(duty);
-    RunningDuty& started = *running;
+    RunningDuty &started = *running;
     this->d->duties.push_back(std::move(running));
-    started.thread = std::jthread([&started](const std::stop_token& stop) {
+    started.thread = std::jthread([&started](const std::stop_token &stop) {
         superviseDuty(started, stop);
     });
     return {};
@@ -98,7 +98,7 @@
 {
     const std::scoped_lock lock(this->d->mutex);
     this->d->stopped = true;
-    std::for_each(this->d->duties.rbegin(), this->d->duties.rend(), [](const std::unique_ptr<RunningDuty>& duty) {
+    std::for_each(this->d->duties.rbegin(), this->d->duties.rend(), [](const std::unique_ptr<RunningDuty> &duty) {
         duty->thread.request_stop();
         if (duty->thread.joinable()) {
             duty->thread.join();
@@ -110,7 +110,7 @@
 {
     const std::scoped_lock lock(this->d->mutex);
     std::vector<DutyReport> reports;
-    for (const auto& duty : this->d->duties) {
+    for (const auto &duty : this->d->duties) {
         const std::scoped_lock dutyLock(duty->mutex);
         reports.push_back(duty->report);
     }
--- a/src/libmangocourse/textfile_pvt.h
+++ b/src/libmangocourse/textfile_pvt.h
@@ -11,7 +11,7 @@
 
 namespace MangoCourse {
 
-inline Result<std::string> readTextFile(const std::string& path)
+inline Result<std::string> readTextFile(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
     if (!file) {
@@ -22,12 +22,12 @@
     return text.str();
 }
 
-inline Result<toml::table> parseToml(std::string_view text, const std::string& name)
+inline Result<toml::table> parseToml(std::string_view text, const std::string &name)
 {
     // toml++ reports syntax errors by exception here; it ends at this boundary.
     try {
         return toml::parse(text, name);
-    } catch (const toml::parse_error& error) {
+    } catch (const toml::parse_error &error) {
         return makeError(ErrorCode::InvalidConfig, name + ":" + std::to_string(error.source().begin.line) + ": " + std::string(error.description()));
     }
 }
--- a/src/libmangocourse/tomlreader.cpp
+++ b/src/libmangocourse/tomlreader.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-std::string typeName(const toml::node& node)
+std::string typeName(const toml::node &node)
 {
     std::ostringstream out;
     out << node.type();
     return out.str();
 }
 
-template <typename T>
+template<typename T>
 std::string rangeText(std::string_view kind, T minimum, T maximum)
 {
     std::ostringstream out;
@@ -26,7 +26,7 @@
 
 }
 
-void ConfigFaults::add(const toml::source_region& where, std::string_view key, std::string_view message)
+void ConfigFaults::add(const toml::source_region &where, std::string_view key, std::string_view message)
 {
     std::ostringstream out;
     out << this->file << ":" << where.begin.line << ": " << key << ": " << message;
@@ -39,13 +39,13 @@
         return {};
     }
     std::string all;
-    for (const std::string& line : this->lines) {
+    for (const std::string &line : this->lines) {
         all += (all.empty() ? "" : "\n") + line;
     }
     return makeError(ErrorCode::InvalidConfig, all);
 }
 
-TableReader::TableReader(const toml::table& table, std::string prefix, ConfigFaults& faults)
+TableReader::TableReader(const toml::table &table, std::string prefix, ConfigFaults &faults)
     : source(table)
     , prefix(std::move(prefix))
     , faults(faults)
@@ -55,17 +55,17 @@
 TableReader::~TableReader()
 {
     const std::vector<std::string> names(this->known.begin(), this->known.end());
-    for (const auto& [key, node] : this->source) {
+    for (const auto &[key, node] : this->source) {
         if (!this->known.contains(key.str())) {
             this->faults.add(node.source(), this->prefix + std::string(key.str()), "unknown key; the nearest known key is " + nearestName(key.str(), names));
         }
     }
 }
 
-const toml::node* TableReader::find(std::string_view key, bool required, std::string_view wanted)
+const toml::node *TableReader::find(std::string_view key, bool required, std::string_view wanted)
 {
     this->known.emplace(key);
-    const toml::node* node = this->source.get(key);
+    const toml::node *node = this->source.get(key);
     if (node == nullptr && required) {
         this->faults.add(this->source.source(), this->prefix + std::string(key), "missing; needed is " + std::string(wanted));
     }
@@ -74,13 +74,13 @@
 
 void TableReader::fault(std::string_view key, std::string_view message)
 {
-    const toml::node* node = this->source.get(key);
+    const toml::node *node = this->source.get(key);
     this->faults.add(node == nullptr ? this->source.source() : node->source(), this->prefix + std::string(key), message);
 }
 
 std::string TableReader::string(std::string_view key, std::optional<std::string> fallback)
 {
-    const toml::node* node = this->find(key, !fallback, "a string");
+    const toml::node *node = this->find(key, !fallback, "a string");
     if (node == nullptr) {
         return fallback.value_or("");
     }
@@ -93,7 +93,7 @@
 
 std::int64_t TableReader::integer(std::string_view key, std::int64_t minimum, std::int64_t maximum, std::optional<std::int64_t> fallback)
 {
-    const toml::node* node = this->find(key, !fallback, "a whole number");
+    const toml::node *node = this->find(key, !fallback, "a whole number");
     if (node == nullptr) {
         return fallback.value_or(minimum);
     }
@@ -118,7 +118,7 @@
 
 double TableReader::number(std::string_view key, double minimum, double maximum, std::optional<double> fallback)
 {
-    const toml::node* node = this->find(key, !fallback, "a number");
+    const toml::node *node = this->find(key, !fallback, "a number");
     if (node == nullptr) {
         return fallback.value_or(minimum);
     }
@@ -131,7 +131,7 @@
 
 bool TableReader::boolean(std::string_view key, std::optional<bool> fallback)
 {
-    const toml::node* node = this->find(key, !fallback, "true or false");
+    const toml::node *node = this->find(key, !fallback, "true or false");
     if (node == nullptr) {
         return fallback.value_or(false);
     }
@@ -145,16 +145,16 @@
 std::vector<std::string> TableReader::strings(std::string_view key, bool required)
 {
     std::vector<std::string> values;
-    const toml::node* node = this->find(key, required, "an array of strings");
+    const toml::node *node = this->find(key, required, "an array of strings");
     if (node == nullptr) {
         return values;
     }
-    const toml::array* array = node->as_array();
+    const toml::array *array = node->as_array();
     if (array == nullptr) {
         this->fault(key, "found a " + typeName(*node) + ", allowed is an array of strings");
         return values;
     }
-    for (const toml::node& element : *array) {
+    for (const toml::node &element : *array) {
         const auto value = element.value_exact<std::string>();
         if (!value) {
             this->faults.add(element.source(), this->prefix + std::string(key), "found a " + typeName(element) + ", allowed is a string");
@@ -165,9 +165,9 @@
     return values;
 }
 
-const toml::table* TableReader::table(std::string_view key, bool required)
+const toml::table *TableReader::table(std::string_view key, bool required)
 {
-    const toml::node* node = this->find(key, required, "a table");
+    const toml::node *node = this->find(key, required, "a table");
     if (node == nullptr) {
         return nullptr;
     }
@@ -177,19 +177,19 @@
     return node->as_table();
 }
 
-std::vector<const toml::table*> TableReader::tables(std::string_view key)
+std::vector<const toml::table *> TableReader::tables(std::string_view key)
 {
-    std::vector<const toml::table*> all;
-    const toml::node* node = this->find(key, false, "");
+    std::vector<const toml::table *> all;
+    const toml::node *node = this->find(key, false, "");
     if (node == nullptr) {
         return all;
     }
-    const toml::array* array = node->as_array();
+    const toml::array *array = node->as_array();
     if (array == nullptr) {
         this->fault(key, "found a " + typeName(*node) + ", allowed is an array of tables");
         return all;
     }
-    for (const toml::node& element : *array) {
+    for (const toml::node &element : *array) {
         if (element.as_table() == nullptr) {
             this->faults.add(element.source(), this->prefix + std::string(key), "found a " + typeName(element) + ", allowed is a table");
             continue;
--- a/src/libmangocourse/tomlreader_pvt.h
+++ b/src/libmangocourse/tomlreader_pvt.h
@@ -24,7 +24,7 @@
     }
 
     // Adds "file:line: key: message".
-    void add(const toml::source_region& where, std::string_view key, std::string_view message);
+    void add(const toml::source_region &where, std::string_view key, std::string_view message);
 
     // Returns success, or all faults as one InvalidConfig error.
     Result<void> result() const;
@@ -38,10 +38,10 @@
 class TableReader
 {
 public:
-    TableReader(const toml::table& table, std::string prefix, ConfigFaults& faults);
+    TableReader(const toml::table &table, std::string prefix, ConfigFaults &faults);
     ~TableReader();
-    TableReader(const TableReader&) = delete;
-    TableReader& operator=(const TableReader&) = delete;
+    TableReader(const TableReader &) = delete;
+    TableReader &operator=(const TableReader &) = delete;
 
     // Each returns the value. A missing key without a fallback, a wrong type or a value out of range is a fault.
     std::string string(std::string_view key, std::optional<std::string> fallback = std::nullopt);
@@ -52,20 +52,20 @@
     std::vector<std::string> strings(std::string_view key, bool required);
 
     // Returns the sub-table or nullptr; a missing one is a fault where it is required.
-    const toml::table* table(std::string_view key, bool required);
+    const toml::table *table(std::string_view key, bool required);
 
     // Returns the tables of an array of tables; a missing one is empty.
-    std::vector<const toml::table*> tables(std::string_view key);
+    std::vector<const toml::table *> tables(std::string_view key);
 
     // Adds a fault at a key of this table.
     void fault(std::string_view key, std::string_view message);
 
 private:
-    const toml::node* find(std::string_view key, bool required, std::string_view wanted);
+    const toml::node *find(std::string_view key, bool required, std::string_view wanted);
 
-    const toml::table& source;
+    const toml::table &source;
     std::string prefix;
-    ConfigFaults& faults;
+    ConfigFaults &faults;
     std::set<std::string, std::less<>> known;
 };
 
--- a/src/libmangocourse/verdictsnapshot_pvt.h
+++ b/src/libmangocourse/verdictsnapshot_pvt.h
@@ -6,22 +6,22 @@
 
 namespace MangoCourse {
 
-inline nlohmann::json verdictsToJson(const VerdictWindow& window)
+inline nlohmann::json verdictsToJson(const VerdictWindow &window)
 {
     nlohmann::json all = nlohmann::json::array();
-    for (const RecordId& id : window.idsOldestFirst()) {
+    for (const RecordId &id : window.idsOldestFirst()) {
         const std::optional<FoldVerdict> verdict = window.find(id);
-        all.push_back({ id.value, verdict->offset, static_cast<int>(verdict->refusal) });
+        all.push_back({id.value, verdict->offset, static_cast<int>(verdict->refusal)});
     }
     return all;
 }
 
 // Throws the library's exception where the text has another shape.
-inline void verdictsFromJson(const nlohmann::json& json, VerdictWindow& window)
+inline void verdictsFromJson(const nlohmann::json &json, VerdictWindow &window)
 {
-    for (const nlohmann::json& entry : json) {
-        const FoldVerdict verdict{ entry.at(1).get<Offset>(), static_cast<Refusal>(entry.at(2).get<int>()) };
-        window.remember(RecordId{ entry.at(0).get<std::string>() }, verdict);
+    for (const nlohmann::json &entry : json) {
+        const FoldVerdict verdict{entry.at(1).get<Offset>(), static_cast<Refusal>(entry.at(2).get<int>())};
+        window.remember(RecordId{entry.at(0).get<std::string>()}, verdict);
     }
 }
 
--- a/src/libmangocourse/verdictwindow_pvt.h
+++ b/src/libmangocourse/verdictwindow_pvt.h
@@ -18,7 +18,7 @@
     {
     }
 
-    std::optional<FoldVerdict> find(const RecordId& id) const
+    std::optional<FoldVerdict> find(const RecordId &id) const
     {
         const auto found = this->verdicts.find(id);
         if (found == this->verdicts.end()) {
@@ -27,7 +27,7 @@
         return found->second;
     }
 
-    void remember(const RecordId& id, const FoldVerdict& verdict)
+    void remember(const RecordId &id, const FoldVerdict &verdict)
     {
         if (!this->verdicts.emplace(id, verdict).second) {
             return;
@@ -39,7 +39,7 @@
         }
     }
 
-    const std::deque<RecordId>& idsOldestFirst() const
+    const std::deque<RecordId> &idsOldestFirst() const
     {
         return this->order;
     }
--- a/src/libservice/asiotypes.h
+++ b/src/libservice/asiotypes.h
@@ -26,7 +26,7 @@
 inline constexpr std::uint64_t unlimitedBody = std::numeric_limits<std::uint64_t>::max();
 
 // Completion token that gives an error code instead of an exception.
-inline auto into(ErrorCodeSystem& error)
+inline auto into(ErrorCodeSystem &error)
 {
     return net::redirect_error(net::use_awaitable, error);
 }
--- a/src/libservice/asyncsignal.h
+++ b/src/libservice/asyncsignal.h
@@ -12,7 +12,7 @@
 class AsyncSignal
 {
 public:
-    explicit AsyncSignal(net::io_context& context)
+    explicit AsyncSignal(net::io_context &context)
         : context(context)
         , timer(std::make_shared<net::steady_timer>(context, net::steady_timer::time_point::max()))
     {
@@ -41,7 +41,7 @@
     }
 
 private:
-    net::io_context& context;
+    net::io_context &context;
     std::shared_ptr<net::steady_timer> timer;
 };
 
--- a/src/libservice/httpclient.cpp
+++ b/src/libservice/httpclient.cpp
@@ -10,13 +10,13 @@
 public:
     Endpoint endpoint;
     std::string token;
-    net::io_context context{ 1 };
+    net::io_context context{1};
     std::unique_ptr<beast::tcp_stream> stream;
     beast::flat_buffer buffer;
 
     net::awaitable<Result<HttpResponse>> exchange(HttpRequest request, std::chrono::milliseconds limit);
     net::awaitable<Result<void>> connect();
-    Result<HttpResponse> run(const HttpRequest& request, std::chrono::milliseconds limit);
+    Result<HttpResponse> run(const HttpRequest &request, std::chrono::milliseconds limit);
 };
 
 net::awaitable<Result<void>> HttpClient::Private::connect()
@@ -64,7 +64,7 @@
     co_return response;
 }
 
-Result<HttpResponse> HttpClient::Private::run(const HttpRequest& request, std::chrono::milliseconds limit)
+Result<HttpResponse> HttpClient::Private::run(const HttpRequest &request, std::chrono::milliseconds limit)
 {
     Result<HttpResponse> result = makeError(ErrorCode::Timeout, "no answer", toString(this->endpoint));
     this->context.restart();
@@ -96,7 +96,7 @@
     return std::unique_ptr<HttpClient>(new HttpClient(std::move(impl)));
 }
 
-Result<HttpResponse> HttpClient::request(http::verb method, const std::string& target, const std::string& body, std::chrono::milliseconds limit)
+Result<HttpResponse> HttpClient::request(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds limit)
 {
     HttpRequest request(method, target, 11);
     request.set(http::field::host, toString(this->d->endpoint));
@@ -114,7 +114,7 @@
     return result;
 }
 
-Result<std::string> HttpClient::call(http::verb method, const std::string& target, const std::string& body, std::chrono::milliseconds limit)
+Result<std::string> HttpClient::call(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds limit)
 {
     Result<HttpResponse> response = this->request(method, target, body, limit);
     if (!response) {
@@ -128,7 +128,7 @@
     return std::move(response->body());
 }
 
-const Endpoint& HttpClient::endpoint() const
+const Endpoint &HttpClient::endpoint() const
 {
     return this->d->endpoint;
 }
--- a/src/libservice/httpclient.h
+++ b/src/libservice/httpclient.h
@@ -21,12 +21,12 @@
     ~HttpClient();
 
     // Returns the response whatever its status. Errors: Unavailable where the request cannot have arrived, Timeout where it may have.
-    Result<HttpResponse> request(http::verb method, const std::string& target, const std::string& body, std::chrono::milliseconds limit);
+    Result<HttpResponse> request(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds limit);
 
     // The same, but an HTTP status of 400 or above is ErrorCode::Refused with the body's "reason".
-    Result<std::string> call(http::verb method, const std::string& target, const std::string& body, std::chrono::milliseconds limit);
+    Result<std::string> call(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds limit);
 
-    const Endpoint& endpoint() const;
+    const Endpoint &endpoint() const;
 
 private:
     class Private;
--- a/src/libservice/httpserver.cpp
+++ b/src/libservice/httpserver.cpp
@@ -19,7 +19,7 @@
     std::string token;
 };
 
-bool matches(const Route& route, const HttpRequest& request, std::string_view path)
+bool matches(const Route &route, const HttpRequest &request, std::string_view path)
 {
     if (route.method != request.method()) {
         return false;
@@ -40,7 +40,7 @@
     return difference == 0;
 }
 
-bool isAuthorized(const Route& route, const HttpRequest& request)
+bool isAuthorized(const Route &route, const HttpRequest &request)
 {
     if (route.token.empty()) {
         return true;
@@ -54,13 +54,13 @@
 class HttpServer::Private : public std::enable_shared_from_this<Private>
 {
 public:
-    Private(net::io_context& context)
+    Private(net::io_context &context)
         : context(context)
         , acceptor(context)
     {
     }
 
-    net::io_context& context;
+    net::io_context &context;
     tcp::acceptor acceptor;
     std::vector<Route> routes;
     std::size_t connections = 0;
@@ -68,26 +68,26 @@
 
     net::awaitable<void> accept();
     net::awaitable<void> serve(tcp::socket socket);
-    net::awaitable<HttpResponse> answer(const HttpRequest& request);
-    net::awaitable<HttpResponse> call(const Route& route, const HttpRequest& request);
+    net::awaitable<HttpResponse> answer(const HttpRequest &request);
+    net::awaitable<HttpResponse> call(const Route &route, const HttpRequest &request);
 };
 
-net::awaitable<HttpResponse> HttpServer::Private::call(const Route& route, const HttpRequest& request)
+net::awaitable<HttpResponse> HttpServer::Private::call(const Route &route, const HttpRequest &request)
 {
     std::string failure;
     try {
         co_return co_await route.handler(request);
-    } catch (const std::exception& exception) {
+    } catch (const std::exception &exception) {
         failure = exception.what();
     }
     spdlog::error("event=handler_failed target={} reason={}", std::string_view(request.target().data(), request.target().size()), failure);
     co_return errorResponse(http::status::internal_server_error, failure);
 }
 
-net::awaitable<HttpResponse> HttpServer::Private::answer(const HttpRequest& request)
+net::awaitable<HttpResponse> HttpServer::Private::answer(const HttpRequest &request)
 {
-    const std::string_view path = pathOf({ request.target().data(), request.target().size() });
-    for (const Route& route : this->routes) {
+    const std::string_view path = pathOf({request.target().data(), request.target().size()});
+    for (const Route &route : this->routes) {
         if (!matches(route, request, path)) {
             continue;
         }
@@ -161,7 +161,7 @@
 
 HttpServer::~HttpServer() = default;
 
-Result<std::unique_ptr<HttpServer>> HttpServer::create(net::io_context& context, const Endpoint& endpoint)
+Result<std::unique_ptr<HttpServer>> HttpServer::create(net::io_context &context, const Endpoint &endpoint)
 {
     auto impl = std::make_shared<Private>(context);
     ErrorCodeSystem error;
@@ -184,7 +184,7 @@
 
 void HttpServer::route(http::verb method, std::string pattern, HttpHandler handler, std::string token)
 {
-    this->d->routes.push_back(Route{ method, std::move(pattern), std::move(handler), std::move(token) });
+    this->d->routes.push_back(Route{method, std::move(pattern), std::move(handler), std::move(token)});
 }
 
 void HttpServer::start()
@@ -209,10 +209,10 @@
 Endpoint HttpServer::endpoint() const
 {
     const tcp::endpoint local = this->d->acceptor.local_endpoint();
-    return Endpoint{ local.address().to_string(), local.port() };
+    return Endpoint{local.address().to_string(), local.port()};
 }
 
-HttpResponse jsonResponse(http::status status, const std::string& body)
+HttpResponse jsonResponse(http::status status, const std::string &body)
 {
     HttpResponse response(status, 11);
     response.set(http::field::content_type, "application/json");
@@ -222,7 +222,7 @@
 
 HttpResponse errorResponse(http::status status, std::string_view reason)
 {
-    return jsonResponse(status, nlohmann::json{ { "reason", reason } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    return jsonResponse(status, nlohmann::json{{"reason", reason}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 std::string_view pathOf(std::string_view target)
--- a/src/libservice/httpserver.h
+++ b/src/libservice/httpserver.h
@@ -13,14 +13,14 @@
 namespace MangoCourse {
 
 // Answers one request. Exceptions become 500 with a JSON body.
-using HttpHandler = std::function<net::awaitable<HttpResponse>(const HttpRequest&)>;
+using HttpHandler = std::function<net::awaitable<HttpResponse>(const HttpRequest &)>;
 
 // Routes by method and path; a pattern that ends in '*' matches by prefix. Runs on the io_context it was created with.
 class HttpServer
 {
 public:
     // Listens at once; port 0 lets the system choose. Returns Unavailable where the address cannot be had.
-    static Result<std::unique_ptr<HttpServer>> create(net::io_context& context, const Endpoint& endpoint);
+    static Result<std::unique_ptr<HttpServer>> create(net::io_context &context, const Endpoint &endpoint);
     ~HttpServer();
 
     // Adds a route. A non-empty token makes it answer 401 to requests without "Authorization: Bearer TOKEN".
@@ -37,7 +37,7 @@
     // Limits of the control side.
     static constexpr std::size_t bodyLimit = 8 * 1024 * 1024;
     static constexpr std::size_t connectionLimit = 2048;
-    static constexpr std::chrono::seconds idleTimeout{ 60 };
+    static constexpr std::chrono::seconds idleTimeout{60};
 
 private:
     class Private;
@@ -46,7 +46,7 @@
 };
 
 // Builds a JSON response.
-HttpResponse jsonResponse(http::status status, const std::string& body);
+HttpResponse jsonResponse(http::status status, const std::string &body);
 
 // Builds an error response: {"reason": ...}.
 HttpResponse errorResponse(http::status status, std::string_view reason);
--- a/src/libservice/logging.cpp
+++ b/src/libservice/logging.cpp
@@ -38,14 +38,14 @@
     {
     }
 
-    void format(const spdlog::details::log_msg& message, spdlog::memory_buf_t& out) override
+    void format(const spdlog::details::log_msg &message, spdlog::memory_buf_t &out) override
     {
         nlohmann::ordered_json line;
         line["ts_us"] = std::chrono::duration_cast<std::chrono::microseconds>(message.time.time_since_epoch()).count();
         const auto level = spdlog::level::to_string_view(message.level);
         line["level"] = std::string(level.data(), level.size());
         line["process"] = this->process;
-        line.update(fieldsOf({ message.payload.data(), message.payload.size() }));
+        line.update(fieldsOf({message.payload.data(), message.payload.size()}));
         const std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n";
         out.append(text.data(), text.data() + text.size());
     }
@@ -61,7 +61,7 @@
 
 }
 
-void startLogging(const std::string& process, const std::string& level)
+void startLogging(const std::string &process, const std::string &level)
 {
     auto logger = std::make_shared<spdlog::logger>(process, std::make_shared<spdlog::sinks::stderr_sink_mt>());
     logger->set_formatter(std::make_unique<JsonFormatter>(process));
--- a/src/libservice/logging.h
+++ b/src/libservice/logging.h
@@ -6,6 +6,6 @@
 namespace MangoCourse {
 
 // Sets the process's logger; messages are "event=NAME key=value ..." and become JSON fields.
-void startLogging(const std::string& process, const std::string& level);
+void startLogging(const std::string &process, const std::string &level);
 
 }
--- a/src/libservice/metrics.cpp
+++ b/src/libservice/metrics.cpp
@@ -19,7 +19,7 @@
 constexpr double shortestSeconds = 50e-6;
 constexpr double longestSeconds = 100.0;
 
-std::string braces(const std::string& labels)
+std::string braces(const std::string &labels)
 {
     return labels.empty() ? "" : "{" + labels + "}";
 }
@@ -30,17 +30,17 @@
 };
 
 // Counters, gauges or histograms of one name, by labels.
-template <typename T>
+template<typename T>
 struct Family {
     std::string help;
     std::map<std::string, T> series;
 };
 
-void writeHistogram(std::ostream& out, const std::string& name, const std::string& labels, const TimeSeries& series)
+void writeHistogram(std::ostream &out, const std::string &name, const std::string &labels, const TimeSeries &series)
 {
     const std::string separator = labels.empty() ? "" : ",";
     double total = series.histogram.at(-1);
-    for (const auto& cell : bh::indexed(series.histogram)) {
+    for (const auto &cell : bh::indexed(series.histogram)) {
         total += *cell;
         out << name << "_bucket{" << labels << separator << "le=\"" << cell.bin().upper() << "\"} " << total << "\n";
     }
@@ -68,29 +68,29 @@
 
 Metrics::~Metrics() = default;
 
-void Metrics::add(const std::string& name, const std::string& help, const std::string& labels, std::uint64_t amount)
+void Metrics::add(const std::string &name, const std::string &help, const std::string &labels, std::uint64_t amount)
 {
     const std::scoped_lock lock(this->d->mutex);
-    Family<std::uint64_t>& family = this->d->counters[name];
+    Family<std::uint64_t> &family = this->d->counters[name];
     family.help = help;
     family.series[labels] += amount;
 }
 
-void Metrics::set(const std::string& name, const std::string& help, double value)
+void Metrics::set(const std::string &name, const std::string &help, double value)
 {
     const std::scoped_lock lock(this->d->mutex);
-    Family<double>& family = this->d->gauges[name];
+    Family<double> &family = this->d->gauges[name];
     family.help = help;
     family.series[{}] = value;
 }
 
-void Metrics::observe(const std::string& name, const std::string& help, const std::string& labels, std::chrono::microseconds time)
+void Metrics::observe(const std::string &name, const std::string &help, const std::string &labels, std::chrono::microseconds time)
 {
     const double seconds = std::chrono::duration<double>(time).count();
     const std::scoped_lock lock(this->d->mutex);
-    Family<TimeSeries>& family = this->d->histograms[name];
+    Family<TimeSeries> &family = this->d->histograms[name];
     family.help = help;
-    TimeSeries& series = family.series[labels];
+    TimeSeries &series = family.series[labels];
     series.histogram(seconds);
     series.sum += seconds;
 }
@@ -99,21 +99,21 @@
 {
     const std::scoped_lock lock(this->d->mutex);
     std::ostringstream out;
-    for (const auto& [name, family] : this->d->counters) {
+    for (const auto &[name, family] : this->d->counters) {
         out << "# HELP " << name << " " << family.help << "\n# TYPE " << name << " counter\n";
-        for (const auto& [labels, value] : family.series) {
+        for (const auto &[labels, value] : family.series) {
             out << name << braces(labels) << " " << value << "\n";
         }
     }
-    for (const auto& [name, family] : this->d->gauges) {
+    for (const auto &[name, family] : this->d->gauges) {
         out << "# HELP " << name << " " << family.help << "\n# TYPE " << name << " gauge\n";
-        for (const auto& [labels, value] : family.series) {
+        for (const auto &[labels, value] : family.series) {
             out << name << braces(labels) << " " << value << "\n";
         }
     }
-    for (const auto& [name, family] : this->d->histograms) {
+    for (const auto &[name, family] : this->d->histograms) {
         out << "# HELP " << name << " " << family.help << "\n# TYPE " << name << " histogram\n";
-        for (const auto& [labels, series] : family.series) {
+        for (const auto &[labels, series] : family.series) {
             writeHistogram(out, name, labels, series);
         }
     }
--- a/src/libservice/metrics.h
+++ b/src/libservice/metrics.h
@@ -16,13 +16,13 @@
     ~Metrics();
 
     // Adds to a counter; `labels` is either empty or Prometheus text such as `class="counter"`.
-    void add(const std::string& name, const std::string& help, const std::string& labels = {}, std::uint64_t amount = 1);
+    void add(const std::string &name, const std::string &help, const std::string &labels = {}, std::uint64_t amount = 1);
 
     // Sets a gauge.
-    void set(const std::string& name, const std::string& help, double value);
+    void set(const std::string &name, const std::string &help, double value);
 
     // Adds one time to a histogram in seconds.
-    void observe(const std::string& name, const std::string& help, const std::string& labels, std::chrono::microseconds time);
+    void observe(const std::string &name, const std::string &help, const std::string &labels, std::chrono::microseconds time);
 
     // Returns all of them in Prometheus' text format.
     std::string toText() const;
--- a/src/libservice/platformclient.cpp
+++ b/src/libservice/platformclient.cpp
@@ -11,7 +11,7 @@
 
 using Json = nlohmann::json;
 
-Result<Json> parseAnswer(const Result<std::string>& answer)
+Result<Json> parseAnswer(const Result<std::string> &answer)
 {
     if (!answer) {
         return tl::unexpected(answer.error());
@@ -23,26 +23,26 @@
     return json;
 }
 
-Result<AddressedInstance> parseInstance(const Json& json)
+Result<AddressedInstance> parseInstance(const Json &json)
 {
     const Result<InstanceState> state = parseInstanceState(json.at("state").get<std::string>());
     if (!state) {
         return tl::unexpected(state.error());
     }
     AddressedInstance instance;
-    instance.listed = { *state, PoolId{ json.at("pool") }, json.at("token"), json.at("rebooted") };
-    instance.endpoint = { json.at("host"), json.at("port") };
+    instance.listed = {*state, PoolId{json.at("pool")}, json.at("token"), json.at("rebooted"), json.at("closed")};
+    instance.endpoint = {json.at("host"), json.at("port")};
     instance.version = json.at("version");
     return instance;
 }
 
 // Runs a reader of the platform's JSON; a missing field or a wrong type is ErrorCode::Decode.
-template <typename Reader>
+template<typename Reader>
 auto decode(Reader reader) -> decltype(reader())
 {
     try {
         return reader();
-    } catch (const Json::exception& exception) {
+    } catch (const Json::exception &exception) {
         return makeError(ErrorCode::Decode, exception.what(), "platform");
     }
 }
@@ -54,7 +54,7 @@
 public:
     std::unique_ptr<HttpClient> http;
 
-    Result<LogBatch> readFrom(const std::string& target, std::chrono::milliseconds limit)
+    Result<LogBatch> readFrom(const std::string &target, std::chrono::milliseconds limit)
     {
         const Result<Json> json = parseAnswer(this->http->call(http::verb::get, target, {}, limit));
         if (!json) {
@@ -64,14 +64,14 @@
             LogBatch batch;
             batch.oldest = json->at("oldest");
             batch.end = json->at("end");
-            for (const Json& entry : json->at("records")) {
-                batch.entries.push_back({ entry.at("offset"), entry.at("payload") });
+            for (const Json &entry : json->at("records")) {
+                batch.entries.push_back({entry.at("offset"), entry.at("payload")});
             }
             return batch;
         });
     }
 
-    Result<void> act(const InstanceId& instance, std::string_view verb, const Json& body)
+    Result<void> act(const InstanceId &instance, std::string_view verb, const Json &body)
     {
         const std::string target = "/instances/" + instance.value + "/" + std::string(verb);
         const Result<std::string> answer = this->http->call(http::verb::post, target, body.dump(), callLimit);
@@ -89,7 +89,7 @@
 
 PlatformClient::~PlatformClient() = default;
 
-Result<std::unique_ptr<PlatformClient>> PlatformClient::create(const Endpoint& endpoint)
+Result<std::unique_ptr<PlatformClient>> PlatformClient::create(const Endpoint &endpoint)
 {
     auto client = HttpClient::create(endpoint);
     if (!client) {
@@ -100,7 +100,7 @@
     return std::unique_ptr<PlatformClient>(new PlatformClient(std::move(impl)));
 }
 
-Result<Offset> PlatformClient::append(const std::string& stream, const std::vector<std::string>& payloads)
+Result<Offset> PlatformClient::append(const std::string &stream, const std::vector<std::string> &payloads)
 {
     const std::string target = "/streams/" + stream + "/append";
     const Result<Json> json = parseAnswer(this->d->http->call(http::verb::post, target, Json(payloads).dump(), callLimit));
@@ -112,14 +112,14 @@
     });
 }
 
-Result<LogBatch> PlatformClient::read(const std::string& stream, Offset after, int limit, std::chrono::milliseconds wait)
+Result<LogBatch> PlatformClient::read(const std::string &stream, Offset after, int limit, std::chrono::milliseconds wait)
 {
     const std::string target
         = "/streams/" + stream + "/read?after=" + std::to_string(after) + "&limit=" + std::to_string(limit) + "&wait_ms=" + std::to_string(wait.count());
     return this->d->readFrom(target, wait + callLimit);
 }
 
-Result<LogBatch> PlatformClient::readNewest(const std::string& stream)
+Result<LogBatch> PlatformClient::readNewest(const std::string &stream)
 {
     return this->d->readFrom("/streams/" + stream + "/read?newest=1", callLimit);
 }
@@ -134,35 +134,35 @@
     return decode([&json]() -> Result<ListingDelta> {
         ListingDelta delta;
         delta.version = json->at("version");
-        for (const Json& entry : json->at("instances")) {
+        for (const Json &entry : json->at("instances")) {
             Result<AddressedInstance> instance = parseInstance(entry);
             if (!instance) {
                 return tl::unexpected(instance.error());
             }
-            delta.changed.emplace(InstanceId{ entry.at("id") }, std::move(*instance));
+            delta.changed.emplace(InstanceId{entry.at("id")}, std::move(*instance));
         }
         return delta;
     });
 }
 
-Result<void> PlatformClient::drain(const InstanceId& instance, Offset token)
+Result<void> PlatformClient::drain(const InstanceId &instance, Offset token)
 {
-    return this->d->act(instance, "drain", { { "token", token } });
+    return this->d->act(instance, "drain", {{"token", token}});
 }
 
-Result<void> PlatformClient::undrain(const InstanceId& instance, Offset token)
+Result<void> PlatformClient::undrain(const InstanceId &instance, Offset token)
 {
-    return this->d->act(instance, "undrain", { { "token", token } });
+    return this->d->act(instance, "undrain", {{"token", token}});
 }
 
-Result<void> PlatformClient::reboot(const InstanceId& instance, Offset token)
+Result<void> PlatformClient::reboot(const InstanceId &instance, Offset token)
 {
-    return this->d->act(instance, "reboot", { { "token", token } });
+    return this->d->act(instance, "reboot", {{"token", token}});
 }
 
-Result<void> PlatformClient::relabel(const InstanceId& instance, Offset token, const PoolId& pool)
+Result<void> PlatformClient::relabel(const InstanceId &instance, Offset token, const PoolId &pool)
 {
-    return this->d->act(instance, "relabel", { { "token", token }, { "pool", pool.value } });
+    return this->d->act(instance, "relabel", {{"token", token}, {"pool", pool.value}});
 }
 
 }
--- a/src/libservice/platformclient.h
+++ b/src/libservice/platformclient.h
@@ -7,22 +7,12 @@
 #include <string>
 #include <vector>
 
+#include <mangocourse/log.h>
 #include <mangocourse/platform.h>
 #include <mangocourse/processsettings.h>
 
 namespace MangoCourse {
 
-// Records read from a stream. `oldest` is the first offset still kept, `end` the last one written.
-struct LogBatch {
-    struct Entry {
-        Offset offset = 0;
-        std::string payload;
-    };
-    std::vector<Entry> entries;
-    Offset oldest = 1;
-    Offset end = 0;
-};
-
 // One line of the list with the instance's address.
 struct AddressedInstance {
     ListedInstance listed;
@@ -40,27 +30,27 @@
 class PlatformClient
 {
 public:
-    static Result<std::unique_ptr<PlatformClient>> create(const Endpoint& endpoint);
+    static Result<std::unique_ptr<PlatformClient>> create(const Endpoint &endpoint);
     ~PlatformClient();
 
     // Appends all payloads in order. On Timeout they may have been appended: append them again, the fold drops the second ones.
-    Result<Offset> append(const std::string& stream, const std::vector<std::string>& payloads);
+    Result<Offset> append(const std::string &stream, const std::vector<std::string> &payloads);
 
     // Reads after an offset; waits up to `wait` for the first new record.
-    Result<LogBatch> read(const std::string& stream, Offset after, int limit, std::chrono::milliseconds wait);
+    Result<LogBatch> read(const std::string &stream, Offset after, int limit, std::chrono::milliseconds wait);
 
     // Reads the newest record of a stream, or none.
-    Result<LogBatch> readNewest(const std::string& stream);
+    Result<LogBatch> readNewest(const std::string &stream);
 
     // Reads what changed in the list; waits up to `wait` for a change.
     Result<ListingDelta> listing(std::int64_t sinceVersion, std::chrono::milliseconds wait);
 
-    Result<void> drain(const InstanceId& instance, Offset token);
-    Result<void> undrain(const InstanceId& instance, Offset token);
-    Result<void> reboot(const InstanceId& instance, Offset token);
-    Result<void> relabel(const InstanceId& instance, Offset token, const PoolId& pool);
+    Result<void> drain(const InstanceId &instance, Offset token);
+    Result<void> undrain(const InstanceId &instance, Offset token);
+    Result<void> reboot(const InstanceId &instance, Offset token);
+    Result<void> relabel(const InstanceId &instance, Offset token, const PoolId &pool);
 
-    static constexpr std::chrono::milliseconds callLimit{ 3000 };
+    static constexpr std::chrono::milliseconds callLimit{3000};
 
 private:
     class Private;
@@ -68,6 +58,7 @@
     std::unique_ptr<Private> d;
 };
 
+static_assert(Log<PlatformClient>);
 static_assert(Platform<PlatformClient>);
 
 }
--- a/src/libservice/tool.cpp
+++ b/src/libservice/tool.cpp
@@ -28,12 +28,12 @@
 }
 
 // Prints the flags that the program's own files define, without the library's.
-void printHelp(const char* program, const std::string& usage)
+void printHelp(const char *program, const std::string &usage)
 {
     std::cout << "Usage: " << program << " " << usage << "\n\nFlags:\n";
     std::vector<gflags::CommandLineFlagInfo> flags;
     gflags::GetAllFlags(&flags);
-    for (const gflags::CommandLineFlagInfo& flag : flags) {
+    for (const gflags::CommandLineFlagInfo &flag : flags) {
         if (flag.filename.find("gflags") == std::string::npos) {
             std::cout << "  --" << flag.name << " (" << flag.type << ", default " << (flag.default_value.empty() ? "\"\"" : flag.default_value) << ")\n      "
                       << flag.description << "\n";
@@ -61,7 +61,7 @@
 
 }
 
-void parseFlags(int& argc, char**& argv, const std::string& usage)
+void parseFlags(int &argc, char **&argv, const std::string &usage)
 {
     for (int index = 1; index < argc; ++index) {
         if (isFlag(argv[index], "help")) {
@@ -86,7 +86,7 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-void waitForStop(const std::function<void()>& dump)
+void waitForStop(const std::function<void()> &dump)
 {
     const sigset_t set = handledSignals();
     while (true) {
--- a/src/libservice/tool.h
+++ b/src/libservice/tool.h
@@ -18,12 +18,12 @@
 }
 
 // Parses the command line with gflags. --help prints the usage, --version the version; both end the process with 0, an unknown flag ends it with 2.
-void parseFlags(int& argc, char**& argv, const std::string& usage);
+void parseFlags(int &argc, char **&argv, const std::string &usage);
 
 // Blocks the signals that waitForStop() takes. Call before any thread starts.
 void blockSignals();
 
 // Calls `dump` at each SIGUSR1 and returns at SIGTERM or SIGINT.
-void waitForStop(const std::function<void()>& dump);
+void waitForStop(const std::function<void()> &dump);
 
 }
--- a/src/libstandin/instancestore.cpp
+++ b/src/libstandin/instancestore.cpp
@@ -3,25 +3,25 @@
 
 namespace MangoCourse {
 
-InstanceStore::InstanceStore(const FleetFile& fleet, Duration listLag, Duration rebootTime)
+InstanceStore::InstanceStore(const FleetFile &fleet, Duration listLag, Duration rebootTime)
     : listLag(listLag)
     , rebootTime(rebootTime)
     , expectedInstances(fleet.instances.size())
 {
-    for (const PoolEntrySpec& pool : fleet.pools) {
+    for (const PoolEntrySpec &pool : fleet.pools) {
         this->budgets[pool.pool] = pool.spec.minAvailable;
     }
 }
 
-void InstanceStore::changed(const InstanceId& instance, TimePoint now)
+void InstanceStore::changed(const InstanceId &instance, TimePoint now)
 {
-    this->pending.push_back(Pending{ now + this->listLag, instance });
+    this->pending.push_back(Pending{now + this->listLag, instance});
 }
 
-std::string InstanceStore::report(const InstanceId& id, const PoolId& pool, const Endpoint& endpoint, int inFlight, bool up, TimePoint now)
+std::string InstanceStore::report(const InstanceId &id, const PoolId &pool, const Endpoint &endpoint, int inFlight, bool up, TimePoint now)
 {
     const auto [entry, isNew] = this->instances.try_emplace(id);
-    TrueInstance& instance = entry->second;
+    TrueInstance &instance = entry->second;
     if (isNew) {
         instance.now.pool = pool;
         instance.endpoint = endpoint;
@@ -47,64 +47,68 @@
     return "live";
 }
 
-ActRefusal InstanceStore::checkToken(const InstanceId& id, Offset token)
+ActRefusal InstanceStore::checkToken(const InstanceId &id, Offset token)
 {
     const auto found = this->instances.find(id);
     ActRefusal refusal;
     if (found == this->instances.end()) {
         refusal = "unknown instance";
-    } else if (token < found->second.now.token || token <= found->second.closedToken) {
+    } else if (token < found->second.now.token || token <= found->second.now.closed) {
         refusal = "stale token";
     }
     if (!refusal.empty()) {
-        ++this->counts.refusedActs;
+        ++this->observed.refusedActs;
     }
     return refusal;
 }
 
-ActRefusal InstanceStore::drain(const InstanceId& id, Offset token, TimePoint now)
+ActRefusal InstanceStore::drain(const InstanceId &id, Offset token, TimePoint now)
 {
     if (ActRefusal refusal = this->checkToken(id, token); !refusal.empty()) {
         return refusal;
     }
-    TrueInstance& instance = this->instances.at(id);
+    TrueInstance &instance = this->instances.at(id);
     instance.now.token = token;
     if (instance.now.state != InstanceState::Live) {
         return {};
     }
     instance.now.state = InstanceState::Draining;
-    if (this->counts.firstDrain == TimePoint{}) {
-        this->counts.firstDrain = now;
+    if (this->observed.firstDrain == TimePoint{}) {
+        this->observed.firstDrain = now;
     }
     this->changed(id, now);
     return {};
 }
 
-ActRefusal InstanceStore::undrain(const InstanceId& id, Offset token, TimePoint now)
+ActRefusal InstanceStore::undrain(const InstanceId &id, Offset token, TimePoint now)
 {
     if (ActRefusal refusal = this->checkToken(id, token); !refusal.empty()) {
         return refusal;
     }
-    TrueInstance& instance = this->instances.at(id);
-    instance.closedToken = token;
+    TrueInstance &instance = this->instances.at(id);
+    instance.now.closed = token;
+    this->changed(id, now);
     if (instance.now.state == InstanceState::Draining || instance.now.state == InstanceState::Drained) {
         instance.now.state = InstanceState::Live;
-        this->changed(id, now);
     }
     return {};
 }
 
-ActRefusal InstanceStore::reboot(const InstanceId& id, Offset token, TimePoint now)
+ActRefusal InstanceStore::reboot(const InstanceId &id, Offset token, TimePoint now)
 {
+    const auto found = this->instances.find(id);
+    // The same act again, after a lost answer.
+    if (found != this->instances.end() && found->second.now.rebooted == token) {
+        return {};
+    }
     if (ActRefusal refusal = this->checkToken(id, token); !refusal.empty()) {
         return refusal;
     }
-    TrueInstance& instance = this->instances.at(id);
-    // The same act again, after a lost answer.
-    if (instance.now.state == InstanceState::Rebooting || instance.now.rebooted == token) {
+    TrueInstance &instance = this->instances.at(id);
+    if (instance.now.state == InstanceState::Rebooting) {
         return {};
     }
-    this->counts.killedInFlight += instance.inFlight;
+    this->observed.killedInFlight += instance.inFlight;
     instance.now.token = token;
     instance.now.state = InstanceState::Rebooting;
     instance.downSince = now;
@@ -112,21 +116,21 @@
     return {};
 }
 
-ActRefusal InstanceStore::relabel(const InstanceId& id, Offset token, const PoolId& pool, TimePoint now)
+ActRefusal InstanceStore::relabel(const InstanceId &id, Offset token, const PoolId &pool, TimePoint now)
 {
     if (ActRefusal refusal = this->checkToken(id, token); !refusal.empty()) {
         return refusal;
     }
-    TrueInstance& instance = this->instances.at(id);
+    TrueInstance &instance = this->instances.at(id);
     if (instance.now.pool != pool) {
         instance.now.pool = pool;
-        ++this->counts.moves;
+        ++this->observed.moves;
         this->changed(id, now);
     }
     return {};
 }
 
-ActRefusal InstanceStore::fail(const InstanceId& id, bool down, TimePoint now)
+ActRefusal InstanceStore::fail(const InstanceId &id, bool down, TimePoint now)
 {
     const auto found = this->instances.find(id);
     if (found == this->instances.end()) {
@@ -139,15 +143,16 @@
 
 bool InstanceStore::tick(TimePoint now)
 {
-    for (auto& [id, instance] : this->instances) {
+    for (auto &[id, instance] : this->instances) {
         const bool rebootDone = instance.now.state == InstanceState::Rebooting && now - instance.downSince >= this->rebootTime && instance.up;
         if (!rebootDone) {
             continue;
         }
         instance.now.state = InstanceState::Live;
         instance.now.rebooted = instance.now.token;
-        ++this->counts.maintained;
-        this->counts.lastReturn = now;
+        instance.now.closed = instance.now.token;
+        ++this->observed.maintained;
+        this->observed.lastReturn = now;
         this->changed(id, now);
     }
     this->observe();
@@ -160,8 +165,8 @@
     while (!this->pending.empty() && this->pending.front().at <= now) {
         const InstanceId id = this->pending.front().instance;
         this->pending.pop_front();
-        const TrueInstance& instance = this->instances.at(id);
-        ListedLine& line = this->list[id];
+        const TrueInstance &instance = this->instances.at(id);
+        ListedLine &line = this->list[id];
         const bool leaves = instance.now.state != InstanceState::Live;
         const bool left = line.leavingSince != TimePoint{};
         line.leavingSince = leaves ? (left ? line.leavingSince : now) : TimePoint{};
@@ -180,22 +185,42 @@
     }
     std::map<PoolId, int> available;
     std::map<PoolId, bool> ownAction;
-    for (const auto& [id, instance] : this->instances) {
+    for (const auto &[id, instance] : this->instances) {
         const InstanceState state = instance.now.state;
         available[instance.now.pool] += state == InstanceState::Live ? 1 : 0;
         ownAction[instance.now.pool] |= state != InstanceState::Live && state != InstanceState::Down;
     }
-    for (const auto& [pool, budget] : this->budgets) {
+    for (const auto &[pool, budget] : this->budgets) {
         const bool breach = available[pool] < budget;
         if (breach && !this->inBreach[pool]) {
-            ++this->counts.budgetBreaches;
-            this->counts.ownBreaches += ownAction[pool] ? 1 : 0;
-            this->counts.lastBreach = pool.value + ": " + std::to_string(available[pool]) + " of " + std::to_string(budget);
+            ++this->observed.budgetBreaches;
+            this->observed.ownBreaches += ownAction[pool] ? 1 : 0;
+            this->observed.lastBreach = pool.value + ": " + std::to_string(available[pool]) + " of " + std::to_string(budget);
         }
         this->inBreach[pool] = breach;
     }
 }
 
+InstanceListing InstanceStore::listing() const
+{
+    InstanceListing listing;
+    for (const auto &[id, line] : this->list) {
+        listing.emplace(id, line.listed);
+    }
+    return listing;
+}
+
+const Observations &InstanceStore::counts() const
+{
+    return this->observed;
+}
+
+const TrueInstance *InstanceStore::instance(const InstanceId &id) const
+{
+    const auto found = this->instances.find(id);
+    return found == this->instances.end() ? nullptr : &found->second;
+}
+
 std::int64_t InstanceStore::version() const
 {
     return this->listVersion;
@@ -204,16 +229,17 @@
 nlohmann::json InstanceStore::listingSince(std::int64_t version) const
 {
     nlohmann::json lines = nlohmann::json::array();
-    for (const auto& [id, line] : this->list) {
+    for (const auto &[id, line] : this->list) {
         if (line.version > version) {
-            lines.push_back({ { "id", id.value }, { "host", line.endpoint.host }, { "port", line.endpoint.port }, { "state", toString(line.listed.state) },
-                { "pool", line.listed.pool.value }, { "token", line.listed.token }, { "rebooted", line.listed.rebooted }, { "version", line.version } });
+            lines.push_back({{"id", id.value}, {"host", line.endpoint.host}, {"port", line.endpoint.port}, {"state", toString(line.listed.state)},
+                {"pool", line.listed.pool.value}, {"token", line.listed.token}, {"rebooted", line.listed.rebooted}, {"closed", line.listed.closed},
+                {"version", line.version}});
         }
     }
-    return { { "version", this->listVersion }, { "instances", std::move(lines) } };
+    return {{"version", this->listVersion}, {"instances", std::move(lines)}};
 }
 
-std::chrono::milliseconds InstanceStore::listedLeavingFor(const InstanceId& instance, TimePoint now) const
+std::chrono::milliseconds InstanceStore::listedLeavingFor(const InstanceId &instance, TimePoint now) const
 {
     const auto found = this->list.find(instance);
     if (found == this->list.end() || found->second.leavingSince == TimePoint{}) {
@@ -224,11 +250,11 @@
 
 nlohmann::json InstanceStore::observations() const
 {
-    const bool hasWave = this->counts.lastReturn != TimePoint{};
-    const double rollout = hasWave ? std::chrono::duration<double>(this->counts.lastReturn - this->counts.firstDrain).count() : 0.0;
-    return { { "budget_breaches", this->counts.budgetBreaches }, { "own_budget_breaches", this->counts.ownBreaches }, { "maintained", this->counts.maintained },
-        { "moves", this->counts.moves }, { "refused_acts", this->counts.refusedActs }, { "killed_in_flight", this->counts.killedInFlight },
-        { "last_breach", this->counts.lastBreach }, { "rollout_seconds", rollout } };
+    const bool hasWave = this->observed.lastReturn != TimePoint{};
+    const double rollout = hasWave ? std::chrono::duration<double>(this->observed.lastReturn - this->observed.firstDrain).count() : 0.0;
+    return {{"budget_breaches", this->observed.budgetBreaches}, {"own_budget_breaches", this->observed.ownBreaches}, {"maintained", this->observed.maintained},
+        {"moves", this->observed.moves}, {"refused_acts", this->observed.refusedActs}, {"killed_in_flight", this->observed.killedInFlight},
+        {"last_breach", this->observed.lastBreach}, {"rollout_seconds", rollout}};
 }
 
 }
--- a/src/libstandin/instancestore.h
+++ b/src/libstandin/instancestore.h
@@ -19,7 +19,6 @@
 struct TrueInstance {
     ListedInstance now;
     Endpoint endpoint;
-    Offset closedToken = 0;
     int inFlight = 0;
     bool up = true;
     TimePoint downSince{};
@@ -53,27 +52,32 @@
 {
 public:
     // Budgets for the observer come from the fleet file; an empty one observes nothing.
-    InstanceStore(const FleetFile& fleet, Duration listLag, Duration rebootTime);
+    InstanceStore(const FleetFile &fleet, Duration listLag, Duration rebootTime);
 
     // The executors' host reports one instance and gets back what the platform wants of it: "live", "draining" or "down".
-    std::string report(const InstanceId& instance, const PoolId& pool, const Endpoint& endpoint, int inFlight, bool up, TimePoint now);
+    std::string report(const InstanceId &instance, const PoolId &pool, const Endpoint &endpoint, int inFlight, bool up, TimePoint now);
 
-    ActRefusal drain(const InstanceId& instance, Offset token, TimePoint now);
-    ActRefusal undrain(const InstanceId& instance, Offset token, TimePoint now);
-    ActRefusal reboot(const InstanceId& instance, Offset token, TimePoint now);
-    ActRefusal relabel(const InstanceId& instance, Offset token, const PoolId& pool, TimePoint now);
+    ActRefusal drain(const InstanceId &instance, Offset token, TimePoint now);
+    ActRefusal undrain(const InstanceId &instance, Offset token, TimePoint now);
+    ActRefusal reboot(const InstanceId &instance, Offset token, TimePoint now);
+    ActRefusal relabel(const InstanceId &instance, Offset token, const PoolId &pool, TimePoint now);
 
     // Faults: an instance that dies, and its return.
-    ActRefusal fail(const InstanceId& instance, bool down, TimePoint now);
+    ActRefusal fail(const InstanceId &instance, bool down, TimePoint now);
 
     // Lets time pass: reboots end, the list catches up, the observer looks. Returns true where the list changed.
     bool tick(TimePoint now);
 
     std::int64_t version() const;
+    InstanceListing listing() const;
+    const Observations &counts() const;
+
+    // The true state, for judges.
+    const TrueInstance *instance(const InstanceId &id) const;
     nlohmann::json listingSince(std::int64_t version) const;
 
     // Time since the list began to say that the instance leaves, or -1 ms where it does not.
-    std::chrono::milliseconds listedLeavingFor(const InstanceId& instance, TimePoint now) const;
+    std::chrono::milliseconds listedLeavingFor(const InstanceId &instance, TimePoint now) const;
 
     nlohmann::json observations() const;
 
@@ -83,8 +87,8 @@
         InstanceId instance;
     };
 
-    ActRefusal checkToken(const InstanceId& instance, Offset token);
-    void changed(const InstanceId& instance, TimePoint now);
+    ActRefusal checkToken(const InstanceId &instance, Offset token);
+    void changed(const InstanceId &instance, TimePoint now);
     bool publishDue(TimePoint now);
     void observe();
 
@@ -97,7 +101,7 @@
     Duration rebootTime;
     std::int64_t listVersion = 0;
     std::size_t expectedInstances = 0;
-    Observations counts;
+    Observations observed;
 };
 
 }
--- a/src/libstandin/logstore.h
+++ b/src/libstandin/logstore.h
@@ -15,10 +15,10 @@
 {
 public:
     // Returns the offset of the first payload appended.
-    Offset append(const std::vector<std::string>& payloads, std::size_t retention)
+    Offset append(const std::vector<std::string> &payloads, std::size_t retention)
     {
         const Offset first = this->end() + 1;
-        for (const std::string& payload : payloads) {
+        for (const std::string &payload : payloads) {
             this->records.push_back(payload);
         }
         while (this->records.size() > retention) {
@@ -36,7 +36,7 @@
     {
         return this->oldestOffset + static_cast<Offset>(this->records.size()) - 1;
     }
-    const std::string& at(Offset offset) const
+    const std::string &at(Offset offset) const
     {
         return this->records.at(static_cast<std::size_t>(offset - this->oldestOffset));
     }
--- a/src/mangoctl/commands.cpp
+++ b/src/mangoctl/commands.cpp
@@ -24,7 +24,7 @@
 using Json = nlohmann::json;
 using Words = std::vector<std::string>;
 
-constexpr std::chrono::milliseconds watchInterval{ 1000 };
+constexpr std::chrono::milliseconds watchInterval{1000};
 
 class Session
 {
@@ -35,29 +35,29 @@
     {
     }
 
-    int status(const Words& words);
-    int pools(const Words& words);
-    int instances(const Words& words);
-    int why(const Words& words);
-    int waves(const Words& words);
-    int waveStart(const Words& words);
-    int waveControl(const Words& words, WaveAction action);
-    int waveExplain(const Words& words);
-    int waveWatch(const Words& words);
-    int settingsList(const Words& words);
-    int settingsGet(const Words& words);
-    int settingsSet(const Words& words);
-    int settingsUnset(const Words& words);
-    int fleetApply(const Words& words);
-    int move(const Words& words);
-    int job(const Words& words);
-    int state(const Words& words);
+    int status(const Words &words);
+    int pools(const Words &words);
+    int instances(const Words &words);
+    int why(const Words &words);
+    int waves(const Words &words);
+    int waveStart(const Words &words);
+    int waveControl(const Words &words, WaveAction action);
+    int waveExplain(const Words &words);
+    int waveWatch(const Words &words);
+    int settingsList(const Words &words);
+    int settingsGet(const Words &words);
+    int settingsSet(const Words &words);
+    int settingsUnset(const Words &words);
+    int fleetApply(const Words &words);
+    int move(const Words &words);
+    int job(const Words &words);
+    int state(const Words &words);
 
 private:
-    int fail(const Error& error);
-    int submit(std::vector<RecordBody> bodies, const std::string& what);
-    int print(const Json& json, const std::vector<TableRow>& rows);
-    bool confirm(const std::string& what) const;
+    int fail(const Error &error);
+    int submit(std::vector<RecordBody> bodies, const std::string &what);
+    int print(const Json &json, const std::vector<TableRow> &rows);
+    bool confirm(const std::string &what) const;
     RecordId newId();
 
     CommandOptions options;
@@ -67,11 +67,11 @@
 
 std::string_view toText(WaveStatus status)
 {
-    static constexpr std::array<std::string_view, 4> names = { "running", "paused", "aborted", "finished" };
+    static constexpr std::array<std::string_view, 4> names = {"running", "paused", "aborted", "finished"};
     return names.at(static_cast<std::size_t>(status));
 }
 
-std::string instanceStateText(const Instance& instance)
+std::string instanceStateText(const Instance &instance)
 {
     if (!instance.available) {
         return "down";
@@ -87,10 +87,10 @@
 
 RecordId Session::newId()
 {
-    return RecordId{ "ctl-" + std::to_string((static_cast<std::uint64_t>(this->random()) << 32) | this->random()) };
+    return RecordId{"ctl-" + std::to_string((static_cast<std::uint64_t>(this->random()) << 32) | this->random())};
 }
 
-int Session::fail(const Error& error)
+int Session::fail(const Error &error)
 {
     std::cerr << "error: " << describe(error) << "\n";
     if (error.code == ErrorCode::Unavailable || error.code == ErrorCode::Timeout) {
@@ -100,7 +100,7 @@
     return error.code == ErrorCode::InvalidArgument || error.code == ErrorCode::InvalidConfig ? ExitCode::badUsage : ExitCode::refused;
 }
 
-int Session::print(const Json& json, const std::vector<TableRow>& rows)
+int Session::print(const Json &json, const std::vector<TableRow> &rows)
 {
     if (this->options.json) {
         std::cout << json.dump() << "\n";
@@ -110,7 +110,7 @@
     return ExitCode::success;
 }
 
-bool Session::confirm(const std::string& what) const
+bool Session::confirm(const std::string &what) const
 {
     if (this->options.assumeYes || this->options.dryRun) {
         return true;
@@ -121,15 +121,15 @@
     return answer == "yes";
 }
 
-int Session::submit(std::vector<RecordBody> bodies, const std::string& what)
+int Session::submit(std::vector<RecordBody> bodies, const std::string &what)
 {
     std::vector<Record> records;
-    for (RecordBody& body : bodies) {
-        records.push_back(Record{ this->newId(), std::move(body) });
+    for (RecordBody &body : bodies) {
+        records.push_back(Record{this->newId(), std::move(body)});
     }
     if (this->options.dryRun) {
         std::cout << "would append:\n";
-        for (const Record& record : records) {
+        for (const Record &record : records) {
             std::cout << "  " << encodeRecord(record) << "\n";
         }
         return ExitCode::success;
@@ -140,21 +140,21 @@
     }
     std::map<std::string, int> counts;
     Json json = Json::array();
-    for (const RecordResult& result : *results) {
+    for (const RecordResult &result : *results) {
         ++counts[result.result == "accepted" ? "accepted" : result.result + " (" + result.reason + ")"];
-        json.push_back({ { "id", result.id }, { "result", result.result }, { "reason", result.reason }, { "offset", result.offset } });
+        json.push_back({{"id", result.id}, {"result", result.result}, {"reason", result.reason}, {"offset", result.offset}});
     }
     if (this->options.json) {
         std::cout << json.dump() << "\n";
     } else {
-        for (const auto& [result, count] : counts) {
+        for (const auto &[result, count] : counts) {
             std::cout << what << ": " << result << (count > 1 ? " x " + std::to_string(count) : "") << "\n";
         }
     }
     return counts.contains("accepted") ? ExitCode::success : ExitCode::refused;
 }
 
-int Session::status(const Words& /*words*/)
+int Session::status(const Words & /*words*/)
 {
     const Result<FleetState> fleet = this->client.fleet();
     const Result<std::string> dump = this->client.get("/state");
@@ -169,70 +169,70 @@
     if (state.at("fleet_follower").at("gap").get<bool>()) {
         problems.emplace_back("records are missing and nothing is granted; restart this keeper when the log is back");
     }
-    for (const auto& [id, pool] : fleet->pools()) {
+    for (const auto &[id, pool] : fleet->pools()) {
         if (pool.available < pool.spec.minAvailable) {
             problems.push_back("pool " + id.value + " has " + std::to_string(pool.available) + " of " + std::to_string(pool.spec.minAvailable)
                 + " instances that its budget asks for; see: mangoctl instances " + id.value);
         }
     }
     if (this->options.json) {
-        std::cout << Json{ { "ok", problems.empty() }, { "problems", problems }, { "state", state } }.dump() << "\n";
+        std::cout << Json{{"ok", problems.empty()}, {"problems", problems}, {"state", state}}.dump() << "\n";
         return ExitCode::success;
     }
     std::cout << (problems.empty() ? "Everything is all right." : "Something needs you:") << "\n";
-    for (const std::string& problem : problems) {
+    for (const std::string &problem : problems) {
         std::cout << "  - " << problem << "\n";
     }
     std::cout << "\n";
     return this->pools({});
 }
 
-int Session::pools(const Words& /*words*/)
+int Session::pools(const Words & /*words*/)
 {
     const Result<FleetState> fleet = this->client.fleet();
     if (!fleet) {
         return this->fail(fleet.error());
     }
-    std::vector<TableRow> rows = { { "POOL", "INSTANCES", "AVAILABLE", "BUDGET", "MARGIN", "MAY GO DOWN" } };
+    std::vector<TableRow> rows = {{"POOL", "INSTANCES", "AVAILABLE", "BUDGET", "MARGIN", "MAY GO DOWN"}};
     Json json = Json::array();
-    for (const auto& [id, pool] : fleet->pools()) {
-        rows.push_back({ id.value, std::to_string(pool.members.size()), std::to_string(pool.available), std::to_string(pool.spec.minAvailable),
-            std::to_string(fleet->margin(id)), std::to_string(fleet->headroom(id)) });
-        json.push_back({ { "pool", id.value }, { "instances", pool.members.size() }, { "available", pool.available }, { "budget", pool.spec.minAvailable },
-            { "margin", fleet->margin(id) }, { "headroom", fleet->headroom(id) } });
+    for (const auto &[id, pool] : fleet->pools()) {
+        rows.push_back({id.value, std::to_string(pool.members.size()), std::to_string(pool.available), std::to_string(pool.spec.minAvailable),
+            std::to_string(fleet->margin(id)), std::to_string(fleet->headroom(id))});
+        json.push_back({{"pool", id.value}, {"instances", pool.members.size()}, {"available", pool.available}, {"budget", pool.spec.minAvailable},
+            {"margin", fleet->margin(id)}, {"headroom", fleet->headroom(id)}});
     }
     return this->print(json, rows);
 }
 
-int Session::instances(const Words& words)
+int Session::instances(const Words &words)
 {
     const Result<FleetState> fleet = this->client.fleet();
     if (!fleet) {
         return this->fail(fleet.error());
     }
-    std::vector<TableRow> rows = { { "INSTANCE", "POOL", "DATA CENTRE", "RACK", "STATE" } };
+    std::vector<TableRow> rows = {{"INSTANCE", "POOL", "DATA CENTRE", "RACK", "STATE"}};
     Json json = Json::array();
-    for (const auto& [id, instance] : fleet->instances()) {
+    for (const auto &[id, instance] : fleet->instances()) {
         if (!words.empty() && instance.pool.value != words.front()) {
             continue;
         }
         const std::string state = instanceStateText(instance);
-        rows.push_back({ id.value, instance.pool.value, instance.spec.dataCentre.value, instance.spec.rack.value, state });
-        json.push_back({ { "instance", id.value }, { "pool", instance.pool.value }, { "data_centre", instance.spec.dataCentre.value },
-            { "rack", instance.spec.rack.value }, { "state", state } });
+        rows.push_back({id.value, instance.pool.value, instance.spec.dataCentre.value, instance.spec.rack.value, state});
+        json.push_back({{"instance", id.value}, {"pool", instance.pool.value}, {"data_centre", instance.spec.dataCentre.value},
+            {"rack", instance.spec.rack.value}, {"state", state}});
     }
     return this->print(json, rows);
 }
 
-int Session::why(const Words& words)
+int Session::why(const Words &words)
 {
     const Result<FleetState> fleet = this->client.fleet();
     if (!fleet) {
         return this->fail(fleet.error());
     }
-    const Instance* instance = fleet->instance(InstanceId{ words.front() });
+    const Instance *instance = fleet->instance(InstanceId{words.front()});
     if (instance == nullptr) {
-        return this->fail(Error{ ErrorCode::NotFound, "no instance of that name; see: mangoctl instances", words.front() });
+        return this->fail(Error{ErrorCode::NotFound, "no instance of that name; see: mangoctl instances", words.front()});
     }
     std::cout << words.front() << " is in pool " << instance->pool.value << " and is " << instanceStateText(*instance) << ".\n";
     if (instance->grant && instance->grant->isOpen()) {
@@ -243,53 +243,53 @@
     return ExitCode::success;
 }
 
-int Session::waves(const Words& /*words*/)
+int Session::waves(const Words & /*words*/)
 {
     const Result<FleetState> fleet = this->client.fleet();
     if (!fleet) {
         return this->fail(fleet.error());
     }
-    std::vector<TableRow> rows = { { "WAVE", "POOL", "STATUS", "DONE", "LEFT", "WAITS FOR" } };
+    std::vector<TableRow> rows = {{"WAVE", "POOL", "STATUS", "DONE", "LEFT", "WAITS FOR"}};
     Json json = Json::array();
-    for (const auto& [id, wave] : fleet->waves()) {
+    for (const auto &[id, wave] : fleet->waves()) {
         const WaveExplanation explanation = explainWave(*fleet, id);
-        rows.push_back({ id.value, wave.pool.value, std::string(toText(wave.status)), std::to_string(wave.maintained), std::to_string(wave.remaining.size()),
-            explanation.summary });
-        json.push_back({ { "wave", id.value }, { "pool", wave.pool.value }, { "status", toText(wave.status) }, { "maintained", wave.maintained },
-            { "remaining", wave.remaining.size() }, { "explanation", explanation.summary } });
+        rows.push_back({id.value, wave.pool.value, std::string(toText(wave.status)), std::to_string(wave.maintained), std::to_string(wave.remaining.size()),
+            explanation.summary});
+        json.push_back({{"wave", id.value}, {"pool", wave.pool.value}, {"status", toText(wave.status)}, {"maintained", wave.maintained},
+            {"remaining", wave.remaining.size()}, {"explanation", explanation.summary}});
     }
     return this->print(json, rows);
 }
 
-int Session::waveStart(const Words& words)
+int Session::waveStart(const Words &words)
 {
-    const WaveId wave{ words.size() > 1 ? words[1] : words[0] + "-" + std::to_string(this->random() % 100'000) };
+    const WaveId wave{words.size() > 1 ? words[1] : words[0] + "-" + std::to_string(this->random() % 100'000)};
     if (!this->confirm("Every instance of pool " + words[0] + " will be drained and rebooted, as its budget allows.")) {
         return ExitCode::refused;
     }
-    return this->submit({ StartWave{ wave, PoolId{ words[0] } } }, "wave " + wave.value);
+    return this->submit({StartWave{wave, PoolId{words[0]}}}, "wave " + wave.value);
 }
 
-int Session::waveControl(const Words& words, WaveAction action)
+int Session::waveControl(const Words &words, WaveAction action)
 {
-    return this->submit({ ControlWave{ WaveId{ words[0] }, action } }, "wave " + words[0]);
+    return this->submit({ControlWave{WaveId{words[0]}, action}}, "wave " + words[0]);
 }
 
-int Session::waveExplain(const Words& words)
+int Session::waveExplain(const Words &words)
 {
     const Result<FleetState> fleet = this->client.fleet();
     if (!fleet) {
         return this->fail(fleet.error());
     }
-    const WaveExplanation explanation = explainWave(*fleet, WaveId{ words[0] });
-    const Json json = { { "wave", words[0] }, { "summary", explanation.summary }, { "granted", explanation.granted }, { "waiting", explanation.waiting },
-        { "headroom", explanation.headroom } };
-    return this->print(json, { { explanation.summary } });
+    const WaveExplanation explanation = explainWave(*fleet, WaveId{words[0]});
+    const Json json = {{"wave", words[0]}, {"summary", explanation.summary}, {"granted", explanation.granted}, {"waiting", explanation.waiting},
+        {"headroom", explanation.headroom}};
+    return this->print(json, {{explanation.summary}});
 }
 
-int Session::waveWatch(const Words& words)
+int Session::waveWatch(const Words &words)
 {
-    const WaveId id{ words[0] };
+    const WaveId id{words[0]};
     while (true) {
         const Result<FleetState> fleet = this->client.fleet();
         if (!fleet) {
@@ -297,9 +297,9 @@
         }
         const auto found = fleet->waves().find(id);
         if (found == fleet->waves().end()) {
-            return this->fail(Error{ ErrorCode::NotFound, "no such wave", words[0] });
+            return this->fail(Error{ErrorCode::NotFound, "no such wave", words[0]});
         }
-        const Wave& wave = found->second;
+        const Wave &wave = found->second;
         std::cout << wave.maintained << " done, " << wave.remaining.size() << " left: " << explainWave(*fleet, id).summary << std::endl;
         if (wave.status == WaveStatus::Finished || wave.status == WaveStatus::Aborted) {
             return ExitCode::success;
@@ -308,28 +308,28 @@
     }
 }
 
-int Session::settingsList(const Words& /*words*/)
+int Session::settingsList(const Words & /*words*/)
 {
     const Result<FleetState> fleet = this->client.fleet();
     if (!fleet) {
         return this->fail(fleet.error());
     }
-    std::vector<TableRow> rows = { { "KEY", "PATH", "VALUE", "REVISION", "MEANING" } };
+    std::vector<TableRow> rows = {{"KEY", "PATH", "VALUE", "REVISION", "MEANING"}};
     Json json = Json::array();
     const std::vector<SettingsTree::Entry> entries = fleet->settings().entries();
-    for (const SettingKey& key : settingKeys()) {
-        rows.push_back({ std::string(key.name), "(default)", std::to_string(key.defaultValue), "", std::string(key.help) });
-        for (const SettingsTree::Entry& entry : entries) {
+    for (const SettingKey &key : settingKeys()) {
+        rows.push_back({std::string(key.name), "(default)", std::to_string(key.defaultValue), "", std::string(key.help)});
+        for (const SettingsTree::Entry &entry : entries) {
             if (entry.key == key.name) {
-                rows.push_back({ "", entry.path.empty() ? "(fleet)" : entry.path, std::to_string(entry.value), std::to_string(entry.revision), "" });
-                json.push_back({ { "path", entry.path }, { "key", entry.key }, { "value", entry.value }, { "revision", entry.revision } });
+                rows.push_back({"", entry.path.empty() ? "(fleet)" : entry.path, std::to_string(entry.value), std::to_string(entry.revision), ""});
+                json.push_back({{"path", entry.path}, {"key", entry.key}, {"value", entry.value}, {"revision", entry.revision}});
             }
         }
     }
     return this->print(json, rows);
 }
 
-int Session::settingsGet(const Words& words)
+int Session::settingsGet(const Words &words)
 {
     const std::string path = words.size() > 1 ? words[1] : "";
     const Result<FleetState> fleet = this->client.fleet();
@@ -338,12 +338,12 @@
     }
     const SettingOrigin origin = fleet->settings().explain(path, words[0]);
     const std::string from = origin.isDefault ? "the default" : origin.path.empty() ? "the fleet" : origin.path;
-    const Json json = { { "key", words[0] }, { "path", path }, { "value", origin.value }, { "from", from }, { "revision", origin.revision },
-        { "tree_revision", fleet->settings().revision() } };
-    return this->print(json, { { words[0] + " = " + std::to_string(origin.value) + " (from " + from + ")" } });
+    const Json json = {{"key", words[0]}, {"path", path}, {"value", origin.value}, {"from", from}, {"revision", origin.revision},
+        {"tree_revision", fleet->settings().revision()}};
+    return this->print(json, {{words[0] + " = " + std::to_string(origin.value) + " (from " + from + ")"}});
 }
 
-int Session::settingsSet(const Words& words)
+int Session::settingsSet(const Words &words)
 {
     const std::string path = words.size() > 2 ? words[2] : "";
     if (const auto checked = checkSetting(path, words[0], words[1]); !checked) {
@@ -353,56 +353,56 @@
     if (!fleet) {
         return this->fail(fleet.error());
     }
-    return this->submit({ ChangeSetting{ path, words[0], words[1], fleet->settings().revision() } }, words[0]);
+    return this->submit({ChangeSetting{path, words[0], words[1], fleet->settings().revision()}}, words[0]);
 }
 
-int Session::settingsUnset(const Words& words)
+int Session::settingsUnset(const Words &words)
 {
     const std::string path = words.size() > 1 ? words[1] : "";
     const Result<FleetState> fleet = this->client.fleet();
     if (!fleet) {
         return this->fail(fleet.error());
     }
-    return this->submit({ ChangeSetting{ path, words[0], std::nullopt, fleet->settings().revision() } }, words[0]);
+    return this->submit({ChangeSetting{path, words[0], std::nullopt, fleet->settings().revision()}}, words[0]);
 }
 
-int Session::fleetApply(const Words& words)
+int Session::fleetApply(const Words &words)
 {
     const Result<FleetFile> file = readFleetFile(words[0]);
     if (!file) {
         return this->fail(file.error());
     }
     std::vector<RecordBody> bodies;
-    for (const Record& record : fleetRecords(*file)) {
+    for (const Record &record : fleetRecords(*file)) {
         bodies.push_back(record.body);
     }
     return this->submit(std::move(bodies), "fleet " + file->name);
 }
 
-int Session::move(const Words& words)
+int Session::move(const Words &words)
 {
     const Result<FleetState> fleet = this->client.fleet();
     if (!fleet) {
         return this->fail(fleet.error());
     }
-    const Instance* instance = fleet->instance(InstanceId{ words[0] });
+    const Instance *instance = fleet->instance(InstanceId{words[0]});
     if (instance == nullptr) {
-        return this->fail(Error{ ErrorCode::NotFound, "no instance of that name; see: mangoctl instances", words[0] });
+        return this->fail(Error{ErrorCode::NotFound, "no instance of that name; see: mangoctl instances", words[0]});
     }
-    return this->submit({ StartMove{ InstanceId{ words[0] }, instance->pool, PoolId{ words[1] } } }, "move of " + words[0]);
+    return this->submit({StartMove{InstanceId{words[0]}, instance->pool, PoolId{words[1]}}}, "move of " + words[0]);
 }
 
-int Session::job(const Words& words)
+int Session::job(const Words &words)
 {
     const Result<std::string> answer = this->client.get("/v1/jobs/" + words[0]);
     if (!answer) {
         return this->fail(answer.error());
     }
     const Json json = Json::parse(*answer);
-    return this->print(json, { { "JOB", "STATUS", "HOLDER", "REASON" }, { words[0], json.at("status"), json.at("holder"), json.at("reason") } });
+    return this->print(json, {{"JOB", "STATUS", "HOLDER", "REASON"}, {words[0], json.at("status"), json.at("holder"), json.at("reason")}});
 }
 
-int Session::state(const Words& /*words*/)
+int Session::state(const Words & /*words*/)
 {
     const Result<std::string> answer = this->client.get("/state");
     if (!answer) {
@@ -417,56 +417,56 @@
     Words words;
     std::size_t minimum = 0;
     std::string usage;
-    std::function<int(Session&, const Words&)> run;
+    std::function<int(Session &, const Words &)> run;
 };
 
 std::vector<Command> allCommands()
 {
     const auto control = [](WaveAction action) {
-        return [action](Session& session, const Words& rest) {
+        return [action](Session &session, const Words &rest) {
             return session.waveControl(rest, action);
         };
     };
     return {
-        { { "status" }, 0, "status", &Session::status },
-        { { "pools" }, 0, "pools", &Session::pools },
-        { { "instances" }, 0, "instances [POOL]", &Session::instances },
-        { { "why" }, 1, "why INSTANCE", &Session::why },
-        { { "waves" }, 0, "waves", &Session::waves },
-        { { "wave", "start" }, 1, "wave start POOL [WAVE]", &Session::waveStart },
-        { { "wave", "pause" }, 1, "wave pause WAVE", control(WaveAction::Pause) },
-        { { "wave", "resume" }, 1, "wave resume WAVE", control(WaveAction::Resume) },
-        { { "wave", "abort" }, 1, "wave abort WAVE", control(WaveAction::Abort) },
-        { { "wave", "explain" }, 1, "wave explain WAVE", &Session::waveExplain },
-        { { "wave", "watch" }, 1, "wave watch WAVE", &Session::waveWatch },
-        { { "settings", "list" }, 0, "settings list", &Session::settingsList },
-        { { "settings", "get" }, 1, "settings get KEY [PATH]", &Session::settingsGet },
-        { { "settings", "explain" }, 1, "settings explain KEY [PATH]", &Session::settingsGet },
-        { { "settings", "set" }, 2, "settings set KEY VALUE [PATH]", &Session::settingsSet },
-        { { "settings", "unset" }, 1, "settings unset KEY [PATH]", &Session::settingsUnset },
-        { { "fleet", "apply" }, 1, "fleet apply FILE", &Session::fleetApply },
-        { { "move" }, 2, "move INSTANCE POOL", &Session::move },
-        { { "job" }, 1, "job TEAM:KEY", &Session::job },
-        { { "state" }, 0, "state", &Session::state },
+        {{"status"}, 0, "status", &Session::status},
+        {{"pools"}, 0, "pools", &Session::pools},
+        {{"instances"}, 0, "instances [POOL]", &Session::instances},
+        {{"why"}, 1, "why INSTANCE", &Session::why},
+        {{"waves"}, 0, "waves", &Session::waves},
+        {{"wave", "start"}, 1, "wave start POOL [WAVE]", &Session::waveStart},
+        {{"wave", "pause"}, 1, "wave pause WAVE", control(WaveAction::Pause)},
+        {{"wave", "resume"}, 1, "wave resume WAVE", control(WaveAction::Resume)},
+        {{"wave", "abort"}, 1, "wave abort WAVE", control(WaveAction::Abort)},
+        {{"wave", "explain"}, 1, "wave explain WAVE", &Session::waveExplain},
+        {{"wave", "watch"}, 1, "wave watch WAVE", &Session::waveWatch},
+        {{"settings", "list"}, 0, "settings list", &Session::settingsList},
+        {{"settings", "get"}, 1, "settings get KEY [PATH]", &Session::settingsGet},
+        {{"settings", "explain"}, 1, "settings explain KEY [PATH]", &Session::settingsGet},
+        {{"settings", "set"}, 2, "settings set KEY VALUE [PATH]", &Session::settingsSet},
+        {{"settings", "unset"}, 1, "settings unset KEY [PATH]", &Session::settingsUnset},
+        {{"fleet", "apply"}, 1, "fleet apply FILE", &Session::fleetApply},
+        {{"move"}, 2, "move INSTANCE POOL", &Session::move},
+        {{"job"}, 1, "job TEAM:KEY", &Session::job},
+        {{"state"}, 0, "state", &Session::state},
     };
 }
 
-bool startsWith(const Words& words, const Words& prefix)
+bool startsWith(const Words &words, const Words &prefix)
 {
     return words.size() >= prefix.size() && std::equal(prefix.begin(), prefix.end(), words.begin());
 }
 
-int printUsage(const std::vector<Command>& commands)
+int printUsage(const std::vector<Command> &commands)
 {
     std::cerr << "commands:\n";
-    for (const Command& command : commands) {
+    for (const Command &command : commands) {
         std::cerr << "  mangoctl " << command.usage << "\n";
     }
     return ExitCode::badUsage;
 }
 
 // Checking a fleet file needs no keeper.
-int checkFleet(const std::string& path)
+int checkFleet(const std::string &path)
 {
     const Result<FleetFile> file = readFleetFile(path);
     if (!file) {
@@ -479,13 +479,13 @@
 
 }
 
-int runCommand(const CommandOptions& options, const Words& words)
+int runCommand(const CommandOptions &options, const Words &words)
 {
-    if (startsWith(words, { "fleet", "check" }) && words.size() == 3) {
+    if (startsWith(words, {"fleet", "check"}) && words.size() == 3) {
         return checkFleet(words[2]);
     }
     const std::vector<Command> commands = allCommands();
-    for (const Command& command : commands) {
+    for (const Command &command : commands) {
         if (!startsWith(words, command.words)) {
             continue;
         }
--- a/src/mangoctl/commands.h
+++ b/src/mangoctl/commands.h
@@ -16,6 +16,6 @@
 };
 
 // Runs the words of a command line; returns the exit code.
-int runCommand(const CommandOptions& options, const std::vector<std::string>& words);
+int runCommand(const CommandOptions &options, const std::vector<std::string> &words);
 
 }
--- a/src/mangoctl/keeperclient.cpp
+++ b/src/mangoctl/keeperclient.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds callLimit{ 12'000 };
+constexpr std::chrono::milliseconds callLimit{12'000};
 
 }
 
-Result<KeeperClient> KeeperClient::create(const std::string& addresses, const std::string& token)
+Result<KeeperClient> KeeperClient::create(const std::string &addresses, const std::string &token)
 {
     KeeperClient client;
     client.token = token;
@@ -32,10 +32,10 @@
     return client;
 }
 
-Result<std::string> KeeperClient::call(http::verb method, const std::string& target, const std::string& body)
+Result<std::string> KeeperClient::call(http::verb method, const std::string &target, const std::string &body)
 {
     Result<std::string> answer = makeError(ErrorCode::Unavailable, "no keeper");
-    for (const Endpoint& endpoint : this->addresses) {
+    for (const Endpoint &endpoint : this->addresses) {
         auto http = HttpClient::create(endpoint, this->token);
         answer = (*http)->call(method, target, body, callLimit);
         // Only a keeper that cannot be reached is passed over: any other error is an answer, or leaves doubt that the id settles.
@@ -46,7 +46,7 @@
     return answer;
 }
 
-Result<std::string> KeeperClient::get(const std::string& target)
+Result<std::string> KeeperClient::get(const std::string &target)
 {
     return this->call(http::verb::get, target, {});
 }
@@ -60,10 +60,10 @@
     return FleetState::fromJson(*text);
 }
 
-Result<std::vector<RecordResult>> KeeperClient::submit(const std::vector<Record>& records)
+Result<std::vector<RecordResult>> KeeperClient::submit(const std::vector<Record> &records)
 {
     nlohmann::json body = nlohmann::json::array();
-    for (const Record& record : records) {
+    for (const Record &record : records) {
         body.push_back(nlohmann::json::parse(encodeRecord(record)));
     }
     const Result<std::string> answer = this->call(http::verb::post, "/v1/records", body.dump());
@@ -71,8 +71,8 @@
         return tl::unexpected(answer.error());
     }
     std::vector<RecordResult> results;
-    for (const auto& entry : nlohmann::json::parse(*answer)) {
-        results.push_back({ entry.at("id"), entry.at("result"), entry.at("reason"), entry.at("offset") });
+    for (const auto &entry : nlohmann::json::parse(*answer)) {
+        results.push_back({entry.at("id"), entry.at("result"), entry.at("reason"), entry.at("offset")});
     }
     return results;
 }
--- a/src/mangoctl/keeperclient.h
+++ b/src/mangoctl/keeperclient.h
@@ -22,19 +22,19 @@
 {
 public:
     // Takes a comma-separated list of addresses.
-    static Result<KeeperClient> create(const std::string& addresses, const std::string& token);
+    static Result<KeeperClient> create(const std::string &addresses, const std::string &token);
 
-    Result<std::string> get(const std::string& target);
+    Result<std::string> get(const std::string &target);
     Result<FleetState> fleet();
-    Result<std::vector<RecordResult>> submit(const std::vector<Record>& records);
+    Result<std::vector<RecordResult>> submit(const std::vector<Record> &records);
 
-    const std::vector<Endpoint>& endpoints() const
+    const std::vector<Endpoint> &endpoints() const
     {
         return this->addresses;
     }
 
 private:
-    Result<std::string> call(http::verb method, const std::string& target, const std::string& body);
+    Result<std::string> call(http::verb method, const std::string &target, const std::string &body);
 
     std::vector<Endpoint> addresses;
     std::string token;
--- a/src/mangoctl/main.cpp
+++ b/src/mangoctl/main.cpp
@@ -15,15 +15,15 @@
 
 namespace {
 
-std::string flagOrEnvironment(const std::string& flag, const char* name)
+std::string flagOrEnvironment(const std::string &flag, const char *name)
 {
-    const char* value = std::getenv(name);
+    const char *value = std::getenv(name);
     return flag.empty() && value != nullptr ? value : flag;
 }
 
 }
 
-int main(int argc, char** argv)
+int main(int argc, char **argv)
 {
     MangoCourse::parseFlags(argc, argv,
         "[flags] COMMAND\n\nThe operators' command line. Exit codes: 0 done, 2 bad usage, 3 no keeper reached, 4 refused.\n\n"
--- a/src/mangoctl/table.h
+++ b/src/mangoctl/table.h
@@ -11,16 +11,16 @@
 using TableRow = std::vector<std::string>;
 
 // Writes rows in aligned columns; the first row is the heading.
-inline void writeTable(std::ostream& out, const std::vector<TableRow>& rows)
+inline void writeTable(std::ostream &out, const std::vector<TableRow> &rows)
 {
     std::vector<std::size_t> widths;
-    for (const TableRow& row : rows) {
+    for (const TableRow &row : rows) {
         widths.resize(std::max(widths.size(), row.size()));
         for (std::size_t column = 0; column < row.size(); ++column) {
             widths[column] = std::max(widths[column], row[column].size());
         }
     }
-    for (const TableRow& row : rows) {
+    for (const TableRow &row : rows) {
         std::string line;
         for (std::size_t column = 0; column < row.size(); ++column) {
             line += row[column];
--- a/src/mangoload/caller.cpp
+++ b/src/mangoload/caller.cpp
@@ -11,16 +11,16 @@
 using Steady = std::chrono::steady_clock;
 
 // Below the gate's own limit for idle connections, so that a kept one is not closed under a request.
-constexpr std::chrono::seconds idleLimit{ 5 };
+constexpr std::chrono::seconds idleLimit{5};
 
-bool isQuiet(tcp::socket& socket)
+bool isQuiet(tcp::socket &socket)
 {
     char byte = 0;
     const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-HttpRequest buildRequest(const LoadRequest& request)
+HttpRequest buildRequest(const LoadRequest &request)
 {
     HttpRequest message(http::verb::post, "/v1/" + request.service->service.value, 11);
     message.set(http::field::host, toString(request.target));
@@ -35,7 +35,7 @@
     return message;
 }
 
-void countFailure(LoadReport& report, ClassFigures& figures, const LoadRequest& request, const HttpResponse& response)
+void countFailure(LoadReport &report, ClassFigures &figures, const LoadRequest &request, const HttpResponse &response)
 {
     const auto json = nlohmann::json::parse(response.body(), nullptr, false);
     const std::string verdict = json.is_object() ? json.value("verdict", std::string()) : std::string();
@@ -49,7 +49,7 @@
     }
 }
 
-void judge(LoadReport& report, ClassFigures& figures, const LoadRequest& request, const HttpResponse& response, std::chrono::microseconds took)
+void judge(LoadReport &report, ClassFigures &figures, const LoadRequest &request, const HttpResponse &response, std::chrono::microseconds took)
 {
     if (response.result() == http::status::accepted) {
         ++figures.answered;
@@ -75,7 +75,7 @@
 
 }
 
-std::string digestOf(const std::string& body)
+std::string digestOf(const std::string &body)
 {
     std::array<char, 17> digest{};
     std::snprintf(digest.data(), digest.size(), "%016llx", static_cast<unsigned long long>(XXH3_64bits(body.data(), body.size())));
@@ -84,7 +84,7 @@
 
 net::awaitable<std::unique_ptr<CallerConnection>> CallerPool::take(Endpoint target)
 {
-    auto& kept = this->idle[target];
+    auto &kept = this->idle[target];
     while (!kept.empty()) {
         std::unique_ptr<CallerConnection> connection = std::move(kept.back());
         kept.pop_back();
@@ -103,16 +103,16 @@
     co_return connection;
 }
 
-void CallerPool::give(const Endpoint& target, std::unique_ptr<CallerConnection> connection)
+void CallerPool::give(const Endpoint &target, std::unique_ptr<CallerConnection> connection)
 {
     connection->lastUsed = Steady::now();
     connection->stream.expires_never();
     this->idle[target].push_back(std::move(connection));
 }
 
-net::awaitable<void> callOnce(CallerPool& pool, LoadReport& report, LoadRequest request, std::chrono::milliseconds limit)
+net::awaitable<void> callOnce(CallerPool &pool, LoadReport &report, LoadRequest request, std::chrono::milliseconds limit)
 {
-    ClassFigures& figures = report.classes[std::string(toString(request.service->workClass))];
+    ClassFigures &figures = report.classes[std::string(toString(request.service->workClass))];
     ++figures.requests;
     const auto started = Steady::now();
     std::unique_ptr<CallerConnection> connection = co_await pool.take(request.target);
--- a/src/mangoload/caller.h
+++ b/src/mangoload/caller.h
@@ -16,7 +16,7 @@
 
 // A caller's connection that may serve several requests after another.
 struct CallerConnection {
-    explicit CallerConnection(net::io_context& context)
+    explicit CallerConnection(net::io_context &context)
         : stream(context)
     {
     }
@@ -29,23 +29,23 @@
 class CallerPool
 {
 public:
-    explicit CallerPool(net::io_context& context)
+    explicit CallerPool(net::io_context &context)
         : context(context)
     {
     }
 
     // Returns a connected, quiet connection, or nullptr where the target cannot be reached.
     net::awaitable<std::unique_ptr<CallerConnection>> take(Endpoint target);
-    void give(const Endpoint& target, std::unique_ptr<CallerConnection> connection);
+    void give(const Endpoint &target, std::unique_ptr<CallerConnection> connection);
 
 private:
-    net::io_context& context;
+    net::io_context &context;
     std::map<Endpoint, std::deque<std::unique_ptr<CallerConnection>>> idle;
 };
 
 // What to send and by when the answer counts as in time.
 struct LoadRequest {
-    const ServiceSpec* service = nullptr;
+    const ServiceSpec *service = nullptr;
     std::string id;
     std::string team;
     std::string body;
@@ -53,9 +53,9 @@
 };
 
 // Sends the request and counts its end in the report.
-net::awaitable<void> callOnce(CallerPool& pool, LoadReport& report, LoadRequest request, std::chrono::milliseconds limit);
+net::awaitable<void> callOnce(CallerPool &pool, LoadReport &report, LoadRequest request, std::chrono::milliseconds limit);
 
 // Returns the digest that an executor answers for the body.
-std::string digestOf(const std::string& body);
+std::string digestOf(const std::string &body);
 
 }
--- a/src/mangoload/loadreport.h
+++ b/src/mangoload/loadreport.h
@@ -33,7 +33,7 @@
 };
 
 // Returns the value below which the share of the sorted times lies, in milliseconds.
-inline double percentileMs(const std::vector<std::int64_t>& sorted, double share)
+inline double percentileMs(const std::vector<std::int64_t> &sorted, double share)
 {
     if (sorted.empty()) {
         return 0;
@@ -42,28 +42,28 @@
     return static_cast<double>(sorted[index]) / 1000.0;
 }
 
-inline nlohmann::json toJson(ClassFigures& figures)
+inline nlohmann::json toJson(ClassFigures &figures)
 {
     std::sort(figures.latencies.begin(), figures.latencies.end());
-    return { { "requests", figures.requests }, { "answered", figures.answered }, { "in_time", figures.inTime }, { "not_run", figures.notRun },
-        { "may_have_run", figures.mayHaveRun }, { "p50_ms", percentileMs(figures.latencies, 0.5) }, { "p99_ms", percentileMs(figures.latencies, 0.99) },
-        { "p999_ms", percentileMs(figures.latencies, 0.999) } };
+    return {{"requests", figures.requests}, {"answered", figures.answered}, {"in_time", figures.inTime}, {"not_run", figures.notRun},
+        {"may_have_run", figures.mayHaveRun}, {"p50_ms", percentileMs(figures.latencies, 0.5)}, {"p99_ms", percentileMs(figures.latencies, 0.99)},
+        {"p999_ms", percentileMs(figures.latencies, 0.999)}};
 }
 
-inline nlohmann::json toJson(LoadReport& report)
+inline nlohmann::json toJson(LoadReport &report)
 {
     nlohmann::json classes = nlohmann::json::object();
     std::uint64_t requests = 0;
     std::uint64_t answered = 0;
-    for (auto& [name, figures] : report.classes) {
+    for (auto &[name, figures] : report.classes) {
         classes[name] = toJson(figures);
         requests += figures.requests;
         answered += figures.answered;
     }
-    const ClassFigures& counter = report.classes["counter"];
+    const ClassFigures &counter = report.classes["counter"];
     const double inTime = counter.requests == 0 ? 1.0 : static_cast<double>(counter.inTime) / static_cast<double>(counter.requests);
-    return { { "requests", requests }, { "answered", answered }, { "counter_in_time", inTime }, { "wrong", report.wrong }, { "partial", report.partial },
-        { "cut", report.cut }, { "client_timeouts", report.clientTimeouts }, { "reasons", report.reasons }, { "classes", std::move(classes) } };
+    return {{"requests", requests}, {"answered", answered}, {"counter_in_time", inTime}, {"wrong", report.wrong}, {"partial", report.partial},
+        {"cut", report.cut}, {"client_timeouts", report.clientTimeouts}, {"reasons", report.reasons}, {"classes", std::move(classes)}};
 }
 
 }
--- a/src/mangoload/main.cpp
+++ b/src/mangoload/main.cpp
@@ -33,13 +33,13 @@
 constexpr double burstFactor = 5.0;
 constexpr double lullFactor = 0.05;
 constexpr std::size_t largeBody = 8 * 1024 * 1024;
-constexpr std::chrono::seconds callLimit{ 70 };
+constexpr std::chrono::seconds callLimit{70};
 constexpr std::size_t idsPerCheck = 5000;
 
 class Load
 {
 public:
-    Load(net::io_context& context, const FleetFile& fleet, std::vector<Endpoint> gates)
+    Load(net::io_context &context, const FleetFile &fleet, std::vector<Endpoint> gates)
         : context(context)
         , fleet(fleet)
         , gates(std::move(gates))
@@ -51,7 +51,7 @@
 
     void startOpen();
     void startClosed();
-    LoadReport& report()
+    LoadReport &report()
     {
         return this->figures;
     }
@@ -60,15 +60,15 @@
     double factorAt(std::size_t service, double second) const;
     net::awaitable<void> arrivals(std::size_t service);
     net::awaitable<void> largeArrivals();
-    net::awaitable<void> closedCaller(const ServiceSpec& service);
-    LoadRequest makeRequest(const ServiceSpec& service, std::size_t bytes);
+    net::awaitable<void> closedCaller(const ServiceSpec &service);
+    LoadRequest makeRequest(const ServiceSpec &service, std::size_t bytes);
     double elapsed() const
     {
         return std::chrono::duration<double>(Steady::now() - this->started).count();
     }
 
-    net::io_context& context;
-    const FleetFile& fleet;
+    net::io_context &context;
+    const FleetFile &fleet;
     std::vector<Endpoint> gates;
     CallerPool pool;
     std::mt19937_64 random;
@@ -93,7 +93,7 @@
     return phase >= lullBegin && phase < lullBegin + FLAGS_burst_seconds ? lullFactor : 1.0;
 }
 
-LoadRequest Load::makeRequest(const ServiceSpec& service, std::size_t bytes)
+LoadRequest Load::makeRequest(const ServiceSpec &service, std::size_t bytes)
 {
     LoadRequest request;
     request.service = &service;
@@ -108,7 +108,7 @@
 
 net::awaitable<void> Load::arrivals(std::size_t index)
 {
-    const ServiceSpec& service = this->fleet.services[index];
+    const ServiceSpec &service = this->fleet.services[index];
     net::steady_timer timer(this->context);
     // Arrivals are due at set times, so that a slow answer never thins out the load.
     double due = 0;
@@ -137,7 +137,7 @@
     }
 }
 
-net::awaitable<void> Load::closedCaller(const ServiceSpec& service)
+net::awaitable<void> Load::closedCaller(const ServiceSpec &service)
 {
     while (this->elapsed() < FLAGS_seconds) {
         co_await callOnce(this->pool, this->figures, this->makeRequest(service, static_cast<std::size_t>(FLAGS_body_bytes)), callLimit);
@@ -154,13 +154,13 @@
 
 void Load::startClosed()
 {
-    const ServiceSpec* service = this->fleet.service(ServiceId{ FLAGS_service });
+    const ServiceSpec *service = this->fleet.service(ServiceId{FLAGS_service});
     for (int number = 0; service != nullptr && number < FLAGS_connections; ++number) {
         net::co_spawn(this->context, this->closedCaller(*service), net::detached);
     }
 }
 
-Result<std::vector<Endpoint>> parseEndpoints(const std::string& list)
+Result<std::vector<Endpoint>> parseEndpoints(const std::string &list)
 {
     std::vector<Endpoint> endpoints;
     std::stringstream stream(list);
@@ -178,7 +178,7 @@
     return endpoints;
 }
 
-std::int64_t countNotRunButRan(const LoadReport& report)
+std::int64_t countNotRunButRan(const LoadReport &report)
 {
     const Result<Endpoint> endpoint = parseEndpoint(FLAGS_upstream);
     auto client = HttpClient::create(endpoint.value_or(Endpoint{}));
@@ -205,11 +205,11 @@
         std::cerr << describe(fleet ? gates.error() : fleet.error()) << "\n";
         return ExitCode::badUsage;
     }
-    if (FLAGS_mode == "closed" && fleet->service(ServiceId{ FLAGS_service }) == nullptr) {
+    if (FLAGS_mode == "closed" && fleet->service(ServiceId{FLAGS_service}) == nullptr) {
         std::cerr << "--service: found \"" << FLAGS_service << "\", allowed are services of " << FLAGS_fleet << "\n";
         return ExitCode::badUsage;
     }
-    net::io_context context{ 1 };
+    net::io_context context{1};
     Load load(context, *fleet, *gates);
     if (FLAGS_mode == "closed") {
         load.startClosed();
@@ -231,7 +231,7 @@
 
 }
 
-int main(int argc, char** argv)
+int main(int argc, char **argv)
 {
     MangoCourse::parseFlags(argc, argv,
         "--gates=LIST --fleet=FILE [flags]\n\nLoads gates and checks every answer; prints one JSON object.\n\n"
--- /dev/null
+++ b/src/mangoscript/fakes.cpp
@@ -0,0 +1,103 @@
+// Behaviour of the fakes.
+#include "fakes.h"
+
+namespace MangoCourse {
+
+Result<Offset> FakeLog::append(const std::string &stream, const std::vector<std::string> &payloads)
+{
+    if (this->isDown()) {
+        return makeError(ErrorCode::Unavailable, "the log cannot be reached");
+    }
+    const Offset first = this->service.store.streams[stream].append(payloads, this->service.store.retention);
+    ++this->service.store.appends;
+    if (this->service.answersToLose > 0) {
+        --this->service.answersToLose;
+        return makeError(ErrorCode::Timeout, "the answer was lost");
+    }
+    return first;
+}
+
+Result<LogBatch> FakeLog::read(const std::string &stream, Offset after, int limit, std::chrono::milliseconds /*wait*/)
+{
+    if (this->isDown()) {
+        return makeError(ErrorCode::Unavailable, "the log cannot be reached");
+    }
+    const LogStream &records = this->service.store.streams[stream];
+    LogBatch batch;
+    batch.oldest = records.oldest();
+    batch.end = records.end();
+    const Offset from = std::max(after + 1, records.oldest());
+    for (Offset offset = from; offset <= records.end() && offset < from + limit; ++offset) {
+        batch.entries.push_back({offset, records.at(offset)});
+    }
+    return batch;
+}
+
+Result<LogBatch> FakeLog::readNewest(const std::string &stream)
+{
+    const Offset end = this->service.store.streams[stream].end();
+    return this->read(stream, std::max<Offset>(0, end - 1), 1, {});
+}
+
+ActRefusal FakePlatform::arrive(const PlatformAct &act)
+{
+    const TimePoint now = this->clock.now();
+    switch (act.kind) {
+    case PlatformAct::Kind::Drain:
+        return this->store.drain(act.instance, act.token, now);
+    case PlatformAct::Kind::Undrain:
+        return this->store.undrain(act.instance, act.token, now);
+    case PlatformAct::Kind::Reboot:
+        return this->store.reboot(act.instance, act.token, now);
+    case PlatformAct::Kind::Relabel:
+        return this->store.relabel(act.instance, act.token, act.pool, now);
+    }
+    return "unknown act";
+}
+
+Result<void> FakePlatform::act(const PlatformAct &act)
+{
+    if (this->isCut) {
+        return makeError(ErrorCode::Unavailable, "the platform cannot be reached");
+    }
+    if (this->holdsActs) {
+        this->held.push_back(act);
+        return makeError(ErrorCode::Timeout, "no answer");
+    }
+    const ActRefusal refusal = this->arrive(act);
+    if (!refusal.empty()) {
+        return makeError(ErrorCode::Refused, refusal);
+    }
+    return {};
+}
+
+Result<void> FakePlatform::drain(const InstanceId &instance, Offset token)
+{
+    return this->act({PlatformAct::Kind::Drain, instance, token, {}});
+}
+
+Result<void> FakePlatform::undrain(const InstanceId &instance, Offset token)
+{
+    return this->act({PlatformAct::Kind::Undrain, instance, token, {}});
+}
+
+Result<void> FakePlatform::reboot(const InstanceId &instance, Offset token)
+{
+    return this->act({PlatformAct::Kind::Reboot, instance, token, {}});
+}
+
+Result<void> FakePlatform::relabel(const InstanceId &instance, Offset token, const PoolId &pool)
+{
+    return this->act({PlatformAct::Kind::Relabel, instance, token, pool});
+}
+
+void FakePlatform::release()
+{
+    this->holdsActs = false;
+    for (const PlatformAct &act : this->held) {
+        this->arrive(act);
+    }
+    this->held.clear();
+}
+
+}
--- a/src/standin_platform/main.cpp
+++ b/src/standin_platform/main.cpp
@@ -26,7 +26,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::chrono::milliseconds tickInterval{ 20 };
+constexpr std::chrono::milliseconds tickInterval{20};
 
 std::int64_t queryNumber(std::string_view target, std::string_view name, std::int64_t fallback)
 {
@@ -34,9 +34,9 @@
     return text.empty() ? fallback : std::strtoll(text.c_str(), nullptr, 10);
 }
 
-std::string_view targetOf(const HttpRequest& request)
+std::string_view targetOf(const HttpRequest &request)
 {
-    return { request.target().data(), request.target().size() };
+    return {request.target().data(), request.target().size()};
 }
 
 // The part of the path between the prefix and the last slash, and the part after it.
@@ -45,17 +45,17 @@
     std::string verb;
 };
 
-SplitPath splitPath(const HttpRequest& request, std::string_view prefix)
+SplitPath splitPath(const HttpRequest &request, std::string_view prefix)
 {
     const std::string_view rest = pathOf(targetOf(request)).substr(prefix.size());
     const auto slash = rest.rfind('/');
-    return { std::string(rest.substr(0, slash)), slash == std::string_view::npos ? "" : std::string(rest.substr(slash + 1)) };
+    return {std::string(rest.substr(0, slash)), slash == std::string_view::npos ? "" : std::string(rest.substr(slash + 1))};
 }
 
 class StandinPlatform
 {
 public:
-    StandinPlatform(net::io_context& context, const FleetFile& fleet)
+    StandinPlatform(net::io_context &context, const FleetFile &fleet)
         : context(context)
         , logSignal(context)
         , listSignal(context)
@@ -64,27 +64,27 @@
         this->log.retention = static_cast<std::size_t>(FLAGS_retention);
     }
 
-    void addRoutes(HttpServer& server)
+    void addRoutes(HttpServer &server)
     {
-        server.route(http::verb::post, "/streams/*", [this](const HttpRequest& request) {
+        server.route(http::verb::post, "/streams/*", [this](const HttpRequest &request) {
             return this->append(request);
         });
-        server.route(http::verb::get, "/streams/*", [this](const HttpRequest& request) {
+        server.route(http::verb::get, "/streams/*", [this](const HttpRequest &request) {
             return this->read(request);
         });
-        server.route(http::verb::get, "/instances", [this](const HttpRequest& request) {
+        server.route(http::verb::get, "/instances", [this](const HttpRequest &request) {
             return this->list(request);
         });
-        server.route(http::verb::post, "/instances/*", [this](const HttpRequest& request) {
+        server.route(http::verb::post, "/instances/*", [this](const HttpRequest &request) {
             return this->act(request);
         });
-        server.route(http::verb::post, "/agent", [this](const HttpRequest& request) {
+        server.route(http::verb::post, "/agent", [this](const HttpRequest &request) {
             return this->agent(request);
         });
-        server.route(http::verb::post, "/faults/log", [this](const HttpRequest& request) {
+        server.route(http::verb::post, "/faults/log", [this](const HttpRequest &request) {
             return this->setLogFault(request);
         });
-        server.route(http::verb::get, "/observations", [this](const HttpRequest&) {
+        server.route(http::verb::get, "/observations", [this](const HttpRequest &) {
             return this->observations();
         });
     }
@@ -103,7 +103,7 @@
     }
 
 private:
-    net::awaitable<HttpResponse> append(const HttpRequest& request)
+    net::awaitable<HttpResponse> append(const HttpRequest &request)
     {
         if (this->log.fault == LogFault::Down) {
             co_return errorResponse(http::status::service_unavailable, "the log is down");
@@ -116,15 +116,15 @@
         if (this->log.fault == LogFault::LoseAnswers) {
             co_return errorResponse(http::status::gateway_timeout, "the answer was lost");
         }
-        co_return jsonResponse(http::status::ok, Json{ { "offset", first } }.dump());
+        co_return jsonResponse(http::status::ok, Json{{"offset", first}}.dump());
     }
 
-    net::awaitable<HttpResponse> read(const HttpRequest& request)
+    net::awaitable<HttpResponse> read(const HttpRequest &request)
     {
         const std::string_view target = targetOf(request);
         const SplitPath path = splitPath(request, "/streams/");
         co_await this->pause();
-        LogStream& stream = this->log.streams[path.name];
+        LogStream &stream = this->log.streams[path.name];
         const bool newest = queryNumber(target, "newest", 0) != 0;
         const Offset after = newest ? stream.end() - 1 : queryNumber(target, "after", 0);
         const std::int64_t limit = queryNumber(target, "limit", 1000);
@@ -139,15 +139,15 @@
         Json records = Json::array();
         const Offset from = std::max(after + 1, stream.oldest());
         for (Offset offset = from; offset <= stream.end() && offset < from + limit; ++offset) {
-            records.push_back({ { "offset", offset }, { "payload", stream.at(offset) } });
+            records.push_back({{"offset", offset}, {"payload", stream.at(offset)}});
         }
         ++this->log.reads;
-        const std::string body = Json{ { "oldest", stream.oldest() }, { "end", stream.end() }, { "records", std::move(records) } }.dump();
+        const std::string body = Json{{"oldest", stream.oldest()}, {"end", stream.end()}, {"records", std::move(records)}}.dump();
         this->log.bytesRead += body.size();
         co_return jsonResponse(http::status::ok, body);
     }
 
-    net::awaitable<HttpResponse> list(const HttpRequest& request)
+    net::awaitable<HttpResponse> list(const HttpRequest &request)
     {
         const std::int64_t since = queryNumber(targetOf(request), "since", 0);
         const TimePoint until = this->clock.now() + std::chrono::milliseconds(queryNumber(targetOf(request), "wait_ms", 0));
@@ -158,12 +158,12 @@
         co_return jsonResponse(http::status::ok, this->instances.listingSince(since).dump());
     }
 
-    net::awaitable<HttpResponse> act(const HttpRequest& request)
+    net::awaitable<HttpResponse> act(const HttpRequest &request)
     {
         const SplitPath path = splitPath(request, "/instances/");
-        const InstanceId instance{ path.name };
+        const InstanceId instance{path.name};
         const Json body = Json::parse(request.body().empty() ? "{}" : request.body());
-        const Offset token = body.value("token", Offset{ 0 });
+        const Offset token = body.value("token", Offset{0});
         const TimePoint now = this->clock.now();
         ActRefusal refusal = "unknown act";
         if (path.verb == "drain") {
@@ -173,7 +173,7 @@
         } else if (path.verb == "reboot") {
             refusal = this->instances.reboot(instance, token, now);
         } else if (path.verb == "relabel") {
-            refusal = this->instances.relabel(instance, token, PoolId{ body.at("pool") }, now);
+            refusal = this->instances.relabel(instance, token, PoolId{body.at("pool")}, now);
         } else if (path.verb == "fail" || path.verb == "recover") {
             refusal = this->instances.fail(instance, path.verb == "fail", now);
         }
@@ -184,20 +184,20 @@
     }
 
     // The executors' host tells what its instances do and hears what they should do.
-    net::awaitable<HttpResponse> agent(const HttpRequest& request)
+    net::awaitable<HttpResponse> agent(const HttpRequest &request)
     {
         Json wanted = Json::object();
         const TimePoint now = this->clock.now();
-        for (const Json& entry : Json::parse(request.body())) {
-            const InstanceId id{ entry.at("id") };
-            const Endpoint endpoint{ entry.at("host"), entry.at("port") };
-            const std::string state = this->instances.report(id, PoolId{ entry.at("pool") }, endpoint, entry.at("in_flight"), entry.at("up"), now);
-            wanted[id.value] = { { "state", state }, { "leaving_ms", this->instances.listedLeavingFor(id, now).count() } };
+        for (const Json &entry : Json::parse(request.body())) {
+            const InstanceId id{entry.at("id")};
+            const Endpoint endpoint{entry.at("host"), entry.at("port")};
+            const std::string state = this->instances.report(id, PoolId{entry.at("pool")}, endpoint, entry.at("in_flight"), entry.at("up"), now);
+            wanted[id.value] = {{"state", state}, {"leaving_ms", this->instances.listedLeavingFor(id, now).count()}};
         }
         co_return jsonResponse(http::status::ok, wanted.dump());
     }
 
-    net::awaitable<HttpResponse> setLogFault(const HttpRequest& request)
+    net::awaitable<HttpResponse> setLogFault(const HttpRequest &request)
     {
         const Json body = Json::parse(request.body());
         const std::string mode = body.value("mode", std::string("none"));
@@ -225,7 +225,7 @@
         }
     }
 
-    net::io_context& context;
+    net::io_context &context;
     AsyncSignal logSignal;
     AsyncSignal listSignal;
     LogStore log;
@@ -245,7 +245,7 @@
         fleet = std::move(*read);
     }
     const Result<Endpoint> endpoint = parseEndpoint(FLAGS_listen);
-    net::io_context context{ 1 };
+    net::io_context context{1};
     auto server = endpoint ? HttpServer::create(context, *endpoint) : tl::unexpected(endpoint.error());
     if (!server) {
         std::cerr << describe(server.error()) << "\n";
@@ -274,7 +274,7 @@
 
 }
 
-int main(int argc, char** argv)
+int main(int argc, char **argv)
 {
     MangoCourse::blockSignals();
     MangoCourse::parseFlags(argc, argv,
--- a/src/standin_upstream/executor.cpp
+++ b/src/standin_upstream/executor.cpp
@@ -11,16 +11,16 @@
 namespace {
 
 // New work later than this after the list showed the instance as leaving breaks a promise.
-constexpr std::chrono::milliseconds lateNewWorkAfter{ 5000 };
+constexpr std::chrono::milliseconds lateNewWorkAfter{5000};
 // True run times scatter around the declared ones: they are far off by design.
 constexpr double runTimeSpread = 0.35;
 
 std::string_view text(beast::string_view view)
 {
-    return { view.data(), view.size() };
+    return {view.data(), view.size()};
 }
 
-HttpResponse refusal(const http::fields& request, bool leaving)
+HttpResponse refusal(const http::fields &request, bool leaving)
 {
     HttpResponse response(http::status::service_unavailable, 11);
     response.set(http::field::retry_after, "0");
@@ -32,10 +32,10 @@
 ServiceId serviceOf(std::string_view target)
 {
     const auto slash = target.rfind('/');
-    return ServiceId{ std::string(target.substr(slash + 1)) };
+    return ServiceId{std::string(target.substr(slash + 1))};
 }
 
-std::string hexDigest(const std::string& body)
+std::string hexDigest(const std::string &body)
 {
     std::array<char, 17> digest{};
     std::snprintf(digest.data(), digest.size(), "%016llx", static_cast<unsigned long long>(XXH3_64bits(body.data(), body.size())));
@@ -44,7 +44,7 @@
 
 }
 
-Executor::Executor(net::io_context& context, const InstanceEntrySpec& spec, const FleetFile& fleet, RunBook& book)
+Executor::Executor(net::io_context &context, const InstanceEntrySpec &spec, const FleetFile &fleet, RunBook &book)
     : context(context)
     , spec(spec)
     , fleet(fleet)
@@ -54,7 +54,7 @@
 {
 }
 
-Result<std::shared_ptr<Executor>> Executor::create(net::io_context& context, const InstanceEntrySpec& spec, const FleetFile& fleet, RunBook& book)
+Result<std::shared_ptr<Executor>> Executor::create(net::io_context &context, const InstanceEntrySpec &spec, const FleetFile &fleet, RunBook &book)
 {
     auto executor = std::make_shared<Executor>(context, spec, fleet, book);
     if (!executor->listen()) {
@@ -114,7 +114,7 @@
     return this->wanted != WantedState::Live;
 }
 
-std::chrono::microseconds Executor::runTime(const ServiceSpec* service)
+std::chrono::microseconds Executor::runTime(const ServiceSpec *service)
 {
     if (service == nullptr || service->runTime.count() == 0) {
         return {};
@@ -123,7 +123,7 @@
     return std::chrono::microseconds(static_cast<std::int64_t>(std::chrono::microseconds(service->runTime).count() * spread(this->random)));
 }
 
-std::optional<HttpResponse> Executor::refuse(const http::fields& header)
+std::optional<HttpResponse> Executor::refuse(const http::fields &header)
 {
     if (this->refusesNewWork()) {
         ++this->book.refusedLeaving;
@@ -136,7 +136,7 @@
     return std::nullopt;
 }
 
-void Executor::start(const http::fields& header, const ServiceSpec* service)
+void Executor::start(const http::fields &header, const ServiceSpec *service)
 {
     const bool idempotent = service == nullptr || service->idempotent;
     this->book.countRun(std::string(text(header["X-Request-Id"])), std::string(text(header["Idempotency-Key"])), idempotent);
@@ -146,7 +146,7 @@
     ++this->running;
 }
 
-net::awaitable<HttpResponse> Executor::run(const HttpRequest& request, const ServiceSpec* service)
+net::awaitable<HttpResponse> Executor::run(const HttpRequest &request, const ServiceSpec *service)
 {
     HttpResponse response(this->failing ? http::status::internal_server_error : http::status::ok, 11);
     response.keep_alive(request.keep_alive());
@@ -166,7 +166,7 @@
     co_return response;
 }
 
-net::awaitable<bool> Executor::answerOne(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+net::awaitable<bool> Executor::answerOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
     ErrorCodeSystem error;
     http::request_parser<http::string_body> parser;
@@ -186,7 +186,7 @@
         co_await http::async_write(stream, *refused, into(error));
         co_return !error && refused->keep_alive();
     }
-    const ServiceSpec* service = this->fleet.service(serviceOf(text(parser.get().target())));
+    const ServiceSpec *service = this->fleet.service(serviceOf(text(parser.get().target())));
     this->start(parser.get(), service);
     if (parser.get()[http::field::expect] == "100-continue") {
         http::response<http::empty_body> goOn(http::status::continue_, 11);
@@ -221,7 +221,7 @@
     this->up = false;
     this->acceptor.close(error);
     this->book.cut += static_cast<std::uint64_t>(this->running);
-    for (const auto& stream : this->connections) {
+    for (const auto &stream : this->connections) {
         stream->socket().close(error);
     }
 }
@@ -242,19 +242,19 @@
     this->failing = value;
 }
 
-const InstanceId& Executor::id() const
+const InstanceId &Executor::id() const
 {
     return this->spec.instance;
 }
 
-const PoolId& Executor::pool() const
+const PoolId &Executor::pool() const
 {
     return this->spec.pool;
 }
 
 Endpoint Executor::endpoint() const
 {
-    return Endpoint{ "127.0.0.1", this->port };
+    return Endpoint{"127.0.0.1", this->port};
 }
 
 int Executor::inFlight() const
--- a/src/standin_upstream/main.cpp
+++ b/src/standin_upstream/main.cpp
@@ -23,22 +23,22 @@
 
 using Json = nlohmann::json;
 
-constexpr std::chrono::milliseconds agentInterval{ 50 };
-constexpr std::chrono::milliseconds sampleInterval{ 100 };
-constexpr std::chrono::milliseconds agentCallLimit{ 2000 };
+constexpr std::chrono::milliseconds agentInterval{50};
+constexpr std::chrono::milliseconds sampleInterval{100};
+constexpr std::chrono::milliseconds agentCallLimit{2000};
 
 // Executors with their shared run book; lives on one io_context.
 class Host
 {
 public:
-    explicit Host(net::io_context& context)
+    explicit Host(net::io_context &context)
         : context(context)
     {
     }
 
-    Result<void> addAll(const FleetFile& fleet)
+    Result<void> addAll(const FleetFile &fleet)
     {
-        for (const InstanceEntrySpec& spec : fleet.instances) {
+        for (const InstanceEntrySpec &spec : fleet.instances) {
             auto executor = Executor::create(this->context, spec, fleet, this->book);
             if (!executor) {
                 return tl::unexpected(executor.error());
@@ -51,16 +51,16 @@
     Json agentReport() const
     {
         Json report = Json::array();
-        for (const auto& executor : this->executors) {
-            report.push_back({ { "id", executor->id().value }, { "pool", executor->pool().value }, { "host", executor->endpoint().host },
-                { "port", executor->endpoint().port }, { "in_flight", executor->inFlight() }, { "up", executor->isUp() } });
+        for (const auto &executor : this->executors) {
+            report.push_back({{"id", executor->id().value}, {"pool", executor->pool().value}, {"host", executor->endpoint().host},
+                {"port", executor->endpoint().port}, {"in_flight", executor->inFlight()}, {"up", executor->isUp()}});
         }
         return report;
     }
 
-    void obey(const Json& wanted)
+    void obey(const Json &wanted)
     {
-        for (const auto& executor : this->executors) {
+        for (const auto &executor : this->executors) {
             const auto found = wanted.find(executor->id().value);
             if (found == wanted.end()) {
                 continue;
@@ -79,7 +79,7 @@
             ErrorCodeSystem error;
             timer.expires_after(sampleInterval);
             co_await timer.async_wait(into(error));
-            for (const auto& executor : this->executors) {
+            for (const auto &executor : this->executors) {
                 ++this->samples;
                 this->idleSamples += executor->inFlight() == 0 ? 1 : 0;
             }
@@ -89,22 +89,22 @@
     Json observations() const
     {
         const double cost = this->samples == 0 ? 0.0 : static_cast<double>(this->idleSamples) / static_cast<double>(this->samples);
-        return { { "runs", this->book.runs }, { "ran_twice", this->book.ranTwice }, { "late_new_work", this->book.lateNewWork },
-            { "refused_busy", this->book.refusedBusy }, { "refused_leaving", this->book.refusedLeaving }, { "cut", this->book.cut }, { "buffer_cost", cost } };
+        return {{"runs", this->book.runs}, {"ran_twice", this->book.ranTwice}, {"late_new_work", this->book.lateNewWork},
+            {"refused_busy", this->book.refusedBusy}, {"refused_leaving", this->book.refusedLeaving}, {"cut", this->book.cut}, {"buffer_cost", cost}};
     }
 
-    Json countRan(const Json& ids) const
+    Json countRan(const Json &ids) const
     {
         std::int64_t count = 0;
-        for (const Json& id : ids) {
+        for (const Json &id : ids) {
             count += this->book.ran(id.get<std::string>()) ? 1 : 0;
         }
-        return { { "ran", count } };
+        return {{"ran", count}};
     }
 
-    bool setFailing(const InstanceId& id, bool failing)
+    bool setFailing(const InstanceId &id, bool failing)
     {
-        for (const auto& executor : this->executors) {
+        for (const auto &executor : this->executors) {
             if (executor->id() == id) {
                 executor->setFailing(failing);
                 return true;
@@ -119,40 +119,40 @@
     }
 
 private:
-    net::io_context& context;
+    net::io_context &context;
     RunBook book;
     std::vector<std::shared_ptr<Executor>> executors;
     std::uint64_t samples = 0;
     std::uint64_t idleSamples = 0;
 };
 
-void addRoutes(HttpServer& server, Host& host)
+void addRoutes(HttpServer &server, Host &host)
 {
-    server.route(http::verb::get, "/observations", [&host](const HttpRequest&) -> net::awaitable<HttpResponse> {
+    server.route(http::verb::get, "/observations", [&host](const HttpRequest &) -> net::awaitable<HttpResponse> {
         co_return jsonResponse(http::status::ok, host.observations().dump());
     });
-    server.route(http::verb::get, "/endpoints", [&host](const HttpRequest&) -> net::awaitable<HttpResponse> {
+    server.route(http::verb::get, "/endpoints", [&host](const HttpRequest &) -> net::awaitable<HttpResponse> {
         co_return jsonResponse(http::status::ok, host.endpoints().dump());
     });
-    server.route(http::verb::post, "/ran", [&host](const HttpRequest& request) -> net::awaitable<HttpResponse> {
+    server.route(http::verb::post, "/ran", [&host](const HttpRequest &request) -> net::awaitable<HttpResponse> {
         co_return jsonResponse(http::status::ok, host.countRan(Json::parse(request.body())).dump());
     });
-    server.route(http::verb::post, "/faults/failing", [&host](const HttpRequest& request) -> net::awaitable<HttpResponse> {
+    server.route(http::verb::post, "/faults/failing", [&host](const HttpRequest &request) -> net::awaitable<HttpResponse> {
         const Json body = Json::parse(request.body());
-        const bool known = host.setFailing(InstanceId{ body.at("instance") }, body.at("failing"));
+        const bool known = host.setFailing(InstanceId{body.at("instance")}, body.at("failing"));
         co_return known ? jsonResponse(http::status::ok, "{}") : errorResponse(http::status::not_found, "unknown instance");
     });
 }
 
 // Runs a step on the io_context and waits for its value, so that executors are only touched there.
-template <typename Step>
-auto onContext(net::io_context& context, Step step)
+template<typename Step>
+auto onContext(net::io_context &context, Step step)
 {
     // Asio gives the future of a posted packaged_task.
     return net::post(context, std::packaged_task<decltype(step())()>(std::move(step)));
 }
 
-void runAgent(const std::stop_token& stop, net::io_context& context, Host& host, HttpClient& platform)
+void runAgent(const std::stop_token &stop, net::io_context &context, Host &host, HttpClient &platform)
 {
     while (!stop.stop_requested()) {
         auto report = onContext(context, [&host] {
@@ -178,7 +178,7 @@
         std::cerr << describe(fleet.error()) << "\n";
         return ExitCode::badUsage;
     }
-    net::io_context context{ 1 };
+    net::io_context context{1};
     Host host(context);
     const Result<void> added = host.addAll(*fleet);
     const Result<Endpoint> endpoint = parseEndpoint(FLAGS_listen);
@@ -204,7 +204,7 @@
     if (!FLAGS_platform.empty()) {
         const Result<Endpoint> address = parseEndpoint(FLAGS_platform);
         platform = std::move(*HttpClient::create(address.value_or(Endpoint{})));
-        agent = std::jthread([&](const std::stop_token& stop) {
+        agent = std::jthread([&](const std::stop_token &stop) {
             runAgent(stop, context, host, *platform);
         });
     }
@@ -222,7 +222,7 @@
 
 }
 
-int main(int argc, char** argv)
+int main(int argc, char **argv)
 {
     MangoCourse::blockSignals();
     MangoCourse::parseFlags(argc, argv,
--- a/src/standin_upstream/runbook.h
+++ b/src/standin_upstream/runbook.h
@@ -12,7 +12,7 @@
 class RunBook
 {
 public:
-    void countRun(const std::string& requestId, const std::string& idempotencyKey, bool idempotent)
+    void countRun(const std::string &requestId, const std::string &idempotencyKey, bool idempotent)
     {
         ++this->runs;
         this->ranIds.insert(requestId);
@@ -22,7 +22,7 @@
     }
 
     // Returns true where a run with this id was started.
-    bool ran(const std::string& requestId) const
+    bool ran(const std::string &requestId) const
     {
         return this->ranIds.contains(requestId);
     }
