--- a/src/demo/demo.py
+++ b/src/demo/demo.py
@@ -77,6 +77,7 @@
         [
             os.path.join(arguments.binaries, "mangoload"),
             f"--gates={gates}",
+            f"--readiness={','.join(entry['admin'] for entry in deployment.entries)}",
             f"--fleet={fleet}",
             f"--seconds={arguments.seconds}",
             f"--upstream={deployment.upstream.address}",
--- a/src/gate/main.cpp
+++ b/src/gate/main.cpp
@@ -37,10 +37,37 @@
     return {};
 }
 
+void startCaller(GateState &state, Serving &serving, tcp::socket socket)
+{
+    net::co_spawn(
+        serving.context,
+        [&state, &serving, accepted = std::move(socket)]() mutable {
+            return serveCaller(state, serving, std::move(accepted));
+        },
+        net::detached);
+}
+
+// Connections that the system has completed before the listener closes are served, not reset.
+void takeBacklog(GateState &state, tcp::acceptor &acceptor)
+{
+    ErrorCodeSystem error;
+    acceptor.cancel(error);
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        Serving &serving = *state.serving.front();
+        tcp::socket socket(serving.context);
+        acceptor.accept(socket, error);
+        if (!error) {
+            startCaller(state, serving, std::move(socket));
+        }
+    }
+    acceptor.close(error);
+}
+
 net::awaitable<void> acceptCallers(GateState &state, tcp::acceptor &acceptor)
 {
     std::size_t next = 0;
-    while (!state.stopping) {
+    while (true) {
         Serving &serving = *state.serving[next++ % state.serving.size()];
         ErrorCodeSystem error;
         tcp::socket socket(serving.context);
@@ -48,15 +75,9 @@
         if (error == net::error::operation_aborted || error == net::error::bad_descriptor) {
             co_return;
         }
-        if (error || state.callers >= state.settings.serving.connections) {
-            continue;
+        if (!error && state.callers < state.settings.serving.connections) {
+            startCaller(state, serving, std::move(socket));
         }
-        net::co_spawn(
-            serving.context,
-            [&state, &serving, accepted = std::move(socket)]() mutable {
-                return serveCaller(state, serving, std::move(accepted));
-            },
-            net::detached);
     }
 }
 
@@ -169,9 +190,8 @@
     const ServingLimits &limits = state.settings.serving;
     state.stopping = true;
     std::this_thread::sleep_for(limits.stopDelay);
-    net::post(admin, [&acceptor] {
-        ErrorCodeSystem error;
-        acceptor.close(error);
+    net::post(admin, [&state, &acceptor] {
+        takeBacklog(state, acceptor);
     });
     awaitCondition(limits.stopLimit, [&state] {
         return state.inFlight == 0 && state.runningJobs == 0;
--- a/src/include/mangocourse/ids.h
+++ b/src/include/mangocourse/ids.h
@@ -13,7 +13,8 @@
 struct Id {
     std::string value;
 
-    auto operator<=>(const Id &) const = default;
+    // clang-tidy 14 takes the defaulted comparison for a null pointer.
+    auto operator<=>(const Id &) const = default; // NOLINT(modernize-use-nullptr)
     bool isEmpty() const
     {
         return this->value.empty();
--- a/src/include/mangocourse/processsettings.h
+++ b/src/include/mangocourse/processsettings.h
@@ -16,7 +16,7 @@
     std::string host;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Endpoint &) const = default;
+    auto operator<=>(const Endpoint &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // Returns "host:port".
--- a/src/mangoload/caller.cpp
+++ b/src/mangoload/caller.cpp
@@ -82,6 +82,26 @@
     return digest.data();
 }
 
+net::awaitable<bool> isReady(net::io_context &context, Endpoint admin)
+{
+    ErrorCodeSystem error;
+    beast::tcp_stream stream(context);
+    stream.expires_after(std::chrono::seconds(1));
+    co_await stream.async_connect(tcp::endpoint(net::ip::make_address(admin.host), admin.port), into(error));
+    if (error) {
+        co_return false;
+    }
+    http::request<http::empty_body> request(http::verb::get, "/readyz", 11);
+    request.keep_alive(false);
+    co_await http::async_write(stream, request, into(error));
+    HttpResponse response;
+    beast::flat_buffer buffer;
+    if (!error) {
+        co_await http::async_read(stream, buffer, response, into(error));
+    }
+    co_return !error && response.result() == http::status::ok;
+}
+
 net::awaitable<std::unique_ptr<CallerConnection>> CallerPool::take(Endpoint target)
 {
     auto &kept = this->idle[target];
--- a/src/mangoload/caller.h
+++ b/src/mangoload/caller.h
@@ -55,6 +55,9 @@
 // Sends the request and counts its end in the report.
 net::awaitable<void> callOnce(CallerPool &pool, LoadReport &report, LoadRequest request, std::chrono::milliseconds limit);
 
+// Asks a gate's admin address whether it is ready, as the platform's balancer does.
+net::awaitable<bool> isReady(net::io_context &context, Endpoint admin);
+
 // Returns the digest that an executor answers for the body.
 std::string digestOf(const std::string &body);
 
--- a/src/mangoload/main.cpp
+++ b/src/mangoload/main.cpp
@@ -12,6 +12,7 @@
 #include "tool.h"
 
 DEFINE_string(gates, "", "addresses of the gates, comma-separated");
+DEFINE_string(readiness, "", "admin addresses of the gates in the same order: like the platform's balancer, send to ready ones only");
 DEFINE_string(fleet, "", "fleet file that names services and their load");
 DEFINE_string(upstream, "", "control address of the stand-in upstream, asked which requests told \"not run\" ran all the same");
 DEFINE_string(mode, "open", "open: arrivals at the fleet file's rates; closed: as fast as --connections allow");
@@ -35,14 +36,17 @@
 constexpr std::size_t largeBody = 8 * 1024 * 1024;
 constexpr std::chrono::seconds callLimit{70};
 constexpr std::size_t idsPerCheck = 5000;
+constexpr std::chrono::milliseconds readinessInterval{50};
 
 class Load
 {
 public:
-    Load(net::io_context &context, const FleetFile &fleet, std::vector<Endpoint> gates)
+    Load(net::io_context &context, const FleetFile &fleet, std::vector<Endpoint> gates, std::vector<Endpoint> admins)
         : context(context)
         , fleet(fleet)
         , gates(std::move(gates))
+        , admins(std::move(admins))
+        , ready(this->gates.size(), true)
         , pool(context)
         , random(FLAGS_seed)
         , started(Steady::now())
@@ -61,6 +65,8 @@
     net::awaitable<void> arrivals(std::size_t service);
     net::awaitable<void> largeArrivals();
     net::awaitable<void> closedCaller(const ServiceSpec &service);
+    net::awaitable<void> watchReadiness(std::size_t gate);
+    const Endpoint &nextGate();
     LoadRequest makeRequest(const ServiceSpec &service, std::size_t bytes);
     double elapsed() const
     {
@@ -70,11 +76,14 @@
     net::io_context &context;
     const FleetFile &fleet;
     std::vector<Endpoint> gates;
+    std::vector<Endpoint> admins;
+    std::vector<bool> ready;
     CallerPool pool;
     std::mt19937_64 random;
     Steady::time_point started;
     LoadReport figures;
     std::uint64_t counter = 0;
+    std::size_t turn = 0;
 };
 
 // Each queue in turn asks for five times its mean for some seconds, then for a twentieth of it.
@@ -93,6 +102,29 @@
     return phase >= lullBegin && phase < lullBegin + FLAGS_burst_seconds ? lullFactor : 1.0;
 }
 
+// Round robin over the ready gates, or over all where none is.
+const Endpoint &Load::nextGate()
+{
+    for (std::size_t tries = 0; tries < this->gates.size(); ++tries) {
+        const std::size_t gate = this->turn++ % this->gates.size();
+        if (this->ready[gate]) {
+            return this->gates[gate];
+        }
+    }
+    return this->gates[this->turn++ % this->gates.size()];
+}
+
+net::awaitable<void> Load::watchReadiness(std::size_t gate)
+{
+    net::steady_timer timer(this->context);
+    while (this->elapsed() < FLAGS_seconds) {
+        this->ready[gate] = co_await isReady(this->context, this->admins[gate]);
+        ErrorCodeSystem error;
+        timer.expires_after(readinessInterval);
+        co_await timer.async_wait(into(error));
+    }
+}
+
 LoadRequest Load::makeRequest(const ServiceSpec &service, std::size_t bytes)
 {
     LoadRequest request;
@@ -102,7 +134,7 @@
     request.team = this->fleet.teams.empty() ? "default" : this->fleet.teams[this->counter % this->fleet.teams.size()].value;
     request.body = request.id;
     request.body.resize(std::max(bytes, request.id.size()), static_cast<char>('a' + this->random() % 26));
-    request.target = this->gates[this->counter % this->gates.size()];
+    request.target = this->nextGate();
     return request;
 }
 
@@ -150,6 +182,9 @@
         net::co_spawn(this->context, this->arrivals(index), net::detached);
     }
     net::co_spawn(this->context, this->largeArrivals(), net::detached);
+    for (std::size_t gate = 0; gate < this->admins.size() && gate < this->gates.size(); ++gate) {
+        net::co_spawn(this->context, this->watchReadiness(gate), net::detached);
+    }
 }
 
 void Load::startClosed()
@@ -160,7 +195,7 @@
     }
 }
 
-Result<std::vector<Endpoint>> parseEndpoints(const std::string &list)
+Result<std::vector<Endpoint>> parseEndpoints(const std::string &flag, const std::string &list)
 {
     std::vector<Endpoint> endpoints;
     std::stringstream stream(list);
@@ -168,13 +203,10 @@
     while (std::getline(stream, text, ',')) {
         const Result<Endpoint> endpoint = parseEndpoint(text);
         if (!endpoint) {
-            return tl::unexpected(endpoint.error());
+            return makeError(ErrorCode::InvalidArgument, endpoint.error().message, flag);
         }
         endpoints.push_back(*endpoint);
     }
-    if (endpoints.empty()) {
-        return makeError(ErrorCode::InvalidArgument, "needs at least one address", "--gates");
-    }
     return endpoints;
 }
 
@@ -200,9 +232,10 @@
 int runLoad()
 {
     const Result<FleetFile> fleet = readFleetFile(FLAGS_fleet);
-    const Result<std::vector<Endpoint>> gates = parseEndpoints(FLAGS_gates);
-    if (!fleet || !gates) {
-        std::cerr << describe(fleet ? gates.error() : fleet.error()) << "\n";
+    const Result<std::vector<Endpoint>> gates = parseEndpoints("--gates", FLAGS_gates);
+    const Result<std::vector<Endpoint>> admins = parseEndpoints("--readiness", FLAGS_readiness);
+    if (!fleet || !gates || !admins || gates->empty()) {
+        std::cerr << (!fleet ? describe(fleet.error()) : "--gates needs at least one address, --readiness may have as many") << "\n";
         return ExitCode::badUsage;
     }
     if (FLAGS_mode == "closed" && fleet->service(ServiceId{FLAGS_service}) == nullptr) {
@@ -210,7 +243,7 @@
         return ExitCode::badUsage;
     }
     net::io_context context{1};
-    Load load(context, *fleet, *gates);
+    Load load(context, *fleet, *gates, *admins);
     if (FLAGS_mode == "closed") {
         load.startClosed();
     } else {
