--- a/src/gate/work.cpp
+++ b/src/gate/work.cpp
@@ -8,6 +8,8 @@
 using namespace std::chrono_literals;
 
 constexpr int attemptLimit = 4;
+// Refusals before the start cost nearly nothing and lower the executor's limit, so they have a limit of their own.
+constexpr int refusalLimit = 64;
 constexpr std::chrono::milliseconds retryAfterRefusal = 500ms;
 
 Attempt refusedAttempt(const Admission &admission)
@@ -20,12 +22,26 @@
     return attempt;
 }
 
-bool mayTryAgain(GateState &state, const GateRequest &request, const Attempt &attempt, int attempts)
+bool isRefusedBeforeStart(const Attempt &attempt)
 {
-    const bool isOver = attempt.result == AttemptResult::Succeeded || attempts >= attemptLimit || state.clock.now() >= request.deadline;
+    return attempt.result == AttemptResult::RefusedBusy || attempt.result == AttemptResult::RefusedLeaving;
+}
+
+// How often the request was tried: started attempts and refusals apart.
+struct TryCount {
+    int attempts = 0;
+    int refusals = 0;
+};
+
+bool mayTryAgain(GateState &state, const GateRequest &request, const Attempt &attempt, TryCount tries)
+{
+    const bool isOver = attempt.result == AttemptResult::Succeeded || tries.attempts >= attemptLimit || state.clock.now() >= request.deadline;
     if (isOver || *request.bodyTaken) {
         return false;
     }
+    if (isRefusedBeforeStart(attempt)) {
+        return tries.refusals < refusalLimit;
+    }
     // A 5xx of an executor is an outcome of a run: only idempotent work may run again.
     const Verdict verdict = attempt.verdict == Verdict::Ran ? Verdict::MayHaveRun : attempt.verdict;
     return isRetrySafe(verdict, request.spec.idempotent) && state.dispatcher->tryRetry();
@@ -47,7 +63,8 @@
     Attempt attempt;
     // Once any attempt may have run, no later refusal can be told as "not run".
     bool mayHaveRunBefore = false;
-    for (int attempts = 1;; ++attempts) {
+    TryCount tries;
+    while (true) {
         const Admission admission = co_await state.dispatcher->admit(serving.context, work);
         if (admission.kind == Admission::Kind::Refused) {
             attempt = refusedAttempt(admission);
@@ -64,10 +81,11 @@
         state.dispatcher->finish(admission.ticket, attempt.result);
         countAttempt(state, attempt);
         mayHaveRunBefore = mayHaveRunBefore || attempt.verdict != Verdict::NotRun;
-        if (!mayTryAgain(state, request, attempt, attempts)) {
+        ++(isRefusedBeforeStart(attempt) ? tries.refusals : tries.attempts);
+        if (!mayTryAgain(state, request, attempt, tries)) {
             break;
         }
-        work.tried.push_back(admission.instance);
+        work.tried = {admission.instance};
     }
     if (attempt.verdict == Verdict::NotRun && mayHaveRunBefore) {
         attempt.verdict = Verdict::MayHaveRun;
--- a/src/libmangocourse/dispatcher.cpp
+++ b/src/libmangocourse/dispatcher.cpp
@@ -28,6 +28,8 @@
 // How fast a limit rises per success while work waits, and what a refusal takes off it.
 constexpr double limitRise = 0.1;
 constexpr double limitDrop = 1.0;
+// After a busy refusal the executor gets a pause, so that waiters do not knock at it in a loop.
+constexpr Duration busyPause = 20ms;
 constexpr Duration shortestRetryAfter = 100ms;
 
 bool wasTried(const std::vector<InstanceId> &tried, const InstanceId &instance)
@@ -253,6 +255,7 @@
     }
     if (result == AttemptResult::RefusedBusy) {
         executor.limit = std::max(1.0, executor.limit - limitDrop);
+        executor.busyUntil = now + busyPause;
         return;
     }
     if (result == AttemptResult::RefusedLeaving) {
--- a/src/libmangocourse/dispatcher_pvt.h
+++ b/src/libmangocourse/dispatcher_pvt.h
@@ -20,10 +20,11 @@
     int ejections = 0;
     TimePoint ejectedUntil{};
     TimePoint leavingUntil{};
+    TimePoint busyUntil{};
 
     bool canStart(TimePoint now) const
     {
-        return this->view.takesNewWork && now >= this->ejectedUntil && now >= this->leavingUntil && this->running < static_cast<int>(this->limit);
+        return this->view.takesNewWork && now >= this->ejectedUntil && now >= this->leavingUntil && now >= this->busyUntil && this->running < static_cast<int>(this->limit);
     }
 };
 
