--- /dev/null
+++ b/src/demo/bench.py
@@ -0,0 +1,85 @@
+"""Throughput and added latency of the gate against the same load sent straight to the upstream stand-in, in one run."""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+
+from deployment import Deployment, http
+
+FLEET = """name = "bench"
+data_centres = ["dc"]
+[[service]]
+name = "echo"
+class = "counter"
+run_time_ms = 0
+requests_per_second = 1
+answer_within_ms = 1000
+[[pool]]
+name = "bench"
+services = ["echo"]
+min_available = 0
+instances_per_data_centre = 4
+slots = 64
+connections = 256
+"""
+ROUNDS = 3
+
+
+def load(binaries, fleet, targets, connections, seconds):
+    argv = [
+        os.path.join(binaries, "mangoload"),
+        "--mode=closed",
+        "--service=echo",
+        f"--gates={','.join(targets)}",
+        f"--fleet={fleet}",
+        f"--connections={connections}",
+        f"--seconds={seconds}",
+    ]
+    figures = json.loads(subprocess.run(argv, capture_output=True, text=True, check=True).stdout)
+    counter = figures["classes"]["counter"]
+    return {"per_second": counter["answered"] / figures["seconds"], "p50_us": counter["p50_ms"] * 1000, "p99_us": counter["p99_ms"] * 1000}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--binaries", required=True)
+    parser.add_argument("--seconds", type=int, default=3)
+    arguments = parser.parse_args()
+    with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as out:
+        out.write(FLEET)
+    deployment = Deployment(arguments.binaries, out.name, ["dc"], per_data_centre=1, serving_threads=3)
+    deployment.publish_fleet()
+    gate = [deployment.entries[0]["callers"]]
+    direct = [f"{entry['host']}:{entry['port']}" for entry in http(deployment.upstream.address, "/endpoints")]
+    results = []
+    # Rounds alternate, so that the machine's noise falls on both alike.
+    for _ in range(ROUNDS):
+        for connections in (1, 32):
+            straight = load(arguments.binaries, out.name, direct, connections, arguments.seconds)
+            through = load(arguments.binaries, out.name, gate, connections, arguments.seconds)
+            results.append({"connections": connections, "straight": straight, "through": through})
+    deployment.stop()
+    os.unlink(out.name)
+
+    def median(values):
+        return sorted(values)[len(values) // 2]
+
+    busy = [result for result in results if result["connections"] == 32]
+    quiet = [result for result in results if result["connections"] == 1]
+    ratio = median([result["through"]["per_second"] / result["straight"]["per_second"] for result in busy])
+    added = median([result["through"]["p50_us"] - result["straight"]["p50_us"] for result in quiet])
+    for result in results:
+        print(
+            f"{result['connections']:3} connections: straight {result['straight']['per_second']:8.0f}/s p50 {result['straight']['p50_us']:6.0f} us,"
+            f" through the gate {result['through']['per_second']:8.0f}/s p50 {result['through']['p50_us']:6.0f} us"
+        )
+    print(f"throughput ratio {ratio:.2f} (wanted 0.70), added median latency {added:.0f} us (wanted 200)")
+    print(json.dumps({"throughput_ratio": round(ratio, 3), "added_median_us": round(added, 1)}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
