Control costs: plan on news, longer polls, bytes counted, polls end at a stop

Change: rounds are planned when the fold or the list has news and once a second; the appender waits on its ring; settings commands read the revision only; long polls of 5 s that a stop interrupts; control bytes are counted and shown by /healthz.

--- a/src/demo/slopes.py
+++ b/src/demo/slopes.py
@@ -32,6 +32,11 @@
     return (int(fields[11]) + int(fields[12])) / TICKS, int(fields[21]) * PAGE
 
 
+def control_bytes(deployment):
+    """Returns the control bytes of each entry instance: its gate and its keeper."""
+    return [sum(http(entry[role], "/healthz")["control_bytes"] for role in ("keeper", "admin")) for entry in deployment.entries]
+
+
 def measure(binaries, instances):
     with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as out:
         out.write(fleet_text(instances))
@@ -43,11 +48,13 @@
     def window(name, act):
         before = {key: usage(process) for key, process in deployment.processes.items()}
         log_before = http(deployment.platform.address, "/observations")
+        bytes_before = control_bytes(deployment)
         started = time.monotonic()
         count = act()
         seconds = time.monotonic() - started
         after = {key: usage(process) for key, process in deployment.processes.items()}
         log_after = http(deployment.platform.address, "/observations")
+        bytes_after = control_bytes(deployment)
         for role in ("gate", "keeper"):
             keys = [key for key in after if key.startswith(role)]
             rows[f"{name}_{role}_core_percent"] = round(max(100 * (after[key][0] - before[key][0]) / seconds for key in keys), 2)
@@ -55,6 +62,8 @@
         keepers = sum(key.startswith("keeper") for key in after)
         rows[f"{name}_log_bytes_per_s_per_keeper"] = round((log_after["log_bytes_read"] - log_before["log_bytes_read"]) / seconds / keepers)
         rows[f"{name}_appends_per_s"] = round((log_after["log_appends"] - log_before["log_appends"]) / seconds, 2)
+        node = [after - before for before, after in zip(bytes_before, bytes_after)]
+        rows[f"{name}_control_bytes_per_s_node"] = round(max(node) / seconds)
         rows[f"{name}_count"] = count
 
     def idle():
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -17,8 +17,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds pullWait = 1000ms;
-constexpr std::chrono::milliseconds pullLimit = 2500ms;
+constexpr std::chrono::milliseconds pullWait = 2000ms;
+constexpr std::chrono::milliseconds pullLimit = 3000ms;
 constexpr std::chrono::milliseconds nextKeeperPause = 100ms;
 
 // Folded state and list of this gate; touched by the control duty only.
@@ -166,6 +166,15 @@
     return this->apply(*reply);
 }
 
+// Pulls once; a stop ends the long poll.
+Result<void> pullOnce(const std::stop_token &stop, Follower &follower, HttpClient &keeper)
+{
+    const std::stop_callback wake(stop, [&keeper] {
+        keeper.interrupt();
+    });
+    return follower.pull(keeper);
+}
+
 }
 
 Result<void> followKeeper(const std::stop_token &stop, GateState &state)
@@ -176,7 +185,7 @@
         if (!keeper) {
             keeper = std::move(*HttpClient::create(state.currentKeeper(), state.settings.peerToken));
         }
-        const Result<void> pulled = follower.pull(*keeper);
+        const Result<void> pulled = pullOnce(stop, follower, *keeper);
         state.dispatcher->poll();
         if (pulled) {
             state.keeperReachable = true;
--- a/src/gate/jobs.cpp
+++ b/src/gate/jobs.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::chrono::milliseconds ledgerLimit = 6000ms;
 constexpr std::chrono::milliseconds verdictWait = 4000ms;
-constexpr std::chrono::milliseconds claimWait = 2000ms;
+constexpr std::chrono::milliseconds claimWait = 4000ms;
 constexpr std::chrono::milliseconds unreachablePause = 500ms;
 constexpr std::chrono::milliseconds finishRetryPause = 500ms;
 constexpr int finishAttempts = 20;
@@ -196,6 +196,9 @@
         request.maxJobs = room;
         request.waitMs = static_cast<std::int32_t>(claimWait.count());
         const TimePoint askedAt = state.clock.now();
+        const std::stop_callback wake(stop, [&keeper] {
+            keeper->interrupt();
+        });
         const Result<std::string> answer = keeper->call(http::verb::post, "/peer/claim", toThrift(request), claimWait + ledgerLimit);
         const Result<Rpc::ClaimReply> reply = answer ? fromThrift<Rpc::ClaimReply>(*answer) : tl::unexpected(answer.error());
         if (!reply) {
--- a/src/gate/main.cpp
+++ b/src/gate/main.cpp
@@ -138,7 +138,7 @@
         co_return response;
     });
     server.route(http::verb::get, "/healthz", [](const HttpRequest &) -> net::awaitable<HttpResponse> {
-        co_return jsonResponse(http::status::ok, R"({"alive":true})");
+        co_return healthResponse();
     });
     server.route(http::verb::get, "/readyz", [&state](const HttpRequest &) -> net::awaitable<HttpResponse> {
         co_return isReady(state) ? jsonResponse(http::status::ok, R"({"ready":true})")
--- a/src/gate/peercall.cpp
+++ b/src/gate/peercall.cpp
@@ -1,6 +1,8 @@
 // Thrift over HTTP from a coroutine.
 #include "peercall.h"
 
+#include "controltraffic.h"
+
 namespace MangoCourse {
 
 net::awaitable<Result<std::string>> postToPeer(
@@ -20,11 +22,11 @@
     request.body() = std::move(body);
     request.keep_alive(false);
     request.prepare_payload();
-    co_await http::async_write(stream, request, into(error));
+    controlTraffic().sent += co_await http::async_write(stream, request, into(error));
     HttpResponse response;
     beast::flat_buffer buffer;
     if (!error) {
-        co_await http::async_read(stream, buffer, response, into(error));
+        controlTraffic().received += co_await http::async_read(stream, buffer, response, into(error));
     }
     if (error) {
         co_return makeError(ErrorCode::Timeout, "no answer: " + error.message(), toString(endpoint));
--- a/src/include/mangocourse/ring.h
+++ b/src/include/mangocourse/ring.h
@@ -1,6 +1,8 @@
 // A bounded ring between duties: a full ring refuses, it never blocks and never drops silently.
 #pragma once
 
+#include <chrono>
+#include <condition_variable>
 #include <cstddef>
 #include <deque>
 #include <mutex>
@@ -41,7 +43,7 @@
     boost::lockfree::spsc_queue<T> queue;
 };
 
-// The same contract for several producers, as the appender's ring has one per server thread.
+// The same contract for several producers, as the appender's ring has one per server thread; its consumer may wait.
 template<typename T>
 class MpscRing
 {
@@ -59,9 +61,19 @@
             return false;
         }
         this->items.push_back(std::move(item));
+        this->filled.notify_one();
         return true;
     }
 
+    // Waits up to the limit until there is an item; it stays in the ring.
+    void waitForItem(std::chrono::milliseconds limit)
+    {
+        std::unique_lock lock(this->mutex);
+        this->filled.wait_for(lock, limit, [this] {
+            return !this->items.empty();
+        });
+    }
+
     // Returns the oldest item, or nothing where the ring is empty.
     std::optional<T> tryPop()
     {
@@ -76,6 +88,7 @@
 
 private:
     std::mutex mutex;
+    std::condition_variable filled;
     std::deque<T> items;
     std::size_t capacity;
 };
--- a/src/keeper/appender.cpp
+++ b/src/keeper/appender.cpp
@@ -13,7 +13,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t largestBatch = 512;
-constexpr std::chrono::milliseconds idlePause = 5ms;
+constexpr std::chrono::milliseconds stopPoll = 200ms;
 constexpr std::chrono::milliseconds retryPause = 200ms;
 // How long an append whose answer was lost is repeated before its waiters are told that it is unknown.
 constexpr std::chrono::milliseconds doubtLimit = 10s;
@@ -88,24 +88,20 @@
 
 Result<void> Appender::run(const std::stop_token &stop, PlatformClient &platform)
 {
-    TimePoint next{};
     while (!stop.stop_requested()) {
-        if (SteadyClock().now() < next) {
-            std::this_thread::sleep_for(idlePause);
-            continue;
-        }
+        this->ring.waitForItem(stopPoll);
         std::map<std::string, std::vector<PendingAppend>> byStream;
         for (PendingAppend &pending : this->takeBatch()) {
             byStream[pending.stream].push_back(std::move(pending));
         }
         if (byStream.empty()) {
-            std::this_thread::sleep_for(idlePause);
             continue;
         }
         for (const auto &[stream, batch] : byStream) {
             this->appendStream(stop, platform, stream, batch);
         }
-        next = SteadyClock().now() + this->interval;
+        // The first record of a quiet time goes at once; those that follow gather for an interval.
+        std::this_thread::sleep_for(this->interval);
     }
     return {};
 }
--- a/src/keeper/duties.cpp
+++ b/src/keeper/duties.cpp
@@ -17,10 +17,12 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds longPoll = 1000ms;
+constexpr std::chrono::milliseconds longPoll = 5000ms;
 constexpr std::chrono::milliseconds unreachablePause = 200ms;
 constexpr std::chrono::milliseconds maintenanceInterval = 100ms;
-constexpr std::chrono::milliseconds exchangeInterval = 500ms;
+// A round is planned when the fold or the list has news, and this often in any case, for what only time brings.
+constexpr Duration quietRoundInterval = 1s;
+constexpr std::chrono::milliseconds exchangeInterval = 1000ms;
 constexpr std::chrono::milliseconds peerCallLimit = 1000ms;
 // Records between two snapshots; far below what the platform's retention keeps.
 constexpr Offset snapshotInterval = 2000;
@@ -124,6 +126,35 @@
     }
 }
 
+// Tells when a maintenance round is worth its planning.
+class RoundGate
+{
+public:
+    bool isDue(Offset offset, std::int64_t listingVersion, TimePoint now)
+    {
+        const bool hasNews = offset != this->plannedOffset || listingVersion != this->plannedVersion;
+        if (!hasNews && now - this->plannedAt < quietRoundInterval) {
+            return false;
+        }
+        this->plannedOffset = offset;
+        this->plannedVersion = listingVersion;
+        this->plannedAt = now;
+        return true;
+    }
+
+private:
+    Offset plannedOffset = -1;
+    std::int64_t plannedVersion = -1;
+    TimePoint plannedAt{};
+};
+
+Offset fleetOffset(const KeeperState &state)
+{
+    return state.fleet.read([](const FleetState &fleet) {
+        return fleet.offset();
+    });
+}
+
 // New grants need the log's end, not a peer's copy or a state with a gap.
 bool mayProposeGrants(const KeeperState &state)
 {
@@ -135,6 +166,9 @@
 Result<void> followFleet(const std::stop_token &stop, KeeperState &state)
 {
     auto platform = PlatformClient::create(state.settings.platform);
+    const std::stop_callback wake(stop, [&platform] {
+        (*platform)->interrupt();
+    });
     StreamFollower<FleetState> follower(fleetStream, state.fleet, state.fleetStatus, [&state](Offset offset, const std::string &payload) {
         state.recent.add(offset, payload);
     });
@@ -153,6 +187,9 @@
 Result<void> followLedger(const std::stop_token &stop, KeeperState &state)
 {
     auto platform = PlatformClient::create(state.settings.platform);
+    const std::stop_callback wake(stop, [&platform] {
+        (*platform)->interrupt();
+    });
     const std::string stream = jobsStream(state.settings.dataCentre);
     StreamFollower<JobLedger> follower(stream, state.ledger, state.ledgerStatus, [](Offset, const std::string &) {
     });
@@ -170,6 +207,9 @@
 Result<void> followListing(const std::stop_token &stop, KeeperState &state)
 {
     auto platform = PlatformClient::create(state.settings.platform);
+    const std::stop_callback wake(stop, [&platform] {
+        (*platform)->interrupt();
+    });
     while (!stop.stop_requested()) {
         const Result<ListingDelta> delta = (*platform)->listing(state.listing.version(), longPoll);
         if (!delta) {
@@ -198,6 +238,7 @@
         return tl::unexpected(runner.error());
     }
     LeaseWatch leases;
+    RoundGate rounds;
     while (!stop.stop_requested()) {
         std::this_thread::sleep_for(maintenanceInterval);
         if (!mayProposeGrants(state)) {
@@ -206,7 +247,7 @@
         if (state.isLedgerLead()) {
             keepLedger(state, leases, **platform);
         }
-        if (!state.isLead()) {
+        if (!state.isLead() || !rounds.isDue(fleetOffset(state), state.listing.version(), state.clock.now())) {
             continue;
         }
         const MaintenanceRound round = runner->round(state.fleet, state.listing.listing(), **platform, state.clock.now());
--- a/src/keeper/keeperstate.cpp
+++ b/src/keeper/keeperstate.cpp
@@ -110,7 +110,7 @@
 std::map<ProcessId, SeenProcess> Membership::liveKeepers(TimePoint now) const
 {
     const std::scoped_lock lock(this->mutex);
-    return liveOnes(this->keepers, now, keeperTimeout);
+    return liveOnes(this->keepers, now, keeperTimeout(this->keepers.size()));
 }
 
 int Membership::gatesIn(const DataCentreId &dataCentre, TimePoint now) const
--- a/src/keeper/keeperstate.h
+++ b/src/keeper/keeperstate.h
@@ -79,8 +79,14 @@
     // Counts the live gates of a data centre: this keeper's own and those that its peers there report.
     int gatesIn(const DataCentreId &dataCentre, TimePoint now) const;
 
-    static constexpr std::chrono::seconds gateTimeout{3};
-    static constexpr std::chrono::seconds keeperTimeout{10};
+    // A gate pulls at least every two seconds.
+    static constexpr std::chrono::seconds gateTimeout{5};
+
+    // Exchanges go round one peer a second, so a keeper is heard of less often the more there are.
+    static std::chrono::seconds keeperTimeout(std::size_t keepers)
+    {
+        return std::max(std::chrono::seconds(10), std::chrono::seconds(2 * keepers));
+    }
 
 private:
     mutable std::mutex mutex;
--- a/src/keeper/operatorapi.cpp
+++ b/src/keeper/operatorapi.cpp
@@ -171,7 +171,7 @@
         co_return metricsText(state);
     });
     server.route(http::verb::get, "/healthz", [](const HttpRequest &) -> net::awaitable<HttpResponse> {
-        co_return jsonResponse(http::status::ok, R"({"alive":true})");
+        co_return healthResponse();
     });
     server.route(http::verb::get, "/readyz", [&state](const HttpRequest &) -> net::awaitable<HttpResponse> {
         co_return readiness(state);
--- a/src/libmangocourse/dispatcher_pvt.h
+++ b/src/libmangocourse/dispatcher_pvt.h
@@ -24,7 +24,8 @@
 
     bool canStart(TimePoint now) const
     {
-        return this->view.takesNewWork && now >= this->ejectedUntil && now >= this->leavingUntil && now >= this->busyUntil && this->running < static_cast<int>(this->limit);
+        return this->view.takesNewWork && now >= this->ejectedUntil && now >= this->leavingUntil && now >= this->busyUntil
+            && this->running < static_cast<int>(this->limit);
     }
 };
 
--- a/src/libservice/httpclient.cpp
+++ b/src/libservice/httpclient.cpp
@@ -1,8 +1,12 @@
 // The blocking client: a private io_context driven for the length of one call.
 #include "httpclient.h"
 
+#include <atomic>
+
 #include <nlohmann/json.hpp>
 
+#include "controltraffic.h"
+
 namespace MangoCourse {
 
 class HttpClient::Private
@@ -13,6 +17,7 @@
     net::io_context context{1};
     std::unique_ptr<beast::tcp_stream> stream;
     beast::flat_buffer buffer;
+    std::atomic<bool> isInterrupted{false};
 
     net::awaitable<Result<HttpResponse>> exchange(HttpRequest request, std::chrono::milliseconds limit);
     net::awaitable<Result<void>> connect();
@@ -48,12 +53,12 @@
             co_return tl::unexpected(connected.error());
         }
     }
-    co_await http::async_write(*this->stream, request, into(error));
+    controlTraffic().sent += co_await http::async_write(*this->stream, request, into(error));
     HttpResponse response;
     if (!error) {
         http::response_parser<http::string_body> parser;
         parser.body_limit(unlimitedBody);
-        co_await http::async_read(*this->stream, this->buffer, parser, into(error));
+        controlTraffic().received += co_await http::async_read(*this->stream, this->buffer, parser, into(error));
         if (!error) {
             response = parser.release();
         }
@@ -68,6 +73,9 @@
 {
     Result<HttpResponse> result = makeError(ErrorCode::Timeout, "no answer", toString(this->endpoint));
     this->context.restart();
+    if (this->isInterrupted) {
+        return result;
+    }
     net::co_spawn(
         this->context,
         [&]() -> net::awaitable<void> {
@@ -128,6 +136,12 @@
     return std::move(response->body());
 }
 
+void HttpClient::interrupt()
+{
+    this->d->isInterrupted = true;
+    this->d->context.stop();
+}
+
 const Endpoint &HttpClient::endpoint() const
 {
     return this->d->endpoint;
--- a/src/libservice/httpclient.h
+++ b/src/libservice/httpclient.h
@@ -26,6 +26,9 @@
     // The same, but an HTTP status of 400 or above is ErrorCode::Refused with the body's "reason".
     Result<std::string> call(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds limit);
 
+    // Ends the current call and every later one with Timeout. May be called from another thread.
+    void interrupt();
+
     const Endpoint &endpoint() const;
 
 private:
--- a/src/libservice/httpserver.cpp
+++ b/src/libservice/httpserver.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
+#include "controltraffic.h"
+
 namespace MangoCourse {
 
 namespace {
@@ -109,7 +111,7 @@
         http::request_parser<http::string_body> parser;
         parser.body_limit(HttpServer::bodyLimit);
         stream.expires_after(HttpServer::idleTimeout);
-        co_await http::async_read(stream, buffer, parser, into(error));
+        controlTraffic().received += co_await http::async_read(stream, buffer, parser, into(error));
         if (error) {
             break;
         }
@@ -119,7 +121,7 @@
         response.keep_alive(request.keep_alive() && !this->stopping);
         response.prepare_payload();
         stream.expires_after(HttpServer::idleTimeout);
-        co_await http::async_write(stream, response, into(error));
+        controlTraffic().sent += co_await http::async_write(stream, response, into(error));
         if (error || !response.keep_alive()) {
             break;
         }
@@ -212,6 +214,11 @@
     return Endpoint{local.address().to_string(), local.port()};
 }
 
+HttpResponse healthResponse()
+{
+    return jsonResponse(http::status::ok, nlohmann::json{{"alive", true}, {"control_bytes", controlTraffic().total()}}.dump());
+}
+
 HttpResponse jsonResponse(http::status status, const std::string &body)
 {
     HttpResponse response(status, 11);
--- a/src/libservice/httpserver.h
+++ b/src/libservice/httpserver.h
@@ -45,6 +45,9 @@
     std::shared_ptr<Private> d;
 };
 
+// Builds the answer of /healthz: alive, and the control bytes so far.
+HttpResponse healthResponse();
+
 // Builds a JSON response.
 HttpResponse jsonResponse(http::status status, const std::string &body);
 
--- a/src/libservice/platformclient.cpp
+++ b/src/libservice/platformclient.cpp
@@ -145,6 +145,11 @@
     });
 }
 
+void PlatformClient::interrupt()
+{
+    this->d->http->interrupt();
+}
+
 Result<void> PlatformClient::drain(const InstanceId &instance, Offset token)
 {
     return this->d->act(instance, "drain", {{"token", token}});
--- a/src/libservice/platformclient.h
+++ b/src/libservice/platformclient.h
@@ -50,6 +50,9 @@
     Result<void> reboot(const InstanceId &instance, Offset token);
     Result<void> relabel(const InstanceId &instance, Offset token, const PoolId &pool);
 
+    // Ends the current call and every later one. May be called from another thread.
+    void interrupt();
+
     static constexpr std::chrono::milliseconds callLimit{3000};
 
 private:
--- a/src/mangoctl/commands.cpp
+++ b/src/mangoctl/commands.cpp
@@ -349,21 +349,21 @@
     if (const auto checked = checkSetting(path, words[0], words[1]); !checked) {
         return this->fail(checked.error());
     }
-    const Result<FleetState> fleet = this->client.fleet();
-    if (!fleet) {
-        return this->fail(fleet.error());
+    const Result<Revision> revision = this->client.settingsRevision();
+    if (!revision) {
+        return this->fail(revision.error());
     }
-    return this->submit({ChangeSetting{path, words[0], words[1], fleet->settings().revision()}}, words[0]);
+    return this->submit({ChangeSetting{path, words[0], words[1], *revision}}, words[0]);
 }
 
 int Session::settingsUnset(const Words &words)
 {
     const std::string path = words.size() > 1 ? words[1] : "";
-    const Result<FleetState> fleet = this->client.fleet();
-    if (!fleet) {
-        return this->fail(fleet.error());
+    const Result<Revision> revision = this->client.settingsRevision();
+    if (!revision) {
+        return this->fail(revision.error());
     }
-    return this->submit({ChangeSetting{path, words[0], std::nullopt, fleet->settings().revision()}}, words[0]);
+    return this->submit({ChangeSetting{path, words[0], std::nullopt, *revision}}, words[0]);
 }
 
 int Session::fleetApply(const Words &words)
--- a/src/mangoctl/keeperclient.cpp
+++ b/src/mangoctl/keeperclient.cpp
@@ -60,6 +60,19 @@
     return FleetState::fromJson(*text);
 }
 
+Result<Revision> KeeperClient::settingsRevision()
+{
+    const Result<std::string> text = this->get("/state");
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    const auto json = nlohmann::json::parse(*text, nullptr, false);
+    if (!json.is_object() || !json.contains("settings_revision")) {
+        return makeError(ErrorCode::Decode, "the keeper's state has no settings revision");
+    }
+    return json.at("settings_revision").get<Revision>();
+}
+
 Result<std::vector<RecordResult>> KeeperClient::submit(const std::vector<Record> &records)
 {
     nlohmann::json body = nlohmann::json::array();
--- a/src/mangoctl/keeperclient.h
+++ b/src/mangoctl/keeperclient.h
@@ -26,6 +26,9 @@
 
     Result<std::string> get(const std::string &target);
     Result<FleetState> fleet();
+
+    // Returns the settings revision alone, without the whole fleet.
+    Result<Revision> settingsRevision();
     Result<std::vector<RecordResult>> submit(const std::vector<Record> &records);
 
     const std::vector<Endpoint> &endpoints() const
