--- a/src/mangoscript/script.cpp
+++ b/src/mangoscript/script.cpp
@@ -255,6 +255,11 @@
                 [add](const Words &words) {
                     add(words[0], worldFleetStream, StartWave{WaveId{words[1]}, workPool});
                 }}},
+        {"grant",
+            {3, "grant NODE WAVE INSTANCE: proposes a grant whatever the planner thinks",
+                [add](const Words &words) {
+                    add(words[0], worldFleetStream, GrantMaintenance{WaveId{words[1]}, InstanceId{words[2]}, ProcessId{words[0]}});
+                }}},
         {"wave-pause",
             {2, "wave-pause NODE NAME",
                 [add](const Words &words) {
