Scripted world: all nodes read before any acts

Cause: with 'one claim at a time' switched off, only a unit test went red: nodes stepped one after another, so the next one always saw what the one before had appended, and races of claims hardly came up. Change: a step of the world reads on every node first and then lets each act.

--- a/src/mangoscript/world.cpp
+++ b/src/mangoscript/world.cpp
@@ -210,12 +210,18 @@
     }
 }
 
-void Node::step(const std::vector<std::unique_ptr<Node>> &nodes)
+void Node::read(const std::vector<std::unique_ptr<Node>> &nodes)
+{
+    if (!this->isPaused) {
+        this->follow(nodes);
+    }
+}
+
+void Node::act()
 {
     if (this->isPaused) {
         return;
     }
-    this->follow(nodes);
     this->maintain();
     this->keepLedger();
     this->runJobs();
@@ -262,8 +268,12 @@
         this->clock.advance(tick);
         this->reportInstances();
         this->instances->tick(this->clock.now());
+        // All read before any acts: each decides without knowing what the others decide at the same moment.
+        for (const auto &node : this->nodes) {
+            node->read(this->nodes);
+        }
         for (const auto &node : this->nodes) {
-            node->step(this->nodes);
+            node->act();
         }
         this->judge();
     }
--- a/src/mangoscript/world.h
+++ b/src/mangoscript/world.h
@@ -49,8 +49,11 @@
 public:
     Node(ProcessId name, FakeLogService &log, InstanceStore &instances, const VirtualClock &clock, Judgement &judgement);
 
-    // Runs every duty once.
-    void step(const std::vector<std::unique_ptr<Node>> &nodes);
+    // Reads and folds what is new.
+    void read(const std::vector<std::unique_ptr<Node>> &nodes);
+
+    // Proposes, acts and runs jobs on what was read.
+    void act();
 
     // Submits a record as an operator or caller would through this node; it is repeated until its fate is known.
     RecordId submit(const std::string &stream, RecordBody body);
