One piece of code for quiet sockets, context duties and duty reports

Cause: the same logic stood twice: the check of kept connections in gate and load tool, running an io_context and the JSON of duties in gate and keeper. Change: quietsocket.h and contextduty.h in the service library.

--- a/src/gate/main.cpp
+++ b/src/gate/main.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
+#include "contextduty.h"
 #include "control.h"
 #include "httpserver.h"
 #include "jobs.h"
@@ -26,17 +27,6 @@
 constexpr std::chrono::milliseconds pollInterval = 50ms;
 constexpr std::chrono::milliseconds stopPoll = 10ms;
 
-Result<void> runContext(const std::stop_token &stop, net::io_context &context)
-{
-    const std::stop_callback wake(stop, [&context] {
-        context.stop();
-    });
-    const auto guard = net::make_work_guard(context);
-    context.restart();
-    context.run();
-    return {};
-}
-
 void startCaller(GateState &state, Serving &serving, tcp::socket socket)
 {
     net::co_spawn(
@@ -102,10 +92,6 @@
         executors.push_back({{"instance", report.instance.value}, {"pool", report.pool.value}, {"running", report.running}, {"limit", report.limit},
             {"takes_new_work", report.takesNewWork}, {"ejected", report.ejected}});
     }
-    Json duties = Json::array();
-    for (const DutyReport &duty : supervisor.report()) {
-        duties.push_back({{"name", duty.name}, {"running", duty.running}, {"restarts", duty.restarts}, {"last_error", duty.lastError}});
-    }
     return Json{{"process", state.settings.name.value}, {"role", "gate"}, {"data_centre", state.settings.dataCentre.value}, {"offset", view->offset},
         {"settings_revision", view->revision}, {"keeper", toString(state.currentKeeper())}, {"keeper_reachable", state.keeperReachable.load()},
         {"live_gates", state.liveGates.load()}, {"callers", state.callers.load()}, {"in_flight", state.inFlight.load()},
@@ -113,7 +99,7 @@
         {"dispatch",
             {{"submitted", stats.submitted}, {"started", stats.started}, {"refused", stats.refused}, {"retries", stats.retries}, {"ejections", stats.ejections},
                 {"waiting", stats.waiting}, {"running", stats.running}}},
-        {"executors", std::move(executors)}, {"duties", std::move(duties)}}
+        {"executors", std::move(executors)}, {"duties", dutiesToJson(supervisor)}}
         .dump();
 }
 
--- a/src/gate/upstreampool.cpp
+++ b/src/gate/upstreampool.cpp
@@ -1,22 +1,10 @@
 // Reuse of upstream connections.
 #include "upstreampool.h"
 
-#include <sys/socket.h>
+#include "quietsocket.h"
 
 namespace MangoCourse {
 
-namespace {
-
-// A closed peer or bytes that nobody asked for make a connection unfit for the next request.
-bool isQuiet(tcp::socket &socket)
-{
-    char byte = 0;
-    const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-}
-
 std::unique_ptr<UpstreamConnection> UpstreamPool::take(const Endpoint &endpoint)
 {
     std::vector<std::unique_ptr<UpstreamConnection>> &kept = this->idle[endpoint];
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include "api.h"
+#include "contextduty.h"
 #include "duties.h"
 #include "logging.h"
 #include "tool.h"
@@ -16,18 +17,6 @@
 
 namespace {
 
-// Runs the server until the duty is asked to stop.
-Result<void> serve(const std::stop_token &stop, net::io_context &context)
-{
-    const std::stop_callback wake(stop, [&context] {
-        context.stop();
-    });
-    const auto guard = net::make_work_guard(context);
-    context.restart();
-    context.run();
-    return {};
-}
-
 void startDuties(Supervisor &supervisor, KeeperState &state, net::io_context &context)
 {
     const auto add = [&](const std::string &name, auto duty) {
@@ -42,7 +31,7 @@
     add("peers", exchangeWithPeers);
     add("maintenance", maintain);
     supervisor.start(Duty{"server", [&context](const std::stop_token &stop) {
-                              return serve(stop, context);
+                              return runContext(stop, context);
                           }});
 }
 
--- a/src/keeper/operatorapi.cpp
+++ b/src/keeper/operatorapi.cpp
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "api.h"
+#include "contextduty.h"
 
 namespace MangoCourse {
 
@@ -27,15 +28,6 @@
         {"snapshot_offset", status.snapshotOffset.load()}};
 }
 
-Json dutiesToJson(const Supervisor &supervisor)
-{
-    Json duties = Json::array();
-    for (const DutyReport &duty : supervisor.report()) {
-        duties.push_back({{"name", duty.name}, {"running", duty.running}, {"restarts", duty.restarts}, {"last_error", duty.lastError}});
-    }
-    return duties;
-}
-
 Json ledgerToJson(const KeeperState &state)
 {
     return state.ledger.read([](const JobLedger &ledger) {
--- /dev/null
+++ b/src/libservice/quietsocket.h
@@ -0,0 +1,20 @@
+// Whether a kept connection is fit for another request.
+#pragma once
+
+#include <cerrno>
+
+#include <sys/socket.h>
+
+#include "asiotypes.h"
+
+namespace MangoCourse {
+
+// Returns false where the peer has closed the connection or has sent bytes that nobody asked for.
+inline bool isQuiet(tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}
--- a/src/mangoload/caller.cpp
+++ b/src/mangoload/caller.cpp
@@ -1,9 +1,10 @@
 // Sending and judging one request.
 #include "caller.h"
 
-#include <sys/socket.h>
 #include <xxhash.h>
 
+#include "quietsocket.h"
+
 namespace MangoCourse {
 
 namespace {
@@ -13,13 +14,6 @@
 // Below the gate's own limit for idle connections, so that a kept one is not closed under a request.
 constexpr std::chrono::seconds idleLimit{5};
 
-bool isQuiet(tcp::socket &socket)
-{
-    char byte = 0;
-    const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 HttpRequest buildRequest(const LoadRequest &request)
 {
     HttpRequest message(http::verb::post, "/v1/" + request.service->service.value, 11);
