Second read of the change: dead code out, one address look-up, a notice without an empty write

Cause: reading the whole change found a parameter, a method and a view member that nothing used, a method that only called its twin, an address looked up in two views in three lines, and an empty write of the fleet used to wake its listeners. Change: the dead parts are gone; findEndpoint() reads the newest list, so a retry meets an executor's present address; Guarded::notify() says what it does and is called only where the list changed.

--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -106,7 +106,6 @@
     auto next = std::make_shared<GateView>();
     next->offset = this->fleet.offset();
     next->revision = this->fleet.settings().revision();
-    next->jobLease = std::chrono::milliseconds(this->fleet.settings().value("", Keys::jobLeaseMs));
     for (const auto &[id, pool] : this->fleet.pools()) {
         for (const ServiceId &service : pool.spec.services) {
             const auto definition = this->fleet.services().find(service);
--- a/src/gate/gatestate.cpp
+++ b/src/gate/gatestate.cpp
@@ -76,12 +76,6 @@
     this->wake(this->dispatcher.updateView(view, this->clock.now()));
 }
 
-void SharedDispatcher::noteLeaving(const InstanceId &instance)
-{
-    const std::scoped_lock lock(this->mutex);
-    this->dispatcher.noteLeaving(instance, this->clock.now());
-}
-
 bool SharedDispatcher::tryRetry()
 {
     const std::scoped_lock lock(this->mutex);
--- a/src/gate/gatestate.h
+++ b/src/gate/gatestate.h
@@ -32,7 +32,6 @@
     Revision revision = 0;
     std::map<ServiceId, ServiceView> services;
     std::unordered_map<InstanceId, Endpoint> endpoints;
-    std::chrono::milliseconds jobLease{};
 };
 
 // A request that waits for its turn on one of the serving threads.
@@ -79,7 +78,6 @@
 
     void finish(Ticket ticket, AttemptResult result);
     void updateView(const DispatchView &view);
-    void noteLeaving(const InstanceId &instance);
     bool tryRetry();
     void poll();
 
--- a/src/gate/jobs.cpp
+++ b/src/gate/jobs.cpp
@@ -81,7 +81,7 @@
     co_return describeJob(job, *view);
 }
 
-std::string finishReason(const Attempt &attempt)
+std::string outcomeText(const Attempt &attempt)
 {
     return attempt.body.size() <= outcomeBodyLimit ? attempt.body : R"({"reason":"the outcome is larger than the ledger keeps"})";
 }
@@ -90,14 +90,14 @@
 {
     const RecordId id{state.newRequestId()};
     if (attempt.result == AttemptResult::Succeeded) {
-        return Record{id, FinishJob{job, claim, static_cast<int>(attempt.status), toBase64(finishReason(attempt))}};
+        return Record{id, FinishJob{job, claim, static_cast<int>(attempt.status), toBase64(outcomeText(attempt))}};
     }
     if (attempt.verdict == Verdict::NotRun) {
         return Record{id, ReleaseJob{job, claim, ReleaseReason::NotRun}};
     }
     // A run that the executor reported as failed is an outcome of work that may run once.
     if (attempt.verdict == Verdict::Ran && !idempotent) {
-        return Record{id, FinishJob{job, claim, static_cast<int>(attempt.status), toBase64(finishReason(attempt))}};
+        return Record{id, FinishJob{job, claim, static_cast<int>(attempt.status), toBase64(outcomeText(attempt))}};
     }
     return Record{id, ReleaseJob{job, claim, attempt.verdict == Verdict::Ran ? ReleaseReason::RunFailed : ReleaseReason::LeaseLapsed}};
 }
--- a/src/gate/work.cpp
+++ b/src/gate/work.cpp
@@ -47,6 +47,17 @@
     return isRetrySafe(verdict, request.spec.idempotent) && state.dispatcher->tryRetry();
 }
 
+// Addresses come from the newest list, not from the revision that the request is served under.
+std::optional<Endpoint> findEndpoint(const GateState &state, const InstanceId &instance)
+{
+    const std::shared_ptr<const GateView> view = state.view();
+    const auto found = view->endpoints.find(instance);
+    if (found == view->endpoints.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
 void countAttempt(GateState &state, const Attempt &attempt)
 {
     static const std::string name = "mangocourse_attempts_total";
@@ -58,7 +69,6 @@
 
 net::awaitable<Attempt> runRequest(GateState &state, Serving &serving, const GateRequest &request)
 {
-    const std::shared_ptr<const GateView> view = state.view();
     WorkRequest work{request.service, request.team, request.spec.workClass, request.deadline, {}};
     Attempt attempt;
     // Once any attempt may have run, no later refusal can be told as "not run".
@@ -70,13 +80,11 @@
             attempt = refusedAttempt(admission);
             break;
         }
-        const auto endpoint = view->endpoints.find(admission.instance);
-        const auto newest = endpoint == view->endpoints.end() ? state.view() : view;
-        const auto found = newest->endpoints.find(admission.instance);
-        if (found == newest->endpoints.end()) {
+        const std::optional<Endpoint> endpoint = findEndpoint(state, admission.instance);
+        if (!endpoint) {
             attempt = Attempt{AttemptResult::Unreachable, Verdict::NotRun, http::status::service_unavailable, {}, {}, "the executor has no address"};
         } else {
-            attempt = co_await forward(serving, state.settings.serving, found->second, request.upstream, request.deadline, request.relay, request.bodyLength);
+            attempt = co_await forward(serving, state.settings.serving, *endpoint, request.upstream, request.deadline, request.relay, request.bodyLength);
         }
         state.dispatcher->finish(admission.ticket, attempt.result);
         countAttempt(state, attempt);
--- a/src/include/mangocourse/guarded.h
+++ b/src/include/mangocourse/guarded.h
@@ -28,6 +28,12 @@
             const std::scoped_lock lock(this->mutex);
             writer(this->value);
         }
+        this->notify();
+    }
+
+    // Calls the listeners although the value is as it was, for news that travels with it.
+    void notify() const
+    {
         for (const auto &listener : this->listeners) {
             listener();
         }
--- a/src/keeper/duties.cpp
+++ b/src/keeper/duties.cpp
@@ -217,9 +217,10 @@
             continue;
         }
         state.listing.merge(*delta);
-        // The fleet's listeners wake the pulls of gates, which carry the list too.
-        state.fleet.write([](FleetState &) {
-        });
+        // The pulls of gates carry the list too.
+        if (!delta->changed.empty()) {
+            state.fleet.notify();
+        }
     }
     return {};
 }
--- a/src/libmangocourse/dispatcher.cpp
+++ b/src/libmangocourse/dispatcher.cpp
@@ -100,7 +100,7 @@
     return std::nullopt;
 }
 
-void Dispatcher::Private::start(Ticket ticket, RequestEntry &entry, std::size_t executor, TimePoint now)
+void Dispatcher::Private::start(RequestEntry &entry, std::size_t executor, TimePoint now)
 {
     entry.started = true;
     entry.executor = executor;
@@ -109,7 +109,6 @@
     ++this->runningOfTeam[entry.request.team];
     ++this->stats.started;
     ++this->stats.running;
-    (void)ticket;
 }
 
 double Dispatcher::Private::capacity(const PoolEntry &pool) const
@@ -206,7 +205,7 @@
         if (!ticket) {
             return;
         }
-        this->start(*ticket, this->requests.at(*ticket), *executor, now);
+        this->start(this->requests.at(*ticket), *executor, now);
         --this->stats.waiting;
         started.push_back(Started{*ticket, this->executors[*executor].view.instance});
     }
@@ -365,7 +364,7 @@
     // A request never overtakes waiting ones of its own class.
     if (queue.alive == 0) {
         if (const auto executor = state.place(pool, request.tried, now)) {
-            state.start(admission.ticket, entry, *executor, now);
+            state.start(entry, *executor, now);
             state.requests.emplace(admission.ticket, std::move(entry));
             admission.kind = Admission::Kind::Started;
             admission.instance = state.executors[*executor].view.instance;
--- a/src/libmangocourse/dispatcher_pvt.h
+++ b/src/libmangocourse/dispatcher_pvt.h
@@ -81,7 +81,7 @@
 
     std::optional<std::size_t> place(const PoolEntry &pool, const std::vector<InstanceId> &tried, TimePoint now);
     std::optional<std::size_t> pick(const std::vector<std::size_t> &candidates, const std::vector<InstanceId> &tried, TimePoint now);
-    void start(Ticket ticket, RequestEntry &entry, std::size_t executor, TimePoint now);
+    void start(RequestEntry &entry, std::size_t executor, TimePoint now);
     void startWaiting(const PoolId &id, TimePoint now, std::vector<Started> &started);
     std::optional<Ticket> popWaiting(PoolEntry &pool);
     std::optional<Ticket> popFair(ClassQueue &queue);
--- a/src/standin_upstream/main.cpp
+++ b/src/standin_upstream/main.cpp
@@ -113,11 +113,6 @@
         return false;
     }
 
-    Json endpoints() const
-    {
-        return this->agentReport();
-    }
-
 private:
     net::io_context &context;
     RunBook book;
@@ -132,7 +127,7 @@
         co_return jsonResponse(http::status::ok, host.observations().dump());
     });
     server.route(http::verb::get, "/endpoints", [&host](const HttpRequest &) -> net::awaitable<HttpResponse> {
-        co_return jsonResponse(http::status::ok, host.endpoints().dump());
+        co_return jsonResponse(http::status::ok, host.agentReport().dump());
     });
     server.route(http::verb::post, "/ran", [&host](const HttpRequest &request) -> net::awaitable<HttpResponse> {
         co_return jsonResponse(http::status::ok, host.countRan(Json::parse(request.body())).dump());
