--- /dev/null
+++ b/src/include/mangocourse/poolscheduler.h
@@ -0,0 +1,189 @@
+// Decides which work item of a pool runs where and when. No sockets, threads or clock of its own.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <mangocourse/clock.h>
+#include <mangocourse/execution.h>
+#include <mangocourse/fleetconfig.h>
+
+namespace MangoCourse {
+
+// Figures of the installation that the decisions depend on.
+struct SchedulerSettings {
+    // How far ahead leases reach when all is well.
+    std::chrono::milliseconds leaseLength{3500};
+    // The executors shorten longer leases to this.
+    std::chrono::milliseconds longestLease{6000};
+    // An executor ends a run within this after a stop.
+    std::chrono::milliseconds stopTime{200};
+    std::chrono::milliseconds restoreTime{600};
+    // Minimum time between ending two items of one availability budget.
+    std::chrono::milliseconds noticeTime{4500};
+    double crossRackFactor = 3.0;
+    // Executors' clocks may run this much slower than true time.
+    double clockDrift = 0.02;
+};
+
+// What an owner has to know of an item that ended at least once.
+struct ItemProgress {
+    std::int32_t occurrence = 0;
+    std::int32_t step = 0;
+    std::int32_t index = 0;
+    bool isDone = false;
+    std::int32_t failures = 0;
+
+    bool operator==(const ItemProgress &) const = default;
+};
+
+// The durable state of one job.
+struct JobProgress {
+    JobId id;
+    QueueId queue;
+    ServiceId service;
+    JobState state = JobState::Queued;
+    // When the state became final.
+    WallTime endedAt{};
+    // Empty once the state is final.
+    std::vector<ItemProgress> items;
+
+    bool operator==(const JobProgress &) const = default;
+};
+
+// One life of an executor.
+struct ExecutorKey {
+    ExecutorId id;
+    std::int64_t born = 0;
+
+    auto operator<=>(const ExecutorKey &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+struct StartOrder {
+    ExecutorInfo executor;
+    StartRun run;
+};
+
+struct StopOrder {
+    ExecutorInfo executor;
+    StopRun run;
+    std::string reason;
+};
+
+struct PaceOrder {
+    ExecutorInfo executor;
+    PaceRun run;
+};
+
+struct SchedulerOrders {
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<PaceOrder> paces;
+};
+
+// The renewal that an executor needs now.
+struct RenewalPlan {
+    ExecutorInfo executor;
+    LeaseRenewal renewal;
+};
+
+// A step whose policy decision is missing.
+struct PolicyQuestion {
+    ItemId step;
+    std::vector<ExecutorId> executors;
+};
+
+// Counts for state dumps and metrics.
+struct PoolSummary {
+    std::size_t jobs = 0;
+    std::size_t readyItems = 0;
+    std::size_t runs = 0;
+    std::size_t executors = 0;
+    Room capacity;
+    Room used;
+    // Room that ready items would take.
+    Room wanted;
+};
+
+// Receives each decision with its reason, for the log.
+struct SchedulerEvent {
+    const char *event;
+    ItemId item;
+    ExecutorId executor;
+    std::int64_t run = 0;
+    std::string outcome;
+};
+
+// One pool under one owner. Calls come from one thread.
+class PoolScheduler
+{
+public:
+    // `token` fences earlier owners off; run numbers start above `runBase`, which rises from owner to owner. Items that no executor
+    // reports may still run on an executor that cannot be asked, until `clearAt`.
+    static Result<std::unique_ptr<PoolScheduler>> create(ServiceId service, SchedulerSettings settings, std::int64_t token, std::int64_t runBase,
+                                                         TimePoint clearAt);
+    ~PoolScheduler();
+
+    void setObserver(std::function<void(const SchedulerEvent &)> observer);
+
+    // Replaces the token after the ownership was confirmed anew.
+    void setToken(std::int64_t token);
+    void setConfig(const FleetConfig &config);
+
+    // All executors that discovery shows now, of this pool and of others. `used` names those that an earlier owner may have used.
+    void setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint now);
+    void setEarlierExecutors(const std::set<ExecutorKey> &used);
+
+    // Machines that get no new work and whose work moves away.
+    void setEvacuations(const std::set<MachineId> &machines);
+    // Returns true where nothing runs there that a stop of the machine would harm.
+    bool isEvacuated(const MachineId &machine) const;
+
+    // Adds a job with what is known of its earlier progress. Adding a known job again changes nothing.
+    void addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow);
+    void cancelJob(const JobId &job, WallTime wallNow);
+    bool hasJob(const JobId &job) const;
+    // Drops jobs whose final state is older than the bound.
+    std::vector<JobId> forgetJobsBefore(WallTime bound);
+
+    void onReport(const ExecutorKey &executor, const ExecutorReport &report, TimePoint sentAt, TimePoint now, WallTime wallNow);
+    void onStarted(const ExecutorKey &executor, const StartRun &order, const OrderReply &reply, TimePoint sentAt, TimePoint now);
+    void onStopped(const ExecutorKey &executor, const StopRun &order, const OrderReply &reply, TimePoint sentAt, TimePoint now);
+    void onPolicy(const ItemId &step, const PolicyAnswer &answer, TimePoint now);
+
+    // Plans what to do now. No lease and no start reaches beyond `horizon`.
+    SchedulerOrders plan(TimePoint now, WallTime wallNow, TimePoint horizon);
+
+    // Returns the renewal that the executor needs, or nothing while none is needed.
+    std::optional<RenewalPlan> renewal(const ExecutorKey &executor, TimePoint now, TimePoint horizon) const;
+    std::vector<ExecutorKey> executors() const;
+    // Executor lives that come into use. They get work once markRecorded() says that the use is durable.
+    std::vector<ExecutorKey> takeNewlyUsed();
+    void markRecorded(const ExecutorKey &executor);
+    // Recorded lives that are over.
+    std::vector<ExecutorKey> takeForgotten();
+
+    std::vector<PolicyQuestion> policyQuestions(TimePoint now) const;
+
+    // Progress of the jobs that changed since the last call. Ends of these become acknowledgeable by markPersisted.
+    std::vector<JobProgress> takeChanged();
+    // Tells that everything returned by takeChanged so far is durable.
+    void markPersisted();
+    bool hasChanges() const;
+    // Somebody waits for a change to become visible.
+    bool hasUrgentChange() const;
+
+    // The time at which plan() should run again even if nothing happens.
+    TimePoint nextWakeup(TimePoint now, WallTime wallNow) const;
+    PoolSummary summary() const;
+
+private:
+    class Private;
+    explicit PoolScheduler(std::unique_ptr<Private> impl);
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/libmangocourse/poolplanner.cpp
@@ -0,0 +1,485 @@
+// Planning of the pool scheduler: placement, leases, evacuation and pace.
+#include "poolscheduler_pvt.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace MangoCourse {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Slack for timers and rounding when a lease is taken as over.
+constexpr milliseconds leaseMargin{60};
+// A start that would hold its lease for less than this is not worth sending.
+constexpr milliseconds shortestLease{400};
+// How long an unanswered stop waits for its repetition.
+constexpr milliseconds stopRepeat{300};
+// The longest a renewal waits for an end, and its share of the lease.
+constexpr milliseconds longestWait{1200};
+constexpr milliseconds watchfulWait{300};
+// An evacuating machine's finite work gets this long to end by itself.
+constexpr milliseconds evacuationPatience{2500};
+// Pace changes of one run are at least this far apart, so that the tail can follow.
+constexpr milliseconds paceInterval{300};
+// Tail latency against its target: above the first the fillers slow down, below the second they speed up.
+constexpr double paceDownAt = 0.85;
+constexpr double paceUpAt = 0.6;
+constexpr std::int32_t paceStep = 20;
+// Jobs past their objective are served behind those that can still meet it.
+constexpr double slowExecutor = 2.0;
+
+TimePoint after(TimePoint start, milliseconds span)
+{
+    return start + std::chrono::duration_cast<Duration>(span);
+}
+
+milliseconds span(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
+bool hasLabel(const ExecutorInfo &info, const std::string &label)
+{
+    return std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
+}
+
+// The rack is the label that two executors of one rack share; it is the second label by convention.
+std::string rackOf(const ExecutorInfo &info)
+{
+    return info.labels.size() > 1 ? info.labels[1] : std::string();
+}
+
+}
+
+bool PoolScheduler::Private::isClear(TimePoint now) const
+{
+    if (now >= this->clearAt) {
+        return true;
+    }
+    for (const auto &[key, executor] : this->executors) {
+        if (executor.isListed && !executor.isContacted) {
+            return false;
+        }
+    }
+    return std::all_of(this->earlier.begin(), this->earlier.end(), [this](const ExecutorKey &key) {
+        const auto found = this->executors.find(key);
+        return found != this->executors.end() && found->second.isContacted;
+    });
+}
+
+milliseconds PoolScheduler::Private::leaseUntil(const Executor &executor, TimePoint now, TimePoint horizon) const
+{
+    const milliseconds length = std::min({this->settings.leaseLength, this->settings.longestLease, span(now, horizon)});
+    return *executor.clock + span(executor.clockAt, now) + length;
+}
+
+void PoolScheduler::Private::extendLease(Executor &executor, milliseconds until, TimePoint now) const
+{
+    const double sinceClock = static_cast<double>(span(executor.clockAt, now).count());
+    const double remaining = static_cast<double>((until - *executor.clock).count()) - sinceClock * (1.0 - this->settings.clockDrift);
+    const auto longest = milliseconds(static_cast<std::int64_t>(std::max(0.0, remaining) / (1.0 - this->settings.clockDrift)));
+    executor.leaseEnd = std::max(executor.leaseEnd, after(now, longest + leaseMargin));
+}
+
+void PoolScheduler::Private::expireLeases(TimePoint now)
+{
+    for (auto &[key, executor] : this->executors) {
+        if (!executor.runs.empty() && executor.leaseEnd < now) {
+            this->dropExecutor(executor, now, "the lease ran out");
+        }
+    }
+}
+
+void PoolScheduler::Private::resendStops(Executor &executor, TimePoint now)
+{
+    for (auto &[id, run] : executor.runs) {
+        const bool isDue = run.stopSentAt == TimePoint{} || now - run.stopSentAt > stopRepeat;
+        if (run.phase == RunPhase::Stopping && !run.isStopConfirmed && isDue) {
+            run.stopSentAt = now;
+            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, run.number, this->token}, {}});
+        }
+    }
+}
+
+void PoolScheduler::Private::pacefillers(Executor &executor, TimePoint now)
+{
+    double worst = 0;
+    bool isServing = false;
+    for (const auto &[id, run] : executor.runs) {
+        if (run.tailTarget.count() > 0 && !run.isFiller && run.isListed) {
+            isServing = true;
+            worst = std::max(worst, static_cast<double>(run.load) / static_cast<double>(run.tailTarget.count()));
+        }
+    }
+    for (auto &[id, run] : executor.runs) {
+        if (!run.isFiller || run.phase != RunPhase::Running || now - run.pacedAt < paceInterval) {
+            continue;
+        }
+        std::int32_t wanted = run.pacedTo;
+        if (isServing && worst > paceDownAt) {
+            wanted = worst > 1.0 ? run.pacedTo / 2 : run.pacedTo - paceStep;
+        } else if (!isServing || worst < paceUpAt) {
+            wanted = run.pacedTo + paceStep;
+        }
+        wanted = std::clamp(wanted, 0, 100);
+        if (wanted != run.pacedTo) {
+            run.pacedTo = wanted;
+            run.pacedAt = now;
+            this->orders.paces.push_back(PaceOrder{executor.info, PaceRun{id, run.number, this->token, wanted}});
+        }
+    }
+}
+
+bool PoolScheduler::Private::mayInterrupt(const ItemId &id)
+{
+    const StepSpec &spec = this->stepOf(id);
+    if (!spec.isLongRunning) {
+        return true;
+    }
+    const std::int32_t budget = std::max(1, spec.availabilityBudget);
+    std::int32_t away = 0;
+    ItemId other = id;
+    for (other.index = 0; other.index < spec.count; ++other.index) {
+        if (other.index == id.index) {
+            continue;
+        }
+        const Item *item = this->findItem(other);
+        bool isAtWork = false;
+        for (const ExecutorKey &key : item->where) {
+            const Executor *executor = this->find(key);
+            const auto run = executor->runs.find(other);
+            isAtWork = isAtWork || (run != executor->runs.end() && run->second.phase == RunPhase::Running && run->second.percent >= 100);
+        }
+        away += isAtWork ? 0 : 1;
+    }
+    return away < budget;
+}
+
+void PoolScheduler::Private::evacuate(TimePoint now)
+{
+    for (auto &[key, executor] : this->executors) {
+        if (executor.runs.empty() || !(executor.info.isDraining || this->evacuations.contains(executor.info.machine))) {
+            continue;
+        }
+        for (auto &[id, run] : executor.runs) {
+            if (run.phase != RunPhase::Running) {
+                continue;
+            }
+            const bool isOverdue = now - run.startedAt > evacuationPatience;
+            if (run.isLongRunning ? this->mayInterrupt(id) : (isOverdue && !executor.info.isDraining)) {
+                this->requestStop(executor, run, "its machine is being emptied");
+            }
+        }
+    }
+}
+
+bool PoolScheduler::Private::isUsable(const Executor &executor, TimePoint now) const
+{
+    return executor.isListed && executor.isContacted && executor.isRecorded && executor.clock && !executor.info.isDraining && executor.avoidedUntil <= now
+        && executor.failingSince == TimePoint{} && !this->evacuations.contains(executor.info.machine);
+}
+
+bool PoolScheduler::Private::isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const
+{
+    const std::vector<StepSpec> &specs = entry.job.spec.steps;
+    return std::all_of(specs[step].dependsOn.begin(), specs[step].dependsOn.end(), [&](std::int32_t earlier) {
+        const auto index = static_cast<std::size_t>(earlier);
+        return occurrence.steps[index].done >= specs[index].count;
+    });
+}
+
+milliseconds PoolScheduler::Private::remainingChain(const JobEntry &entry) const
+{
+    const std::vector<StepSpec> &specs = entry.job.spec.steps;
+    std::vector<milliseconds> ends(specs.size());
+    milliseconds longest{};
+    for (std::size_t step = 0; step < specs.size(); ++step) {
+        const bool isDone = !entry.occurrences.empty() && entry.occurrences.front().isOpen
+            && entry.occurrences.front().steps[step].done >= specs[step].count;
+        milliseconds start{};
+        for (const std::int32_t earlier : specs[step].dependsOn) {
+            start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+        }
+        ends[step] = start + (isDone ? milliseconds::zero() : specs[step].estimate);
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+bool PoolScheduler::Private::admits(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const
+{
+    if (!spec.requiredLabel.empty() && !hasLabel(executor.info, spec.requiredLabel)) {
+        return false;
+    }
+    if (executor.runs.contains(id)) {
+        return false;
+    }
+    if (spec.perExecutorLimit > 0) {
+        std::int32_t here = 0;
+        const auto first = executor.runs.lower_bound(ItemId{id.job, id.occurrence, id.step, 0});
+        for (auto run = first; run != executor.runs.end() && run->first.job == id.job && run->first.occurrence == id.occurrence && run->first.step == id.step;
+             ++run) {
+            ++here;
+        }
+        if (here >= spec.perExecutorLimit) {
+            return false;
+        }
+    }
+    if (entry.hasPolicy) {
+        const StepState &state = entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
+        return state.passes.contains(executor.info.id);
+    }
+    return true;
+}
+
+Executor *PoolScheduler::Private::choose(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now)
+{
+    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
+    Room wanted = spec.room;
+    if (spec.isFiller) {
+        wanted.cpu = 0;
+    }
+    std::string siblingRack;
+    if (spec.isSameRack) {
+        for (const Item &sibling : entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)].items) {
+            if (!sibling.where.empty()) {
+                siblingRack = rackOf(this->find(sibling.where.front())->info);
+                break;
+            }
+        }
+    }
+    Executor *best = nullptr;
+    std::tuple<bool, bool, bool, bool, std::int64_t> bestScore;
+    for (auto &[key, executor] : this->executors) {
+        if (!this->isUsable(executor, now) || !executor.free().fits(wanted) || !this->admits(executor, entry, id, spec)) {
+            continue;
+        }
+        const bool isOffRack = (!spec.preferredRack.empty() && !hasLabel(executor.info, spec.preferredRack))
+            || (!siblingRack.empty() && rackOf(executor.info) != siblingRack);
+        const bool hasFailedHere = item.failedOn == executor.info.id;
+        const bool isSuspect = !executor.failedJobs.empty();
+        const bool isSlow = executor.slowness > slowExecutor;
+        // Long-running items spread out; finite ones fill the fullest executor, so that wide room stays for large items.
+        const std::int64_t left = executor.free().cpu - wanted.cpu;
+        const auto score = std::tuple(hasFailedHere, isOffRack, isSlow, isSuspect, spec.isLongRunning ? -left : left);
+        if (best == nullptr || score < bestScore) {
+            best = &executor;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void PoolScheduler::Private::startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, TimePoint now, TimePoint horizon)
+{
+    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
+    Run &run = this->adopt(executor, id, number, now);
+    run.phase = RunPhase::Starting;
+    run.startedAt = TimePoint{};
+    StartRun order{id, number, this->token, this->leaseUntil(executor, now, horizon), entry.job.spec.payload, {}, {}};
+    if (spec.isCheckpointing) {
+        order.checkpoint = item.checkpoint;
+    }
+    if (entry.hasPolicy) {
+        const StepState &state = entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
+        order.pass = state.passes.at(executor.info.id);
+    }
+    this->extendLease(executor, order.until, now);
+    this->orders.starts.push_back(StartOrder{executor.info, std::move(order)});
+}
+
+bool PoolScheduler::Private::placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, TimePoint now, TimePoint horizon)
+{
+    StepState &state = entry.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)];
+    std::int64_t number = 0;
+    std::string checkpoint;
+    for (const Item &item : state.items) {
+        if (item.phase != ItemPhase::Waiting) {
+            return false;
+        }
+        number = std::max(number, item.lastRun);
+        if (!item.checkpoint.empty()) {
+            checkpoint = item.checkpoint;
+        }
+    }
+    const std::size_t startsBefore = this->orders.starts.size();
+    for (std::size_t index = 0; index < state.items.size(); ++index) {
+        Item &item = state.items[index];
+        const ItemId id{entry.job.id, occurrence, step, static_cast<std::int32_t>(index)};
+        Executor *executor = this->choose(entry, id, item, now);
+        if (executor == nullptr) {
+            // All members or none: take back what was placed.
+            for (std::size_t placed = 0; placed < index; ++placed) {
+                const ItemId member{entry.job.id, occurrence, step, static_cast<std::int32_t>(placed)};
+                Executor &holder = *this->find(state.items[placed].where.front());
+                this->release(holder, holder.runs.find(member), now);
+                state.items[placed].lastRun = number;
+            }
+            this->orders.starts.resize(startsBefore);
+            return false;
+        }
+        item.checkpoint = checkpoint;
+        this->startOn(*executor, entry, id, item, number + 1, now, horizon);
+    }
+    return true;
+}
+
+void PoolScheduler::Private::place(JobEntry &entry, TimePoint now, WallTime wallNow, TimePoint horizon)
+{
+    for (std::size_t number = 0; number < entry.occurrences.size(); ++number) {
+        OccurrenceState &occurrence = entry.occurrences[number];
+        if (!occurrence.isOpen) {
+            if (dueTime(entry.job.spec, number) > wallNow) {
+                break;
+            }
+            this->openOccurrence(entry, number, now);
+        }
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const StepSpec &spec = entry.job.spec.steps[step];
+            StepState &state = occurrence.steps[step];
+            const bool lacksPolicy = entry.hasPolicy && state.passesUntil <= now;
+            if (state.done >= spec.count || lacksPolicy || !this->isStepReady(entry, occurrence, step)) {
+                continue;
+            }
+            if (spec.isGang) {
+                this->placeGang(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), now, horizon);
+                continue;
+            }
+            for (std::size_t index = 0; index < state.items.size(); ++index) {
+                Item &item = state.items[index];
+                if (item.phase != ItemPhase::Waiting) {
+                    continue;
+                }
+                const ItemId id{entry.job.id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), static_cast<std::int32_t>(index)};
+                Executor *executor = this->choose(entry, id, item, now);
+                if (executor == nullptr) {
+                    break;
+                }
+                this->startOn(*executor, entry, id, item, item.lastRun + 1, now, horizon);
+            }
+        }
+    }
+}
+
+SchedulerOrders PoolScheduler::plan(TimePoint now, WallTime wallNow, TimePoint horizon)
+{
+    Private &state = *this->d;
+    state.orders = SchedulerOrders{};
+    state.expireLeases(now);
+    state.evacuate(now);
+    for (auto &[key, executor] : state.executors) {
+        state.resendStops(executor, now);
+        state.pacefillers(executor, now);
+    }
+    if (span(now, horizon) < shortestLease || !state.isClear(now)) {
+        return std::move(state.orders);
+    }
+    // Long-running first, then by priority those that can still meet their objective, the least slack first.
+    std::vector<std::pair<std::tuple<int, bool, std::int32_t, std::int64_t>, JobEntry *>> order;
+    for (const JobId &id : state.open) {
+        JobEntry &entry = *state.findJob(id);
+        const bool isLongRunning = entry.job.spec.steps.front().isLongRunning;
+        const bool isFiller = entry.job.spec.steps.front().isFiller;
+        const auto ratio = state.timeRatio.find(entry.job.queue);
+        const double factor = ratio == state.timeRatio.end() ? 1.0 : std::max(1.0, ratio->second);
+        const auto chain = milliseconds(static_cast<std::int64_t>(static_cast<double>(state.remainingChain(entry).count()) * factor));
+        const auto slack = span(now, entry.objective) - chain;
+        const bool isLate = !isLongRunning && slack < milliseconds::zero();
+        const int group = isLongRunning && !isFiller ? 0 : 1;
+        order.emplace_back(std::tuple(group, isLate, entry.priority, slack.count()), &entry);
+    }
+    std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
+        return left.first < right.first;
+    });
+    for (auto &[key, entry] : order) {
+        state.place(*entry, now, wallNow, horizon);
+    }
+    return std::move(state.orders);
+}
+
+std::optional<RenewalPlan> PoolScheduler::renewal(const ExecutorKey &key, TimePoint now, TimePoint horizon) const
+{
+    Executor *executor = this->d->find(key);
+    if (executor == nullptr) {
+        return std::nullopt;
+    }
+    const bool hasWork = !executor->runs.empty();
+    const bool hasEnds = executor->persistedEnd < executor->processedEnd;
+    if (executor->isContacted && !hasWork && !hasEnds) {
+        return std::nullopt;
+    }
+    RenewalPlan plan{executor->info, LeaseRenewal{this->d->token, executor->persistedEnd, std::nullopt, milliseconds::zero()}};
+    if (!hasWork || !executor->clock) {
+        return plan;
+    }
+    if (span(now, horizon) > milliseconds::zero()) {
+        plan.renewal.until = this->d->leaseUntil(*executor, now, horizon);
+        this->d->extendLease(*executor, *plan.renewal.until, now);
+    }
+    const bool isWatched = std::any_of(executor->runs.begin(), executor->runs.end(), [](const auto &entry) {
+        return entry.second.phase != RunPhase::Running || entry.second.isFiller || (entry.second.isLongRunning && entry.second.percent < 100);
+    });
+    plan.renewal.wait = isWatched ? watchfulWait : longestWait;
+    return plan;
+}
+
+std::vector<PolicyQuestion> PoolScheduler::policyQuestions(TimePoint now) const
+{
+    std::vector<PolicyQuestion> questions;
+    for (const JobId &id : this->d->open) {
+        JobEntry &entry = *this->d->findJob(id);
+        if (!entry.hasPolicy) {
+            continue;
+        }
+        for (std::size_t number = 0; number < entry.occurrences.size(); ++number) {
+            OccurrenceState &occurrence = entry.occurrences[number];
+            for (std::size_t step = 0; occurrence.isOpen && step < occurrence.steps.size(); ++step) {
+                StepState &state = occurrence.steps[step];
+                const bool isWanted = state.done < entry.job.spec.steps[step].count && state.passesUntil <= now && !state.isPolicyAsked;
+                if (!isWanted || !this->d->isStepReady(entry, occurrence, step)) {
+                    continue;
+                }
+                PolicyQuestion question{ItemId{id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), 0}, {}};
+                for (const auto &[key, executor] : this->d->executors) {
+                    if (this->d->isUsable(executor, now) && question.executors.size() < 100) {
+                        question.executors.push_back(executor.info.id);
+                    }
+                }
+                state.isPolicyAsked = true;
+                questions.push_back(std::move(question));
+            }
+        }
+    }
+    return questions;
+}
+
+TimePoint PoolScheduler::nextWakeup(TimePoint now, WallTime wallNow) const
+{
+    TimePoint next = after(now, milliseconds(500));
+    for (const auto &[key, executor] : this->d->executors) {
+        if (!executor.runs.empty()) {
+            next = std::min(next, std::max(executor.leaseEnd, after(now, milliseconds(20))));
+        }
+        if (executor.avoidedUntil > now) {
+            next = std::min(next, executor.avoidedUntil);
+        }
+    }
+    if (this->d->clearAt > now) {
+        next = std::min(next, this->d->clearAt);
+    }
+    for (const JobId &id : this->d->open) {
+        const JobEntry &entry = *this->d->findJob(id);
+        for (std::size_t number = 0; number < entry.occurrences.size(); ++number) {
+            if (!entry.occurrences[number].isOpen) {
+                const auto wait = std::max(milliseconds(1), dueTime(entry.job.spec, number) - wallNow);
+                next = std::min(next, after(now, std::min(wait, milliseconds(500))));
+                break;
+            }
+        }
+    }
+    return next;
+}
+
+}
--- /dev/null
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -0,0 +1,197 @@
+// The state behind PoolScheduler, shared by its event handling and its planning.
+#pragma once
+
+#include <map>
+#include <unordered_map>
+
+#include <mangocourse/poolscheduler.h>
+
+namespace MangoCourse {
+
+enum class RunPhase {
+    // The start order is on its way.
+    Starting,
+    // A start order got no answer.
+    Unsure,
+    Running,
+    // A stop order is to be sent or confirmed.
+    Stopping,
+};
+
+struct Run {
+    ItemId item;
+    std::int64_t number = 0;
+    RunPhase phase = RunPhase::Starting;
+    TimePoint startedAt{};
+    // The last order for this run that got an answer or gave up; reports sent earlier say nothing about it.
+    TimePoint settledAt{};
+    TimePoint stopSentAt{};
+    bool isStopConfirmed = false;
+    // Stopped or lost because the system wanted it so, not through a fault of the run.
+    bool isListed = false;
+    std::int32_t percent = 0;
+    std::int32_t pacedTo = 100;
+    TimePoint pacedAt{};
+    std::int64_t load = 0;
+    Room room;
+    bool isFiller = false;
+    bool isLongRunning = false;
+    std::chrono::milliseconds tailTarget{};
+    std::chrono::milliseconds expected{};
+};
+
+struct Executor {
+    ExecutorInfo info;
+    bool isListed = true;
+    // This owner's token has been accepted there.
+    bool isContacted = false;
+    std::optional<std::chrono::milliseconds> clock;
+    TimePoint clockAt{};
+    TimePoint leaseEnd{};
+    TimePoint lastReportAt{};
+    TimePoint avoidedUntil{};
+    TimePoint failingSince{};
+    std::map<ItemId, Run> runs;
+    Room used;
+    std::int64_t processedEnd = 0;
+    std::int64_t collectedEnd = 0;
+    std::int64_t persistedEnd = 0;
+    // Distinct jobs that failed here since the last success.
+    std::set<JobId> failedJobs;
+    // Actual run time against the expected one, smoothed.
+    double slowness = 1.0;
+    bool isAnnounced = false;
+    bool isRecorded = false;
+
+    ExecutorKey key() const
+    {
+        return ExecutorKey{this->info.id, this->info.born};
+    }
+    Room free() const
+    {
+        Room room = this->info.capacity;
+        room -= this->used;
+        return room;
+    }
+};
+
+enum class ItemPhase {
+    Waiting,
+    Active,
+    Done,
+    Failed,
+};
+
+struct Item {
+    ItemPhase phase = ItemPhase::Waiting;
+    std::int32_t failures = 0;
+    std::int64_t lastRun = 0;
+    std::string checkpoint;
+    std::vector<ExecutorKey> where;
+    ExecutorId failedOn;
+    TimePoint waitingSince{};
+};
+
+struct StepState {
+    std::vector<Item> items;
+    std::int32_t done = 0;
+    std::int32_t gangFailures = 0;
+    // Passes of the placement policy and when they expire.
+    std::map<ExecutorId, std::string> passes;
+    TimePoint passesUntil{};
+    bool isPolicyAsked = false;
+};
+
+struct OccurrenceState {
+    std::vector<StepState> steps;
+    bool isOpen = false;
+};
+
+struct JobEntry {
+    AcceptedJob job;
+    JobState state = JobState::Queued;
+    WallTime endedAt{};
+    TimePoint addedAt{};
+    // When the objective of a job without a schedule runs out.
+    TimePoint objective{};
+    std::int32_t priority = 0;
+    std::int32_t attempts = 1;
+    bool hasPolicy = false;
+    bool isChanged = false;
+    bool hasRun = false;
+    std::vector<OccurrenceState> occurrences;
+
+    bool isOpen() const
+    {
+        return !isFinal(this->state);
+    }
+};
+
+class PoolScheduler::Private
+{
+public:
+    ServiceId service;
+    SchedulerSettings settings;
+    std::int64_t token = 0;
+    std::int64_t runBase = 0;
+    TimePoint clearAt{};
+    std::function<void(const SchedulerEvent &)> observer;
+    std::map<QueueId, QueueConfig> queues;
+    std::map<ExecutorKey, Executor> executors;
+    std::set<ExecutorKey> earlier;
+    std::set<MachineId> evacuations;
+    std::unordered_map<JobId, JobEntry> jobs;
+    std::set<JobId> open;
+    std::set<JobId> changed;
+    bool isUrgent = false;
+    // Actual run time against the estimate by queue, smoothed.
+    std::map<QueueId, double> timeRatio;
+    std::vector<ExecutorKey> forgotten;
+    SchedulerOrders orders;
+
+    // Events
+    Executor *find(const ExecutorKey &key);
+    JobEntry *findJob(const JobId &id);
+    Item *findItem(const ItemId &id);
+    const StepSpec &stepOf(const ItemId &id);
+    void touch(JobEntry &entry);
+    void note(const char *event, const ItemId &item, const Executor &executor, std::int64_t run, std::string outcome);
+    void openOccurrence(JobEntry &entry, std::size_t number, TimePoint now);
+    void readQueue(JobEntry &entry);
+    void noteClock(Executor &executor, const std::optional<std::chrono::milliseconds> &clock, TimePoint now);
+    Run &adopt(Executor &executor, const ItemId &id, std::int64_t number, TimePoint now);
+    void release(Executor &executor, std::map<ItemId, Run>::iterator run, TimePoint now);
+    void endRun(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
+    void finishItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
+    void failItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
+    void finishJob(JobEntry &entry, JobState state, WallTime wallNow);
+    void checkCompleted(JobEntry &entry, WallTime wallNow);
+    void dropExecutor(Executor &executor, TimePoint now, const char *reason);
+    void stopOthers(const ItemId &id, const Executor &except, const char *reason);
+    void requestStop(Executor &executor, Run &run, const char *reason);
+    void learnTime(Executor &executor, const Run &run, TimePoint now);
+
+    // Planning
+    void expireLeases(TimePoint now);
+    void pacefillers(Executor &executor, TimePoint now);
+    void resendStops(Executor &executor, TimePoint now);
+    void evacuate(TimePoint now);
+    bool mayInterrupt(const ItemId &id);
+    bool isUsable(const Executor &executor, TimePoint now) const;
+    bool isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const;
+    std::chrono::milliseconds remainingChain(const JobEntry &entry) const;
+    Executor *choose(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
+    bool admits(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const;
+    void place(JobEntry &entry, TimePoint now, WallTime wallNow, TimePoint horizon);
+    bool placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, TimePoint now, TimePoint horizon);
+    void startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, TimePoint now, TimePoint horizon);
+    std::chrono::milliseconds leaseUntil(const Executor &executor, TimePoint now, TimePoint horizon) const;
+    void extendLease(Executor &executor, std::chrono::milliseconds until, TimePoint now) const;
+    // Returns true where nothing of an earlier owner can run unseen.
+    bool isClear(TimePoint now) const;
+};
+
+// Returns the occurrence's due time, or the epoch for a job without a schedule.
+WallTime dueTime(const JobSpec &spec, std::size_t occurrence);
+
+}
--- a/src/gate/base64.h
+++ b/src/libservice/base64.h
@@ -1,4 +1,4 @@
-// Base64 for bodies that travel in the log's JSON records.
+// Base64 for bytes that travel in JSON.
 #pragma once
 
 #include <string>
@@ -17,11 +17,12 @@
     return std::string(Encoder(bytes.begin()), Encoder(bytes.end()));
 }
 
-// Returns the bytes of toBase64()'s text.
-inline std::string fromBase64(const std::string &text)
+// Returns the bytes of base64 text, padded or not.
+inline std::string fromBase64(std::string text)
 {
     using namespace boost::archive::iterators;
     using Decoder = transform_width<binary_from_base64<std::string::const_iterator>, 8, 6>;
+    text.erase(text.find_last_not_of('=') + 1);
     std::string bytes;
     const std::size_t size = text.size() * 6 / 8;
     Decoder decoder(text.begin());
--- /dev/null
+++ b/src/libservice/eventlog.h
@@ -0,0 +1,51 @@
+// Structured events on standard output: one JSON line each, bounded in number, never blocking.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace MangoCourse {
+
+// A value keeps its type in the line: text is quoted and escaped, numbers and truth values are not.
+using EventValue = std::variant<std::string, std::string_view, const char *, std::int64_t, double, bool>;
+
+struct EventField {
+    std::string_view name;
+    EventValue value;
+};
+
+// Whether an event may be left out under load. Refusals and losses are Essential.
+enum class EventWeight {
+    Routine,
+    Essential,
+};
+
+// Writes through a ring that a thread of its own empties; when the ring is full the oldest lines are dropped and counted.
+class EventLog
+{
+public:
+    // `budget` is the number of routine lines that one event name may write in a second.
+    static std::unique_ptr<EventLog> create(std::string process, std::uint32_t budget);
+    ~EventLog();
+
+    void emit(std::string_view event, std::initializer_list<EventField> fields, EventWeight weight = EventWeight::Routine);
+
+    // Lines left out so far.
+    std::uint64_t suppressed() const;
+
+    // Writes what the ring holds. Call before the process ends.
+    void flush();
+
+private:
+    class Private;
+    explicit EventLog(std::unique_ptr<Private> impl);
+    std::unique_ptr<Private> d;
+};
+
+}
--- a/src/libservice/httpserver.cpp
+++ b/src/libservice/httpserver.cpp
@@ -65,8 +65,11 @@
     net::io_context &context;
     tcp::acceptor acceptor;
     std::vector<Route> routes;
+    HttpHandler fallback;
     std::size_t connections = 0;
+    std::size_t active = 0;
     bool stopping = false;
+    bool isDiscouraging = false;
 
     net::awaitable<void> accept();
     net::awaitable<void> serve(tcp::socket socket);
@@ -98,6 +101,10 @@
         }
         co_return co_await this->call(route, request);
     }
+    if (this->fallback) {
+        const Route route{request.method(), {}, this->fallback, {}};
+        co_return co_await this->call(route, request);
+    }
     co_return errorResponse(http::status::not_found, "no such endpoint");
 }
 
@@ -116,9 +123,11 @@
             break;
         }
         const HttpRequest request = parser.release();
+        ++this->active;
         HttpResponse response = co_await this->answer(request);
+        --this->active;
         response.version(11);
-        response.keep_alive(request.keep_alive() && !this->stopping);
+        response.keep_alive(request.keep_alive() && !this->stopping && !this->isDiscouraging);
         response.prepare_payload();
         stream.expires_after(HttpServer::idleTimeout);
         controlTraffic().sent += co_await http::async_write(stream, response, into(error));
@@ -189,6 +198,21 @@
     this->d->routes.push_back(Route{method, std::move(pattern), std::move(handler), std::move(token)});
 }
 
+void HttpServer::fallback(HttpHandler handler)
+{
+    this->d->fallback = std::move(handler);
+}
+
+void HttpServer::discourage()
+{
+    this->d->isDiscouraging = true;
+}
+
+std::size_t HttpServer::activeRequests() const
+{
+    return this->d->active;
+}
+
 void HttpServer::start()
 {
     net::co_spawn(
--- a/src/libservice/httpserver.h
+++ b/src/libservice/httpserver.h
@@ -26,12 +26,21 @@
     // Adds a route. A non-empty token makes it answer 401 to requests without "Authorization: Bearer TOKEN".
     void route(http::verb method, std::string pattern, HttpHandler handler, std::string token = {});
 
+    // Answers every request that no route takes.
+    void fallback(HttpHandler handler);
+
     // Starts accepting.
     void start();
 
     // Stops accepting and closes idle connections after their current request.
     void stop();
 
+    // Goes on serving, and asks callers to close their connections with each answer.
+    void discourage();
+
+    // Requests that have been read and not answered yet.
+    std::size_t activeRequests() const;
+
     Endpoint endpoint() const;
 
     // Limits of the control side.
--- /dev/null
+++ b/src/scheduler/executordirectory.cpp
@@ -0,0 +1,61 @@
+// Folding of executors' reports.
+#include "executordirectory.h"
+
+namespace MangoCourse {
+
+ExecutorDirectory::ExecutorDirectory(net::io_context &context, RecordStore &store, EventLog &log, ExecutorDecoder decode)
+    : log(log)
+    , decode(std::move(decode))
+    , reader(context, store, Stream::Executors, 0,
+             StreamReader::Handlers{[this] {
+                                        this->known.clear();
+                                    },
+                                    [this](const StoredRecord &record) {
+                                        this->apply(record);
+                                    }})
+{
+}
+
+void ExecutorDirectory::apply(const StoredRecord &record)
+{
+    const ExecutorId id{record.key};
+    if (record.value.empty()) {
+        if (this->known.erase(id) > 0) {
+            this->log.emit("executor_left", {{"executor", id.value}, {"offset", record.offset}});
+        }
+        return;
+    }
+    Result<ExecutorInfo> info = this->decode(record.key, record.value);
+    if (!info) {
+        this->known.erase(id);
+        this->log.emit("executor_unreadable", {{"executor", id.value}, {"reason", describe(info.error())}});
+        return;
+    }
+    const auto before = this->known.find(id);
+    const bool isNews = before == this->known.end() || before->second.born != info->born || before->second.isDraining != info->isDraining;
+    if (isNews) {
+        this->log.emit("executor_seen", {{"executor", id.value},
+                                         {"service", info->service.value},
+                                         {"machine", info->machine.value},
+                                         {"born", info->born},
+                                         {"draining", info->isDraining},
+                                         {"offset", record.offset}});
+    }
+    this->known[id] = std::move(*info);
+}
+
+net::awaitable<Result<void>> ExecutorDirectory::refresh()
+{
+    return this->reader.catchUp();
+}
+
+std::vector<ExecutorInfo> ExecutorDirectory::executors() const
+{
+    std::vector<ExecutorInfo> list;
+    for (const auto &[id, info] : this->known) {
+        list.push_back(info);
+    }
+    return list;
+}
+
+}
--- /dev/null
+++ b/src/scheduler/nodesettings.h
@@ -0,0 +1,33 @@
+// What one scheduler process knows at its start.
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include <mangocourse/poolscheduler.h>
+#include <mangocourse/processsettings.h>
+
+namespace MangoCourse {
+
+struct NodeSettings {
+    ProcessId name;
+    DataCentreId dataCentre;
+    // Where callers connect, where readiness is asked, and where metrics and state are served.
+    Endpoint callers;
+    Endpoint readiness;
+    Endpoint admin;
+    std::int32_t partitions = 8;
+    SchedulerSettings scheduler;
+    // Time between the request to stop and the end by force.
+    std::chrono::milliseconds stopGrace{6000};
+    // How long final states of jobs can be asked for.
+    std::chrono::milliseconds statusRetention{120'000};
+    // Two planners' orders for one machine are at least this far apart.
+    std::chrono::milliseconds planLease{3000};
+    // Shortest membership time that the store accepts.
+    std::chrono::milliseconds shortestMembership{1000};
+    bool hasMachines = false;
+    bool hasPolicy = false;
+};
+
+}
--- /dev/null
+++ b/src/scheduler/operatorfeed.cpp
@@ -0,0 +1,94 @@
+// Folding of the operator's records.
+#include "operatorfeed.h"
+
+#include "event.h"
+
+namespace MangoCourse {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Short enough that a silent connection is noticed before a configuration must be in force.
+constexpr milliseconds feedWait{1000};
+constexpr milliseconds retryPause{150};
+
+}
+
+OperatorFeed::OperatorFeed(net::io_context &context, PlatformAdapter &platform, EventLog &log, Handlers handlers)
+    : context(context)
+    , platform(platform)
+    , log(log)
+    , handlers(std::move(handlers))
+    , reader(context, platform.store(), Stream::Operator, 0,
+             StreamReader::Handlers{[] {
+                                    },
+                                    [this](const StoredRecord &record) {
+                                        this->apply(record);
+                                    }})
+{
+}
+
+void OperatorFeed::apply(const StoredRecord &record)
+{
+    if (record.value.empty()) {
+        return;
+    }
+    Result<OperatorRecord> decoded = this->platform.decodeOperatorRecord(record.key, record.value);
+    if (!decoded) {
+        this->log.emit("operator_record_unreadable", {{"key", record.key}, {"offset", record.offset}, {"reason", describe(decoded.error())}},
+                       EventWeight::Essential);
+        return;
+    }
+    if (auto *config = std::get_if<FleetConfig>(&*decoded)) {
+        if (this->current && this->current->revision >= config->revision) {
+            return;
+        }
+        this->log.emit("config_in_force", {{"revision", config->revision}, {"offset", record.offset}, {"queues", std::int64_t(config->queues.size())}},
+                       EventWeight::Essential);
+        this->current = std::make_shared<const FleetConfig>(std::move(*config));
+        this->handlers.config(this->current);
+    } else if (auto *wave = std::get_if<MaintenanceWave>(&*decoded)) {
+        this->log.emit("wave_requested", {{"wave", wave->id.value},
+                                          {"machines", std::int64_t(wave->machines.size())},
+                                          {"parallel", std::int64_t(wave->parallel)},
+                                          {"duration_ms", std::int64_t(wave->duration.count())}},
+                       EventWeight::Essential);
+        this->known[wave->id] = std::move(*wave);
+    }
+}
+
+net::awaitable<void> OperatorFeed::run()
+{
+    bool wasReachable = true;
+    while (!this->isStopped) {
+        const Result<void> read = co_await this->reader.follow(feedWait);
+        const bool isReachable = read.has_value();
+        if (isReachable != wasReachable) {
+            this->log.emit(isReachable ? "store_regained" : "store_lost", {{"reason", isReachable ? std::string() : describe(read.error())}},
+                           EventWeight::Essential);
+            wasReachable = isReachable;
+        }
+        this->handlers.contact(isReachable);
+        if (!isReachable) {
+            co_await sleepFor(this->context, retryPause);
+        }
+    }
+}
+
+void OperatorFeed::stop()
+{
+    this->isStopped = true;
+}
+
+std::shared_ptr<const FleetConfig> OperatorFeed::config() const
+{
+    return this->current;
+}
+
+std::map<WaveId, MaintenanceWave> OperatorFeed::waves() const
+{
+    return this->known;
+}
+
+}
--- /dev/null
+++ b/src/scheduler/operatorfeed.h
@@ -0,0 +1,44 @@
+// Follows what the operator publishes: the configuration and maintenance waves.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "eventlog.h"
+#include "platformadapter.h"
+#include "streamreader.h"
+
+namespace MangoCourse {
+
+class OperatorFeed
+{
+public:
+    struct Handlers {
+        std::function<void(std::shared_ptr<const FleetConfig>)> config;
+        std::function<void(bool isReachable)> contact;
+    };
+
+    OperatorFeed(net::io_context &context, PlatformAdapter &platform, EventLog &log, Handlers handlers);
+
+    // Follows the stream until stop().
+    net::awaitable<void> run();
+    void stop();
+
+    std::shared_ptr<const FleetConfig> config() const;
+    std::map<WaveId, MaintenanceWave> waves() const;
+
+private:
+    void apply(const StoredRecord &record);
+
+    net::io_context &context;
+    PlatformAdapter &platform;
+    EventLog &log;
+    Handlers handlers;
+    std::shared_ptr<const FleetConfig> current;
+    std::map<WaveId, MaintenanceWave> known;
+    StreamReader reader;
+    bool isStopped = false;
+};
+
+}
--- /dev/null
+++ b/src/scheduler/ports.h
@@ -0,0 +1,132 @@
+// The interfaces through which the scheduler meets its platform. Everything behind them only translates.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <mangocourse/clock.h>
+#include <mangocourse/execution.h>
+#include <mangocourse/fleetconfig.h>
+
+#include "asiotypes.h"
+
+namespace MangoCourse {
+
+// A stream of keyed records with a number of partitions. The store keeps the newest record of each key for good and the history for seconds.
+enum class Stream {
+    // Submissions and cancellations, appended by any gateway.
+    Jobs,
+    // State of jobs, appended by the partition's owner only.
+    Progress,
+    // Evacuations and finished maintenance, partition 0 only.
+    Plan,
+    // What the operator publishes; read only, partition 0 only.
+    Operator,
+    // Executors' own reports; read only, partition 0 only.
+    Executors,
+    // What the operator reads; partition 0 only.
+    Status,
+};
+
+// A record; an empty value deletes the key. Offsets are filled in by reads.
+struct StoredRecord {
+    std::string key;
+    std::string value;
+    std::int64_t offset = -1;
+};
+
+// Makes appends of one writer exactly once and in order: a lower epoch is fenced off, a repeated sequence returns the first answer.
+struct ProducerStamp {
+    std::string producer;
+    std::int64_t epoch = 0;
+    std::int64_t sequence = 0;
+};
+
+struct StreamBatch {
+    std::vector<StoredRecord> records;
+    // The offset to read from next.
+    std::int64_t next = 0;
+    // The stream's end when it was read; later than `next` where there is more.
+    std::int64_t end = 0;
+};
+
+struct OwnedPartition {
+    Stream stream = Stream::Jobs;
+    std::int32_t partition = 0;
+
+    auto operator<=>(const OwnedPartition &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+struct Membership {
+    std::int64_t generation = 0;
+    std::vector<OwnedPartition> owned;
+};
+
+// Errors of all ports: Unavailable and Refused mean that nothing was done, Timeout that it may have been done.
+class RecordStore
+{
+public:
+    virtual ~RecordStore() = default;
+
+    // Appends all records or none. Conflict: fenced by a higher epoch, or out of sequence. An empty list only sets the epoch.
+    virtual net::awaitable<Result<void>> append(Stream stream, std::int32_t partition, std::vector<StoredRecord> records,
+                                                std::optional<ProducerStamp> stamp, std::chrono::milliseconds limit) = 0;
+
+    // Returns records from the offset on; waits up to `wait` for the first. Gap: that part of the history is gone.
+    virtual net::awaitable<Result<StreamBatch>> read(Stream stream, std::int32_t partition, std::int64_t from, std::chrono::milliseconds wait) = 0;
+
+    // Returns the newest record of each key, and the offset from which reading misses nothing.
+    virtual net::awaitable<Result<StreamBatch>> newest(Stream stream, std::int32_t partition) = 0;
+
+    // Joins the group of owners, or keeps the membership. A member that is silent for `ttl` loses its partitions.
+    virtual net::awaitable<Result<Membership>> join(std::int64_t generation, std::chrono::milliseconds ttl) = 0;
+
+    // Gives up the membership at once.
+    virtual net::awaitable<Result<void>> leave() = 0;
+};
+
+// Calls to executors.
+class ExecutorPort
+{
+public:
+    virtual ~ExecutorPort() = default;
+    virtual net::awaitable<ExecutorReport> renew(const ExecutorInfo &executor, LeaseRenewal renewal) = 0;
+    virtual net::awaitable<OrderReply> start(const ExecutorInfo &executor, StartRun order) = 0;
+    virtual net::awaitable<OrderReply> stop(const ExecutorInfo &executor, StopRun order) = 0;
+    virtual net::awaitable<OrderReply> pace(const ExecutorInfo &executor, PaceRun order) = 0;
+    // Closes idle connections to an executor that is gone.
+    virtual void forget(const ExecutorInfo &executor) = 0;
+};
+
+enum class MachineOutcome {
+    Done,
+    Fenced,
+    Busy,
+    NotInWave,
+    Invalid,
+    Throttled,
+    NotSent,
+    Unknown,
+};
+
+// Calls to the platform's machines. The holder and the token fence planners off from each other.
+class MachinePort
+{
+public:
+    virtual ~MachinePort() = default;
+    virtual net::awaitable<Result<std::vector<MachineInfo>>> list() = 0;
+    virtual net::awaitable<MachineOutcome> move(const MachineId &machine, const ServiceId &pool, std::int64_t token) = 0;
+    virtual net::awaitable<MachineOutcome> maintain(const MachineId &machine, const WaveId &wave, std::int64_t token) = 0;
+};
+
+class PolicyPort
+{
+public:
+    virtual ~PolicyPort() = default;
+    virtual net::awaitable<Result<PolicyAnswer>> advise(const ItemId &step, std::vector<ExecutorId> executors) = 0;
+};
+
+}
--- /dev/null
+++ b/src/scheduler/recordcodec.cpp
@@ -0,0 +1,188 @@
+// CBOR records through the JSON library.
+#include "recordcodec.h"
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace MangoCourse {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr char cancellationMark = '!';
+constexpr const char *executorMark = "@x/";
+
+std::string toBytes(const Json &json)
+{
+    std::string bytes;
+    Json::to_cbor(json, nlohmann::detail::output_adapter<char>(bytes));
+    return bytes;
+}
+
+Json fromBytes(std::string_view bytes)
+{
+    return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+}
+
+// A step is an array, its flags in one number.
+enum StepFlag : unsigned {
+    Checkpointing = 1,
+    Gang = 2,
+    SameRack = 4,
+    Speculative = 8,
+    LongRunning = 16,
+    Filler = 32,
+};
+
+Json stepToJson(const StepSpec &step)
+{
+    unsigned flags = 0;
+    flags |= step.isCheckpointing ? Checkpointing : 0U;
+    flags |= step.isGang ? Gang : 0U;
+    flags |= step.isSameRack ? SameRack : 0U;
+    flags |= step.isSpeculative ? Speculative : 0U;
+    flags |= step.isLongRunning ? LongRunning : 0U;
+    flags |= step.isFiller ? Filler : 0U;
+    return Json::array({step.count, step.room.cpu, step.room.memory, step.room.accelerators, step.estimate.count(), step.dependsOn, flags, step.requiredLabel,
+                        step.preferredRack, step.perExecutorLimit, step.image, step.tailTarget.count(), step.availabilityBudget});
+}
+
+StepSpec stepFromJson(const Json &json)
+{
+    StepSpec step;
+    step.count = json.at(0).get<std::int32_t>();
+    step.room = Room{json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>(), json.at(3).get<std::int64_t>()};
+    step.estimate = milliseconds(json.at(4).get<std::int64_t>());
+    step.dependsOn = json.at(5).get<std::vector<std::int32_t>>();
+    const auto flags = json.at(6).get<unsigned>();
+    step.isCheckpointing = (flags & Checkpointing) != 0;
+    step.isGang = (flags & Gang) != 0;
+    step.isSameRack = (flags & SameRack) != 0;
+    step.isSpeculative = (flags & Speculative) != 0;
+    step.isLongRunning = (flags & LongRunning) != 0;
+    step.isFiller = (flags & Filler) != 0;
+    step.requiredLabel = json.at(7).get<std::string>();
+    step.preferredRack = json.at(8).get<std::string>();
+    step.perExecutorLimit = json.at(9).get<std::int32_t>();
+    step.image = json.at(10).get<std::string>();
+    step.tailTarget = milliseconds(json.at(11).get<std::int64_t>());
+    step.availabilityBudget = json.at(12).get<std::int32_t>();
+    return step;
+}
+
+}
+
+std::string encodeAcceptedJob(const AcceptedJob &job)
+{
+    Json steps = Json::array();
+    for (const StepSpec &step : job.spec.steps) {
+        steps.push_back(stepToJson(step));
+    }
+    const Recurrence &schedule = job.spec.recurrence;
+    return toBytes(Json::array({job.queue.value, job.service.value, job.acceptedAt.time_since_epoch().count(), job.spec.payload, std::move(steps),
+                                schedule.count, schedule.first.time_since_epoch().count(), schedule.interval.count()}));
+}
+
+Result<AcceptedJob> decodeAcceptedJob(const JobId &id, std::string_view bytes)
+{
+    try {
+        const Json json = fromBytes(bytes);
+        AcceptedJob job;
+        job.id = id;
+        job.queue = QueueId{json.at(0).get<std::string>()};
+        job.service = ServiceId{json.at(1).get<std::string>()};
+        job.acceptedAt = WallTime(milliseconds(json.at(2).get<std::int64_t>()));
+        job.spec.payload = json.at(3).get<std::string>();
+        for (const Json &step : json.at(4)) {
+            job.spec.steps.push_back(stepFromJson(step));
+        }
+        job.spec.recurrence
+            = Recurrence{json.at(5).get<std::int32_t>(), WallTime(milliseconds(json.at(6).get<std::int64_t>())), milliseconds(json.at(7).get<std::int64_t>())};
+        if (const Result<void> checked = validate(job.spec); !checked) {
+            return tl::unexpected(checked.error());
+        }
+        return job;
+    } catch (const Json::exception &exception) {
+        return makeError(ErrorCode::Decode, exception.what(), "job " + id.value);
+    }
+}
+
+std::string encodeProgress(const JobProgress &progress)
+{
+    Json items = Json::array();
+    for (const ItemProgress &item : progress.items) {
+        items.push_back(Json::array({item.occurrence, item.step, item.index, item.isDone ? 1 : 0, item.failures}));
+    }
+    return toBytes(Json::array({static_cast<int>(progress.state), progress.queue.value, progress.service.value, progress.endedAt.time_since_epoch().count(),
+                                std::move(items)}));
+}
+
+Result<JobProgress> decodeProgress(const JobId &id, std::string_view bytes)
+{
+    try {
+        const Json json = fromBytes(bytes);
+        JobProgress progress;
+        progress.id = id;
+        const int state = json.at(0).get<int>();
+        if (state < 0 || state > static_cast<int>(JobState::Cancelled)) {
+            return makeError(ErrorCode::Decode, "has an unknown state", "progress of " + id.value);
+        }
+        progress.state = static_cast<JobState>(state);
+        progress.queue = QueueId{json.at(1).get<std::string>()};
+        progress.service = ServiceId{json.at(2).get<std::string>()};
+        progress.endedAt = WallTime(milliseconds(json.at(3).get<std::int64_t>()));
+        for (const Json &item : json.at(4)) {
+            progress.items.push_back(ItemProgress{item.at(0).get<std::int32_t>(), item.at(1).get<std::int32_t>(), item.at(2).get<std::int32_t>(),
+                                                  item.at(3).get<int>() != 0, item.at(4).get<std::int32_t>()});
+        }
+        return progress;
+    } catch (const Json::exception &exception) {
+        return makeError(ErrorCode::Decode, exception.what(), "progress of " + id.value);
+    }
+}
+
+std::string cancellationKey(const JobId &job)
+{
+    return cancellationMark + job.value;
+}
+
+std::string executorKeyName(const ExecutorKey &executor)
+{
+    return executorMark + std::to_string(executor.born) + "/" + executor.id.value;
+}
+
+ParsedKey parseKey(const std::string &key)
+{
+    ParsedKey parsed;
+    if (key == ownerKey) {
+        parsed.kind = KeyKind::Owner;
+    } else if (key.starts_with(executorMark)) {
+        parsed.kind = KeyKind::Executor;
+        const std::string_view rest = std::string_view(key).substr(std::string_view(executorMark).size());
+        const auto slash = rest.find('/');
+        std::from_chars(rest.data(), rest.data() + std::min(slash, rest.size()), parsed.executor.born);
+        parsed.executor.id = ExecutorId{slash == std::string_view::npos ? std::string() : std::string(rest.substr(slash + 1))};
+    } else if (key.starts_with(cancellationMark)) {
+        parsed.kind = KeyKind::Cancellation;
+        parsed.job = JobId{key.substr(1)};
+    } else {
+        parsed.job = JobId{key};
+    }
+    return parsed;
+}
+
+std::int32_t partitionOf(const ServiceId &service, std::int32_t partitions)
+{
+    // FNV-1a, the same in every process and version.
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const char character : service.value) {
+        hash ^= static_cast<unsigned char>(character);
+        hash *= 1099511628211ULL;
+    }
+    return static_cast<std::int32_t>(hash % static_cast<std::uint64_t>(partitions));
+}
+
+}
--- /dev/null
+++ b/src/scheduler/streamreader.cpp
@@ -0,0 +1,93 @@
+// Following of streams.
+#include "streamreader.h"
+
+namespace MangoCourse {
+
+StreamReader::StreamReader(net::io_context &context, RecordStore &store, Stream stream, std::int32_t partition, Handlers handlers)
+    : context(context)
+    , store(store)
+    , stream(stream)
+    , partition(partition)
+    , handlers(std::move(handlers))
+    , done(std::make_shared<net::steady_timer>(context))
+{
+}
+
+bool StreamReader::isLoaded() const
+{
+    return this->next >= 0;
+}
+
+net::awaitable<Result<void>> StreamReader::load()
+{
+    Result<StreamBatch> batch = co_await this->store.newest(this->stream, this->partition);
+    if (!batch) {
+        co_return tl::unexpected(batch.error());
+    }
+    this->handlers.reset();
+    for (const StoredRecord &record : batch->records) {
+        this->handlers.apply(record);
+    }
+    this->next = batch->next;
+    co_return Result<void>{};
+}
+
+net::awaitable<Result<void>> StreamReader::readOn(std::chrono::milliseconds wait)
+{
+    while (true) {
+        Result<StreamBatch> batch = co_await this->store.read(this->stream, this->partition, this->next, wait);
+        if (!batch && batch.error().code == ErrorCode::Gap) {
+            Result<void> loaded = co_await this->load();
+            co_return loaded;
+        }
+        if (!batch) {
+            co_return tl::unexpected(batch.error());
+        }
+        for (const StoredRecord &record : batch->records) {
+            this->handlers.apply(record);
+        }
+        this->next = batch->next;
+        if (batch->next >= batch->end || batch->records.empty()) {
+            co_return Result<void>{};
+        }
+        wait = std::chrono::milliseconds::zero();
+    }
+}
+
+net::awaitable<Result<void>> StreamReader::follow(std::chrono::milliseconds wait)
+{
+    if (!this->isLoaded()) {
+        Result<void> loaded = co_await this->load();
+        co_return loaded;
+    }
+    Result<void> result = co_await this->readOn(wait);
+    co_return result;
+}
+
+net::awaitable<Result<void>> StreamReader::catchUp()
+{
+    // Only a read that starts from now on covers all that is stored now.
+    const std::uint64_t wanted = this->started + 1;
+    while (this->ended < wanted) {
+        if (this->started > this->ended) {
+            const std::shared_ptr<net::steady_timer> waiting = this->done;
+            ErrorCodeSystem ignored;
+            waiting->expires_after(std::chrono::seconds(10));
+            co_await waiting->async_wait(into(ignored));
+            continue;
+        }
+        ++this->started;
+        Result<void> result;
+        if (this->isLoaded()) {
+            result = co_await this->readOn(std::chrono::milliseconds::zero());
+        } else {
+            result = co_await this->load();
+        }
+        this->lastResult = result;
+        this->ended = this->started;
+        this->done->cancel();
+    }
+    co_return this->lastResult;
+}
+
+}
