--- /dev/null
+++ b/src/include/mangocourse/fleetplanner.h
@@ -0,0 +1,118 @@
+// Decides which machines are maintained, and which pool each machine serves. No sockets, threads or clock of its own.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <mangocourse/clock.h>
+#include <mangocourse/execution.h>
+#include <mangocourse/fleetconfig.h>
+
+namespace MangoCourse {
+
+// What runs on one machine of a pool.
+struct MachineUse {
+    MachineId machine;
+    std::int32_t runs = 0;
+    std::int32_t longRunning = 0;
+
+    bool operator==(const MachineUse &) const = default;
+};
+
+// A pool as its owner sees it. Reports of one pool are ordered by token, then number.
+struct PoolReport {
+    ServiceId service;
+    std::int64_t token = 0;
+    std::int64_t number = 0;
+    // The newest evacuation list that the owner follows.
+    std::int64_t evacuationsSeen = 0;
+    // Cores, in thousandths, taken by long-running work, started or waiting.
+    std::int64_t longRunningCpu = 0;
+    // Finite work: what came lately in core-ms a second, and what waits in core-ms.
+    std::int64_t inflow = 0;
+    std::int64_t backlog = 0;
+    // The most machines that one step has to spread over.
+    std::int32_t spread = 0;
+    std::vector<MachineUse> machines;
+
+    bool operator==(const PoolReport &) const = default;
+};
+
+enum class EvacuationPurpose {
+    Maintenance,
+    Move,
+};
+
+// A machine that is to be emptied, and what for.
+struct Evacuation {
+    MachineId machine;
+    EvacuationPurpose purpose = EvacuationPurpose::Maintenance;
+    WaveId wave;
+    ServiceId target;
+
+    bool operator==(const Evacuation &) const = default;
+};
+
+// The planner's durable state.
+struct PlannerState {
+    // Rises with each change of the evacuations.
+    std::int64_t number = 0;
+    std::vector<Evacuation> evacuations;
+    // Machines whose maintenance has begun, and when the wave was first seen.
+    struct Wave {
+        std::set<MachineId> begun;
+        WallTime seenAt{};
+        bool isCompleted = false;
+
+        bool operator==(const Wave &) const = default;
+    };
+    std::map<WaveId, Wave> waves;
+
+    bool operator==(const PlannerState &) const = default;
+};
+
+struct PlannerOrders {
+    std::vector<Evacuation> maintain;
+    std::vector<Evacuation> move;
+};
+
+// Figures that the planning depends on.
+struct PlannerSettings {
+    std::chrono::milliseconds moveTime{1500};
+    std::chrono::milliseconds maintenanceTime{2000};
+    // A machine has to be needless for this long before it is parked.
+    std::chrono::milliseconds parkAfter{1500};
+};
+
+// One planner for the whole fleet. Calls come from one thread.
+class FleetPlanner
+{
+public:
+    static Result<std::unique_ptr<FleetPlanner>> create(PlannerSettings settings, PlannerState state);
+    ~FleetPlanner();
+
+    void setConfig(const FleetConfig &config);
+    void setWaves(const std::map<WaveId, MaintenanceWave> &waves, WallTime now);
+    void setMachines(const std::vector<MachineInfo> &machines, TimePoint now);
+    void setReport(const PoolReport &report, TimePoint now);
+
+    // Updates the evacuations and returns the orders that may be given now. Each is given once; its result must be told.
+    PlannerOrders plan(TimePoint now, WallTime wallNow);
+    // `isDone` where the order was carried out; `mayBe` where nobody knows, until the next list of machines.
+    void onMaintained(const Evacuation &order, bool isDone, bool mayBe, TimePoint now);
+    void onMoved(const Evacuation &order, bool isDone, bool mayBe, TimePoint now);
+
+    const PlannerState &state() const;
+
+    // Returns true while something is to be done that needs a fresh list of machines.
+    bool isBusy() const;
+
+private:
+    class Private;
+    explicit FleetPlanner(std::unique_ptr<Private> impl);
+    std::unique_ptr<Private> d;
+};
+
+}
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -10,6 +10,7 @@
 #include <mangocourse/clock.h>
 #include <mangocourse/execution.h>
 #include <mangocourse/fleetconfig.h>
+#include <mangocourse/fleetplanner.h>
 
 namespace MangoCourse {
 
@@ -99,13 +100,10 @@
 // Counts for state dumps and metrics.
 struct PoolSummary {
     std::size_t jobs = 0;
-    std::size_t readyItems = 0;
     std::size_t runs = 0;
     std::size_t executors = 0;
     Room capacity;
     Room used;
-    // Room that ready items would take.
-    Room wanted;
 };
 
 // Receives each decision with its reason, for the log.
@@ -139,8 +137,8 @@
 
     // Machines that get no new work and whose work moves away.
     void setEvacuations(const std::set<MachineId> &machines);
-    // Returns true where nothing runs there that a stop of the machine would harm.
-    bool isEvacuated(const MachineId &machine) const;
+    // What the planner of the machines has to know; token and numbers are left to the caller.
+    PoolReport report(TimePoint now) const;
 
     // Adds a job with what is known of its earlier progress. Adding a known job again changes nothing.
     void addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow);
--- /dev/null
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -0,0 +1,497 @@
+// Maintenance waves and moves between pools.
+#include <mangocourse/fleetplanner.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace MangoCourse {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Reports older than this say nothing about a pool.
+constexpr milliseconds reportLife{2500};
+// A backlog of finite work should be worked off within this.
+constexpr double backlogSeconds = 1.0;
+// Share of a machine's cores that finite work can really use.
+constexpr double packing = 0.85;
+// Machines that a pool keeps beyond its need, against the next second's arrivals.
+constexpr std::int32_t spareMachines = 1;
+// Emptying a machine takes about this long.
+constexpr milliseconds evacuationTime{2500};
+// A wave is hurried when less than this many times the time it needs is left.
+constexpr double hurry = 1.6;
+// An evacuation for a move is given up after this: the need has passed.
+constexpr milliseconds movePatience{3000};
+// An order without an answer keeps its machine untouched this long.
+constexpr milliseconds unknownHold{3000};
+
+TimePoint after(TimePoint start, milliseconds span)
+{
+    return start + std::chrono::duration_cast<Duration>(span);
+}
+
+struct KnownReport {
+    PoolReport report;
+    TimePoint at{};
+};
+
+struct PoolView {
+    ServiceId service;
+    bool isStandby = false;
+    // Machines that are up and stay.
+    std::vector<MachineId> up;
+    // Machines on their way into the pool.
+    std::int32_t coming = 0;
+    std::int64_t cpuPerMachine = 0;
+    std::int32_t needed = 0;
+    const PoolReport *report = nullptr;
+
+    std::int32_t size() const
+    {
+        return static_cast<std::int32_t>(this->up.size()) + this->coming;
+    }
+};
+
+}
+
+class FleetPlanner::Private
+{
+public:
+    PlannerSettings settings;
+    PlannerState state;
+    FleetConfig config;
+    std::map<WaveId, MaintenanceWave> waves;
+    std::map<MachineId, MachineInfo> machines;
+    TimePoint machinesAt{};
+    std::map<ServiceId, KnownReport> reports;
+    std::map<ServiceId, TimePoint> needlessSince;
+    std::map<MachineId, TimePoint> evacuatingSince;
+    std::map<MachineId, TimePoint> untouchedUntil;
+    // Moves that were ordered and are not in the list yet.
+    std::map<MachineId, ServiceId> ordered;
+
+    std::map<ServiceId, PoolView> viewPools(TimePoint now) const;
+    const MachineUse *useOf(const MachineInfo &machine, TimePoint now) const;
+    bool isEvacuating(const MachineId &machine) const;
+    void evacuate(Evacuation evacuation, TimePoint now);
+    void endEvacuation(const MachineId &machine);
+    void startMaintenance(std::map<ServiceId, PoolView> &pools, TimePoint now, WallTime wallNow);
+    void planMoves(std::map<ServiceId, PoolView> &pools, TimePoint now);
+    void balance(PoolView &pool, std::map<ServiceId, PoolView> &pools, TimePoint now);
+    std::optional<MachineId> donate(PoolView &donor, TimePoint now) const;
+    void dropStale(TimePoint now);
+    bool isEmptied(const Evacuation &evacuation, TimePoint now) const;
+    std::int32_t inMaintenance(const WaveId &wave) const;
+};
+
+bool FleetPlanner::Private::isEvacuating(const MachineId &machine) const
+{
+    return std::any_of(this->state.evacuations.begin(), this->state.evacuations.end(), [&machine](const Evacuation &evacuation) {
+        return evacuation.machine == machine;
+    });
+}
+
+void FleetPlanner::Private::evacuate(Evacuation evacuation, TimePoint now)
+{
+    this->evacuatingSince[evacuation.machine] = now;
+    this->state.evacuations.push_back(std::move(evacuation));
+    ++this->state.number;
+}
+
+void FleetPlanner::Private::endEvacuation(const MachineId &machine)
+{
+    const auto removed = std::erase_if(this->state.evacuations, [&machine](const Evacuation &evacuation) {
+        return evacuation.machine == machine;
+    });
+    if (removed > 0) {
+        this->evacuatingSince.erase(machine);
+        ++this->state.number;
+    }
+}
+
+const MachineUse *FleetPlanner::Private::useOf(const MachineInfo &machine, TimePoint now) const
+{
+    const auto known = this->reports.find(machine.pool);
+    if (known == this->reports.end() || now - known->second.at > reportLife) {
+        return nullptr;
+    }
+    for (const MachineUse &use : known->second.report.machines) {
+        if (use.machine == machine.id) {
+            return &use;
+        }
+    }
+    return nullptr;
+}
+
+std::map<ServiceId, PoolView> FleetPlanner::Private::viewPools(TimePoint now) const
+{
+    std::map<ServiceId, PoolView> pools;
+    for (const auto &[service, known] : this->config.services) {
+        PoolView &pool = pools[service];
+        pool.service = service;
+        pool.isStandby = known.isStandby;
+        const auto report = this->reports.find(service);
+        if (report != this->reports.end() && now - report->second.at < reportLife) {
+            pool.report = &report->second.report;
+        }
+    }
+    for (const auto &[id, machine] : this->machines) {
+        const auto ordered = this->ordered.find(id);
+        const ServiceId &service = ordered != this->ordered.end() ? ordered->second : machine.pool;
+        const auto pool = pools.find(service);
+        if (pool == pools.end()) {
+            continue;
+        }
+        pool->second.cpuPerMachine = std::max(pool->second.cpuPerMachine, machine.capacity.cpu);
+        const bool isComing = ordered != this->ordered.end() || machine.state == MachineState::Moving || machine.state == MachineState::InMaintenance;
+        if (isComing) {
+            ++pool->second.coming;
+        } else if (machine.state == MachineState::Up && !this->isEvacuating(id)) {
+            pool->second.up.push_back(id);
+        }
+    }
+    for (const Evacuation &evacuation : this->state.evacuations) {
+        const auto target = pools.find(evacuation.target);
+        if (evacuation.purpose == EvacuationPurpose::Move && target != pools.end() && !this->ordered.contains(evacuation.machine)) {
+            ++target->second.coming;
+        }
+    }
+    for (auto &[service, pool] : pools) {
+        if (pool.report == nullptr || pool.isStandby || pool.cpuPerMachine == 0) {
+            pool.needed = pool.isStandby ? 0 : pool.size();
+            continue;
+        }
+        const double finite = static_cast<double>(pool.report->inflow) + static_cast<double>(pool.report->backlog) / backlogSeconds;
+        const double cores = static_cast<double>(pool.report->longRunningCpu) + finite / packing;
+        const auto machines = static_cast<std::int32_t>(std::ceil(cores / static_cast<double>(pool.cpuPerMachine)));
+        pool.needed = std::max({machines, pool.report->spread + spareMachines, 2});
+    }
+    return pools;
+}
+
+std::int32_t FleetPlanner::Private::inMaintenance(const WaveId &wave) const
+{
+    std::int32_t count = 0;
+    const auto known = this->waves.find(wave);
+    for (const MachineId &id : known->second.machines) {
+        const auto machine = this->machines.find(id);
+        const auto untouched = this->untouchedUntil.find(id);
+        const bool isDown = machine != this->machines.end() && machine->second.state == MachineState::InMaintenance;
+        count += isDown || untouched != this->untouchedUntil.end() ? 1 : 0;
+    }
+    return count;
+}
+
+bool FleetPlanner::Private::isEmptied(const Evacuation &evacuation, TimePoint now) const
+{
+    const auto machine = this->machines.find(evacuation.machine);
+    if (machine == this->machines.end() || machine->second.state != MachineState::Up) {
+        return false;
+    }
+    const auto service = this->config.services.find(machine->second.pool);
+    if (service != this->config.services.end() && service->second.isStandby) {
+        return true;
+    }
+    const auto report = this->reports.find(machine->second.pool);
+    if (report == this->reports.end() || now - report->second.at > reportLife || report->second.report.evacuationsSeen < this->state.number) {
+        return false;
+    }
+    const MachineUse *use = this->useOf(machine->second, now);
+    return use != nullptr && use->runs == 0;
+}
+
+void FleetPlanner::Private::dropStale(TimePoint now)
+{
+    std::vector<MachineId> over;
+    for (const Evacuation &evacuation : this->state.evacuations) {
+        const auto machine = this->machines.find(evacuation.machine);
+        const auto since = this->evacuatingSince.try_emplace(evacuation.machine, now).first->second;
+        const bool isGone = machine == this->machines.end() || machine->second.state != MachineState::Up;
+        const bool isTooSlow = evacuation.purpose == EvacuationPurpose::Move && now - since > movePatience;
+        const bool isArrived = evacuation.purpose == EvacuationPurpose::Move && !isGone && machine->second.pool == evacuation.target;
+        if ((isGone || isTooSlow || isArrived) && !this->untouchedUntil.contains(evacuation.machine)) {
+            over.push_back(evacuation.machine);
+        }
+    }
+    for (const MachineId &machine : over) {
+        this->endEvacuation(machine);
+    }
+}
+
+void FleetPlanner::Private::startMaintenance(std::map<ServiceId, PoolView> &pools, TimePoint now, WallTime wallNow)
+{
+    for (const auto &[id, wave] : this->waves) {
+        PlannerState::Wave &progress = this->state.waves[id];
+        if (progress.isCompleted) {
+            continue;
+        }
+        std::vector<const MachineInfo *> waiting;
+        bool isLeft = false;
+        for (const MachineId &name : wave.machines) {
+            const auto machine = this->machines.find(name);
+            if (progress.begun.contains(name) || machine == this->machines.end()) {
+                continue;
+            }
+            isLeft = true;
+            if (machine->second.state == MachineState::Up && !this->isEvacuating(name) && !this->untouchedUntil.contains(name)) {
+                waiting.push_back(&machine->second);
+            }
+        }
+        if (!isLeft) {
+            progress.isCompleted = true;
+            continue;
+        }
+        std::int32_t active = this->inMaintenance(id);
+        for (const Evacuation &evacuation : this->state.evacuations) {
+            const bool isCounted = this->untouchedUntil.contains(evacuation.machine);
+            active += evacuation.purpose == EvacuationPurpose::Maintenance && evacuation.wave == id && !isCounted ? 1 : 0;
+        }
+        const milliseconds round = evacuationTime + this->settings.maintenanceTime;
+        const double rounds = std::ceil(static_cast<double>(waiting.size()) / static_cast<double>(std::max(1, wave.parallel)));
+        const milliseconds left = progress.seenAt + wave.duration - wallNow;
+        const bool isHurried = static_cast<double>(left.count()) < hurry * rounds * static_cast<double>(round.count());
+        // Parked machines first, then those with the least work to move.
+        std::sort(waiting.begin(), waiting.end(), [&](const MachineInfo *one, const MachineInfo *other) {
+            const auto weight = [&](const MachineInfo *machine) {
+                const MachineUse *use = this->useOf(*machine, now);
+                return use == nullptr ? -1 : use->longRunning * 100 + use->runs;
+            };
+            return weight(one) < weight(other);
+        });
+        for (const MachineInfo *machine : waiting) {
+            if (active >= wave.parallel) {
+                break;
+            }
+            PoolView &pool = pools[machine->pool];
+            const std::int32_t upNow = static_cast<std::int32_t>(pool.up.size());
+            const std::int32_t least = isHurried ? std::max(1, pool.report != nullptr ? pool.report->spread : 1) : pool.needed;
+            if (!pool.isStandby && upNow - 1 < least) {
+                continue;
+            }
+            std::erase(pool.up, machine->id);
+            ++active;
+            this->evacuate(Evacuation{machine->id, EvacuationPurpose::Maintenance, id, {}}, now);
+        }
+    }
+}
+
+std::optional<MachineId> FleetPlanner::Private::donate(PoolView &donor, TimePoint now) const
+{
+    const MachineId *best = nullptr;
+    std::int32_t bestRuns = 0;
+    for (const MachineId &id : donor.up) {
+        const MachineInfo &machine = this->machines.at(id);
+        const MachineUse *use = this->useOf(machine, now);
+        if (this->untouchedUntil.contains(id) || (!donor.isStandby && (use == nullptr || use->longRunning > 0))) {
+            continue;
+        }
+        const std::int32_t runs = use == nullptr ? 0 : use->runs;
+        if (best == nullptr || runs < bestRuns) {
+            best = &id;
+            bestRuns = runs;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
+void FleetPlanner::Private::balance(PoolView &pool, std::map<ServiceId, PoolView> &pools, TimePoint now)
+{
+    while (pool.size() < pool.needed) {
+        PoolView *donor = nullptr;
+        for (auto &[service, other] : pools) {
+            const bool canGive = &other != &pool && !other.up.empty() && (other.isStandby || (other.report != nullptr && other.size() > other.needed));
+            if (canGive && this->donate(other, now) && (donor == nullptr || other.isStandby)) {
+                donor = &other;
+            }
+        }
+        if (donor == nullptr) {
+            return;
+        }
+        const MachineId machine = *this->donate(*donor, now);
+        std::erase(donor->up, machine);
+        ++pool.coming;
+        this->evacuate(Evacuation{machine, EvacuationPurpose::Move, {}, pool.service}, now);
+    }
+}
+
+void FleetPlanner::Private::planMoves(std::map<ServiceId, PoolView> &pools, TimePoint now)
+{
+    PoolView *standby = nullptr;
+    std::vector<PoolView *> short_;
+    for (auto &[service, pool] : pools) {
+        if (pool.isStandby) {
+            standby = &pool;
+        } else if (pool.report != nullptr && pool.size() < pool.needed) {
+            short_.push_back(&pool);
+        }
+    }
+    std::sort(short_.begin(), short_.end(), [](const PoolView *one, const PoolView *other) {
+        return one->needed - one->size() > other->needed - other->size();
+    });
+    for (PoolView *pool : short_) {
+        this->balance(*pool, pools, now);
+    }
+    if (standby == nullptr) {
+        return;
+    }
+    for (auto &[service, pool] : pools) {
+        const bool isNeedless = !pool.isStandby && pool.report != nullptr && pool.size() > pool.needed;
+        if (!isNeedless) {
+            this->needlessSince.erase(service);
+            continue;
+        }
+        const TimePoint since = this->needlessSince.try_emplace(service, now).first->second;
+        if (now - since < this->settings.parkAfter) {
+            continue;
+        }
+        while (pool.size() > pool.needed) {
+            const std::optional<MachineId> machine = this->donate(pool, now);
+            if (!machine) {
+                break;
+            }
+            std::erase(pool.up, *machine);
+            this->evacuate(Evacuation{*machine, EvacuationPurpose::Move, {}, standby->service}, now);
+        }
+    }
+}
+
+FleetPlanner::FleetPlanner(std::unique_ptr<Private> impl)
+    : d(std::move(impl))
+{
+}
+
+FleetPlanner::~FleetPlanner() = default;
+
+Result<std::unique_ptr<FleetPlanner>> FleetPlanner::create(PlannerSettings settings, PlannerState state)
+{
+    auto impl = std::make_unique<Private>();
+    impl->settings = settings;
+    impl->state = std::move(state);
+    return std::unique_ptr<FleetPlanner>(new FleetPlanner(std::move(impl)));
+}
+
+void FleetPlanner::setConfig(const FleetConfig &config)
+{
+    this->d->config = config;
+}
+
+void FleetPlanner::setWaves(const std::map<WaveId, MaintenanceWave> &waves, WallTime now)
+{
+    this->d->waves = waves;
+    for (const auto &[id, wave] : waves) {
+        PlannerState::Wave &progress = this->d->state.waves[id];
+        if (progress.seenAt == WallTime{}) {
+            progress.seenAt = now;
+        }
+    }
+}
+
+void FleetPlanner::setMachines(const std::vector<MachineInfo> &machines, TimePoint now)
+{
+    this->d->machines.clear();
+    this->d->machinesAt = now;
+    for (const MachineInfo &machine : machines) {
+        this->d->machines.emplace(machine.id, machine);
+        const auto ordered = this->d->ordered.find(machine.id);
+        if (ordered != this->d->ordered.end() && (machine.state != MachineState::Up || machine.pool == ordered->second)) {
+            this->d->ordered.erase(ordered);
+        }
+    }
+    std::erase_if(this->d->untouchedUntil, [this, now](const auto &entry) {
+        const auto machine = this->d->machines.find(entry.first);
+        return entry.second < now || machine == this->d->machines.end() || machine->second.state != MachineState::Up;
+    });
+    std::erase_if(this->d->ordered, [this](const auto &entry) {
+        return !this->d->machines.contains(entry.first);
+    });
+    for (auto &[id, wave] : this->d->state.waves) {
+        for (const Evacuation &evacuation : this->d->state.evacuations) {
+            const auto machine = this->d->machines.find(evacuation.machine);
+            const bool hasBegun = evacuation.wave == id && machine != this->d->machines.end() && machine->second.state == MachineState::InMaintenance;
+            if (hasBegun) {
+                wave.begun.insert(evacuation.machine);
+            }
+        }
+    }
+}
+
+void FleetPlanner::setReport(const PoolReport &report, TimePoint now)
+{
+    KnownReport &known = this->d->reports[report.service];
+    const bool isOlder = std::pair(report.token, report.number) < std::pair(known.report.token, known.report.number);
+    if (!isOlder) {
+        known.report = report;
+        known.at = now;
+    }
+}
+
+PlannerOrders FleetPlanner::plan(TimePoint now, WallTime wallNow)
+{
+    Private &state = *this->d;
+    PlannerOrders orders;
+    if (state.machines.empty() || state.config.revision == 0) {
+        return orders;
+    }
+    state.dropStale(now);
+    for (const Evacuation &evacuation : state.state.evacuations) {
+        if (state.untouchedUntil.contains(evacuation.machine) || !state.isEmptied(evacuation, now)) {
+            continue;
+        }
+        if (evacuation.purpose == EvacuationPurpose::Move) {
+            orders.move.push_back(evacuation);
+        } else if (state.waves.contains(evacuation.wave) && state.inMaintenance(evacuation.wave) < state.waves.at(evacuation.wave).parallel) {
+            orders.maintain.push_back(evacuation);
+        } else {
+            continue;
+        }
+        state.untouchedUntil[evacuation.machine] = after(now, unknownHold);
+    }
+    std::map<ServiceId, PoolView> pools = state.viewPools(now);
+    state.startMaintenance(pools, now, wallNow);
+    state.planMoves(pools, now);
+    return orders;
+}
+
+void FleetPlanner::onMaintained(const Evacuation &order, bool isDone, bool mayBe, TimePoint now)
+{
+    if (isDone) {
+        this->d->state.waves[order.wave].begun.insert(order.machine);
+        const auto machine = this->d->machines.find(order.machine);
+        if (machine != this->d->machines.end()) {
+            machine->second.state = MachineState::InMaintenance;
+        }
+        this->d->endEvacuation(order.machine);
+        this->d->untouchedUntil.erase(order.machine);
+    } else if (!mayBe) {
+        this->d->untouchedUntil[order.machine] = after(now, milliseconds(300));
+    }
+}
+
+void FleetPlanner::onMoved(const Evacuation &order, bool isDone, bool mayBe, TimePoint now)
+{
+    if (isDone) {
+        this->d->ordered[order.machine] = order.target;
+        this->d->endEvacuation(order.machine);
+        this->d->untouchedUntil.erase(order.machine);
+    } else if (!mayBe) {
+        this->d->endEvacuation(order.machine);
+        this->d->untouchedUntil[order.machine] = after(now, milliseconds(1000));
+    }
+}
+
+const PlannerState &FleetPlanner::state() const
+{
+    return this->d->state;
+}
+
+bool FleetPlanner::isBusy() const
+{
+    const bool hasWave = std::any_of(this->d->state.waves.begin(), this->d->state.waves.end(), [](const auto &entry) {
+        return !entry.second.isCompleted;
+    });
+    return hasWave || !this->d->state.evacuations.empty() || !this->d->ordered.empty();
+}
+
+}
--- /dev/null
+++ b/src/libmangocourse/poolreport.cpp
@@ -0,0 +1,73 @@
+// What a pool tells the planner of the machines.
+#include "poolscheduler_pvt.h"
+
+#include <algorithm>
+
+namespace MangoCourse {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Arrivals are counted over this window.
+constexpr milliseconds arrivalWindow{1000};
+
+std::int64_t workOf(const StepSpec &step)
+{
+    return step.room.cpu * step.estimate.count() / 1000;
+}
+
+}
+
+void PoolScheduler::Private::noteArrival(const JobEntry &entry, TimePoint now)
+{
+    std::int64_t work = 0;
+    for (const StepSpec &step : entry.job.spec.steps) {
+        work += step.isLongRunning || entry.job.spec.recurrence.count > 0 ? 0 : workOf(step) * step.count;
+    }
+    if (work > 0) {
+        this->arrivals.emplace_back(now, work);
+    }
+    while (!this->arrivals.empty() && now - this->arrivals.front().first > arrivalWindow) {
+        this->arrivals.pop_front();
+    }
+}
+
+PoolReport PoolScheduler::report(TimePoint now) const
+{
+    PoolReport report;
+    report.service = this->d->service;
+    for (const auto &[at, work] : this->d->arrivals) {
+        report.inflow += now - at <= arrivalWindow ? work : 0;
+    }
+    for (const JobId &id : this->d->open) {
+        const JobEntry &entry = *this->d->findJob(id);
+        const std::vector<StepSpec> &specs = entry.job.spec.steps;
+        for (const OccurrenceState &occurrence : entry.occurrences) {
+            for (std::size_t step = 0; occurrence.isOpen && step < specs.size(); ++step) {
+                const StepSpec &spec = specs[step];
+                const std::int64_t left = spec.count - occurrence.steps[step].done;
+                if (spec.isLongRunning) {
+                    report.longRunningCpu += spec.isFiller ? 0 : spec.room.cpu * left;
+                    const std::int32_t perMachine = spec.isFiller ? 0 : spec.perExecutorLimit;
+                    report.spread = std::max(report.spread, perMachine > 0 ? (spec.count + perMachine - 1) / perMachine : 0);
+                } else {
+                    report.backlog += workOf(spec) * left;
+                }
+            }
+        }
+    }
+    for (const auto &[key, executor] : this->d->executors) {
+        if (!executor.isListed || executor.info.machine.isEmpty()) {
+            continue;
+        }
+        MachineUse use{executor.info.machine, static_cast<std::int32_t>(executor.runs.size()), 0};
+        use.longRunning = static_cast<std::int32_t>(std::count_if(executor.runs.begin(), executor.runs.end(), [](const auto &run) {
+            return run.second.isLongRunning;
+        }));
+        report.machines.push_back(use);
+    }
+    return report;
+}
+
+}
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -417,13 +417,6 @@
     this->d->evacuations = machines;
 }
 
-bool PoolScheduler::isEvacuated(const MachineId &machine) const
-{
-    return std::none_of(this->d->executors.begin(), this->d->executors.end(), [&machine](const auto &entry) {
-        return entry.second.info.machine == machine && !entry.second.runs.empty();
-    });
-}
-
 void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow)
 {
     if (this->d->jobs.contains(job.id)) {
@@ -440,6 +433,7 @@
         return;
     }
     this->d->open.insert(job.id);
+    this->d->noteArrival(entry, now);
     if (job.spec.recurrence.count == 0) {
         this->d->openOccurrence(entry, 0, now);
     }
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -1,6 +1,7 @@
 // The state behind PoolScheduler, shared by its event handling and its planning.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <unordered_map>
 
@@ -147,6 +148,8 @@
     // Actual run time against the estimate by queue, smoothed.
     std::map<QueueId, double> timeRatio;
     std::vector<ExecutorKey> forgotten;
+    // Finite work that came lately, in core-ms.
+    std::deque<std::pair<TimePoint, std::int64_t>> arrivals;
     SchedulerOrders orders;
 
     // Events
@@ -158,6 +161,7 @@
     void note(const char *event, const ItemId &item, const Executor &executor, std::int64_t run, std::string outcome);
     void openOccurrence(JobEntry &entry, std::size_t number, TimePoint now);
     void readQueue(JobEntry &entry);
+    void noteArrival(const JobEntry &entry, TimePoint now);
     void noteClock(Executor &executor, const std::optional<std::chrono::milliseconds> &clock, TimePoint now);
     Run &adopt(Executor &executor, const ItemId &id, std::int64_t number, TimePoint now);
     void release(Executor &executor, std::map<ItemId, Run>::iterator run, TimePoint now);
--- a/src/scheduler/nodesettings.h
+++ b/src/scheduler/nodesettings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 
+#include <mangocourse/fleetplanner.h>
 #include <mangocourse/poolscheduler.h>
 #include <mangocourse/processsettings.h>
 
@@ -18,6 +19,7 @@
     Endpoint admin;
     std::int32_t partitions = 8;
     SchedulerSettings scheduler;
+    PlannerSettings planner;
     // Time between the request to stop and the end by force.
     std::chrono::milliseconds stopGrace{6000};
     // How long final states of jobs can be asked for.
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -75,7 +75,7 @@
         this->owned.emplace(partition, shard);
         shard->setConfig(this->config);
         shard->setExecutors(this->executors);
-        shard->setEvacuations(this->evacuations);
+        shard->setEvacuations(this->evacuations, this->evacuationsNumber);
         shard->start();
     }
     this->setHorizons(sentAt);
@@ -91,20 +91,21 @@
 net::awaitable<void> Ownership::run()
 {
     while (!this->isRetired) {
-        if (!this->config) {
-            // A member without a configuration could not serve what it is given.
+        if (!this->config || !this->isPlanKnown) {
+            // Such a member could not serve what it is given.
             co_await sleepFor(this->owner.context, joinRetry);
             continue;
         }
         const TimePoint sentAt = bootNow();
         const Result<Membership> joined = co_await this->owner.store.join(this->generation, std::max(membershipTime, this->owner.settings.shortestMembership));
-        this->handlers.contact(joined.has_value());
         if (this->isRetired) {
             break;
         }
         if (joined) {
             this->apply(*joined, sentAt);
-        } else {
+        }
+        this->handlers.contact(joined.has_value());
+        if (!joined) {
             this->owner.log.emit("join_failed", {{"reason", describe(joined.error())}, {"generation", this->generation}});
         }
         co_await sleepFor(this->owner.context, joined ? joinInterval : joinRetry);
@@ -142,14 +143,25 @@
     }
 }
 
-void Ownership::setEvacuations(const std::set<MachineId> &machines)
+void Ownership::setEvacuations(const std::set<MachineId> &machines, std::int64_t number)
 {
     this->evacuations = machines;
+    this->evacuationsNumber = number;
     for (auto &[partition, shard] : this->owned) {
-        shard->setEvacuations(machines);
+        shard->setEvacuations(machines, number);
     }
 }
 
+void Ownership::notePlanKnown()
+{
+    this->isPlanKnown = true;
+}
+
+const std::set<MachineId> &Ownership::evacuated() const
+{
+    return this->evacuations;
+}
+
 bool Ownership::ownsAnything() const
 {
     return !this->owned.empty();
--- /dev/null
+++ b/src/scheduler/planningduty.cpp
@@ -0,0 +1,295 @@
+// Loads the planner's state, follows the pools' reports, gives orders.
+#include "planningduty.h"
+
+#include "event.h"
+#include "recordcodec.h"
+#include "streamreader.h"
+
+namespace MangoCourse {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *producerName = "planner";
+constexpr milliseconds appendLimit{1000};
+constexpr milliseconds retryPause{120};
+// How long the duty waits for news of the pools.
+constexpr milliseconds reportWait{250};
+constexpr milliseconds planPause{20};
+// The list of machines is read this often while something moves, and else.
+constexpr milliseconds busyListInterval{450};
+constexpr milliseconds calmListInterval{1500};
+
+WallTime wallNow()
+{
+    return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
+}
+
+TimePoint bootNow()
+{
+    return BootClock().now();
+}
+
+}
+
+class PlanningDuty::Private
+{
+public:
+    Private(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token)
+        : context(context)
+        , platform(platform)
+        , log(log)
+        , feed(feed)
+        , token(token)
+    {
+    }
+
+    net::io_context &context;
+    PlatformAdapter &platform;
+    EventLog &log;
+    const OperatorFeed &feed;
+    std::int64_t token;
+    std::int64_t sequence = 0;
+    bool isStopped = false;
+    TimePoint horizon{};
+    TimePoint mayOrderFrom{};
+    TimePoint listedAt{};
+    PlannerState saved;
+    std::unique_ptr<FleetPlanner> planner;
+    std::unique_ptr<StreamReader> reports;
+    std::map<WaveId, bool> told;
+
+    bool isOver() const
+    {
+        return this->isStopped;
+    }
+    net::awaitable<bool> append(std::vector<StoredRecord> records);
+    net::awaitable<bool> load();
+    net::awaitable<void> readMachines();
+    net::awaitable<void> step();
+    net::awaitable<bool> save();
+    net::awaitable<void> tellOperator();
+    net::awaitable<void> maintain(Evacuation order);
+    net::awaitable<void> move(Evacuation order);
+    void noteOutcome(const char *event, const Evacuation &order, MachineOutcome outcome);
+    bool mayOrder() const;
+};
+
+bool PlanningDuty::Private::mayOrder() const
+{
+    const TimePoint now = bootNow();
+    return now < this->horizon && now >= this->mayOrderFrom && !this->isStopped;
+}
+
+net::awaitable<bool> PlanningDuty::Private::append(std::vector<StoredRecord> records)
+{
+    while (!this->isStopped) {
+        const ProducerStamp stamp{producerName, this->token, this->sequence};
+        const Result<void> appended = co_await this->platform.store().append(Stream::Plan, plannerPartition, records, stamp, appendLimit);
+        if (appended) {
+            ++this->sequence;
+            co_return true;
+        }
+        if (appended.error().code == ErrorCode::Conflict) {
+            this->log.emit("planning_superseded", {{"token", this->token}, {"reason", appended.error().message}}, EventWeight::Essential);
+            this->isStopped = true;
+            co_return false;
+        }
+        co_await sleepFor(this->context, retryPause);
+    }
+    co_return false;
+}
+
+net::awaitable<bool> PlanningDuty::Private::load()
+{
+    std::vector<StoredRecord> none;
+    const bool isFenceSet = co_await this->append(none);
+    if (!isFenceSet) {
+        co_return false;
+    }
+    const Result<StreamBatch> batch = co_await this->platform.store().newest(Stream::Plan, plannerPartition);
+    if (!batch) {
+        co_return false;
+    }
+    for (const StoredRecord &record : batch->records) {
+        if (record.key != plannerKey) {
+            continue;
+        }
+        if (Result<PlannerState> state = decodePlannerState(record.value)) {
+            this->saved = std::move(*state);
+        }
+    }
+    Result<std::unique_ptr<FleetPlanner>> planner = FleetPlanner::create(this->platform.settings().planner, this->saved);
+    if (!planner) {
+        co_return false;
+    }
+    this->planner = std::move(*planner);
+    co_return true;
+}
+
+net::awaitable<void> PlanningDuty::Private::readMachines()
+{
+    const TimePoint now = bootNow();
+    const milliseconds interval = this->planner->isBusy() ? busyListInterval : calmListInterval;
+    if (now - this->listedAt < interval) {
+        co_return;
+    }
+    this->listedAt = now;
+    const Result<std::vector<MachineInfo>> machines = co_await this->platform.machines()->list();
+    if (machines) {
+        this->planner->setMachines(*machines, bootNow());
+    } else {
+        this->log.emit("machines_unknown", {{"reason", describe(machines.error())}}, EventWeight::Essential);
+    }
+}
+
+net::awaitable<bool> PlanningDuty::Private::save()
+{
+    if (this->planner->state() == this->saved) {
+        co_return true;
+    }
+    const PlannerState state = this->planner->state();
+    std::vector<StoredRecord> records{StoredRecord{plannerKey, encodePlannerState(state), -1}};
+    const bool isDurable = co_await this->append(std::move(records));
+    if (isDurable) {
+        this->saved = state;
+    }
+    co_return isDurable;
+}
+
+net::awaitable<void> PlanningDuty::Private::tellOperator()
+{
+    for (const auto &[id, wave] : this->saved.waves) {
+        const auto told = this->told.find(id);
+        if (told != this->told.end() && told->second == wave.isCompleted) {
+            continue;
+        }
+        std::vector<StoredRecord> records{this->platform.encodeWaveStatus(id, wave.isCompleted)};
+        const Result<void> appended = co_await this->platform.store().append(Stream::Status, 0, std::move(records), std::nullopt, appendLimit);
+        if (!appended) {
+            co_return;
+        }
+        this->told[id] = wave.isCompleted;
+        this->log.emit("wave_status", {{"wave", id.value}, {"completed", wave.isCompleted}, {"begun", std::int64_t(wave.begun.size())}}, EventWeight::Essential);
+    }
+}
+
+void PlanningDuty::Private::noteOutcome(const char *event, const Evacuation &order, MachineOutcome outcome)
+{
+    this->log.emit(event, {{"machine", order.machine.value},
+                           {"wave", order.wave.value},
+                           {"target", order.target.value},
+                           {"token", this->token},
+                           {"outcome", toString(outcome)}},
+                   EventWeight::Essential);
+    if (outcome == MachineOutcome::Fenced) {
+        this->isStopped = true;
+    }
+}
+
+net::awaitable<void> PlanningDuty::Private::maintain(Evacuation order)
+{
+    const MachineOutcome outcome = co_await this->platform.machines()->maintain(order.machine, order.wave, this->token);
+    this->noteOutcome("machine_maintained", order, outcome);
+    const bool isDone = outcome == MachineOutcome::Done || outcome == MachineOutcome::NotInWave;
+    this->planner->onMaintained(order, isDone, outcome == MachineOutcome::Unknown, bootNow());
+    this->listedAt = TimePoint{};
+}
+
+net::awaitable<void> PlanningDuty::Private::move(Evacuation order)
+{
+    const MachineOutcome outcome = co_await this->platform.machines()->move(order.machine, order.target, this->token);
+    this->noteOutcome("machine_moved", order, outcome);
+    this->planner->onMoved(order, outcome == MachineOutcome::Done, outcome == MachineOutcome::Unknown, bootNow());
+}
+
+net::awaitable<void> PlanningDuty::Private::step()
+{
+    const Result<void> read = co_await this->reports->follow(reportWait);
+    if (!read) {
+        co_await sleepFor(this->context, retryPause);
+        co_return;
+    }
+    co_await this->readMachines();
+    if (this->feed.config()) {
+        this->planner->setConfig(*this->feed.config());
+    }
+    this->planner->setWaves(this->feed.waves(), wallNow());
+    const PlannerOrders orders = this->planner->plan(bootNow(), wallNow());
+    const bool isSaved = co_await this->save();
+    if (!isSaved) {
+        co_return;
+    }
+    co_await this->tellOperator();
+    for (const Evacuation &order : orders.maintain) {
+        if (this->mayOrder()) {
+            co_await this->maintain(order);
+        } else {
+            this->planner->onMaintained(order, false, false, bootNow());
+        }
+    }
+    for (const Evacuation &order : orders.move) {
+        if (this->mayOrder()) {
+            co_await this->move(order);
+        } else {
+            this->planner->onMoved(order, false, false, bootNow());
+        }
+    }
+    co_await sleepFor(this->context, planPause);
+}
+
+PlanningDuty::PlanningDuty(std::unique_ptr<Private> impl)
+    : d(std::move(impl))
+{
+}
+
+PlanningDuty::~PlanningDuty() = default;
+
+std::shared_ptr<PlanningDuty> PlanningDuty::create(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed,
+                                                   std::int64_t token)
+{
+    return std::shared_ptr<PlanningDuty>(new PlanningDuty(std::make_unique<Private>(context, platform, log, feed, token)));
+}
+
+void PlanningDuty::start()
+{
+    Private *state = this->d.get();
+    // An earlier planner's last orders must not mix with this one's.
+    state->mayOrderFrom = bootNow() + state->platform.settings().planLease;
+    state->reports = std::make_unique<StreamReader>(state->context, state->platform.store(), Stream::Plan, reportPartition,
+                                                    StreamReader::Handlers{[] {
+                                                                           },
+                                                                           [state](const StoredRecord &record) {
+                                                                               if (const auto report = decodePoolReport(record.value)) {
+                                                                                   state->planner->setReport(*report, bootNow());
+                                                                               }
+                                                                           }});
+    net::co_spawn(
+        state->context,
+        [self = this->shared_from_this(), state]() -> net::awaitable<void> {
+            while (!state->isOver()) {
+                const bool isLoaded = co_await state->load();
+                if (isLoaded) {
+                    break;
+                }
+                co_await sleepFor(state->context, retryPause);
+            }
+            while (!state->isOver()) {
+                co_await state->step();
+            }
+        },
+        net::detached);
+}
+
+void PlanningDuty::stop()
+{
+    this->d->isStopped = true;
+}
+
+void PlanningDuty::setHorizon(TimePoint horizon)
+{
+    this->d->horizon = horizon;
+}
+
+}
--- /dev/null
+++ b/src/scheduler/planningduty.h
@@ -0,0 +1,40 @@
+// The duty that plans maintenance and moves for the whole fleet; one process has it at a time.
+#pragma once
+
+#include <memory>
+
+#include <mangocourse/bootclock.h>
+#include <mangocourse/fleetplanner.h>
+
+#include "eventlog.h"
+#include "nodesettings.h"
+#include "operatorfeed.h"
+#include "ports.h"
+
+namespace MangoCourse {
+
+// Partitions of the plan stream.
+inline constexpr std::int32_t plannerPartition = 0;
+inline constexpr std::int32_t reportPartition = 1;
+inline constexpr const char *plannerKey = "planner";
+
+// Runs until stop(). Its records and orders carry the token, so an earlier planner cannot interfere.
+class PlanningDuty : public std::enable_shared_from_this<PlanningDuty>
+{
+public:
+    static std::shared_ptr<PlanningDuty> create(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed,
+                                                std::int64_t token);
+    ~PlanningDuty();
+
+    void start();
+    void stop();
+    // No order is given later than this, on the clock that goes on while the machine is suspended.
+    void setHorizon(TimePoint horizon);
+
+private:
+    class Private;
+    explicit PlanningDuty(std::unique_ptr<Private> impl);
+    std::unique_ptr<Private> d;
+};
+
+}
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -21,7 +21,7 @@
     Jobs,
     // State of jobs, appended by the partition's owner only.
     Progress,
-    // Evacuations and finished maintenance, partition 0 only.
+    // The planner's state in partition 0, the pools' reports in partition 1.
     Plan,
     // What the operator publishes; read only, partition 0 only.
     Operator,
@@ -112,6 +112,12 @@
     Unknown,
 };
 
+constexpr std::string_view toString(MachineOutcome outcome)
+{
+    constexpr std::string_view names[] = {"done", "fenced", "busy", "not-in-wave", "invalid", "throttled", "not-sent", "unknown"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
 // Calls to the platform's machines. The holder and the token fence planners off from each other.
 class MachinePort
 {
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -144,6 +144,81 @@
     }
 }
 
+std::string encodePlannerState(const PlannerState &state)
+{
+    Json evacuations = Json::array();
+    for (const Evacuation &evacuation : state.evacuations) {
+        evacuations.push_back(
+            Json::array({evacuation.machine.value, static_cast<int>(evacuation.purpose), evacuation.wave.value, evacuation.target.value}));
+    }
+    Json waves = Json::array();
+    for (const auto &[id, wave] : state.waves) {
+        Json begun = Json::array();
+        for (const MachineId &machine : wave.begun) {
+            begun.push_back(machine.value);
+        }
+        waves.push_back(Json::array({id.value, wave.seenAt.time_since_epoch().count(), wave.isCompleted, std::move(begun)}));
+    }
+    return toBytes(Json::array({state.number, std::move(evacuations), std::move(waves)}));
+}
+
+Result<PlannerState> decodePlannerState(std::string_view bytes)
+{
+    try {
+        const Json json = fromBytes(bytes);
+        PlannerState state;
+        state.number = json.at(0).get<std::int64_t>();
+        for (const Json &row : json.at(1)) {
+            state.evacuations.push_back(Evacuation{MachineId{row.at(0).get<std::string>()},
+                                                   row.at(1).get<int>() == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move,
+                                                   WaveId{row.at(2).get<std::string>()}, ServiceId{row.at(3).get<std::string>()}});
+        }
+        for (const Json &row : json.at(2)) {
+            PlannerState::Wave &wave = state.waves[WaveId{row.at(0).get<std::string>()}];
+            wave.seenAt = WallTime(milliseconds(row.at(1).get<std::int64_t>()));
+            wave.isCompleted = row.at(2).get<bool>();
+            for (const Json &machine : row.at(3)) {
+                wave.begun.insert(MachineId{machine.get<std::string>()});
+            }
+        }
+        return state;
+    } catch (const Json::exception &exception) {
+        return makeError(ErrorCode::Decode, exception.what(), "planner state");
+    }
+}
+
+std::string encodePoolReport(const PoolReport &report)
+{
+    Json machines = Json::array();
+    for (const MachineUse &use : report.machines) {
+        machines.push_back(Json::array({use.machine.value, use.runs, use.longRunning}));
+    }
+    return toBytes(Json::array({report.service.value, report.token, report.number, report.evacuationsSeen, report.longRunningCpu, report.inflow,
+                                report.backlog, report.spread, std::move(machines)}));
+}
+
+Result<PoolReport> decodePoolReport(std::string_view bytes)
+{
+    try {
+        const Json json = fromBytes(bytes);
+        PoolReport report;
+        report.service = ServiceId{json.at(0).get<std::string>()};
+        report.token = json.at(1).get<std::int64_t>();
+        report.number = json.at(2).get<std::int64_t>();
+        report.evacuationsSeen = json.at(3).get<std::int64_t>();
+        report.longRunningCpu = json.at(4).get<std::int64_t>();
+        report.inflow = json.at(5).get<std::int64_t>();
+        report.backlog = json.at(6).get<std::int64_t>();
+        report.spread = json.at(7).get<std::int32_t>();
+        for (const Json &row : json.at(8)) {
+            report.machines.push_back(MachineUse{MachineId{row.at(0).get<std::string>()}, row.at(1).get<std::int32_t>(), row.at(2).get<std::int32_t>()});
+        }
+        return report;
+    } catch (const Json::exception &exception) {
+        return makeError(ErrorCode::Decode, exception.what(), "pool report");
+    }
+}
+
 std::string cancellationKey(const JobId &job)
 {
     return cancellationMark + job.value;
--- a/src/scheduler/recordcodec.h
+++ b/src/scheduler/recordcodec.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include <mangocourse/error.h>
+#include <mangocourse/fleetplanner.h>
 #include <mangocourse/poolscheduler.h>
 
 namespace MangoCourse {
@@ -36,6 +37,12 @@
 
 ParsedKey parseKey(const std::string &key);
 
+std::string encodePlannerState(const PlannerState &state);
+Result<PlannerState> decodePlannerState(std::string_view bytes);
+
+std::string encodePoolReport(const PoolReport &report);
+Result<PoolReport> decodePoolReport(std::string_view bytes);
+
 // Returns the partition that a service's jobs live in.
 std::int32_t partitionOf(const ServiceId &service, std::int32_t partitions);
 
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -13,6 +13,8 @@
 #include "metrics.h"
 #include "operatorfeed.h"
 #include "ownership.h"
+#include "planningduty.h"
+#include "recordcodec.h"
 
 namespace MangoCourse {
 
@@ -23,6 +25,11 @@
 
 constexpr milliseconds directoryInterval{500};
 constexpr milliseconds idleInterval{250};
+constexpr milliseconds planWait{2000};
+// Pools are looked at this often, and reported at least every reportRepeat.
+constexpr milliseconds reportInterval{120};
+constexpr milliseconds reportRepeat{1500};
+constexpr milliseconds reportLimit{1000};
 // Callers notice that a process is not ready within two checks, a second apart.
 constexpr milliseconds callersLeave{3200};
 // Kept back from the grace time for the end itself.
@@ -55,10 +62,19 @@
                                  this->platform->settings()},
                     Ownership::Handlers{[this](bool isReachable) {
                                             this->gateway->noteStore(isReachable);
+                                            if (this->planning) {
+                                                this->planning->setHorizon(this->ownership.planningUntil());
+                                            }
                                         },
                                         [this](std::int64_t token) {
-                                            this->log->emit(token != 0 ? "planning_gained" : "planning_lost", {{"token", token}}, EventWeight::Essential);
+                                            this->changePlanning(token);
                                         }})
+        , evacuations(context, this->platform->store(), Stream::Plan, plannerPartition,
+                      StreamReader::Handlers{[] {
+                                             },
+                                             [this](const StoredRecord &record) {
+                                                 this->applyPlan(record);
+                                             }})
     {
     }
 
@@ -72,8 +88,19 @@
     ExecutorDirectory directory;
     OperatorFeed feed;
     Ownership ownership;
+    StreamReader evacuations;
+    std::shared_ptr<PlanningDuty> planning;
+    std::map<ServiceId, PoolReport> reported;
+    std::map<ServiceId, steady_clock::time_point> reportedAt;
+    std::int64_t reportNumber = 0;
     bool isStopping = false;
 
+    void changePlanning(std::int64_t token);
+    void applyPlan(const StoredRecord &record);
+    net::awaitable<void> followPlan();
+    net::awaitable<void> reportPools();
+    bool isWorthReporting(const PoolReport &report) const;
+
     net::awaitable<void> followDirectory();
     nlohmann::json state() const;
 };
@@ -93,6 +120,94 @@
     }
 }
 
+void SchedulerProcess::Private::changePlanning(std::int64_t token)
+{
+    this->log->emit(token != 0 ? "planning_gained" : "planning_lost", {{"token", token}}, EventWeight::Essential);
+    if (this->planning) {
+        this->planning->stop();
+        this->planning.reset();
+    }
+    if (token != 0 && this->platform->machines() != nullptr) {
+        this->planning = PlanningDuty::create(this->context, *this->platform, *this->log, this->feed, token);
+        this->planning->start();
+    }
+}
+
+void SchedulerProcess::Private::applyPlan(const StoredRecord &record)
+{
+    if (record.key != plannerKey) {
+        return;
+    }
+    const Result<PlannerState> state = decodePlannerState(record.value);
+    if (!state) {
+        this->log->emit("plan_unreadable", {{"reason", describe(state.error())}}, EventWeight::Essential);
+        return;
+    }
+    std::set<MachineId> machines;
+    for (const Evacuation &evacuation : state->evacuations) {
+        machines.insert(evacuation.machine);
+    }
+    this->ownership.setEvacuations(machines, state->number);
+}
+
+net::awaitable<void> SchedulerProcess::Private::followPlan()
+{
+    while (!this->isStopping) {
+        const Result<void> read = co_await this->evacuations.follow(planWait);
+        if (read) {
+            this->ownership.notePlanKnown();
+        } else {
+            co_await sleepFor(this->context, idleInterval);
+        }
+    }
+}
+
+bool SchedulerProcess::Private::isWorthReporting(const PoolReport &report) const
+{
+    const auto before = this->reported.find(report.service);
+    if (before == this->reported.end()) {
+        return true;
+    }
+    const PoolReport &last = before->second;
+    const bool isOld = steady_clock::now() - this->reportedAt.at(report.service) > reportRepeat;
+    const auto differs = [](std::int64_t one, std::int64_t other) {
+        return std::abs(one - other) > std::max<std::int64_t>(std::max(one, other) / 4, 64'000);
+    };
+    // While machines are emptied every change of what runs on them counts.
+    const bool hasMoved = report.evacuationsSeen != last.evacuationsSeen || (!this->ownership.evacuated().empty() && report.machines != last.machines);
+    return isOld || hasMoved || report.token != last.token || report.spread != last.spread || report.longRunningCpu != last.longRunningCpu
+        || differs(report.inflow, last.inflow) || differs(report.backlog, last.backlog);
+}
+
+net::awaitable<void> SchedulerProcess::Private::reportPools()
+{
+    while (!this->isStopping) {
+        co_await sleepFor(this->context, reportInterval);
+        std::vector<StoredRecord> records;
+        std::vector<PoolReport> sent;
+        for (const auto &[partition, shard] : this->ownership.shards()) {
+            for (PoolReport &report : shard->reports()) {
+                if (this->isWorthReporting(report)) {
+                    report.number = ++this->reportNumber;
+                    records.push_back(StoredRecord{report.service.value, encodePoolReport(report), -1});
+                    sent.push_back(std::move(report));
+                }
+            }
+        }
+        if (records.empty()) {
+            continue;
+        }
+        const Result<void> appended = co_await this->platform->store().append(Stream::Plan, reportPartition, std::move(records), std::nullopt, reportLimit);
+        if (!appended) {
+            continue;
+        }
+        for (PoolReport &report : sent) {
+            this->reportedAt[report.service] = steady_clock::now();
+            this->reported[report.service] = std::move(report);
+        }
+    }
+}
+
 nlohmann::json SchedulerProcess::Private::state() const
 {
     nlohmann::json pools = nlohmann::json::array();
@@ -168,6 +283,8 @@
     net::co_spawn(state->context, state->feed.run(), net::detached);
     net::co_spawn(state->context, state->ownership.run(), net::detached);
     net::co_spawn(state->context, state->followDirectory(), net::detached);
+    net::co_spawn(state->context, state->followPlan(), net::detached);
+    net::co_spawn(state->context, state->reportPools(), net::detached);
 }
 
 net::awaitable<void> SchedulerProcess::retire()
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -69,6 +69,7 @@
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
     std::set<MachineId> evacuations;
+    std::int64_t evacuationsSeen = 0;
     std::set<ExecutorKey> recorded;
     std::map<ServiceId, std::unique_ptr<PoolScheduler>> pools;
     std::map<JobId, AcceptedJob> unplaced;
@@ -678,9 +679,10 @@
     this->d->planWanted.notify();
 }
 
-void ShardOwner::setEvacuations(const std::set<MachineId> &machines)
+void ShardOwner::setEvacuations(const std::set<MachineId> &machines, std::int64_t number)
 {
     this->d->evacuations = machines;
+    this->d->evacuationsSeen = number;
     for (auto &[service, pool] : this->d->pools) {
         pool->setEvacuations(machines);
     }
@@ -702,18 +704,19 @@
     return this->d->token;
 }
 
-std::set<MachineId> ShardOwner::evacuated(const std::set<MachineId> &machines) const
+std::vector<PoolReport> ShardOwner::reports() const
 {
-    std::set<MachineId> result;
-    for (const MachineId &machine : machines) {
-        const bool isEmpty = std::all_of(this->d->pools.begin(), this->d->pools.end(), [&machine](const auto &entry) {
-            return entry.second->isEvacuated(machine);
-        });
-        if (isEmpty) {
-            result.insert(machine);
-        }
+    std::vector<PoolReport> reports;
+    if (!this->isActive()) {
+        return reports;
     }
-    return result;
+    for (const auto &[service, pool] : this->d->pools) {
+        PoolReport report = pool->report(bootNow());
+        report.token = this->d->token;
+        report.evacuationsSeen = this->d->evacuationsSeen;
+        reports.push_back(std::move(report));
+    }
+    return reports;
 }
 
 std::vector<std::pair<ServiceId, PoolSummary>> ShardOwner::summaries() const
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -45,16 +45,17 @@
     void setHorizon(TimePoint horizon);
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors);
-    void setEvacuations(const std::set<MachineId> &machines);
+    // `number` is that of the list; it comes back in the reports.
+    void setEvacuations(const std::set<MachineId> &machines, std::int64_t number);
 
     // Returns true once a successor was noticed.
     bool isSuperseded() const;
     bool isActive() const;
     std::int64_t token() const;
 
-    // Machines of the set on which nothing runs any more.
-    std::set<MachineId> evacuated(const std::set<MachineId> &machines) const;
-    // Pools by service, for state dumps and planning.
+    // What the planner of the machines has to know of each pool.
+    std::vector<PoolReport> reports() const;
+    // Pools by service, for state dumps.
     std::vector<std::pair<ServiceId, PoolSummary>> summaries() const;
 
 private:
