Runs taken over have a lease; silent executors get no longer one

A run found by a new owner had no lease bound and was taken as lapsed at once. Ends on idle executors were never acknowledged. Ruled out: lists of running items that were cut short (the log shows the runs adopted, then dropped with 'the lease ran out'). Change: an adopted run carries the longest lease; a renewal that follows an unanswered one only looks; an acknowledgement is sent to idle executors as well. Tests in poolscheduler_test, each red before.

--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -150,7 +150,8 @@
         for (const ExecutorKey &key : item->where) {
             const Executor *executor = this->find(key);
             const auto run = executor->runs.find(other);
-            isAtWork = isAtWork || (run != executor->runs.end() && run->second.phase == RunPhase::Running && run->second.percent >= 100);
+            const bool answers = executor->failingSince == TimePoint{};
+            isAtWork = isAtWork || (answers && run != executor->runs.end() && run->second.phase == RunPhase::Running && run->second.percent >= 100);
         }
         away += isAtWork ? 0 : 1;
     }
@@ -406,14 +407,19 @@
         return std::nullopt;
     }
     const bool hasWork = !executor->runs.empty();
-    const bool hasEnds = executor->persistedEnd < executor->processedEnd;
+    const bool hasEnds = executor->acknowledgedEnd < executor->persistedEnd;
     if (executor->isContacted && !hasWork && !hasEnds) {
         return std::nullopt;
     }
+    executor->sentEnd = executor->persistedEnd;
     RenewalPlan plan{executor->info, LeaseRenewal{this->d->token, executor->persistedEnd, std::nullopt, milliseconds::zero()}};
     if (!hasWork || !executor->clock) {
         return plan;
     }
+    if (executor->failingSince != TimePoint{}) {
+        // It may be gone: its work can only restart once the lease is over.
+        return plan;
+    }
     if (span(now, horizon) > milliseconds::zero()) {
         plan.renewal.until = this->d->leaseUntil(*executor, now, horizon);
         this->d->extendLease(*executor, *plan.renewal.until, now);
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -14,6 +14,7 @@
 // An executor on which this many distinct jobs failed in a row is avoided for a while.
 constexpr std::size_t suspiciousFailures = 2;
 constexpr milliseconds avoidance{5000};
+constexpr milliseconds leaseRounding{60};
 
 template<typename T>
 TimePoint after(TimePoint start, T span)
@@ -515,6 +516,7 @@
     executor->failingSince = TimePoint{};
     executor->isContacted = true;
     executor->lastReportAt = now;
+    executor->acknowledgedEnd = executor->sentEnd;
     this->d->noteClock(*executor, report.clock, now);
     for (const ReportedEnd &end : report.ended) {
         if (end.number > executor->processedEnd) {
@@ -531,7 +533,12 @@
             continue;
         }
         const auto known = executor->runs.find(reported.item);
-        Run &run = known != executor->runs.end() ? known->second : this->d->adopt(*executor, reported.item, reported.run, now);
+        const bool isAdopted = known == executor->runs.end();
+        Run &run = isAdopted ? this->d->adopt(*executor, reported.item, reported.run, now) : known->second;
+        if (isAdopted) {
+            // Whoever started it may have given it the longest lease.
+            executor->leaseEnd = std::max(executor->leaseEnd, after(now, this->d->settings.longestLease * (1.0 + this->d->settings.clockDrift) + leaseRounding));
+        }
         run.number = std::max(run.number, reported.run);
         run.isListed = true;
         run.percent = reported.percent;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -57,6 +57,9 @@
     std::int64_t processedEnd = 0;
     std::int64_t collectedEnd = 0;
     std::int64_t persistedEnd = 0;
+    // Ends that the renewal under way and the last answered one acknowledged.
+    std::int64_t sentEnd = 0;
+    std::int64_t acknowledgedEnd = 0;
     // Distinct jobs that failed here since the last success.
     std::set<JobId> failedJobs;
     // Actual run time against the expected one, smoothed.
--- /dev/null
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -0,0 +1,324 @@
+// The pool scheduler on a virtual clock, against hand-written reports.
+#include <mangocourse/poolscheduler.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace MangoCourse {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::int64_t gigabyte = 1024;
+
+class PoolSchedulerTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->config.revision = 1;
+        QueueConfig queue;
+        queue.id = QueueId{"counter"};
+        queue.service = ServiceId{"desk"};
+        queue.attempts = 2;
+        queue.slackFactor = 1.6;
+        queue.targetLatency = 600ms;
+        this->config.queues.push_back(queue);
+        this->config.services.emplace(ServiceId{"desk"}, ServiceConfig{ServiceId{"desk"}, {}, 64, true, false});
+        this->scheduler = this->makeScheduler(1, 0, TimePoint{});
+    }
+
+    std::unique_ptr<PoolScheduler> makeScheduler(std::int64_t token, std::int64_t runBase, TimePoint clearAt)
+    {
+        auto made = PoolScheduler::create(ServiceId{"desk"}, SchedulerSettings{}, token, runBase, clearAt);
+        (*made)->setConfig(this->config);
+        return std::move(*made);
+    }
+
+    static ExecutorInfo executor(const std::string &name, std::int64_t born = 100)
+    {
+        ExecutorInfo info;
+        info.id = ExecutorId{name};
+        info.machine = MachineId{"machine-" + name};
+        info.service = ServiceId{"desk"};
+        info.born = born;
+        info.capacity = Room{64000, 256 * gigabyte, 0};
+        info.labels = {"a", "rack-1"};
+        return info;
+    }
+
+    void list(const std::vector<ExecutorInfo> &infos)
+    {
+        this->scheduler->setExecutors(infos, this->now);
+        for (const ExecutorKey &key : this->scheduler->takeNewlyUsed()) {
+            this->scheduler->markRecorded(key);
+        }
+    }
+
+    void report(const std::string &name, std::vector<ReportedRun> running = {}, std::vector<ReportedEnd> ended = {}, std::int64_t born = 100)
+    {
+        ExecutorReport report;
+        report.outcome = OrderOutcome::Done;
+        report.clock = std::chrono::duration_cast<std::chrono::milliseconds>(this->now.time_since_epoch());
+        report.born = born;
+        report.running = std::move(running);
+        report.ended = std::move(ended);
+        this->scheduler->onReport(ExecutorKey{ExecutorId{name}, born}, report, this->now, this->now, this->wall);
+    }
+
+    AcceptedJob job(const std::string &name, StepSpec step = {}) const
+    {
+        if (step.room == Room{}) {
+            step.room = Room{4000, gigabyte, 0};
+            step.estimate = 1000ms;
+        }
+        return AcceptedJob{JobId{name}, QueueId{"counter"}, ServiceId{"desk"}, this->wall, JobSpec{"work", {step}, {}}};
+    }
+
+    void add(const AcceptedJob &accepted, const JobProgress *progress = nullptr)
+    {
+        this->scheduler->addJob(accepted, progress, this->now, this->wall);
+    }
+
+    SchedulerOrders plan()
+    {
+        return this->scheduler->plan(this->now, this->wall, this->now + 6s);
+    }
+
+    // Plans and answers every start with success.
+    SchedulerOrders planAndConfirm()
+    {
+        SchedulerOrders orders = this->plan();
+        for (const StartOrder &order : orders.starts) {
+            this->answer(order, OrderOutcome::Done);
+        }
+        return orders;
+    }
+
+    void answer(const StartOrder &order, OrderOutcome outcome)
+    {
+        this->scheduler->onStarted(ExecutorKey{order.executor.id, order.executor.born}, order.run, OrderReply{outcome, std::nullopt}, this->now, this->now);
+    }
+
+    void advance(std::chrono::milliseconds time)
+    {
+        this->now += time;
+        this->wall += time;
+    }
+
+    std::optional<RenewalPlan> renewal(const std::string &name, std::int64_t born = 100)
+    {
+        return this->scheduler->renewal(ExecutorKey{ExecutorId{name}, born}, this->now, this->now + 6s);
+    }
+
+    FleetConfig config;
+    std::unique_ptr<PoolScheduler> scheduler;
+    TimePoint now{100s};
+    WallTime wall{1'000'000s};
+};
+
+TEST_F(PoolSchedulerTest, StartsNothingOnAnExecutorThatHasNotAnswered)
+{
+    this->list({executor("one")});
+    this->add(this->job("a"));
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->report("one");
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
+TEST_F(PoolSchedulerTest, FirstRunIsNumberOneAndTheNextIsHigher)
+{
+    this->list({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    EXPECT_EQ(first.starts[0].run.run, 1);
+    const std::string name = first.starts[0].executor.id.value;
+    this->report(name, {}, {ReportedEnd{1, first.starts[0].run.item, 1, RunEnd::Failed, {}}});
+    const SchedulerOrders second = this->planAndConfirm();
+    ASSERT_EQ(second.starts.size(), 1U);
+    EXPECT_EQ(second.starts[0].run.run, 2);
+    EXPECT_NE(second.starts[0].executor.id.value, name);
+}
+
+TEST_F(PoolSchedulerTest, AdoptedRunsAreNotTakenAsLapsed)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->list({executor("one"), executor("two")});
+    this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
+    this->add(this->job("a"));
+    this->report("two");
+    this->report("one", {ReportedRun{ItemId{JobId{"a"}, 0, 0, 0}, 7, {}, 100, 0}});
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->advance(2s);
+    EXPECT_TRUE(this->plan().starts.empty());
+}
+
+TEST_F(PoolSchedulerTest, AnEarlierOwnersWorkOnASilentExecutorIsWaitedOut)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
+    this->list({executor("one"), executor("two")});
+    this->report("two");
+    this->add(this->job("a"));
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->advance(5s);
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->advance(1100ms);
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts[0].run.run, 100'001);
+}
+
+TEST_F(PoolSchedulerTest, SilentExecutorsWorkRestartsOnlyAfterItsLease)
+{
+    this->list({executor("one"), executor("two")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    this->report("two");
+    ExecutorReport silence;
+    this->scheduler->onReport(ExecutorKey{ExecutorId{"one"}, 100}, silence, this->now, this->now, this->wall);
+    this->advance(3400ms);
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->advance(400ms);
+    const SchedulerOrders again = this->plan();
+    ASSERT_EQ(again.starts.size(), 1U);
+    EXPECT_EQ(again.starts[0].executor.id.value, "two");
+}
+
+TEST_F(PoolSchedulerTest, LeaseOfASilentExecutorIsNotExtended)
+{
+    this->list({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    ASSERT_EQ(this->planAndConfirm().starts.size(), 1U);
+    for (int tries = 0; tries < 8; ++tries) {
+        this->advance(500ms);
+        ASSERT_TRUE(this->renewal("one"));
+        EXPECT_EQ(this->renewal("one")->renewal.until.has_value(), tries == 0);
+        this->scheduler->onReport(ExecutorKey{ExecutorId{"one"}, 100}, ExecutorReport{}, this->now, this->now, this->wall);
+    }
+    this->list({executor("one"), executor("two")});
+    this->report("two");
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
+TEST_F(PoolSchedulerTest, ItemsOnASilentExecutorCountAsAway)
+{
+    StepSpec step;
+    step.count = 2;
+    step.room = Room{4000, gigabyte, 0};
+    step.isLongRunning = true;
+    step.perExecutorLimit = 1;
+    step.availabilityBudget = 1;
+    this->list({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a", step));
+    for (const StartOrder &order : this->planAndConfirm().starts) {
+        this->report(order.executor.id.value, {ReportedRun{order.run.item, order.run.run, {}, 100, 0}});
+    }
+    this->scheduler->onReport(ExecutorKey{ExecutorId{"two"}, 100}, ExecutorReport{}, this->now, this->now, this->wall);
+    this->scheduler->setEvacuations({MachineId{"machine-one"}});
+    EXPECT_TRUE(this->plan().stops.empty());
+}
+
+TEST_F(PoolSchedulerTest, UnansweredStartIsStoppedBeforeTheItemRunsElsewhere)
+{
+    this->list({executor("one"), executor("two")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->plan();
+    ASSERT_EQ(first.starts.size(), 1U);
+    this->report("two");
+    this->answer(first.starts[0], OrderOutcome::Unknown);
+    this->advance(100ms);
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->report("one");
+    const SchedulerOrders stopping = this->plan();
+    ASSERT_EQ(stopping.stops.size(), 1U);
+    EXPECT_TRUE(stopping.starts.empty());
+    this->scheduler->onStopped(ExecutorKey{ExecutorId{"one"}, 100}, stopping.stops[0].run, OrderReply{OrderOutcome::Done, {}}, this->now, this->now);
+    this->advance(10ms);
+    this->report("one");
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
+TEST_F(PoolSchedulerTest, CancelledJobIsStoppedAndNeverStartsAgain)
+{
+    this->list({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->planAndConfirm();
+    this->scheduler->cancelJob(JobId{"a"}, this->wall);
+    EXPECT_EQ(this->plan().stops.size(), 1U);
+    this->report("one", {}, {ReportedEnd{1, first.starts[0].run.item, 1, RunEnd::Stopped, {}}});
+    EXPECT_TRUE(this->plan().starts.empty());
+    const auto changed = this->scheduler->takeChanged();
+    ASSERT_FALSE(changed.empty());
+    EXPECT_EQ(changed.back().state, JobState::Cancelled);
+}
+
+TEST_F(PoolSchedulerTest, EndsAreAcknowledgedOnlyOnceTheyAreDurable)
+{
+    this->list({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->planAndConfirm();
+    this->report("one", {}, {ReportedEnd{1, first.starts[0].run.item, 1, RunEnd::Done, {}}});
+    const auto changed = this->scheduler->takeChanged();
+    ASSERT_EQ(changed.size(), 1U);
+    EXPECT_EQ(changed[0].state, JobState::Completed);
+    EXPECT_FALSE(this->renewal("one"));
+    this->scheduler->markPersisted();
+    ASSERT_TRUE(this->renewal("one"));
+    EXPECT_EQ(this->renewal("one")->renewal.lastSeen, 1);
+}
+
+TEST_F(PoolSchedulerTest, AttemptsAreBounded)
+{
+    this->list({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a"));
+    std::int64_t ends = 0;
+    for (int attempt = 1; attempt <= 2; ++attempt) {
+        const SchedulerOrders orders = this->planAndConfirm();
+        ASSERT_EQ(orders.starts.size(), 1U);
+        this->report(orders.starts[0].executor.id.value, {}, {ReportedEnd{++ends, orders.starts[0].run.item, attempt, RunEnd::Failed, {}}});
+    }
+    EXPECT_TRUE(this->plan().starts.empty());
+    EXPECT_EQ(this->scheduler->takeChanged().back().state, JobState::Failed);
+}
+
+TEST_F(PoolSchedulerTest, AvailabilityBudgetHoldsWhileMachinesAreEmptied)
+{
+    StepSpec step;
+    step.count = 2;
+    step.room = Room{4000, gigabyte, 0};
+    step.isLongRunning = true;
+    step.perExecutorLimit = 1;
+    step.availabilityBudget = 1;
+    this->list({executor("one"), executor("two"), executor("three")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a", step));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 2U);
+    this->report("three");
+    for (const StartOrder &order : first.starts) {
+        this->report(order.executor.id.value, {ReportedRun{order.run.item, order.run.run, {}, 100, 0}});
+    }
+    this->scheduler->setEvacuations({MachineId{"machine-one"}, MachineId{"machine-two"}});
+    EXPECT_EQ(this->plan().stops.size(), 1U);
+    this->advance(50ms);
+    EXPECT_TRUE(this->plan().stops.empty());
+}
+
+}
+}
