Lapsed work restarts only after a confirmation of the ownership that is later than the lease

Ruled out: the successor's waiting time (it started nothing early; the second run came from the old owner). Change: OwnershipTerm carries the last confirmation; a lease is over only if the ownership was confirmed after its end. Test LeaseCountsAsOverOnlyOnceTheOwnershipIsConfirmedAfterIt.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -85,6 +85,14 @@
     std::vector<PaceOrder> paces;
 };
 
+// How far the ownership reaches.
+struct OwnershipTerm {
+    // The latest time at which the owner is known to have been the only one.
+    TimePoint confirmedAt{};
+    // No lease and no start may reach beyond this.
+    TimePoint horizon{};
+};
+
 // The renewal that an executor needs now.
 struct RenewalPlan {
     ExecutorInfo executor;
@@ -152,8 +160,8 @@
     void onStopped(const ExecutorKey &executor, const StopRun &order, const OrderReply &reply, TimePoint sentAt, TimePoint now);
     void onPolicy(const ItemId &step, const PolicyAnswer &answer, TimePoint now);
 
-    // Plans what to do now. No lease and no start reaches beyond `horizon`.
-    SchedulerOrders plan(TimePoint now, WallTime wallNow, TimePoint horizon);
+    // Plans what to do now, within the term. Work whose lease ran out restarts only if nobody else can have renewed it.
+    SchedulerOrders plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term);
 
     // Returns the renewal that the executor needs, or nothing while none is needed.
     std::optional<RenewalPlan> renewal(const ExecutorKey &executor, TimePoint now, TimePoint horizon) const;
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -83,10 +83,11 @@
     executor.leaseEnd = std::max(executor.leaseEnd, after(now, longest + leaseMargin));
 }
 
-void PoolScheduler::Private::expireLeases(TimePoint now)
+void PoolScheduler::Private::expireLeases(TimePoint now, TimePoint confirmedAt)
 {
     for (auto &[key, executor] : this->executors) {
-        if (!executor.runs.empty() && executor.leaseEnd < now) {
+        // A successor that took over before the lease ended may have renewed it.
+        if (!executor.runs.empty() && executor.leaseEnd < std::min(now, confirmedAt)) {
             this->dropExecutor(executor, now, "the lease ran out");
         }
     }
@@ -364,11 +365,12 @@
     }
 }
 
-SchedulerOrders PoolScheduler::plan(TimePoint now, WallTime wallNow, TimePoint horizon)
+SchedulerOrders PoolScheduler::plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term)
 {
     Private &state = *this->d;
+    const TimePoint horizon = term.horizon;
     state.orders = SchedulerOrders{};
-    state.expireLeases(now);
+    state.expireLeases(now, term.confirmedAt);
     state.evacuate(now);
     for (auto &[key, executor] : state.executors) {
         state.resendStops(executor, now);
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -179,7 +179,7 @@
     void learnTime(Executor &executor, const Run &run, TimePoint now);
 
     // Planning
-    void expireLeases(TimePoint now);
+    void expireLeases(TimePoint now, TimePoint confirmedAt);
     void pacefillers(Executor &executor, TimePoint now);
     void resendStops(Executor &executor, TimePoint now);
     void evacuate(TimePoint now);
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -83,7 +83,7 @@
 
     SchedulerOrders plan()
     {
-        return this->scheduler->plan(this->now, this->wall, this->now + 6s);
+        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->now + 6s});
     }
 
     // Plans and answers every start with success.
@@ -114,6 +114,8 @@
 
     FleetConfig config;
     std::unique_ptr<PoolScheduler> scheduler;
+    // The last confirmation of the ownership; now, where none is set.
+    std::optional<TimePoint> confirmedAt;
     TimePoint now{100s};
     WallTime wall{1'000'000s};
 };
@@ -197,7 +199,7 @@
     this->report("one");
     this->add(this->job("a"));
     ASSERT_EQ(this->planAndConfirm().starts.size(), 1U);
-    for (int tries = 0; tries < 8; ++tries) {
+    for (int tries = 0; tries < 9; ++tries) {
         this->advance(500ms);
         ASSERT_TRUE(this->renewal("one"));
         EXPECT_EQ(this->renewal("one")->renewal.until.has_value(), tries == 0);
@@ -208,6 +210,21 @@
     EXPECT_EQ(this->plan().starts.size(), 1U);
 }
 
+TEST_F(PoolSchedulerTest, LeaseCountsAsOverOnlyOnceTheOwnershipIsConfirmedAfterIt)
+{
+    this->list({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    ASSERT_EQ(this->planAndConfirm().starts.size(), 1U);
+    this->list({executor("one"), executor("two")});
+    this->report("two");
+    this->confirmedAt = this->now + 1s;
+    this->advance(4500ms);
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->confirmedAt = this->now;
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 TEST_F(PoolSchedulerTest, ItemsOnASilentExecutorCountAsAway)
 {
     StepSpec step;
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -29,11 +29,11 @@
 {
 }
 
-void Ownership::setHorizons(TimePoint sentAt)
+void Ownership::setTerms(TimePoint sentAt)
 {
     this->confirmedAt = std::max(this->confirmedAt, sentAt);
     for (auto &[partition, shard] : this->owned) {
-        shard->setHorizon(this->confirmedAt + this->owner.settings.scheduler.longestLease);
+        shard->setTerm(OwnershipTerm{this->confirmedAt, this->confirmedAt + this->owner.settings.scheduler.longestLease});
     }
 }
 
@@ -78,7 +78,7 @@
         shard->setEvacuations(this->evacuations, this->evacuationsNumber);
         shard->start();
     }
-    this->setHorizons(sentAt);
+    this->setTerms(sentAt);
     if (plans && (this->planning == 0 || isUncertain)) {
         this->planning = membership.generation;
         this->handlers.planning(this->planning);
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -40,7 +40,7 @@
 
 private:
     void apply(const Membership &membership, TimePoint sentAt);
-    void setHorizons(TimePoint sentAt);
+    void setTerms(TimePoint sentAt);
 
     OwnerContext owner;
     Handlers handlers;
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -64,7 +64,7 @@
     bool isStopped = false;
     bool isFenced = false;
     bool isLoaded = false;
-    TimePoint horizon{};
+    OwnershipTerm term;
     TimePoint clearAt{};
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
@@ -397,7 +397,7 @@
         }
         this->watchExecutors();
         for (auto &[service, pool] : this->state.pools) {
-            this->dispatch(pool.get(), pool->plan(now, wallNow(), this->state.horizon));
+            this->dispatch(pool.get(), pool->plan(now, wallNow(), this->state.term));
             wakeup = std::min(wakeup, pool->nextWakeup(now, wallNow()));
             if (this->state.owner.policy != nullptr) {
                 for (PolicyQuestion &question : pool->policyQuestions(now)) {
@@ -504,7 +504,7 @@
 {
     while (!this->isOver()) {
         const TimePoint sentAt = bootNow();
-        const std::optional<RenewalPlan> plan = pool->renewal(key, sentAt, this->state.horizon);
+        const std::optional<RenewalPlan> plan = pool->renewal(key, sentAt, this->state.term.horizon);
         if (!plan) {
             const std::vector<ExecutorKey> known = pool->executors();
             if (std::find(known.begin(), known.end(), key) == known.end()) {
@@ -643,9 +643,10 @@
     this->stop();
 }
 
-void ShardOwner::setHorizon(TimePoint horizon)
+void ShardOwner::setTerm(const OwnershipTerm &term)
 {
-    this->d->horizon = std::max(this->d->horizon, horizon);
+    this->d->term = term;
+    this->d->planWanted.notify();
 }
 
 void ShardOwner::setConfig(std::shared_ptr<const FleetConfig> config)
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -41,8 +41,8 @@
     // Writes what is not durable yet, then stops.
     net::awaitable<void> handOver();
 
-    // Until when leases may reach: moves on with each confirmation of the ownership.
-    void setHorizon(TimePoint horizon);
+    // Moves on with each confirmation of the ownership.
+    void setTerm(const OwnershipTerm &term);
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors);
     // `number` is that of the list; it comes back in the reports.
