Planner: lives that an order ended get no work; need by the longer of inflow and backlog

Change: the planner's state keeps ended lives for 15 s; evacuations name the life, not the machine. The need of a pool is the larger of arrivals and of work to be done within 1.4 s, not their sum.

--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -12,13 +12,13 @@
 
 namespace MangoCourse {
 
-// What runs on one machine of a pool.
-struct MachineUse {
-    MachineId machine;
+// What runs on one executor of a pool.
+struct ExecutorUse {
+    ExecutorId executor;
     std::int32_t runs = 0;
     std::int32_t longRunning = 0;
 
-    bool operator==(const MachineUse &) const = default;
+    bool operator==(const ExecutorUse &) const = default;
 };
 
 // A pool as its owner sees it. Reports of one pool are ordered by token, then number.
@@ -35,7 +35,7 @@
     std::int64_t backlog = 0;
     // The most machines that one step has to spread over.
     std::int32_t spread = 0;
-    std::vector<MachineUse> machines;
+    std::vector<ExecutorUse> executors;
 
     bool operator==(const PoolReport &) const = default;
 };
@@ -45,12 +45,16 @@
     Move,
 };
 
-// A machine that is to be emptied, and what for.
+// A machine that is to be emptied, and what for. The entry stays until the machine is back, so that nobody places work on a life that ends.
 struct Evacuation {
     MachineId machine;
+    // The machine's life that gets no more work; empty for a machine that is off.
+    ExecutorId executor;
     EvacuationPurpose purpose = EvacuationPurpose::Maintenance;
     WaveId wave;
     ServiceId target;
+    // The order was carried out.
+    bool isOrdered = false;
 
     bool operator==(const Evacuation &) const = default;
 };
@@ -60,6 +64,8 @@
     // Rises with each change of the evacuations.
     std::int64_t number = 0;
     std::vector<Evacuation> evacuations;
+    // Lives that an order ended. Discovery still shows them for a while; they get no work either.
+    std::map<ExecutorId, WallTime> ended;
     // Machines whose maintenance has begun, and when the wave was first seen.
     struct Wave {
         std::set<MachineId> begun;
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -143,8 +143,8 @@
     void setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint now);
     void setEarlierExecutors(const std::set<ExecutorKey> &used);
 
-    // Machines that get no new work and whose work moves away.
-    void setEvacuations(const std::set<MachineId> &machines);
+    // Executors that get no new work and whose work moves away.
+    void setEvacuations(const std::set<ExecutorId> &executors);
     // What the planner of the machines has to know; token and numbers are left to the caller.
     PoolReport report(TimePoint now) const;
 
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -12,8 +12,8 @@
 
 // Reports older than this say nothing about a pool.
 constexpr milliseconds reportLife{2500};
-// A backlog of finite work should be worked off within this.
-constexpr double backlogSeconds = 1.0;
+// Finite work should be done within this.
+constexpr double backlogSeconds = 1.4;
 // Share of a machine's cores that finite work can really use.
 constexpr double packing = 0.85;
 // Machines that a pool keeps beyond its need, against the next second's arrivals.
@@ -26,6 +26,10 @@
 constexpr milliseconds movePatience{3000};
 // An order without an answer keeps its machine untouched this long.
 constexpr milliseconds unknownHold{3000};
+// A machine that was ordered away and never came back is not waited for longer than this.
+constexpr milliseconds orderMemory{20'000};
+// Discovery drops a silent executor well within this.
+constexpr milliseconds endedMemory{15'000};
 
 TimePoint after(TimePoint start, milliseconds span)
 {
@@ -64,19 +68,19 @@
     FleetConfig config;
     std::map<WaveId, MaintenanceWave> waves;
     std::map<MachineId, MachineInfo> machines;
-    TimePoint machinesAt{};
+    WallTime wallNow{};
     std::map<ServiceId, KnownReport> reports;
     std::map<ServiceId, TimePoint> needlessSince;
     std::map<MachineId, TimePoint> evacuatingSince;
     std::map<MachineId, TimePoint> untouchedUntil;
-    // Moves that were ordered and are not in the list yet.
-    std::map<MachineId, ServiceId> ordered;
 
     std::map<ServiceId, PoolView> viewPools(TimePoint now) const;
-    const MachineUse *useOf(const MachineInfo &machine, TimePoint now) const;
+    const ExecutorUse *useOf(const MachineInfo &machine, TimePoint now) const;
     bool isEvacuating(const MachineId &machine) const;
-    void evacuate(Evacuation evacuation, TimePoint now);
+    Evacuation *findEvacuation(const MachineId &machine);
+    void evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now);
     void endEvacuation(const MachineId &machine);
+    void markOrdered(const MachineId &machine, TimePoint now);
     void startMaintenance(std::map<ServiceId, PoolView> &pools, TimePoint now, WallTime wallNow);
     void planMoves(std::map<ServiceId, PoolView> &pools, TimePoint now);
     void balance(PoolView &pool, std::map<ServiceId, PoolView> &pools, TimePoint now);
@@ -93,10 +97,18 @@
     });
 }
 
-void FleetPlanner::Private::evacuate(Evacuation evacuation, TimePoint now)
+Evacuation *FleetPlanner::Private::findEvacuation(const MachineId &machine)
 {
-    this->evacuatingSince[evacuation.machine] = now;
-    this->state.evacuations.push_back(std::move(evacuation));
+    const auto found = std::find_if(this->state.evacuations.begin(), this->state.evacuations.end(), [&machine](const Evacuation &evacuation) {
+        return evacuation.machine == machine;
+    });
+    return found == this->state.evacuations.end() ? nullptr : &*found;
+}
+
+void FleetPlanner::Private::evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now)
+{
+    this->evacuatingSince[machine] = now;
+    this->state.evacuations.push_back(Evacuation{machine, this->machines.at(machine).executor, purpose, wave, target, false});
     ++this->state.number;
 }
 
@@ -111,14 +123,27 @@
     }
 }
 
-const MachineUse *FleetPlanner::Private::useOf(const MachineInfo &machine, TimePoint now) const
+void FleetPlanner::Private::markOrdered(const MachineId &machine, TimePoint now)
+{
+    if (const Evacuation *evacuation = this->findEvacuation(machine); evacuation != nullptr && !evacuation->executor.isEmpty()) {
+        this->state.ended[evacuation->executor] = this->wallNow;
+        ++this->state.number;
+    }
+    this->untouchedUntil.erase(machine);
+    this->evacuatingSince[machine] = now;
+    if (Evacuation *evacuation = this->findEvacuation(machine)) {
+        evacuation->isOrdered = true;
+    }
+}
+
+const ExecutorUse *FleetPlanner::Private::useOf(const MachineInfo &machine, TimePoint now) const
 {
     const auto known = this->reports.find(machine.pool);
     if (known == this->reports.end() || now - known->second.at > reportLife) {
         return nullptr;
     }
-    for (const MachineUse &use : known->second.report.machines) {
-        if (use.machine == machine.id) {
+    for (const ExecutorUse &use : known->second.report.executors) {
+        if (use.executor == machine.executor) {
             return &use;
         }
     }
@@ -138,23 +163,25 @@
         }
     }
     for (const auto &[id, machine] : this->machines) {
-        const auto ordered = this->ordered.find(id);
-        const ServiceId &service = ordered != this->ordered.end() ? ordered->second : machine.pool;
-        const auto pool = pools.find(service);
+        const auto pool = pools.find(machine.pool);
         if (pool == pools.end()) {
             continue;
         }
         pool->second.cpuPerMachine = std::max(pool->second.cpuPerMachine, machine.capacity.cpu);
-        const bool isComing = ordered != this->ordered.end() || machine.state == MachineState::Moving || machine.state == MachineState::InMaintenance;
-        if (isComing) {
+        if (this->isEvacuating(id)) {
+            continue;
+        }
+        if (machine.state == MachineState::Moving || machine.state == MachineState::InMaintenance) {
             ++pool->second.coming;
-        } else if (machine.state == MachineState::Up && !this->isEvacuating(id)) {
+        } else if (machine.state == MachineState::Up) {
             pool->second.up.push_back(id);
         }
     }
     for (const Evacuation &evacuation : this->state.evacuations) {
-        const auto target = pools.find(evacuation.target);
-        if (evacuation.purpose == EvacuationPurpose::Move && target != pools.end() && !this->ordered.contains(evacuation.machine)) {
+        const auto machine = this->machines.find(evacuation.machine);
+        const bool isMove = evacuation.purpose == EvacuationPurpose::Move;
+        const auto target = pools.find(isMove || machine == this->machines.end() ? evacuation.target : machine->second.pool);
+        if (target != pools.end() && (isMove || evacuation.isOrdered)) {
             ++target->second.coming;
         }
     }
@@ -163,7 +190,8 @@
             pool.needed = pool.isStandby ? 0 : pool.size();
             continue;
         }
-        const double finite = static_cast<double>(pool.report->inflow) + static_cast<double>(pool.report->backlog) / backlogSeconds;
+        // Work stays in a pool that keeps up for about its own length; what stays longer is waiting.
+        const double finite = std::max(static_cast<double>(pool.report->inflow), static_cast<double>(pool.report->backlog) / backlogSeconds);
         const double cores = static_cast<double>(pool.report->longRunningCpu) + finite / packing;
         const auto machines = static_cast<std::int32_t>(std::ceil(cores / static_cast<double>(pool.cpuPerMachine)));
         pool.needed = std::max({machines, pool.report->spread + spareMachines, 2});
@@ -179,7 +207,10 @@
         const auto machine = this->machines.find(id);
         const auto untouched = this->untouchedUntil.find(id);
         const bool isDown = machine != this->machines.end() && machine->second.state == MachineState::InMaintenance;
-        count += isDown || untouched != this->untouchedUntil.end() ? 1 : 0;
+        const bool isOrdered = std::any_of(this->state.evacuations.begin(), this->state.evacuations.end(), [&id](const Evacuation &evacuation) {
+            return evacuation.machine == id && evacuation.isOrdered && evacuation.purpose == EvacuationPurpose::Maintenance;
+        });
+        count += isDown || isOrdered || untouched != this->untouchedUntil.end() ? 1 : 0;
     }
     return count;
 }
@@ -198,7 +229,7 @@
     if (report == this->reports.end() || now - report->second.at > reportLife || report->second.report.evacuationsSeen < this->state.number) {
         return false;
     }
-    const MachineUse *use = this->useOf(machine->second, now);
+    const ExecutorUse *use = this->useOf(machine->second, now);
     return use != nullptr && use->runs == 0;
 }
 
@@ -208,10 +239,14 @@
     for (const Evacuation &evacuation : this->state.evacuations) {
         const auto machine = this->machines.find(evacuation.machine);
         const auto since = this->evacuatingSince.try_emplace(evacuation.machine, now).first->second;
-        const bool isGone = machine == this->machines.end() || machine->second.state != MachineState::Up;
-        const bool isTooSlow = evacuation.purpose == EvacuationPurpose::Move && now - since > movePatience;
-        const bool isArrived = evacuation.purpose == EvacuationPurpose::Move && !isGone && machine->second.pool == evacuation.target;
-        if ((isGone || isTooSlow || isArrived) && !this->untouchedUntil.contains(evacuation.machine)) {
+        const bool isListed = machine != this->machines.end();
+        const bool isUp = isListed && machine->second.state == MachineState::Up;
+        const bool isBack = isUp && machine->second.executor != evacuation.executor;
+        const bool isParked = isUp && evacuation.isOrdered && evacuation.purpose == EvacuationPurpose::Move && machine->second.pool == evacuation.target;
+        const bool isTooSlow = evacuation.purpose == EvacuationPurpose::Move && !evacuation.isOrdered && now - since > movePatience;
+        const bool isForgotten = evacuation.isOrdered && now - since > orderMemory;
+        const bool isFailed = isListed && machine->second.state == MachineState::Down;
+        if ((!isListed || isBack || isParked || isTooSlow || isForgotten || isFailed) && !this->untouchedUntil.contains(evacuation.machine)) {
             over.push_back(evacuation.machine);
         }
     }
@@ -245,7 +280,7 @@
         }
         std::int32_t active = this->inMaintenance(id);
         for (const Evacuation &evacuation : this->state.evacuations) {
-            const bool isCounted = this->untouchedUntil.contains(evacuation.machine);
+            const bool isCounted = evacuation.isOrdered || this->untouchedUntil.contains(evacuation.machine);
             active += evacuation.purpose == EvacuationPurpose::Maintenance && evacuation.wave == id && !isCounted ? 1 : 0;
         }
         const milliseconds round = evacuationTime + this->settings.maintenanceTime;
@@ -255,7 +290,7 @@
         // Parked machines first, then those with the least work to move.
         std::sort(waiting.begin(), waiting.end(), [&](const MachineInfo *one, const MachineInfo *other) {
             const auto weight = [&](const MachineInfo *machine) {
-                const MachineUse *use = this->useOf(*machine, now);
+                const ExecutorUse *use = this->useOf(*machine, now);
                 return use == nullptr ? -1 : use->longRunning * 100 + use->runs;
             };
             return weight(one) < weight(other);
@@ -272,7 +307,7 @@
             }
             std::erase(pool.up, machine->id);
             ++active;
-            this->evacuate(Evacuation{machine->id, EvacuationPurpose::Maintenance, id, {}}, now);
+            this->evacuate(machine->id, EvacuationPurpose::Maintenance, id, {}, now);
         }
     }
 }
@@ -283,7 +318,7 @@
     std::int32_t bestRuns = 0;
     for (const MachineId &id : donor.up) {
         const MachineInfo &machine = this->machines.at(id);
-        const MachineUse *use = this->useOf(machine, now);
+        const ExecutorUse *use = this->useOf(machine, now);
         if (this->untouchedUntil.contains(id) || (!donor.isStandby && (use == nullptr || use->longRunning > 0))) {
             continue;
         }
@@ -312,7 +347,7 @@
         const MachineId machine = *this->donate(*donor, now);
         std::erase(donor->up, machine);
         ++pool.coming;
-        this->evacuate(Evacuation{machine, EvacuationPurpose::Move, {}, pool.service}, now);
+        this->evacuate(machine, EvacuationPurpose::Move, {}, pool.service, now);
     }
 }
 
@@ -352,7 +387,7 @@
                 break;
             }
             std::erase(pool.up, *machine);
-            this->evacuate(Evacuation{*machine, EvacuationPurpose::Move, {}, standby->service}, now);
+            this->evacuate(*machine, EvacuationPurpose::Move, {}, standby->service, now);
         }
     }
 }
@@ -391,21 +426,13 @@
 void FleetPlanner::setMachines(const std::vector<MachineInfo> &machines, TimePoint now)
 {
     this->d->machines.clear();
-    this->d->machinesAt = now;
     for (const MachineInfo &machine : machines) {
         this->d->machines.emplace(machine.id, machine);
-        const auto ordered = this->d->ordered.find(machine.id);
-        if (ordered != this->d->ordered.end() && (machine.state != MachineState::Up || machine.pool == ordered->second)) {
-            this->d->ordered.erase(ordered);
-        }
     }
     std::erase_if(this->d->untouchedUntil, [this, now](const auto &entry) {
         const auto machine = this->d->machines.find(entry.first);
         return entry.second < now || machine == this->d->machines.end() || machine->second.state != MachineState::Up;
     });
-    std::erase_if(this->d->ordered, [this](const auto &entry) {
-        return !this->d->machines.contains(entry.first);
-    });
     for (auto &[id, wave] : this->d->state.waves) {
         for (const Evacuation &evacuation : this->d->state.evacuations) {
             const auto machine = this->d->machines.find(evacuation.machine);
@@ -434,9 +461,13 @@
     if (state.machines.empty() || state.config.revision == 0) {
         return orders;
     }
+    state.wallNow = wallNow;
+    std::erase_if(state.state.ended, [wallNow](const auto &entry) {
+        return wallNow - entry.second > endedMemory;
+    });
     state.dropStale(now);
     for (const Evacuation &evacuation : state.state.evacuations) {
-        if (state.untouchedUntil.contains(evacuation.machine) || !state.isEmptied(evacuation, now)) {
+        if (evacuation.isOrdered || state.untouchedUntil.contains(evacuation.machine) || !state.isEmptied(evacuation, now)) {
             continue;
         }
         if (evacuation.purpose == EvacuationPurpose::Move) {
@@ -458,12 +489,7 @@
 {
     if (isDone) {
         this->d->state.waves[order.wave].begun.insert(order.machine);
-        const auto machine = this->d->machines.find(order.machine);
-        if (machine != this->d->machines.end()) {
-            machine->second.state = MachineState::InMaintenance;
-        }
-        this->d->endEvacuation(order.machine);
-        this->d->untouchedUntil.erase(order.machine);
+        this->d->markOrdered(order.machine, now);
     } else if (!mayBe) {
         this->d->untouchedUntil[order.machine] = after(now, milliseconds(300));
     }
@@ -472,9 +498,7 @@
 void FleetPlanner::onMoved(const Evacuation &order, bool isDone, bool mayBe, TimePoint now)
 {
     if (isDone) {
-        this->d->ordered[order.machine] = order.target;
-        this->d->endEvacuation(order.machine);
-        this->d->untouchedUntil.erase(order.machine);
+        this->d->markOrdered(order.machine, now);
     } else if (!mayBe) {
         this->d->endEvacuation(order.machine);
         this->d->untouchedUntil[order.machine] = after(now, milliseconds(1000));
@@ -491,7 +515,7 @@
     const bool hasWave = std::any_of(this->d->state.waves.begin(), this->d->state.waves.end(), [](const auto &entry) {
         return !entry.second.isCompleted;
     });
-    return hasWave || !this->d->state.evacuations.empty() || !this->d->ordered.empty();
+    return hasWave || !this->d->state.evacuations.empty();
 }
 
 }
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -162,7 +162,7 @@
 void PoolScheduler::Private::evacuate(TimePoint now)
 {
     for (auto &[key, executor] : this->executors) {
-        if (executor.runs.empty() || !(executor.info.isDraining || this->evacuations.contains(executor.info.machine))) {
+        if (executor.runs.empty() || !(executor.info.isDraining || this->evacuations.contains(executor.info.id))) {
             continue;
         }
         for (auto &[id, run] : executor.runs) {
@@ -180,7 +180,7 @@
 bool PoolScheduler::Private::isUsable(const Executor &executor, TimePoint now) const
 {
     return executor.isListed && executor.isContacted && executor.isRecorded && executor.clock && !executor.info.isDraining && executor.avoidedUntil <= now
-        && executor.failingSince == TimePoint{} && !this->evacuations.contains(executor.info.machine);
+        && executor.failingSince == TimePoint{} && !this->evacuations.contains(executor.info.id);
 }
 
 bool PoolScheduler::Private::isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const
--- a/src/libmangocourse/poolreport.cpp
+++ b/src/libmangocourse/poolreport.cpp
@@ -58,14 +58,14 @@
         }
     }
     for (const auto &[key, executor] : this->d->executors) {
-        if (!executor.isListed || executor.info.machine.isEmpty()) {
+        if (!executor.isListed) {
             continue;
         }
-        MachineUse use{executor.info.machine, static_cast<std::int32_t>(executor.runs.size()), 0};
+        ExecutorUse use{executor.info.id, static_cast<std::int32_t>(executor.runs.size()), 0};
         use.longRunning = static_cast<std::int32_t>(std::count_if(executor.runs.begin(), executor.runs.end(), [](const auto &run) {
             return run.second.isLongRunning;
         }));
-        report.machines.push_back(use);
+        report.executors.push_back(use);
     }
     return report;
 }
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -308,14 +308,14 @@
     }
     static constexpr const char *names[] = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
     this->note("run_ended", end.item, executor, end.run, names[static_cast<int>(end.end)]);
+    if (isKnown) {
+        this->release(executor, run, now);
+    }
     if (end.end == RunEnd::Done) {
         this->finishItem(executor, end, now, wallNow);
     } else if (end.end == RunEnd::Failed) {
         this->failItem(executor, end, now, wallNow);
     }
-    if (isKnown) {
-        this->release(executor, run, now);
-    }
 }
 
 void PoolScheduler::Private::dropExecutor(Executor &executor, TimePoint now, const char *reason)
@@ -413,9 +413,9 @@
     this->d->earlier = used;
 }
 
-void PoolScheduler::setEvacuations(const std::set<MachineId> &machines)
+void PoolScheduler::setEvacuations(const std::set<ExecutorId> &executors)
 {
-    this->d->evacuations = machines;
+    this->d->evacuations = executors;
 }
 
 void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow)
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -143,7 +143,7 @@
     std::map<QueueId, QueueConfig> queues;
     std::map<ExecutorKey, Executor> executors;
     std::set<ExecutorKey> earlier;
-    std::set<MachineId> evacuations;
+    std::set<ExecutorId> evacuations;
     std::unordered_map<JobId, JobEntry> jobs;
     std::set<JobId> open;
     std::set<JobId> changed;
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -241,7 +241,7 @@
         this->report(order.executor.id.value, {ReportedRun{order.run.item, order.run.run, {}, 100, 0}});
     }
     this->scheduler->onReport(ExecutorKey{ExecutorId{"two"}, 100}, ExecutorReport{}, this->now, this->now, this->wall);
-    this->scheduler->setEvacuations({MachineId{"machine-one"}});
+    this->scheduler->setEvacuations({ExecutorId{"one"}});
     EXPECT_TRUE(this->plan().stops.empty());
 }
 
@@ -331,7 +331,7 @@
     for (const StartOrder &order : first.starts) {
         this->report(order.executor.id.value, {ReportedRun{order.run.item, order.run.run, {}, 100, 0}});
     }
-    this->scheduler->setEvacuations({MachineId{"machine-one"}, MachineId{"machine-two"}});
+    this->scheduler->setEvacuations({ExecutorId{"one"}, ExecutorId{"two"}});
     EXPECT_EQ(this->plan().stops.size(), 1U);
     this->advance(50ms);
     EXPECT_TRUE(this->plan().stops.empty());
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -143,12 +143,12 @@
     }
 }
 
-void Ownership::setEvacuations(const std::set<MachineId> &machines, std::int64_t number)
+void Ownership::setEvacuations(const std::set<ExecutorId> &executors, std::int64_t number)
 {
-    this->evacuations = machines;
+    this->evacuations = executors;
     this->evacuationsNumber = number;
     for (auto &[partition, shard] : this->owned) {
-        shard->setEvacuations(machines, number);
+        shard->setEvacuations(executors, number);
     }
 }
 
@@ -157,7 +157,7 @@
     this->isPlanKnown = true;
 }
 
-const std::set<MachineId> &Ownership::evacuated() const
+const std::set<ExecutorId> &Ownership::evacuated() const
 {
     return this->evacuations;
 }
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -27,11 +27,11 @@
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors);
-    void setEvacuations(const std::set<MachineId> &machines, std::int64_t number);
+    void setEvacuations(const std::set<ExecutorId> &executors, std::int64_t number);
     // Tells that the evacuations so far are known: an owner that did not know them might place work there.
     void notePlanKnown();
-    // Machines that are being emptied.
-    const std::set<MachineId> &evacuated() const;
+    // Executors that are being emptied.
+    const std::set<ExecutorId> &evacuated() const;
     bool ownsAnything() const;
     std::int64_t planningToken() const;
     // Until when the planning duty may act.
@@ -47,7 +47,7 @@
     std::map<std::int32_t, std::shared_ptr<ShardOwner>> owned;
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
-    std::set<MachineId> evacuations;
+    std::set<ExecutorId> evacuations;
     std::int64_t evacuationsNumber = 0;
     std::int64_t generation = 0;
     std::int64_t planning = 0;
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -149,7 +149,8 @@
     Json evacuations = Json::array();
     for (const Evacuation &evacuation : state.evacuations) {
         evacuations.push_back(
-            Json::array({evacuation.machine.value, static_cast<int>(evacuation.purpose), evacuation.wave.value, evacuation.target.value}));
+            Json::array({evacuation.machine.value, evacuation.executor.value, static_cast<int>(evacuation.purpose), evacuation.wave.value,
+                         evacuation.target.value, evacuation.isOrdered}));
     }
     Json waves = Json::array();
     for (const auto &[id, wave] : state.waves) {
@@ -159,7 +160,11 @@
         }
         waves.push_back(Json::array({id.value, wave.seenAt.time_since_epoch().count(), wave.isCompleted, std::move(begun)}));
     }
-    return toBytes(Json::array({state.number, std::move(evacuations), std::move(waves)}));
+    Json ended = Json::array();
+    for (const auto &[executor, at] : state.ended) {
+        ended.push_back(Json::array({executor.value, at.time_since_epoch().count()}));
+    }
+    return toBytes(Json::array({state.number, std::move(evacuations), std::move(waves), std::move(ended)}));
 }
 
 Result<PlannerState> decodePlannerState(std::string_view bytes)
@@ -169,9 +174,10 @@
         PlannerState state;
         state.number = json.at(0).get<std::int64_t>();
         for (const Json &row : json.at(1)) {
-            state.evacuations.push_back(Evacuation{MachineId{row.at(0).get<std::string>()},
-                                                   row.at(1).get<int>() == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move,
-                                                   WaveId{row.at(2).get<std::string>()}, ServiceId{row.at(3).get<std::string>()}});
+            state.evacuations.push_back(Evacuation{MachineId{row.at(0).get<std::string>()}, ExecutorId{row.at(1).get<std::string>()},
+                                                   row.at(2).get<int>() == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move,
+                                                   WaveId{row.at(3).get<std::string>()}, ServiceId{row.at(4).get<std::string>()},
+                                                   row.at(5).get<bool>()});
         }
         for (const Json &row : json.at(2)) {
             PlannerState::Wave &wave = state.waves[WaveId{row.at(0).get<std::string>()}];
@@ -181,6 +187,9 @@
                 wave.begun.insert(MachineId{machine.get<std::string>()});
             }
         }
+        for (const Json &row : json.at(3)) {
+            state.ended[ExecutorId{row.at(0).get<std::string>()}] = WallTime(milliseconds(row.at(1).get<std::int64_t>()));
+        }
         return state;
     } catch (const Json::exception &exception) {
         return makeError(ErrorCode::Decode, exception.what(), "planner state");
@@ -189,12 +198,12 @@
 
 std::string encodePoolReport(const PoolReport &report)
 {
-    Json machines = Json::array();
-    for (const MachineUse &use : report.machines) {
-        machines.push_back(Json::array({use.machine.value, use.runs, use.longRunning}));
+    Json executors = Json::array();
+    for (const ExecutorUse &use : report.executors) {
+        executors.push_back(Json::array({use.executor.value, use.runs, use.longRunning}));
     }
     return toBytes(Json::array({report.service.value, report.token, report.number, report.evacuationsSeen, report.longRunningCpu, report.inflow,
-                                report.backlog, report.spread, std::move(machines)}));
+                                report.backlog, report.spread, std::move(executors)}));
 }
 
 Result<PoolReport> decodePoolReport(std::string_view bytes)
@@ -211,7 +220,7 @@
         report.backlog = json.at(6).get<std::int64_t>();
         report.spread = json.at(7).get<std::int32_t>();
         for (const Json &row : json.at(8)) {
-            report.machines.push_back(MachineUse{MachineId{row.at(0).get<std::string>()}, row.at(1).get<std::int32_t>(), row.at(2).get<std::int32_t>()});
+            report.executors.push_back(ExecutorUse{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int32_t>(), row.at(2).get<std::int32_t>()});
         }
         return report;
     } catch (const Json::exception &exception) {
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -143,11 +143,14 @@
         this->log->emit("plan_unreadable", {{"reason", describe(state.error())}}, EventWeight::Essential);
         return;
     }
-    std::set<MachineId> machines;
+    std::set<ExecutorId> executors;
     for (const Evacuation &evacuation : state->evacuations) {
-        machines.insert(evacuation.machine);
+        executors.insert(evacuation.executor);
     }
-    this->ownership.setEvacuations(machines, state->number);
+    for (const auto &[executor, at] : state->ended) {
+        executors.insert(executor);
+    }
+    this->ownership.setEvacuations(executors, state->number);
 }
 
 net::awaitable<void> SchedulerProcess::Private::followPlan()
@@ -174,7 +177,7 @@
         return std::abs(one - other) > std::max<std::int64_t>(std::max(one, other) / 4, 64'000);
     };
     // While machines are emptied every change of what runs on them counts.
-    const bool hasMoved = report.evacuationsSeen != last.evacuationsSeen || (!this->ownership.evacuated().empty() && report.machines != last.machines);
+    const bool hasMoved = report.evacuationsSeen != last.evacuationsSeen || (!this->ownership.evacuated().empty() && report.executors != last.executors);
     return isOld || hasMoved || report.token != last.token || report.spread != last.spread || report.longRunningCpu != last.longRunningCpu
         || differs(report.inflow, last.inflow) || differs(report.backlog, last.backlog);
 }
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -68,7 +68,7 @@
     TimePoint clearAt{};
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
-    std::set<MachineId> evacuations;
+    std::set<ExecutorId> evacuations;
     std::int64_t evacuationsSeen = 0;
     std::set<ExecutorKey> recorded;
     std::map<ServiceId, std::unique_ptr<PoolScheduler>> pools;
@@ -680,12 +680,12 @@
     this->d->planWanted.notify();
 }
 
-void ShardOwner::setEvacuations(const std::set<MachineId> &machines, std::int64_t number)
+void ShardOwner::setEvacuations(const std::set<ExecutorId> &executors, std::int64_t number)
 {
-    this->d->evacuations = machines;
+    this->d->evacuations = executors;
     this->d->evacuationsSeen = number;
     for (auto &[service, pool] : this->d->pools) {
-        pool->setEvacuations(machines);
+        pool->setEvacuations(executors);
     }
     this->d->planWanted.notify();
 }
