--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -179,6 +179,8 @@
     // Tells that everything returned by takeChanged so far is durable.
     void markPersisted();
     bool hasChanges() const;
+    // Returns true while ends of the executor wait to become durable; a renewal would only repeat them.
+    bool hasUnsavedEnds(const ExecutorKey &executor) const;
     // Somebody waits for a change to become visible.
     bool hasUrgentChange() const;
 
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -741,6 +741,12 @@
     return !this->d->changed.empty();
 }
 
+bool PoolScheduler::hasUnsavedEnds(const ExecutorKey &executor) const
+{
+    const Executor *known = this->d->find(executor);
+    return known != nullptr && known->persistedEnd < known->processedEnd;
+}
+
 bool PoolScheduler::hasUrgentChange() const
 {
     return this->d->isUrgent;
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -18,11 +18,13 @@
 constexpr milliseconds appendLimit{1200};
 constexpr milliseconds retryPause{80};
 // Progress that nobody waits for gathers this long.
-constexpr milliseconds persistInterval{90};
+constexpr milliseconds persistInterval{30};
 constexpr milliseconds tailWait{2000};
 // Events that come together are planned for together.
 constexpr milliseconds planPause{2};
-constexpr milliseconds renewalPause{6};
+constexpr milliseconds renewalPause{10};
+// Longest wait for ends to become durable before an executor is asked again.
+constexpr milliseconds unsavedPatience{400};
 constexpr milliseconds renewalRetry{150};
 constexpr milliseconds idleCheck{1000};
 // What an earlier owner may have started beyond its horizon through slow clocks and rounding.
@@ -524,6 +526,10 @@
         pool->onReport(key, report, sentAt, bootNow(), wallNow());
         this->state.planWanted.notify();
         co_await sleepFor(this->state.owner.context, report.outcome == OrderOutcome::Done ? renewalPause : renewalRetry);
+        const TimePoint patience = bootNow() + unsavedPatience;
+        while (!this->isOver() && pool->hasUnsavedEnds(key) && bootNow() < patience) {
+            co_await wanted->waitFor(unsavedPatience);
+        }
     }
     this->state.renewing.erase(key);
 }
