Overload order, planner without a pause, trend of arrivals

Change: only machines that the earlier planner was about to order or had just ordered wait; under overload what has begun is finished and the newest goes next; arrivals are extrapolated over the time that a machine takes to come; joins every 200 ms.

--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -30,7 +30,7 @@
     std::int64_t evacuationsSeen = 0;
     // Cores, in thousandths, taken by long-running work, started or waiting.
     std::int64_t longRunningCpu = 0;
-    // Finite work: what came lately in core-ms a second, and what waits in core-ms.
+    // Finite work: what comes in core-ms a second, with its trend, and what is not done yet in core-ms.
     std::int64_t inflow = 0;
     std::int64_t backlog = 0;
     // The most machines that one step has to spread over.
@@ -66,6 +66,8 @@
     std::vector<Evacuation> evacuations;
     // Lives that an order ended. Discovery still shows them for a while; they get no work either.
     std::map<ExecutorId, WallTime> ended;
+    // Machines that were ordered lately.
+    std::map<MachineId, WallTime> orderedAt;
     // Machines whose maintenance has begun, and when the wave was first seen.
     struct Wave {
         std::set<MachineId> begun;
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds unknownHold{3000};
 // A machine that was ordered away and never came back is not waited for longer than this.
 constexpr milliseconds orderMemory{20'000};
+constexpr milliseconds orderedMemory{5000};
 // Discovery drops a silent executor well within this.
 constexpr milliseconds endedMemory{15'000};
 
@@ -131,6 +132,7 @@
     }
     this->untouchedUntil.erase(machine);
     this->evacuatingSince[machine] = now;
+    this->state.orderedAt[machine] = this->wallNow;
     if (Evacuation *evacuation = this->findEvacuation(machine)) {
         evacuation->isOrdered = true;
     }
@@ -465,6 +467,9 @@
     std::erase_if(state.state.ended, [wallNow](const auto &entry) {
         return wallNow - entry.second > endedMemory;
     });
+    std::erase_if(state.state.orderedAt, [wallNow](const auto &entry) {
+        return wallNow - entry.second > orderedMemory;
+    });
     state.dropStale(now);
     for (const Evacuation &evacuation : state.state.evacuations) {
         if (evacuation.isOrdered || state.untouchedUntil.contains(evacuation.machine) || !state.isEmptied(evacuation, now)) {
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -27,7 +27,9 @@
 constexpr double paceDownAt = 0.85;
 constexpr double paceUpAt = 0.6;
 constexpr std::int32_t paceStep = 20;
-// Jobs past their objective are served behind those that can still meet it.
+// Ready work beyond this share of the pool's cores is overload.
+constexpr double overloadFactor = 1.3;
+// An executor that takes this many times as long as others is avoided where there is a choice.
 constexpr double slowExecutor = 2.0;
 
 TimePoint after(TimePoint start, milliseconds span)
@@ -365,6 +367,30 @@
     }
 }
 
+bool PoolScheduler::Private::isOverloaded() const
+{
+    Room capacity;
+    for (const auto &[key, executor] : this->executors) {
+        if (executor.isListed && executor.isContacted && !executor.info.isDraining) {
+            capacity += executor.info.capacity;
+        }
+    }
+    std::int64_t wanted = 0;
+    for (const JobId &id : this->open) {
+        const JobEntry &entry = this->jobs.at(id);
+        if (entry.job.spec.recurrence.count > 0) {
+            continue;
+        }
+        for (std::size_t step = 0; step < entry.job.spec.steps.size(); ++step) {
+            const StepSpec &spec = entry.job.spec.steps[step];
+            if (!spec.isFiller && this->isStepReady(entry, entry.occurrences.front(), step)) {
+                wanted += spec.room.cpu * (spec.count - entry.occurrences.front().steps[step].done);
+            }
+        }
+    }
+    return static_cast<double>(wanted) > overloadFactor * static_cast<double>(capacity.cpu);
+}
+
 SchedulerOrders PoolScheduler::plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term)
 {
     Private &state = *this->d;
@@ -380,7 +406,8 @@
         return std::move(state.orders);
     }
     // Long-running first, then by priority those that can still meet their objective, the least slack first.
-    std::vector<std::pair<std::tuple<int, bool, std::int32_t, std::int64_t>, JobEntry *>> order;
+    const bool isOverloaded = state.isOverloaded();
+    std::vector<std::pair<std::tuple<int, bool, std::int32_t, bool, std::int64_t>, JobEntry *>> order;
     for (const JobId &id : state.open) {
         JobEntry &entry = *state.findJob(id);
         const bool isLongRunning = entry.job.spec.steps.front().isLongRunning;
@@ -391,7 +418,9 @@
         const auto slack = span(now, entry.objective) - chain;
         const bool isLate = !isLongRunning && slack < milliseconds::zero();
         const int group = isLongRunning && !isFiller ? 0 : 1;
-        order.emplace_back(std::tuple(group, isLate, entry.priority, slack.count()), &entry);
+        // Under overload what has begun is finished, and of the rest the newest has the best chance to be in time.
+        const bool isPutOff = isOverloaded && !isLongRunning && !entry.hasRun;
+        order.emplace_back(std::tuple(group, isLate, entry.priority, isPutOff, isPutOff ? -slack.count() : slack.count()), &entry);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
         return left.first < right.first;
--- a/src/libmangocourse/poolreport.cpp
+++ b/src/libmangocourse/poolreport.cpp
@@ -11,6 +11,8 @@
 
 // Arrivals are counted over this window.
 constexpr milliseconds arrivalWindow{1000};
+// How many half windows ahead the trend is taken.
+constexpr std::int64_t trendHalves = 3;
 
 std::int64_t workOf(const StepSpec &step)
 {
@@ -37,9 +39,18 @@
 {
     PoolReport report;
     report.service = this->d->service;
+    std::int64_t earlier = 0;
+    std::int64_t later = 0;
     for (const auto &[at, work] : this->d->arrivals) {
-        report.inflow += now - at <= arrivalWindow ? work : 0;
+        if (now - at <= arrivalWindow / 2) {
+            later += work;
+        } else if (now - at <= arrivalWindow) {
+            earlier += work;
+        }
     }
+    // A machine takes a while to come: what the trend promises by then counts when it rises.
+    const std::int64_t rise = std::max<std::int64_t>(0, later - earlier);
+    report.inflow = std::max(earlier + later, 2 * later + trendHalves * rise);
     for (const JobId &id : this->d->open) {
         const JobEntry &entry = *this->d->findJob(id);
         const std::vector<StepSpec> &specs = entry.job.spec.steps;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -196,6 +196,7 @@
     void extendLease(Executor &executor, std::chrono::milliseconds until, TimePoint now) const;
     // Returns true where nothing of an earlier owner can run unseen.
     bool isClear(TimePoint now) const;
+    bool isOverloaded() const;
 };
 
 // Returns the occurrence's due time, or the epoch for a job without a schedule.
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -11,7 +11,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds joinInterval{350};
+constexpr milliseconds joinInterval{200};
 constexpr milliseconds joinRetry{100};
 // A silent member loses its partitions after this long.
 constexpr milliseconds membershipTime{1500};
--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -53,7 +53,9 @@
     std::int64_t sequence = 0;
     bool isStopped = false;
     TimePoint horizon{};
+    // An earlier planner's last orders must not mix with this one's: the machines that it was about to order wait.
     TimePoint mayOrderFrom{};
+    std::set<MachineId> inherited;
     TimePoint listedAt{};
     PlannerState saved;
     std::unique_ptr<FleetPlanner> planner;
@@ -73,13 +75,14 @@
     net::awaitable<void> maintain(Evacuation order);
     net::awaitable<void> move(Evacuation order);
     void noteOutcome(const char *event, const Evacuation &order, MachineOutcome outcome);
-    bool mayOrder() const;
+    bool mayOrder(const MachineId &machine) const;
 };
 
-bool PlanningDuty::Private::mayOrder() const
+bool PlanningDuty::Private::mayOrder(const MachineId &machine) const
 {
     const TimePoint now = bootNow();
-    return now < this->horizon && now >= this->mayOrderFrom && !this->isStopped;
+    const bool isSettled = now >= this->mayOrderFrom || !this->inherited.contains(machine);
+    return now < this->horizon && isSettled && !this->isStopped;
 }
 
 net::awaitable<bool> PlanningDuty::Private::append(std::vector<StoredRecord> records)
@@ -120,6 +123,12 @@
             this->saved = std::move(*state);
         }
     }
+    for (const Evacuation &evacuation : this->saved.evacuations) {
+        this->inherited.insert(evacuation.machine);
+    }
+    for (const auto &[machine, at] : this->saved.orderedAt) {
+        this->inherited.insert(machine);
+    }
     Result<std::unique_ptr<FleetPlanner>> planner = FleetPlanner::create(this->platform.settings().planner, this->saved);
     if (!planner) {
         co_return false;
@@ -223,14 +232,14 @@
     }
     co_await this->tellOperator();
     for (const Evacuation &order : orders.maintain) {
-        if (this->mayOrder()) {
+        if (this->mayOrder(order.machine)) {
             co_await this->maintain(order);
         } else {
             this->planner->onMaintained(order, false, false, bootNow());
         }
     }
     for (const Evacuation &order : orders.move) {
-        if (this->mayOrder()) {
+        if (this->mayOrder(order.machine)) {
             co_await this->move(order);
         } else {
             this->planner->onMoved(order, false, false, bootNow());
@@ -255,7 +264,6 @@
 void PlanningDuty::start()
 {
     Private *state = this->d.get();
-    // An earlier planner's last orders must not mix with this one's.
     state->mayOrderFrom = bootNow() + state->platform.settings().planLease;
     state->reports = std::make_unique<StreamReader>(state->context, state->platform.store(), Stream::Plan, reportPartition,
                                                     StreamReader::Handlers{[] {
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -164,7 +164,11 @@
     for (const auto &[executor, at] : state.ended) {
         ended.push_back(Json::array({executor.value, at.time_since_epoch().count()}));
     }
-    return toBytes(Json::array({state.number, std::move(evacuations), std::move(waves), std::move(ended)}));
+    Json ordered = Json::array();
+    for (const auto &[machine, at] : state.orderedAt) {
+        ordered.push_back(Json::array({machine.value, at.time_since_epoch().count()}));
+    }
+    return toBytes(Json::array({state.number, std::move(evacuations), std::move(waves), std::move(ended), std::move(ordered)}));
 }
 
 Result<PlannerState> decodePlannerState(std::string_view bytes)
@@ -190,6 +194,9 @@
         for (const Json &row : json.at(3)) {
             state.ended[ExecutorId{row.at(0).get<std::string>()}] = WallTime(milliseconds(row.at(1).get<std::int64_t>()));
         }
+        for (const Json &row : json.at(4)) {
+            state.orderedAt[MachineId{row.at(0).get<std::string>()}] = WallTime(milliseconds(row.at(1).get<std::int64_t>()));
+        }
         return state;
     } catch (const Json::exception &exception) {
         return makeError(ErrorCode::Decode, exception.what(), "planner state");
