Orphaned runs are stopped; late work does not hold machines

A pool with 8,600 core-seconds of late work kept 29 machines while a fresh burst had 5. A process that restarted within its membership time got its old partitions under its old token. Ruled out: the cancellation record (it was read, the job was shown as cancelled). Change: runs of no open job are stopped until they are gone; the pools' needs count late work over 12 s and are cut by one share where machines are scarce; a process leaves the group first.

--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -32,7 +32,9 @@
     std::int64_t longRunningCpu = 0;
     // Finite work: what comes in core-ms a second, with its trend, and what is not done yet in core-ms.
     std::int64_t inflow = 0;
+    // Work that can still meet its objective, and work that cannot.
     std::int64_t backlog = 0;
+    std::int64_t lateBacklog = 0;
     // The most machines that one step has to spread over.
     std::int32_t spread = 0;
     std::vector<ExecutorUse> executors;
@@ -81,6 +83,17 @@
     bool operator==(const PlannerState &) const = default;
 };
 
+// What the last plan took a pool to need, for the log.
+struct PoolNeed {
+    ServiceId service;
+    std::int32_t needed = 0;
+    std::int32_t size = 0;
+    std::int64_t inflow = 0;
+    std::int64_t backlog = 0;
+    // Age of the pool's report when the plan was made; negative where there is none.
+    std::chrono::milliseconds reportAge{};
+};
+
 struct PlannerOrders {
     std::vector<Evacuation> maintain;
     std::vector<Evacuation> move;
@@ -113,6 +126,7 @@
     void onMoved(const Evacuation &order, bool isDone, bool mayBe, TimePoint now);
 
     const PlannerState &state() const;
+    const std::vector<PoolNeed> &needs() const;
 
     // Returns true while something is to be done that needs a fresh list of machines.
     bool isBusy() const;
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds reportLife{2500};
 // Finite work should be done within this.
 constexpr double backlogSeconds = 1.4;
+// Work that is late anyway may take this long.
+constexpr double lateSeconds = 12.0;
 // Share of a machine's cores that finite work can really use.
 constexpr double packing = 0.85;
 // Machines that a pool keeps beyond its need, against the next second's arrivals.
@@ -51,6 +53,8 @@
     std::int32_t coming = 0;
     std::int64_t cpuPerMachine = 0;
     std::int32_t needed = 0;
+    // What it keeps when machines are scarce.
+    std::int32_t least = 0;
     const PoolReport *report = nullptr;
 
     std::int32_t size() const
@@ -72,10 +76,13 @@
     WallTime wallNow{};
     std::map<ServiceId, KnownReport> reports;
     std::map<ServiceId, TimePoint> needlessSince;
+    std::vector<PoolNeed> needs;
     std::map<MachineId, TimePoint> evacuatingSince;
     std::map<MachineId, TimePoint> untouchedUntil;
 
     std::map<ServiceId, PoolView> viewPools(TimePoint now) const;
+    // Cuts the needs down to what there is, each by the same share.
+    static void shareScarcity(std::map<ServiceId, PoolView> &pools);
     const ExecutorUse *useOf(const MachineInfo &machine, TimePoint now) const;
     bool isEvacuating(const MachineId &machine) const;
     Evacuation *findEvacuation(const MachineId &machine);
@@ -190,17 +197,40 @@
     for (auto &[service, pool] : pools) {
         if (pool.report == nullptr || pool.isStandby || pool.cpuPerMachine == 0) {
             pool.needed = pool.isStandby ? 0 : pool.size();
+            pool.least = pool.needed;
             continue;
         }
         // Work stays in a pool that keeps up for about its own length; what stays longer is waiting.
         const double finite = std::max(static_cast<double>(pool.report->inflow), static_cast<double>(pool.report->backlog) / backlogSeconds);
-        const double cores = static_cast<double>(pool.report->longRunningCpu) + finite / packing;
+        const double late = static_cast<double>(pool.report->lateBacklog) / lateSeconds;
+        const double cores = static_cast<double>(pool.report->longRunningCpu) + (finite + late) / packing;
         const auto machines = static_cast<std::int32_t>(std::ceil(cores / static_cast<double>(pool.cpuPerMachine)));
-        pool.needed = std::max({machines, pool.report->spread + spareMachines, 2});
+        pool.least = std::max(pool.report->spread + spareMachines, 2);
+        pool.needed = std::max(machines, pool.least);
     }
+    shareScarcity(pools);
     return pools;
 }
 
+void FleetPlanner::Private::shareScarcity(std::map<ServiceId, PoolView> &pools)
+{
+    std::int32_t machines = 0;
+    std::int32_t least = 0;
+    std::int32_t wanted = 0;
+    for (const auto &[service, pool] : pools) {
+        machines += pool.size();
+        least += pool.least;
+        wanted += pool.needed - pool.least;
+    }
+    const double share = wanted > 0 ? static_cast<double>(std::max(0, machines - least)) / static_cast<double>(wanted) : 1.0;
+    if (share >= 1.0) {
+        return;
+    }
+    for (auto &[service, pool] : pools) {
+        pool.needed = pool.least + static_cast<std::int32_t>(share * static_cast<double>(pool.needed - pool.least));
+    }
+}
+
 std::int32_t FleetPlanner::Private::inMaintenance(const WaveId &wave) const
 {
     std::int32_t count = 0;
@@ -485,6 +515,14 @@
         state.untouchedUntil[evacuation.machine] = after(now, unknownHold);
     }
     std::map<ServiceId, PoolView> pools = state.viewPools(now);
+    state.needs.clear();
+    for (const auto &[service, pool] : pools) {
+        const auto report = state.reports.find(service);
+        const bool isKnown = report != state.reports.end();
+        const auto age = isKnown ? std::chrono::duration_cast<milliseconds>(now - report->second.at) : milliseconds(-1);
+        state.needs.push_back(PoolNeed{service, pool.needed, pool.size(), isKnown ? report->second.report.inflow : 0,
+                                       isKnown ? report->second.report.backlog : 0, age});
+    }
     state.startMaintenance(pools, now, wallNow);
     state.planMoves(pools, now);
     return orders;
@@ -510,6 +548,11 @@
     }
 }
 
+const std::vector<PoolNeed> &FleetPlanner::needs() const
+{
+    return this->d->needs;
+}
+
 const PlannerState &FleetPlanner::state() const
 {
     return this->d->state;
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -106,7 +106,18 @@
     }
 }
 
-void PoolScheduler::Private::pacefillers(Executor &executor, TimePoint now)
+void PoolScheduler::Private::stopOrphans(Executor &executor, TimePoint now)
+{
+    for (auto &[id, orphan] : executor.orphans) {
+        if (now - orphan.second > stopRepeat) {
+            orphan.second = now;
+            this->note("stop_requested", id, executor, orphan.first, "its job has ended or is unknown");
+            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, orphan.first, this->token}, {}});
+        }
+    }
+}
+
+void PoolScheduler::Private::paceFillers(Executor &executor, TimePoint now)
 {
     double worst = 0;
     bool isServing = false;
@@ -400,7 +411,8 @@
     state.evacuate(now);
     for (auto &[key, executor] : state.executors) {
         state.resendStops(executor, now);
-        state.pacefillers(executor, now);
+        state.stopOrphans(executor, now);
+        state.paceFillers(executor, now);
     }
     if (span(now, horizon) < shortestLease || !state.isClear(now)) {
         return std::move(state.orders);
@@ -437,7 +449,7 @@
     if (executor == nullptr) {
         return std::nullopt;
     }
-    const bool hasWork = !executor->runs.empty();
+    const bool hasWork = !executor->runs.empty() || !executor->orphans.empty();
     const bool hasEnds = executor->acknowledgedEnd < executor->persistedEnd;
     if (executor->isContacted && !hasWork && !hasEnds) {
         return std::nullopt;
--- a/src/libmangocourse/poolreport.cpp
+++ b/src/libmangocourse/poolreport.cpp
@@ -12,7 +12,7 @@
 // Arrivals are counted over this window.
 constexpr milliseconds arrivalWindow{1000};
 // How many half windows ahead the trend is taken.
-constexpr std::int64_t trendHalves = 3;
+constexpr std::int64_t trendHalves = 2;
 
 std::int64_t workOf(const StepSpec &step)
 {
@@ -23,6 +23,9 @@
 
 void PoolScheduler::Private::noteArrival(const JobEntry &entry, TimePoint now)
 {
+    if (now - entry.addedAt > arrivalWindow) {
+        return;
+    }
     std::int64_t work = 0;
     for (const StepSpec &step : entry.job.spec.steps) {
         work += step.isLongRunning || entry.job.spec.recurrence.count > 0 ? 0 : workOf(step) * step.count;
@@ -54,6 +57,8 @@
     for (const JobId &id : this->d->open) {
         const JobEntry &entry = *this->d->findJob(id);
         const std::vector<StepSpec> &specs = entry.job.spec.steps;
+        const bool isLate = entry.objective < now + this->d->remainingChain(entry);
+        std::int64_t &backlog = isLate ? report.lateBacklog : report.backlog;
         for (const OccurrenceState &occurrence : entry.occurrences) {
             for (std::size_t step = 0; occurrence.isOpen && step < specs.size(); ++step) {
                 const StepSpec &spec = specs[step];
@@ -63,7 +68,7 @@
                     const std::int32_t perMachine = spec.isFiller ? 0 : spec.perExecutorLimit;
                     report.spread = std::max(report.spread, perMachine > 0 ? (spec.count + perMachine - 1) / perMachine : 0);
                 } else {
-                    report.backlog += workOf(spec) * left;
+                    backlog += workOf(spec) * left;
                 }
             }
         }
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -527,9 +527,11 @@
     for (auto &[id, run] : executor->runs) {
         run.isListed = false;
     }
+    std::map<ItemId, std::pair<std::int64_t, TimePoint>> orphans;
     for (const ReportedRun &reported : report.running) {
         Item *item = this->d->findItem(reported.item);
         if (item == nullptr) {
+            orphans.try_emplace(reported.item, reported.run, TimePoint{});
             continue;
         }
         const auto known = executor->runs.find(reported.item);
@@ -561,6 +563,11 @@
             this->d->touch(entry);
         }
     }
+    for (auto &[id, orphan] : orphans) {
+        const auto before = executor->orphans.find(id);
+        orphan.second = before != executor->orphans.end() ? before->second.second : TimePoint{};
+    }
+    executor->orphans = std::move(orphans);
     for (auto run = executor->runs.begin(); run != executor->runs.end();) {
         const auto current = run++;
         Run &state = current->second;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -53,6 +53,8 @@
     TimePoint avoidedUntil{};
     TimePoint failingSince{};
     std::map<ItemId, Run> runs;
+    // Runs that belong to no open job, and when they were last told to stop.
+    std::map<ItemId, std::pair<std::int64_t, TimePoint>> orphans;
     Room used;
     std::int64_t processedEnd = 0;
     std::int64_t collectedEnd = 0;
@@ -180,7 +182,8 @@
 
     // Planning
     void expireLeases(TimePoint now, TimePoint confirmedAt);
-    void pacefillers(Executor &executor, TimePoint now);
+    void stopOrphans(Executor &executor, TimePoint now);
+    void paceFillers(Executor &executor, TimePoint now);
     void resendStops(Executor &executor, TimePoint now);
     void evacuate(TimePoint now);
     bool mayInterrupt(const ItemId &id);
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -281,6 +281,20 @@
     EXPECT_EQ(changed.back().state, JobState::Cancelled);
 }
 
+TEST_F(PoolSchedulerTest, RunsOfEndedJobsAreStoppedWhereverTheyAreFound)
+{
+    const JobProgress ended{JobId{"a"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Cancelled, this->wall, {}};
+    this->add(this->job("a"), &ended);
+    this->list({executor("one")});
+    this->report("one", {ReportedRun{ItemId{JobId{"a"}, 0, 0, 0}, 3, {}, 100, 0}, ReportedRun{ItemId{JobId{"unknown"}, 0, 0, 0}, 1, {}, 100, 0}});
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.stops.size(), 2U);
+    EXPECT_EQ(orders.stops[0].run.run, 3);
+    EXPECT_TRUE(this->renewal("one"));
+    this->report("one");
+    EXPECT_TRUE(this->plan().stops.empty());
+}
+
 TEST_F(PoolSchedulerTest, EndsAreAcknowledgedOnlyOnceTheyAreDurable)
 {
     this->list({executor("one")});
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -88,8 +88,21 @@
     }
 }
 
+net::awaitable<void> Ownership::leaveEarlierLife()
+{
+    // Under the same name and generation the token of the process's earlier life would be used again.
+    while (!this->isRetired) {
+        const Result<void> left = co_await this->owner.store.leave();
+        if (left || left.error().code == ErrorCode::Refused || left.error().code == ErrorCode::Conflict) {
+            co_return;
+        }
+        co_await sleepFor(this->owner.context, joinRetry);
+    }
+}
+
 net::awaitable<void> Ownership::run()
 {
+    co_await this->leaveEarlierLife();
     while (!this->isRetired) {
         if (!this->config || !this->isPlanKnown) {
             // Such a member could not serve what it is given.
--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -61,6 +61,7 @@
     std::unique_ptr<FleetPlanner> planner;
     std::unique_ptr<StreamReader> reports;
     std::map<WaveId, bool> told;
+    std::map<ServiceId, std::pair<std::int32_t, std::int32_t>> notedNeeds;
 
     bool isOver() const
     {
@@ -74,6 +75,7 @@
     net::awaitable<void> tellOperator();
     net::awaitable<void> maintain(Evacuation order);
     net::awaitable<void> move(Evacuation order);
+    void noteNeeds();
     void noteOutcome(const char *event, const Evacuation &order, MachineOutcome outcome);
     bool mayOrder(const MachineId &machine) const;
 };
@@ -184,6 +186,23 @@
     }
 }
 
+void PlanningDuty::Private::noteNeeds()
+{
+    for (const PoolNeed &need : this->planner->needs()) {
+        const std::pair figures(need.needed, need.size);
+        if (this->notedNeeds[need.service] == figures) {
+            continue;
+        }
+        this->notedNeeds[need.service] = figures;
+        this->log.emit("pool_need", {{"service", need.service.value},
+                                     {"needed", std::int64_t(need.needed)},
+                                     {"size", std::int64_t(need.size)},
+                                     {"inflow", need.inflow},
+                                     {"backlog", need.backlog},
+                                     {"report_age_ms", std::int64_t(need.reportAge.count())}});
+    }
+}
+
 void PlanningDuty::Private::noteOutcome(const char *event, const Evacuation &order, MachineOutcome outcome)
 {
     this->log.emit(event, {{"machine", order.machine.value},
@@ -226,6 +245,7 @@
     }
     this->planner->setWaves(this->feed.waves(), wallNow());
     const PlannerOrders orders = this->planner->plan(bootNow(), wallNow());
+    this->noteNeeds();
     const bool isSaved = co_await this->save();
     if (!isSaved) {
         co_return;
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -210,7 +210,7 @@
         executors.push_back(Json::array({use.executor.value, use.runs, use.longRunning}));
     }
     return toBytes(Json::array({report.service.value, report.token, report.number, report.evacuationsSeen, report.longRunningCpu, report.inflow,
-                                report.backlog, report.spread, std::move(executors)}));
+                                report.backlog, report.lateBacklog, report.spread, std::move(executors)}));
 }
 
 Result<PoolReport> decodePoolReport(std::string_view bytes)
@@ -225,8 +225,9 @@
         report.longRunningCpu = json.at(4).get<std::int64_t>();
         report.inflow = json.at(5).get<std::int64_t>();
         report.backlog = json.at(6).get<std::int64_t>();
-        report.spread = json.at(7).get<std::int32_t>();
-        for (const Json &row : json.at(8)) {
+        report.lateBacklog = json.at(7).get<std::int64_t>();
+        report.spread = json.at(8).get<std::int32_t>();
+        for (const Json &row : json.at(9)) {
             report.executors.push_back(ExecutorUse{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int32_t>(), row.at(2).get<std::int32_t>()});
         }
         return report;
