Fresh jobs start at once after a takeover; one append of progress at a time

Cause: after a takeover during a cut everything waited 6.3 s for an executor that could not be asked; bursts in that time were lost. Change: jobs that an earlier owner cannot have started need not wait; owners start no job that they read after their exclusive term; progress has one append at a time. Machines that a pool's owner cannot reach do not count as its size; waves hurry earlier.

--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -17,6 +17,8 @@
     ExecutorId executor;
     std::int32_t runs = 0;
     std::int32_t longRunning = 0;
+    // The owner can reach it.
+    bool isReachable = true;
 
     bool operator==(const ExecutorUse &) const = default;
 };
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -89,6 +89,8 @@
 struct OwnershipTerm {
     // The latest time at which the owner is known to have been the only one.
     TimePoint confirmedAt{};
+    // Nobody else can have become the owner before this, but for a reassignment out of turn.
+    TimePoint exclusiveUntil{};
     // No lease and no start may reach beyond this.
     TimePoint horizon{};
 };
@@ -127,8 +129,8 @@
 class PoolScheduler
 {
 public:
-    // `token` fences earlier owners off; run numbers start above `runBase`, which rises from owner to owner. Items that no executor
-    // reports may still run on an executor that cannot be asked, until `clearAt`.
+    // `token` fences earlier owners off; run numbers start above `runBase`, which rises from owner to owner. Items of jobs that are not
+    // fresh may run, unseen, on an executor that cannot be asked, until `clearAt`.
     static Result<std::unique_ptr<PoolScheduler>> create(ServiceId service, SchedulerSettings settings, std::int64_t token, std::int64_t runBase,
                                                          TimePoint clearAt);
     ~PoolScheduler();
@@ -148,8 +150,9 @@
     // What the planner of the machines has to know; token and numbers are left to the caller.
     PoolReport report(TimePoint now) const;
 
-    // Adds a job with what is known of its earlier progress. Adding a known job again changes nothing.
-    void addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow);
+    // Adds a job with what is known of its earlier progress. Adding a known job again changes nothing. `isFresh` says that no earlier
+    // owner can have started it.
+    void addJob(const AcceptedJob &job, const JobProgress *progress, bool isFresh, TimePoint now, WallTime wallNow);
     void cancelJob(const JobId &job, WallTime wallNow);
     bool hasJob(const JobId &job) const;
     // Drops jobs whose final state is older than the bound.
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -23,7 +23,7 @@
 // Emptying a machine takes about this long.
 constexpr milliseconds evacuationTime{2500};
 // A wave is hurried when less than this many times the time it needs is left.
-constexpr double hurry = 1.6;
+constexpr double hurry = 2.5;
 // An evacuation for a move is given up after this: the need has passed.
 constexpr milliseconds movePatience{3000};
 // An order without an answer keeps its machine untouched this long.
@@ -183,7 +183,10 @@
         if (machine.state == MachineState::Moving || machine.state == MachineState::InMaintenance) {
             ++pool->second.coming;
         } else if (machine.state == MachineState::Up) {
-            pool->second.up.push_back(id);
+            const ExecutorUse *use = this->useOf(machine, now);
+            if (use == nullptr || use->isReachable) {
+                pool->second.up.push_back(id);
+            }
         }
     }
     for (const Evacuation &evacuation : this->state.evacuations) {
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -414,7 +414,8 @@
         state.stopOrphans(executor, now);
         state.paceFillers(executor, now);
     }
-    if (span(now, horizon) < shortestLease || !state.isClear(now)) {
+    const bool isClear = state.isClear(now);
+    if (span(now, horizon) < shortestLease) {
         return std::move(state.orders);
     }
     // Long-running first, then by priority those that can still meet their objective, the least slack first.
@@ -422,6 +423,10 @@
     std::vector<std::pair<std::tuple<int, bool, std::int32_t, bool, std::int64_t>, JobEntry *>> order;
     for (const JobId &id : state.open) {
         JobEntry &entry = *state.findJob(id);
+        // A successor counts on it that jobs read later than this were not started.
+        if ((!isClear && !entry.isFresh) || entry.readAt > term.exclusiveUntil) {
+            continue;
+        }
         const bool isLongRunning = entry.job.spec.steps.front().isLongRunning;
         const bool isFiller = entry.job.spec.steps.front().isFiller;
         const auto ratio = state.timeRatio.find(entry.job.queue);
--- a/src/libmangocourse/poolreport.cpp
+++ b/src/libmangocourse/poolreport.cpp
@@ -81,6 +81,7 @@
         use.longRunning = static_cast<std::int32_t>(std::count_if(executor.runs.begin(), executor.runs.end(), [](const auto &run) {
             return run.second.isLongRunning;
         }));
+        use.isReachable = executor.isContacted && executor.failingSince == TimePoint{};
         report.executors.push_back(use);
     }
     return report;
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -418,13 +418,15 @@
     this->d->evacuations = executors;
 }
 
-void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow)
+void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, bool isFresh, TimePoint now, WallTime wallNow)
 {
     if (this->d->jobs.contains(job.id)) {
         return;
     }
     JobEntry &entry = this->d->jobs[job.id];
     entry.job = job;
+    entry.readAt = now;
+    entry.isFresh = isFresh;
     const auto age = std::max(milliseconds::zero(), wallNow - job.acceptedAt);
     entry.addedAt = now - std::chrono::duration_cast<Duration>(age);
     entry.occurrences.resize(static_cast<std::size_t>(job.spec.occurrences()));
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -118,6 +118,9 @@
     JobState state = JobState::Queued;
     WallTime endedAt{};
     TimePoint addedAt{};
+    // When this owner learned of it.
+    TimePoint readAt{};
+    bool isFresh = false;
     // When the objective of a job without a schedule runs out.
     TimePoint objective{};
     std::int32_t priority = 0;
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -78,12 +78,12 @@
 
     void add(const AcceptedJob &accepted, const JobProgress *progress = nullptr)
     {
-        this->scheduler->addJob(accepted, progress, this->now, this->wall);
+        this->scheduler->addJob(accepted, progress, this->isFresh, this->now, this->wall);
     }
 
     SchedulerOrders plan()
     {
-        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->now + 6s});
+        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->confirmedAt.value_or(this->now) + 1200ms, this->now + 6s});
     }
 
     // Plans and answers every start with success.
@@ -114,6 +114,7 @@
 
     FleetConfig config;
     std::unique_ptr<PoolScheduler> scheduler;
+    bool isFresh = false;
     // The last confirmation of the ownership; now, where none is set.
     std::optional<TimePoint> confirmedAt;
     TimePoint now{100s};
@@ -175,6 +176,33 @@
     EXPECT_EQ(orders.starts[0].run.run, 100'001);
 }
 
+TEST_F(PoolSchedulerTest, FreshJobsNeedNotWaitForAnEarlierOwnersWork)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
+    this->list({executor("one"), executor("two")});
+    this->report("two");
+    this->add(this->job("a"));
+    this->isFresh = true;
+    this->add(this->job("b"));
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts[0].run.item.job.value, "b");
+}
+
+TEST_F(PoolSchedulerTest, JobsReadAfterTheExclusiveTermWaitForAConfirmation)
+{
+    this->list({executor("one")});
+    this->report("one");
+    this->confirmedAt = this->now;
+    this->advance(1500ms);
+    this->report("one");
+    this->add(this->job("a"));
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->confirmedAt = this->now;
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 TEST_F(PoolSchedulerTest, SilentExecutorsWorkRestartsOnlyAfterItsLease)
 {
     this->list({executor("one"), executor("two")});
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds joinInterval{200};
 constexpr milliseconds joinRetry{100};
 // A silent member loses its partitions after this long.
-constexpr milliseconds membershipTime{1500};
+constexpr milliseconds wantedMembership{1200};
 
 TimePoint bootNow()
 {
@@ -29,17 +29,23 @@
 {
 }
 
+milliseconds Ownership::membershipTime() const
+{
+    return std::max(wantedMembership, this->owner.settings.shortestMembership);
+}
+
 void Ownership::setTerms(TimePoint sentAt)
 {
     this->confirmedAt = std::max(this->confirmedAt, sentAt);
     for (auto &[partition, shard] : this->owned) {
-        shard->setTerm(OwnershipTerm{this->confirmedAt, this->confirmedAt + this->owner.settings.scheduler.longestLease});
+        shard->setTerm(OwnershipTerm{this->confirmedAt, this->confirmedAt + this->membershipTime(),
+                                     this->confirmedAt + this->owner.settings.scheduler.longestLease});
     }
 }
 
 void Ownership::apply(const Membership &membership, TimePoint sentAt)
 {
-    const milliseconds allowed = std::max(membershipTime, this->owner.settings.shortestMembership);
+    const milliseconds allowed = this->membershipTime();
     const bool hadGap = this->confirmedAt != TimePoint{} && sentAt - this->confirmedAt > allowed;
     const bool hasChanged = membership.generation != this->generation;
     // After a gap in which the group changed, a partition may have been elsewhere and come back.
@@ -110,7 +116,7 @@
             continue;
         }
         const TimePoint sentAt = bootNow();
-        const Result<Membership> joined = co_await this->owner.store.join(this->generation, std::max(membershipTime, this->owner.settings.shortestMembership));
+        const Result<Membership> joined = co_await this->owner.store.join(this->generation, this->membershipTime());
         if (this->isRetired) {
             break;
         }
@@ -187,7 +193,7 @@
 
 TimePoint Ownership::planningUntil() const
 {
-    return this->confirmedAt + membershipTime;
+    return this->confirmedAt + this->membershipTime();
 }
 
 const std::map<std::int32_t, std::shared_ptr<ShardOwner>> &Ownership::shards() const
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -39,6 +39,7 @@
     const std::map<std::int32_t, std::shared_ptr<ShardOwner>> &shards() const;
 
 private:
+    std::chrono::milliseconds membershipTime() const;
     net::awaitable<void> leaveEarlierLife();
     void apply(const Membership &membership, TimePoint sentAt);
     void setTerms(TimePoint sentAt);
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -207,7 +207,7 @@
 {
     Json executors = Json::array();
     for (const ExecutorUse &use : report.executors) {
-        executors.push_back(Json::array({use.executor.value, use.runs, use.longRunning}));
+        executors.push_back(Json::array({use.executor.value, use.runs, use.longRunning, use.isReachable}));
     }
     return toBytes(Json::array({report.service.value, report.token, report.number, report.evacuationsSeen, report.longRunningCpu, report.inflow,
                                 report.backlog, report.lateBacklog, report.spread, std::move(executors)}));
@@ -228,7 +228,8 @@
         report.lateBacklog = json.at(7).get<std::int64_t>();
         report.spread = json.at(8).get<std::int32_t>();
         for (const Json &row : json.at(9)) {
-            report.executors.push_back(ExecutorUse{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int32_t>(), row.at(2).get<std::int32_t>()});
+            report.executors.push_back(ExecutorUse{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int32_t>(), row.at(2).get<std::int32_t>(),
+                                                   row.at(3).get<bool>()});
         }
         return report;
     } catch (const Json::exception &exception) {
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds retryPause{80};
 // Progress that nobody waits for gathers this long.
 constexpr milliseconds persistInterval{30};
+constexpr milliseconds persistTurn{5};
 constexpr milliseconds tailWait{2000};
 // Events that come together are planned for together.
 constexpr milliseconds planPause{2};
@@ -29,6 +30,8 @@
 constexpr milliseconds idleCheck{1000};
 // What an earlier owner may have started beyond its horizon through slow clocks and rounding.
 constexpr milliseconds clearMargin{350};
+// An owner that lost the partition out of turn notices within its membership time.
+constexpr milliseconds freshMargin{1400};
 // Run numbers of one owner stay within this span.
 constexpr std::int64_t runSpan = 100'000;
 
@@ -66,6 +69,9 @@
     bool isStopped = false;
     bool isFenced = false;
     bool isLoaded = false;
+    // Jobs read from now on were not there while an earlier owner could start work.
+    bool readsFreshJobs = false;
+    TimePoint freshFrom{};
     OwnershipTerm term;
     TimePoint clearAt{};
     std::shared_ptr<const FleetConfig> config;
@@ -145,7 +151,7 @@
         return;
     }
     const auto known = this->progress.find(job.id);
-    pool->addJob(job, known == this->progress.end() ? nullptr : &known->second, bootNow(), wallNow());
+    pool->addJob(job, known == this->progress.end() ? nullptr : &known->second, this->readsFreshJobs, bootNow(), wallNow());
     if (this->cancelled.contains(job.id)) {
         pool->cancelJob(job.id, wallNow());
     }
@@ -283,6 +289,7 @@
         }
     }
     this->state.runBase = takeovers * runSpan;
+    this->state.freshFrom = bootNow() + freshMargin;
     this->state.clearAt = takeovers == 0 ? TimePoint{} : bootNow() + this->state.owner.settings.scheduler.longestLease + clearMargin;
     std::vector<StoredRecord> mark{StoredRecord{ownerKey, std::to_string(takeovers + 1), -1}};
     const bool isMarked = co_await this->appendUntilDurable(std::move(mark));
@@ -350,7 +357,9 @@
 net::awaitable<void> OwnerLoops<State>::tail(std::shared_ptr<StreamReader> reader)
 {
     while (!this->isOver()) {
+        const bool isAfterEarlierOwner = bootNow() >= this->state.freshFrom;
         const Result<void> read = co_await reader->follow(tailWait);
+        this->state.readsFreshJobs = this->state.readsFreshJobs || (read && isAfterEarlierOwner);
         if (!read) {
             co_await sleepFor(this->state.owner.context, retryPause);
         }
@@ -537,6 +546,10 @@
 template<typename State>
 net::awaitable<bool> OwnerLoops<State>::persistOnce()
 {
+    // Two appends under way would carry the same sequence, and the store would take the second for a repeat of the first.
+    while (this->state.isPersisting) {
+        co_await sleepFor(this->state.owner.context, persistTurn);
+    }
     this->state.isPersisting = true;
     std::vector<StoredRecord> records = std::move(this->state.extraRecords);
     this->state.extraRecords.clear();
@@ -638,11 +651,7 @@
 
 net::awaitable<void> ShardOwner::handOver()
 {
-    constexpr int mostTries = 20;
-    for (int tries = 0; tries < mostTries && this->d->isPersisting; ++tries) {
-        co_await sleepFor(this->d->owner.context, milliseconds(10));
-    }
-    if (this->d->isLoaded && !this->d->isFenced && !this->d->isPersisting) {
+    if (this->d->isLoaded && !this->d->isFenced) {
         OwnerLoops<Private> loops{this->shared_from_this(), *this->d};
         co_await loops.persistOnce();
     }
