A machine that is back under its old id counts as back

Ruled out: refused orders (all 10 were carried out) and the change of planners. Change: entries and reports name the life by id and birth; after its time of absence a machine that is up is back. Test ALaterLifeUnderTheSameIdGetsWorkAgain.

--- a/src/include/mangocourse/execution.h
+++ b/src/include/mangocourse/execution.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,6 +13,9 @@
 
 namespace MangoCourse {
 
+// Lives of executors that get no work: by id, the latest birth that is meant. A birth of 0 means every life under that id.
+using ExecutorLives = std::map<ExecutorId, std::int64_t>;
+
 // One call's answer to an order.
 enum class OrderOutcome {
     Done,
--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -15,6 +15,7 @@
 // What runs on one executor of a pool.
 struct ExecutorUse {
     ExecutorId executor;
+    std::int64_t born = 0;
     std::int32_t runs = 0;
     std::int32_t longRunning = 0;
     // The owner can reach it.
@@ -54,6 +55,7 @@
     MachineId machine;
     // The machine's life that gets no more work; empty for a machine that is off.
     ExecutorId executor;
+    std::int64_t born = 0;
     EvacuationPurpose purpose = EvacuationPurpose::Maintenance;
     WaveId wave;
     ServiceId target;
@@ -69,7 +71,13 @@
     std::int64_t number = 0;
     std::vector<Evacuation> evacuations;
     // Lives that an order ended. Discovery still shows them for a while; they get no work either.
-    std::map<ExecutorId, WallTime> ended;
+    struct EndedLife {
+        std::int64_t born = 0;
+        WallTime at{};
+
+        bool operator==(const EndedLife &) const = default;
+    };
+    std::map<ExecutorId, EndedLife> ended;
     // Machines that were ordered lately.
     std::map<MachineId, WallTime> orderedAt;
     // Machines whose maintenance has begun, and when the wave was first seen.
@@ -83,6 +91,9 @@
     std::map<WaveId, Wave> waves;
 
     bool operator==(const PlannerState &) const = default;
+
+    // All lives that get no work.
+    ExecutorLives lives() const;
 };
 
 // What the last plan took a pool to need, for the log.
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -146,7 +146,7 @@
     void setEarlierExecutors(const std::set<ExecutorKey> &used);
 
     // Executors that get no new work and whose work moves away.
-    void setEvacuations(const std::set<ExecutorId> &executors);
+    void setEvacuations(const ExecutorLives &lives);
     // What the planner of the machines has to know; token and numbers are left to the caller.
     PoolReport report(TimePoint now) const;
 
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -31,6 +31,7 @@
 // A machine that was ordered away and never came back is not waited for longer than this.
 constexpr milliseconds orderMemory{20'000};
 constexpr milliseconds orderedMemory{5000};
+constexpr milliseconds returnMargin{400};
 // Discovery drops a silent executor well within this.
 constexpr milliseconds endedMemory{15'000};
 
@@ -116,7 +117,9 @@
 void FleetPlanner::Private::evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now)
 {
     this->evacuatingSince[machine] = now;
-    this->state.evacuations.push_back(Evacuation{machine, this->machines.at(machine).executor, purpose, wave, target, false});
+    const MachineInfo &info = this->machines.at(machine);
+    const ExecutorUse *use = this->useOf(info, now);
+    this->state.evacuations.push_back(Evacuation{machine, info.executor, use == nullptr ? 0 : use->born, purpose, wave, target, false});
     ++this->state.number;
 }
 
@@ -134,7 +137,7 @@
 void FleetPlanner::Private::markOrdered(const MachineId &machine, TimePoint now)
 {
     if (const Evacuation *evacuation = this->findEvacuation(machine); evacuation != nullptr && !evacuation->executor.isEmpty()) {
-        this->state.ended[evacuation->executor] = this->wallNow;
+        this->state.ended[evacuation->executor] = PlannerState::EndedLife{evacuation->born, this->wallNow};
         ++this->state.number;
     }
     this->untouchedUntil.erase(machine);
@@ -276,7 +279,10 @@
         const auto since = this->evacuatingSince.try_emplace(evacuation.machine, now).first->second;
         const bool isListed = machine != this->machines.end();
         const bool isUp = isListed && machine->second.state == MachineState::Up;
-        const bool isBack = isUp && machine->second.executor != evacuation.executor;
+        const bool isMove = evacuation.purpose == EvacuationPurpose::Move;
+        const milliseconds absence = (isMove ? this->settings.moveTime : this->settings.maintenanceTime) + returnMargin;
+        // The next life may have the same id, so after its time of absence a machine that is up has come back.
+        const bool isBack = isUp && (machine->second.executor != evacuation.executor || (evacuation.isOrdered && now - since > absence));
         const bool isParked = isUp && evacuation.isOrdered && evacuation.purpose == EvacuationPurpose::Move && machine->second.pool == evacuation.target;
         const bool isTooSlow = evacuation.purpose == EvacuationPurpose::Move && !evacuation.isOrdered && now - since > movePatience;
         const bool isForgotten = evacuation.isOrdered && now - since > orderMemory;
@@ -427,6 +433,18 @@
     }
 }
 
+ExecutorLives PlannerState::lives() const
+{
+    ExecutorLives lives;
+    for (const auto &[executor, life] : this->ended) {
+        lives[executor] = life.born;
+    }
+    for (const Evacuation &evacuation : this->evacuations) {
+        lives[evacuation.executor] = evacuation.born;
+    }
+    return lives;
+}
+
 FleetPlanner::FleetPlanner(std::unique_ptr<Private> impl)
     : d(std::move(impl))
 {
@@ -498,7 +516,7 @@
     }
     state.wallNow = wallNow;
     std::erase_if(state.state.ended, [wallNow](const auto &entry) {
-        return wallNow - entry.second > endedMemory;
+        return wallNow - entry.second.at > endedMemory;
     });
     std::erase_if(state.state.orderedAt, [wallNow](const auto &entry) {
         return wallNow - entry.second > orderedMemory;
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -175,7 +175,7 @@
 void PoolScheduler::Private::evacuate(TimePoint now)
 {
     for (auto &[key, executor] : this->executors) {
-        if (executor.runs.empty() || !(executor.info.isDraining || this->evacuations.contains(executor.info.id))) {
+        if (executor.runs.empty() || !(executor.info.isDraining || this->isEvacuated(executor))) {
             continue;
         }
         for (auto &[id, run] : executor.runs) {
@@ -190,10 +190,16 @@
     }
 }
 
+bool PoolScheduler::Private::isEvacuated(const Executor &executor) const
+{
+    const auto life = this->evacuations.find(executor.info.id);
+    return life != this->evacuations.end() && (life->second == 0 || executor.info.born <= life->second);
+}
+
 bool PoolScheduler::Private::isUsable(const Executor &executor, TimePoint now) const
 {
     return executor.isListed && executor.isContacted && executor.isRecorded && executor.clock && !executor.info.isDraining && executor.avoidedUntil <= now
-        && executor.failingSince == TimePoint{} && !this->evacuations.contains(executor.info.id);
+        && executor.failingSince == TimePoint{} && !this->isEvacuated(executor);
 }
 
 bool PoolScheduler::Private::isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -413,9 +413,9 @@
     this->d->earlier = used;
 }
 
-void PoolScheduler::setEvacuations(const std::set<ExecutorId> &executors)
+void PoolScheduler::setEvacuations(const ExecutorLives &lives)
 {
-    this->d->evacuations = executors;
+    this->d->evacuations = lives;
 }
 
 void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, bool isFresh, TimePoint now, WallTime wallNow)
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -148,7 +148,7 @@
     std::map<QueueId, QueueConfig> queues;
     std::map<ExecutorKey, Executor> executors;
     std::set<ExecutorKey> earlier;
-    std::set<ExecutorId> evacuations;
+    ExecutorLives evacuations;
     std::unordered_map<JobId, JobEntry> jobs;
     std::set<JobId> open;
     std::set<JobId> changed;
@@ -190,6 +190,7 @@
     void resendStops(Executor &executor, TimePoint now);
     void evacuate(TimePoint now);
     bool mayInterrupt(const ItemId &id);
+    bool isEvacuated(const Executor &executor) const;
     bool isUsable(const Executor &executor, TimePoint now) const;
     bool isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const;
     std::chrono::milliseconds remainingChain(const JobEntry &entry) const;
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -269,7 +269,7 @@
         this->report(order.executor.id.value, {ReportedRun{order.run.item, order.run.run, {}, 100, 0}});
     }
     this->scheduler->onReport(ExecutorKey{ExecutorId{"two"}, 100}, ExecutorReport{}, this->now, this->now, this->wall);
-    this->scheduler->setEvacuations({ExecutorId{"one"}});
+    this->scheduler->setEvacuations({{ExecutorId{"one"}, 100}});
     EXPECT_TRUE(this->plan().stops.empty());
 }
 
@@ -323,6 +323,18 @@
     EXPECT_TRUE(this->plan().stops.empty());
 }
 
+TEST_F(PoolSchedulerTest, ALaterLifeUnderTheSameIdGetsWorkAgain)
+{
+    this->scheduler->setEvacuations({{ExecutorId{"one"}, 100}});
+    this->list({executor("one", 100)});
+    this->report("one");
+    this->add(this->job("a"));
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->list({executor("one", 200)});
+    this->report("one", {}, {}, 200);
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 TEST_F(PoolSchedulerTest, EndsAreAcknowledgedOnlyOnceTheyAreDurable)
 {
     this->list({executor("one")});
@@ -373,7 +385,7 @@
     for (const StartOrder &order : first.starts) {
         this->report(order.executor.id.value, {ReportedRun{order.run.item, order.run.run, {}, 100, 0}});
     }
-    this->scheduler->setEvacuations({ExecutorId{"one"}, ExecutorId{"two"}});
+    this->scheduler->setEvacuations({{ExecutorId{"one"}, 100}, {ExecutorId{"two"}, 0}});
     EXPECT_EQ(this->plan().stops.size(), 1U);
     this->advance(50ms);
     EXPECT_TRUE(this->plan().stops.empty());
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -162,12 +162,12 @@
     }
 }
 
-void Ownership::setEvacuations(const std::set<ExecutorId> &executors, std::int64_t number)
+void Ownership::setEvacuations(const ExecutorLives &lives, std::int64_t number)
 {
-    this->evacuations = executors;
+    this->evacuations = lives;
     this->evacuationsNumber = number;
     for (auto &[partition, shard] : this->owned) {
-        shard->setEvacuations(executors, number);
+        shard->setEvacuations(lives, number);
     }
 }
 
@@ -176,7 +176,7 @@
     this->isPlanKnown = true;
 }
 
-const std::set<ExecutorId> &Ownership::evacuated() const
+const ExecutorLives &Ownership::evacuated() const
 {
     return this->evacuations;
 }
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -27,11 +27,11 @@
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors);
-    void setEvacuations(const std::set<ExecutorId> &executors, std::int64_t number);
+    void setEvacuations(const ExecutorLives &lives, std::int64_t number);
     // Tells that the evacuations so far are known: an owner that did not know them might place work there.
     void notePlanKnown();
     // Executors that are being emptied.
-    const std::set<ExecutorId> &evacuated() const;
+    const ExecutorLives &evacuated() const;
     bool ownsAnything() const;
     std::int64_t planningToken() const;
     // Until when the planning duty may act.
@@ -49,7 +49,7 @@
     std::map<std::int32_t, std::shared_ptr<ShardOwner>> owned;
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
-    std::set<ExecutorId> evacuations;
+    ExecutorLives evacuations;
     std::int64_t evacuationsNumber = 0;
     std::int64_t generation = 0;
     std::int64_t planning = 0;
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -149,7 +149,7 @@
     Json evacuations = Json::array();
     for (const Evacuation &evacuation : state.evacuations) {
         evacuations.push_back(
-            Json::array({evacuation.machine.value, evacuation.executor.value, static_cast<int>(evacuation.purpose), evacuation.wave.value,
+            Json::array({evacuation.machine.value, evacuation.executor.value, evacuation.born, static_cast<int>(evacuation.purpose), evacuation.wave.value,
                          evacuation.target.value, evacuation.isOrdered}));
     }
     Json waves = Json::array();
@@ -161,8 +161,8 @@
         waves.push_back(Json::array({id.value, wave.seenAt.time_since_epoch().count(), wave.isCompleted, std::move(begun)}));
     }
     Json ended = Json::array();
-    for (const auto &[executor, at] : state.ended) {
-        ended.push_back(Json::array({executor.value, at.time_since_epoch().count()}));
+    for (const auto &[executor, life] : state.ended) {
+        ended.push_back(Json::array({executor.value, life.born, life.at.time_since_epoch().count()}));
     }
     Json ordered = Json::array();
     for (const auto &[machine, at] : state.orderedAt) {
@@ -179,9 +179,10 @@
         state.number = json.at(0).get<std::int64_t>();
         for (const Json &row : json.at(1)) {
             state.evacuations.push_back(Evacuation{MachineId{row.at(0).get<std::string>()}, ExecutorId{row.at(1).get<std::string>()},
-                                                   row.at(2).get<int>() == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move,
-                                                   WaveId{row.at(3).get<std::string>()}, ServiceId{row.at(4).get<std::string>()},
-                                                   row.at(5).get<bool>()});
+                                                   row.at(2).get<std::int64_t>(),
+                                                   row.at(3).get<int>() == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move,
+                                                   WaveId{row.at(4).get<std::string>()}, ServiceId{row.at(5).get<std::string>()},
+                                                   row.at(6).get<bool>()});
         }
         for (const Json &row : json.at(2)) {
             PlannerState::Wave &wave = state.waves[WaveId{row.at(0).get<std::string>()}];
@@ -192,7 +193,8 @@
             }
         }
         for (const Json &row : json.at(3)) {
-            state.ended[ExecutorId{row.at(0).get<std::string>()}] = WallTime(milliseconds(row.at(1).get<std::int64_t>()));
+            state.ended[ExecutorId{row.at(0).get<std::string>()}]
+                = PlannerState::EndedLife{row.at(1).get<std::int64_t>(), WallTime(milliseconds(row.at(2).get<std::int64_t>()))};
         }
         for (const Json &row : json.at(4)) {
             state.orderedAt[MachineId{row.at(0).get<std::string>()}] = WallTime(milliseconds(row.at(1).get<std::int64_t>()));
@@ -207,7 +209,7 @@
 {
     Json executors = Json::array();
     for (const ExecutorUse &use : report.executors) {
-        executors.push_back(Json::array({use.executor.value, use.runs, use.longRunning, use.isReachable}));
+        executors.push_back(Json::array({use.executor.value, use.born, use.runs, use.longRunning, use.isReachable}));
     }
     return toBytes(Json::array({report.service.value, report.token, report.number, report.evacuationsSeen, report.longRunningCpu, report.inflow,
                                 report.backlog, report.lateBacklog, report.spread, std::move(executors)}));
@@ -228,8 +230,8 @@
         report.lateBacklog = json.at(7).get<std::int64_t>();
         report.spread = json.at(8).get<std::int32_t>();
         for (const Json &row : json.at(9)) {
-            report.executors.push_back(ExecutorUse{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int32_t>(), row.at(2).get<std::int32_t>(),
-                                                   row.at(3).get<bool>()});
+            report.executors.push_back(ExecutorUse{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int64_t>(),
+                                                   row.at(2).get<std::int32_t>(), row.at(3).get<std::int32_t>(), row.at(4).get<bool>()});
         }
         return report;
     } catch (const Json::exception &exception) {
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -143,14 +143,7 @@
         this->log->emit("plan_unreadable", {{"reason", describe(state.error())}}, EventWeight::Essential);
         return;
     }
-    std::set<ExecutorId> executors;
-    for (const Evacuation &evacuation : state->evacuations) {
-        executors.insert(evacuation.executor);
-    }
-    for (const auto &[executor, at] : state->ended) {
-        executors.insert(executor);
-    }
-    this->ownership.setEvacuations(executors, state->number);
+    this->ownership.setEvacuations(state->lives(), state->number);
 }
 
 net::awaitable<void> SchedulerProcess::Private::followPlan()
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -76,7 +76,7 @@
     TimePoint clearAt{};
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
-    std::set<ExecutorId> evacuations;
+    ExecutorLives evacuations;
     std::int64_t evacuationsSeen = 0;
     std::set<ExecutorKey> recorded;
     std::map<ServiceId, std::unique_ptr<PoolScheduler>> pools;
@@ -695,12 +695,12 @@
     this->d->planWanted.notify();
 }
 
-void ShardOwner::setEvacuations(const std::set<ExecutorId> &executors, std::int64_t number)
+void ShardOwner::setEvacuations(const ExecutorLives &lives, std::int64_t number)
 {
-    this->d->evacuations = executors;
+    this->d->evacuations = lives;
     this->d->evacuationsSeen = number;
     for (auto &[service, pool] : this->d->pools) {
-        pool->setEvacuations(executors);
+        pool->setEvacuations(lives);
     }
     this->d->planWanted.notify();
 }
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -46,7 +46,7 @@
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors);
     // `number` is that of the list; it comes back in the reports.
-    void setEvacuations(const std::set<ExecutorId> &executors, std::int64_t number);
+    void setEvacuations(const ExecutorLives &lives, std::int64_t number);
 
     // Returns true once a successor was noticed.
     bool isSuperseded() const;
