--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -37,6 +37,8 @@
     std::int32_t index = 0;
     bool isDone = false;
     std::int32_t failures = 0;
+    // The last run whose failure was counted.
+    std::int64_t countedRun = 0;
 
     bool operator==(const ItemProgress &) const = default;
 };
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -268,7 +268,7 @@
         return false;
     }
     const ExecutorUse *use = this->useOf(machine->second, now);
-    return use != nullptr && use->runs == 0;
+    return use != nullptr && use->isReachable && use->runs == 0;
 }
 
 void FleetPlanner::Private::dropStale(TimePoint now)
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -279,6 +279,11 @@
     if (spec.isLongRunning || item.phase == ItemPhase::Done) {
         return;
     }
+    // An end that was not acknowledged is listed again to the next owner.
+    if (end.run <= item.countedRun) {
+        return;
+    }
+    item.countedRun = end.run;
     ++item.failures;
     std::int32_t failures = item.failures;
     if (spec.isGang) {
@@ -400,12 +405,21 @@
     });
     std::erase_if(this->d->executors, [this, now](const auto &entry) {
         const Executor &executor = entry.second;
-        const bool isOver = !executor.isListed && executor.runs.empty() && executor.leaseEnd < now;
+        // What an earlier owner gave a silent executor ends only with the longest lease.
+        const bool isClear = executor.isContacted || now >= this->d->clearAt;
+        const bool isOver = !executor.isListed && executor.runs.empty() && executor.leaseEnd < now && isClear;
         if (isOver && executor.isRecorded) {
             this->d->forgotten.push_back(entry.first);
         }
         return isOver;
     });
+    if (now >= this->d->clearAt) {
+        for (const ExecutorKey &key : std::exchange(this->d->earlier, {})) {
+            if (!this->d->executors.contains(key)) {
+                this->d->forgotten.push_back(key);
+            }
+        }
+    }
 }
 
 void PoolScheduler::setEarlierExecutors(const std::set<ExecutorKey> &used)
@@ -457,6 +471,8 @@
             continue;
         }
         item->failures = known.failures;
+        item->countedRun = known.countedRun;
+        item->lastRun = std::max(item->lastRun, known.countedRun);
         StepState &step = entry.occurrences[static_cast<std::size_t>(known.occurrence)].steps[static_cast<std::size_t>(known.step)];
         if (entry.job.spec.steps[static_cast<std::size_t>(known.step)].isGang) {
             step.gangFailures += known.failures;
@@ -723,7 +739,7 @@
                     const Item &item = steps[step].items[index];
                     if (item.phase == ItemPhase::Done || item.failures > 0) {
                         progress.items.push_back(ItemProgress{static_cast<std::int32_t>(occurrence), static_cast<std::int32_t>(step),
-                                                              static_cast<std::int32_t>(index), item.phase == ItemPhase::Done, item.failures});
+                                                              static_cast<std::int32_t>(index), item.phase == ItemPhase::Done, item.failures, item.countedRun});
                     }
                 }
             }
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -335,6 +335,41 @@
     EXPECT_EQ(this->plan().starts.size(), 1U);
 }
 
+TEST_F(PoolSchedulerTest, SilentExecutorsOfAnEarlierOwnerAreForgottenOnlyOnceTheyAreClear)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
+    this->list({executor("one"), executor("two")});
+    this->report("two");
+    this->advance(3s);
+    this->list({executor("two")});
+    EXPECT_TRUE(this->scheduler->takeForgotten().empty());
+    this->add(this->job("a"));
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->advance(3100ms);
+    this->list({executor("two")});
+    EXPECT_EQ(this->scheduler->takeForgotten().size(), 1U);
+}
+
+TEST_F(PoolSchedulerTest, AFailureThatIsListedAgainToTheNextOwnerCountsOnce)
+{
+    this->list({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->planAndConfirm();
+    const std::string name = first.starts[0].executor.id.value;
+    const ReportedEnd failure{1, first.starts[0].run.item, 1, RunEnd::Failed, {}};
+    this->report(name, {}, {failure});
+    const JobProgress saved = this->scheduler->takeChanged().back();
+    this->scheduler = this->makeScheduler(2, 100'000, this->now);
+    this->add(this->job("a"), &saved);
+    this->list({executor("one"), executor("two")});
+    this->report("one", {}, name == "one" ? std::vector{failure} : std::vector<ReportedEnd>{});
+    this->report("two", {}, name == "two" ? std::vector{failure} : std::vector<ReportedEnd>{});
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 TEST_F(PoolSchedulerTest, EndsAreAcknowledgedOnlyOnceTheyAreDurable)
 {
     this->list({executor("one")});
