That a job may have begun is durable before its first start

Ruled out: shorter leases (a store outage of 4.5 s must be borne). Change: progress carries the mark beside the state; a taker holds back only marked jobs. The earlier rule by the time at which a job was read is gone.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -49,6 +49,8 @@
     QueueId queue;
     ServiceId service;
     JobState state = JobState::Queued;
+    // Some of it may have been started. It is durable before the first start.
+    bool mayHaveBegun = false;
     // When the state became final.
     WallTime endedAt{};
     // Empty once the state is final.
@@ -91,8 +93,6 @@
 struct OwnershipTerm {
     // The latest time at which the owner is known to have been the only one.
     TimePoint confirmedAt{};
-    // Nobody else can have become the owner before this, but for a reassignment out of turn.
-    TimePoint exclusiveUntil{};
     // No lease and no start may reach beyond this.
     TimePoint horizon{};
 };
@@ -131,8 +131,8 @@
 class PoolScheduler
 {
 public:
-    // `token` fences earlier owners off; run numbers start above `runBase`, which rises from owner to owner. Items of jobs that are not
-    // fresh may run, unseen, on an executor that cannot be asked, until `clearAt`.
+    // `token` fences earlier owners off; run numbers start above `runBase`, which rises from owner to owner. Items of jobs that an
+    // earlier owner began may run, unseen, on an executor that cannot be asked, until `clearAt`.
     static Result<std::unique_ptr<PoolScheduler>> create(ServiceId service, SchedulerSettings settings, std::int64_t token, std::int64_t runBase,
                                                          TimePoint clearAt);
     ~PoolScheduler();
@@ -152,9 +152,9 @@
     // What the planner of the machines has to know; token and numbers are left to the caller.
     PoolReport report(TimePoint now) const;
 
-    // Adds a job with what is known of its earlier progress. Adding a known job again changes nothing. `isFresh` says that no earlier
-    // owner can have started it.
-    void addJob(const AcceptedJob &job, const JobProgress *progress, bool isFresh, TimePoint now, WallTime wallNow);
+    // Adds a job with what is known of its earlier progress. Adding a known job again changes nothing. That a job may have
+    // begun is durable before its first start, so one of which it is not known has never been started by anybody.
+    void addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow);
     void cancelJob(const JobId &job, WallTime wallNow);
     bool hasJob(const JobId &job) const;
     // Drops jobs whose final state is older than the bound.
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -325,6 +325,10 @@
             checkpoint = item.checkpoint;
         }
     }
+    if (!entry.mayStart) {
+        this->announce(entry);
+        return false;
+    }
     const std::size_t startsBefore = this->orders.starts.size();
     for (std::size_t index = 0; index < state.items.size(); ++index) {
         Item &item = state.items[index];
@@ -347,6 +351,17 @@
     return true;
 }
 
+void PoolScheduler::Private::announce(JobEntry &entry)
+{
+    if (entry.isAnnounced) {
+        return;
+    }
+    entry.isAnnounced = true;
+    this->announced.insert(entry.job.id);
+    this->touch(entry);
+    this->isUrgent = true;
+}
+
 void PoolScheduler::Private::place(JobEntry &entry, TimePoint now, WallTime wallNow, TimePoint horizon)
 {
     for (std::size_t number = 0; number < entry.occurrences.size(); ++number) {
@@ -378,6 +393,10 @@
                 if (executor == nullptr) {
                     break;
                 }
+                if (!entry.mayStart) {
+                    this->announce(entry);
+                    return;
+                }
                 this->startOn(*executor, entry, id, item, item.lastRun + 1, now, horizon);
             }
         }
@@ -429,8 +448,7 @@
     std::vector<std::pair<std::tuple<int, bool, std::int32_t, bool, std::int64_t>, JobEntry *>> order;
     for (const JobId &id : state.open) {
         JobEntry &entry = *state.findJob(id);
-        // A successor counts on it that jobs read later than this were not started.
-        if ((!isClear && !entry.isFresh) || entry.readAt > term.exclusiveUntil) {
+        if (!isClear && entry.isInherited) {
             continue;
         }
         const bool isLongRunning = entry.job.spec.steps.front().isLongRunning;
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -218,6 +218,15 @@
     }
 }
 
+void PoolScheduler::Private::noteBegun(JobEntry &entry)
+{
+    if (!entry.hasRun && entry.isOpen()) {
+        entry.hasRun = true;
+        entry.state = JobState::Running;
+        this->touch(entry);
+    }
+}
+
 void PoolScheduler::Private::checkCompleted(JobEntry &entry, WallTime wallNow)
 {
     for (const OccurrenceState &occurrence : entry.occurrences) {
@@ -415,7 +424,8 @@
     });
     if (now >= this->d->clearAt) {
         for (const ExecutorKey &key : std::exchange(this->d->earlier, {})) {
-            if (!this->d->executors.contains(key)) {
+            const bool isNoted = std::find(this->d->forgotten.begin(), this->d->forgotten.end(), key) != this->d->forgotten.end();
+            if (!isNoted && !this->d->executors.contains(key)) {
                 this->d->forgotten.push_back(key);
             }
         }
@@ -432,15 +442,13 @@
     this->d->evacuations = lives;
 }
 
-void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, bool isFresh, TimePoint now, WallTime wallNow)
+void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow)
 {
     if (this->d->jobs.contains(job.id)) {
         return;
     }
     JobEntry &entry = this->d->jobs[job.id];
     entry.job = job;
-    entry.readAt = now;
-    entry.isFresh = isFresh;
     const auto age = std::max(milliseconds::zero(), wallNow - job.acceptedAt);
     entry.addedAt = now - std::chrono::duration_cast<Duration>(age);
     entry.occurrences.resize(static_cast<std::size_t>(job.spec.occurrences()));
@@ -461,6 +469,9 @@
     }
     entry.state = progress->state;
     entry.hasRun = progress->state != JobState::Queued;
+    entry.isInherited = progress->mayHaveBegun;
+    entry.isAnnounced = progress->mayHaveBegun;
+    entry.mayStart = progress->mayHaveBegun;
     for (const ItemProgress &known : progress->items) {
         if (known.occurrence < 0 || static_cast<std::size_t>(known.occurrence) >= entry.occurrences.size()) {
             continue;
@@ -575,11 +586,8 @@
                                 && !this->d->stepOf(reported.item).isSpeculative);
         if (isNeedless) {
             this->d->requestStop(*executor, run, "not needed");
-        } else if (!entry.hasRun) {
-            entry.hasRun = true;
-            entry.state = JobState::Running;
-            this->d->touch(entry);
         }
+        this->d->noteBegun(entry);
     }
     for (auto &[id, orphan] : orphans) {
         const auto before = executor->orphans.find(id);
@@ -622,11 +630,7 @@
         }
         run.startedAt = sentAt;
         JobEntry &entry = *this->d->findJob(order.item.job);
-        if (!entry.hasRun && entry.isOpen()) {
-            entry.hasRun = true;
-            entry.state = JobState::Running;
-            this->d->touch(entry);
-        }
+        this->d->noteBegun(entry);
         return;
     }
     case OrderOutcome::Unknown:
@@ -731,7 +735,7 @@
         if (entry == nullptr) {
             continue;
         }
-        JobProgress progress{id, entry->job.queue, entry->job.service, entry->state, entry->endedAt, {}};
+        JobProgress progress{id, entry->job.queue, entry->job.service, entry->state, entry->isAnnounced, entry->endedAt, {}};
         for (std::size_t occurrence = 0; entry->isOpen() && occurrence < entry->occurrences.size(); ++occurrence) {
             const auto &steps = entry->occurrences[occurrence].steps;
             for (std::size_t step = 0; step < steps.size(); ++step) {
@@ -748,6 +752,11 @@
     }
     this->d->changed.clear();
     this->d->isUrgent = false;
+    for (const JobId &id : this->d->announced) {
+        if (JobEntry *entry = this->d->findJob(id)) {
+            entry->isAnnouncementCollected = true;
+        }
+    }
     for (auto &[key, executor] : this->d->executors) {
         executor.collectedEnd = executor.processedEnd;
     }
@@ -759,6 +768,14 @@
     for (auto &[key, executor] : this->d->executors) {
         executor.persistedEnd = executor.collectedEnd;
     }
+    std::erase_if(this->d->announced, [this](const JobId &id) {
+        JobEntry *entry = this->d->findJob(id);
+        const bool isSettled = entry == nullptr || entry->isAnnouncementCollected;
+        if (entry != nullptr && isSettled) {
+            entry->mayStart = true;
+        }
+        return isSettled;
+    });
 }
 
 bool PoolScheduler::hasChanges() const
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -120,9 +120,12 @@
     JobState state = JobState::Queued;
     WallTime endedAt{};
     TimePoint addedAt{};
-    // When this owner learned of it.
-    TimePoint readAt{};
-    bool isFresh = false;
+    // An earlier owner may have started some of it.
+    bool isInherited = false;
+    // That the job may have begun is about to be durable, or is.
+    bool isAnnounced = false;
+    bool isAnnouncementCollected = false;
+    bool mayStart = false;
     // When the objective of a job without a schedule runs out.
     TimePoint objective{};
     std::int32_t priority = 0;
@@ -154,6 +157,8 @@
     std::unordered_map<JobId, JobEntry> jobs;
     std::set<JobId> open;
     std::set<JobId> changed;
+    // Announced jobs that wait for the announcement to be durable.
+    std::set<JobId> announced;
     bool isUrgent = false;
     // Actual run time against the estimate by queue, smoothed.
     std::map<QueueId, double> timeRatio;
@@ -179,6 +184,7 @@
     void finishItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
     void failItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
     void finishJob(JobEntry &entry, JobState state, WallTime wallNow);
+    void noteBegun(JobEntry &entry);
     void checkCompleted(JobEntry &entry, WallTime wallNow);
     void dropExecutor(Executor &executor, TimePoint now, const char *reason);
     void stopOthers(const ItemId &id, const Executor &except, const char *reason);
@@ -205,6 +211,7 @@
     void extendLease(Executor &executor, std::chrono::milliseconds until, TimePoint now) const;
     // Returns true where nothing of an earlier owner can run unseen.
     bool isClear(TimePoint now) const;
+    void announce(JobEntry &entry);
     bool isOverloaded() const;
 };
 
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -78,12 +78,33 @@
 
     void add(const AcceptedJob &accepted, const JobProgress *progress = nullptr)
     {
-        this->scheduler->addJob(accepted, progress, this->isFresh, this->now, this->wall);
+        this->scheduler->addJob(accepted, progress, this->now, this->wall);
     }
 
+    // Adds a job that an earlier owner began.
+    void addBegun(const std::string &name)
+    {
+        const JobProgress begun{JobId{name}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Running, true, {}, {}};
+        this->add(this->job(name), &begun);
+    }
+
+    SchedulerOrders planOnce()
+    {
+        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->now + 6s});
+    }
+
+    // Plans, makes what was announced durable, and plans again.
     SchedulerOrders plan()
     {
-        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->confirmedAt.value_or(this->now) + 1200ms, this->now + 6s});
+        SchedulerOrders orders = this->planOnce();
+        for (JobProgress &progress : this->scheduler->takeChanged()) {
+            this->saved[progress.id] = std::move(progress);
+        }
+        this->scheduler->markPersisted();
+        SchedulerOrders more = this->planOnce();
+        orders.starts.insert(orders.starts.end(), more.starts.begin(), more.starts.end());
+        orders.stops.insert(orders.stops.end(), more.stops.begin(), more.stops.end());
+        return orders;
     }
 
     // Plans and answers every start with success.
@@ -114,7 +135,7 @@
 
     FleetConfig config;
     std::unique_ptr<PoolScheduler> scheduler;
-    bool isFresh = false;
+    std::map<JobId, JobProgress> saved;
     // The last confirmation of the ownership; now, where none is set.
     std::optional<TimePoint> confirmedAt;
     TimePoint now{100s};
@@ -152,7 +173,7 @@
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
     this->list({executor("one"), executor("two")});
     this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
-    this->add(this->job("a"));
+    this->addBegun("a");
     this->report("two");
     this->report("one", {ReportedRun{ItemId{JobId{"a"}, 0, 0, 0}, 7, {}, 100, 0}});
     EXPECT_TRUE(this->plan().starts.empty());
@@ -166,7 +187,7 @@
     this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
     this->list({executor("one"), executor("two")});
     this->report("two");
-    this->add(this->job("a"));
+    this->addBegun("a");
     EXPECT_TRUE(this->plan().starts.empty());
     this->advance(5s);
     EXPECT_TRUE(this->plan().starts.empty());
@@ -176,31 +197,34 @@
     EXPECT_EQ(orders.starts[0].run.run, 100'001);
 }
 
-TEST_F(PoolSchedulerTest, FreshJobsNeedNotWaitForAnEarlierOwnersWork)
+TEST_F(PoolSchedulerTest, JobsThatNobodyBeganNeedNotWaitForAnEarlierOwnersWork)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
     this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
     this->list({executor("one"), executor("two")});
     this->report("two");
-    this->add(this->job("a"));
-    this->isFresh = true;
+    const JobProgress begun{JobId{"a"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Running, true, {}, {}};
+    this->add(this->job("a"), &begun);
     this->add(this->job("b"));
     const SchedulerOrders orders = this->plan();
     ASSERT_EQ(orders.starts.size(), 1U);
     EXPECT_EQ(orders.starts[0].run.item.job.value, "b");
 }
 
-TEST_F(PoolSchedulerTest, JobsReadAfterTheExclusiveTermWaitForAConfirmation)
+TEST_F(PoolSchedulerTest, NothingStartsBeforeItIsDurableThatTheJobMayHaveBegun)
 {
     this->list({executor("one")});
     this->report("one");
-    this->confirmedAt = this->now;
-    this->advance(1500ms);
-    this->report("one");
     this->add(this->job("a"));
-    EXPECT_TRUE(this->plan().starts.empty());
-    this->confirmedAt = this->now;
-    EXPECT_EQ(this->plan().starts.size(), 1U);
+    EXPECT_TRUE(this->planOnce().starts.empty());
+    EXPECT_TRUE(this->scheduler->hasUrgentChange());
+    const auto changed = this->scheduler->takeChanged();
+    ASSERT_EQ(changed.size(), 1U);
+    EXPECT_TRUE(changed[0].mayHaveBegun);
+    EXPECT_EQ(changed[0].state, JobState::Queued);
+    EXPECT_TRUE(this->planOnce().starts.empty());
+    this->scheduler->markPersisted();
+    EXPECT_EQ(this->planOnce().starts.size(), 1U);
 }
 
 TEST_F(PoolSchedulerTest, SilentExecutorsWorkRestartsOnlyAfterItsLease)
@@ -304,14 +328,12 @@
     EXPECT_EQ(this->plan().stops.size(), 1U);
     this->report("one", {}, {ReportedEnd{1, first.starts[0].run.item, 1, RunEnd::Stopped, {}}});
     EXPECT_TRUE(this->plan().starts.empty());
-    const auto changed = this->scheduler->takeChanged();
-    ASSERT_FALSE(changed.empty());
-    EXPECT_EQ(changed.back().state, JobState::Cancelled);
+    EXPECT_EQ(this->saved.at(JobId{"a"}).state, JobState::Cancelled);
 }
 
 TEST_F(PoolSchedulerTest, RunsOfEndedJobsAreStoppedWhereverTheyAreFound)
 {
-    const JobProgress ended{JobId{"a"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Cancelled, this->wall, {}};
+    const JobProgress ended{JobId{"a"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Cancelled, true, this->wall, {}};
     this->add(this->job("a"), &ended);
     this->list({executor("one")});
     this->report("one", {ReportedRun{ItemId{JobId{"a"}, 0, 0, 0}, 3, {}, 100, 0}, ReportedRun{ItemId{JobId{"unknown"}, 0, 0, 0}, 1, {}, 100, 0}});
@@ -344,7 +366,7 @@
     this->advance(3s);
     this->list({executor("two")});
     EXPECT_TRUE(this->scheduler->takeForgotten().empty());
-    this->add(this->job("a"));
+    this->addBegun("a");
     EXPECT_TRUE(this->plan().starts.empty());
     this->advance(3100ms);
     this->list({executor("two")});
@@ -399,7 +421,7 @@
         this->report(orders.starts[0].executor.id.value, {}, {ReportedEnd{++ends, orders.starts[0].run.item, attempt, RunEnd::Failed, {}}});
     }
     EXPECT_TRUE(this->plan().starts.empty());
-    EXPECT_EQ(this->scheduler->takeChanged().back().state, JobState::Failed);
+    EXPECT_EQ(this->saved.at(JobId{"a"}).state, JobState::Failed);
 }
 
 TEST_F(PoolSchedulerTest, AvailabilityBudgetHoldsWhileMachinesAreEmptied)
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -38,8 +38,7 @@
 {
     this->confirmedAt = std::max(this->confirmedAt, sentAt);
     for (auto &[partition, shard] : this->owned) {
-        shard->setTerm(OwnershipTerm{this->confirmedAt, this->confirmedAt + this->membershipTime(),
-                                     this->confirmedAt + this->owner.settings.scheduler.longestLease});
+        shard->setTerm(OwnershipTerm{this->confirmedAt, this->confirmedAt + this->owner.settings.scheduler.longestLease});
     }
 }
 
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -30,8 +30,6 @@
 constexpr milliseconds idleCheck{1000};
 // What an earlier owner may have started beyond its horizon through slow clocks and rounding.
 constexpr milliseconds clearMargin{350};
-// An owner that lost the partition out of turn notices within its membership time.
-constexpr milliseconds freshMargin{1400};
 // Run numbers of one owner stay within this span.
 constexpr std::int64_t runSpan = 100'000;
 
@@ -69,9 +67,6 @@
     bool isStopped = false;
     bool isFenced = false;
     bool isLoaded = false;
-    // Jobs read from now on were not there while an earlier owner could start work.
-    bool readsFreshJobs = false;
-    TimePoint freshFrom{};
     OwnershipTerm term;
     TimePoint clearAt{};
     std::shared_ptr<const FleetConfig> config;
@@ -151,7 +146,7 @@
         return;
     }
     const auto known = this->progress.find(job.id);
-    pool->addJob(job, known == this->progress.end() ? nullptr : &known->second, this->readsFreshJobs, bootNow(), wallNow());
+    pool->addJob(job, known == this->progress.end() ? nullptr : &known->second, bootNow(), wallNow());
     if (this->cancelled.contains(job.id)) {
         pool->cancelJob(job.id, wallNow());
     }
@@ -289,7 +284,6 @@
         }
     }
     this->state.runBase = takeovers * runSpan;
-    this->state.freshFrom = bootNow() + freshMargin;
     this->state.clearAt = takeovers == 0 ? TimePoint{} : bootNow() + this->state.owner.settings.scheduler.longestLease + clearMargin;
     std::vector<StoredRecord> mark{StoredRecord{ownerKey, std::to_string(takeovers + 1), -1}};
     const bool isMarked = co_await this->appendUntilDurable(std::move(mark));
@@ -357,9 +351,7 @@
 net::awaitable<void> OwnerLoops<State>::tail(std::shared_ptr<StreamReader> reader)
 {
     while (!this->isOver()) {
-        const bool isAfterEarlierOwner = bootNow() >= this->state.freshFrom;
         const Result<void> read = co_await reader->follow(tailWait);
-        this->state.readsFreshJobs = this->state.readsFreshJobs || (read && isAfterEarlierOwner);
         if (!read) {
             co_await sleepFor(this->state.owner.context, retryPause);
         }
@@ -585,9 +577,7 @@
                 pool->markRecorded(key);
             }
         }
-        if (!newlyRecorded.empty()) {
-            this->state.planWanted.notify();
-        }
+        this->state.planWanted.notify();
         for (auto &[key, wanted] : this->state.renewing) {
             wanted->notify();
         }
