--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -133,8 +133,8 @@
 public:
     // `token` fences earlier owners off; run numbers start above `runBase`, which rises from owner to owner. Items of jobs that an
     // earlier owner began may run, unseen, on an executor that cannot be asked, until `clearAt`.
-    static Result<std::unique_ptr<PoolScheduler>> create(ServiceId service, SchedulerSettings settings, std::int64_t token, std::int64_t runBase,
-                                                         TimePoint clearAt);
+    static Result<std::unique_ptr<PoolScheduler>> create(
+        ServiceId service, SchedulerSettings settings, std::int64_t token, std::int64_t runBase, TimePoint clearAt);
     ~PoolScheduler();
 
     void setObserver(std::function<void(const SchedulerEvent &)> observer);
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -541,8 +541,8 @@
         const auto report = state.reports.find(service);
         const bool isKnown = report != state.reports.end();
         const auto age = isKnown ? std::chrono::duration_cast<milliseconds>(now - report->second.at) : milliseconds(-1);
-        state.needs.push_back(PoolNeed{service, pool.needed, pool.size(), isKnown ? report->second.report.inflow : 0,
-                                       isKnown ? report->second.report.backlog : 0, age});
+        state.needs.push_back(
+            PoolNeed{service, pool.needed, pool.size(), isKnown ? report->second.report.inflow : 0, isKnown ? report->second.report.backlog : 0, age});
     }
     state.startMaintenance(pools, now, wallNow);
     state.planMoves(pools, now);
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -217,8 +217,7 @@
     std::vector<milliseconds> ends(specs.size());
     milliseconds longest{};
     for (std::size_t step = 0; step < specs.size(); ++step) {
-        const bool isDone = !entry.occurrences.empty() && entry.occurrences.front().isOpen
-            && entry.occurrences.front().steps[step].done >= specs[step].count;
+        const bool isDone = !entry.occurrences.empty() && entry.occurrences.front().isOpen && entry.occurrences.front().steps[step].done >= specs[step].count;
         milliseconds start{};
         for (const std::int32_t earlier : specs[step].dependsOn) {
             start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
@@ -277,8 +276,8 @@
         if (!this->isUsable(executor, now) || !executor.free().fits(wanted) || !this->admits(executor, entry, id, spec)) {
             continue;
         }
-        const bool isOffRack = (!spec.preferredRack.empty() && !hasLabel(executor.info, spec.preferredRack))
-            || (!siblingRack.empty() && rackOf(executor.info) != siblingRack);
+        const bool isOffRack
+            = (!spec.preferredRack.empty() && !hasLabel(executor.info, spec.preferredRack)) || (!siblingRack.empty() && rackOf(executor.info) != siblingRack);
         const bool hasFailedHere = item.failedOn == executor.info.id;
         const bool isSuspect = !executor.failedJobs.empty();
         const bool isSlow = executor.slowness > slowExecutor;
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -348,8 +348,8 @@
 
 PoolScheduler::~PoolScheduler() = default;
 
-Result<std::unique_ptr<PoolScheduler>> PoolScheduler::create(ServiceId service, SchedulerSettings settings, std::int64_t token, std::int64_t runBase,
-                                                             TimePoint clearAt)
+Result<std::unique_ptr<PoolScheduler>> PoolScheduler::create(
+    ServiceId service, SchedulerSettings settings, std::int64_t token, std::int64_t runBase, TimePoint clearAt)
 {
     if (settings.leaseLength <= milliseconds::zero() || settings.longestLease < settings.leaseLength) {
         return makeError(ErrorCode::InvalidArgument, "must be positive and at most the longest lease", "leaseLength");
@@ -568,7 +568,8 @@
         Run &run = isAdopted ? this->d->adopt(*executor, reported.item, reported.run, now) : known->second;
         if (isAdopted) {
             // Whoever started it may have given it the longest lease.
-            executor->leaseEnd = std::max(executor->leaseEnd, after(now, this->d->settings.longestLease * (1.0 + this->d->settings.clockDrift) + leaseRounding));
+            executor->leaseEnd
+                = std::max(executor->leaseEnd, after(now, this->d->settings.longestLease * (1.0 + this->d->settings.clockDrift) + leaseRounding));
         }
         run.number = std::max(run.number, reported.run);
         run.isListed = true;
@@ -582,8 +583,8 @@
             item->checkpoint = reported.checkpoint;
         }
         JobEntry &entry = *this->d->findJob(reported.item.job);
-        const bool isNeedless = !entry.isOpen() || item->phase == ItemPhase::Done || (item->where.size() > 1 && item->where.front() != key
-                                && !this->d->stepOf(reported.item).isSpeculative);
+        const bool isNeedless = !entry.isOpen() || item->phase == ItemPhase::Done
+            || (item->where.size() > 1 && item->where.front() != key && !this->d->stepOf(reported.item).isSpeculative);
         if (isNeedless) {
             this->d->requestStop(*executor, run, "not needed");
         }
@@ -743,7 +744,7 @@
                     const Item &item = steps[step].items[index];
                     if (item.phase == ItemPhase::Done || item.failures > 0) {
                         progress.items.push_back(ItemProgress{static_cast<std::int32_t>(occurrence), static_cast<std::int32_t>(step),
-                                                              static_cast<std::int32_t>(index), item.phase == ItemPhase::Done, item.failures, item.countedRun});
+                            static_cast<std::int32_t>(index), item.phase == ItemPhase::Done, item.failures, item.countedRun});
                     }
                 }
             }
--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -63,8 +63,7 @@
     std::unique_ptr<Connection> takeIdle();
     void giveBack(std::unique_ptr<Connection> connection);
     net::awaitable<bool> waitForTurn(std::chrono::steady_clock::time_point deadline);
-    net::awaitable<Stage> exchange(Connection &connection, const HttpRequest &request, HttpResponse &response,
-                                   std::chrono::steady_clock::time_point deadline);
+    net::awaitable<Stage> exchange(Connection &connection, const HttpRequest &request, HttpResponse &response, std::chrono::steady_clock::time_point deadline);
 };
 
 std::unique_ptr<Connection> ConnectionPool::Private::takeIdle()
@@ -103,8 +102,8 @@
     co_return true;
 }
 
-net::awaitable<Stage> ConnectionPool::Private::exchange(Connection &connection, const HttpRequest &request, HttpResponse &response,
-                                                        std::chrono::steady_clock::time_point deadline)
+net::awaitable<Stage> ConnectionPool::Private::exchange(
+    Connection &connection, const HttpRequest &request, HttpResponse &response, std::chrono::steady_clock::time_point deadline)
 {
     ErrorCodeSystem error;
     connection.stream.expires_at(deadline);
--- a/src/libservice/eventlog.cpp
+++ b/src/libservice/eventlog.cpp
@@ -123,8 +123,8 @@
     impl->process = std::move(process);
     impl->budget = budget;
     impl->pool = std::make_shared<spdlog::details::thread_pool>(ringSize, 1);
-    impl->logger = std::make_shared<spdlog::async_logger>(impl->process, std::make_shared<spdlog::sinks::stdout_sink_mt>(), impl->pool,
-                                                          spdlog::async_overflow_policy::overrun_oldest);
+    impl->logger = std::make_shared<spdlog::async_logger>(
+        impl->process, std::make_shared<spdlog::sinks::stdout_sink_mt>(), impl->pool, spdlog::async_overflow_policy::overrun_oldest);
     impl->logger->set_pattern("%v");
     return std::unique_ptr<EventLog>(new EventLog(std::move(impl)));
 }
--- a/src/scheduler/executordirectory.cpp
+++ b/src/scheduler/executordirectory.cpp
@@ -7,12 +7,12 @@
     : log(log)
     , decode(std::move(decode))
     , reader(context, store, Stream::Executors, 0,
-             StreamReader::Handlers{[this] {
-                                        this->known.clear();
-                                    },
-                                    [this](const StoredRecord &record) {
-                                        this->apply(record);
-                                    }})
+          StreamReader::Handlers{[this] {
+                                     this->known.clear();
+                                 },
+              [this](const StoredRecord &record) {
+                  this->apply(record);
+              }})
 {
 }
 
@@ -34,12 +34,9 @@
     const auto before = this->known.find(id);
     const bool isNews = before == this->known.end() || before->second.born != info->born || before->second.isDraining != info->isDraining;
     if (isNews) {
-        this->log.emit("executor_seen", {{"executor", id.value},
-                                         {"service", info->service.value},
-                                         {"machine", info->machine.value},
-                                         {"born", info->born},
-                                         {"draining", info->isDraining},
-                                         {"offset", record.offset}});
+        this->log.emit("executor_seen",
+            {{"executor", id.value}, {"service", info->service.value}, {"machine", info->machine.value}, {"born", info->born}, {"draining", info->isDraining},
+                {"offset", record.offset}});
     }
     this->known[id] = std::move(*info);
 }
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -37,8 +37,8 @@
 bool isJobId(std::string_view text)
 {
     return text.size() == jobIdDigits && std::all_of(text.begin(), text.end(), [](unsigned char character) {
-               return std::isxdigit(character) != 0;
-           });
+        return std::isxdigit(character) != 0;
+    });
 }
 
 // What is known of one job's state.
@@ -105,34 +105,34 @@
     PartitionView *raw = view.get();
     view->appender = std::make_shared<BatchAppender>(this->context, this->store, Stream::Jobs, partition);
     view->progressReader = std::make_unique<StreamReader>(this->context, this->store, Stream::Progress, partition,
-                                                          StreamReader::Handlers{[raw] {
-                                                                                     raw->progress.clear();
-                                                                                 },
-                                                                                 [raw](const StoredRecord &record) {
-                                                                                     const ParsedKey key = parseKey(record.key);
-                                                                                     if (key.kind != KeyKind::Job) {
-                                                                                         return;
-                                                                                     }
-                                                                                     if (record.value.empty()) {
-                                                                                         raw->progress.erase(key.job);
-                                                                                         raw->accepted.erase(key.job);
-                                                                                     } else if (const auto known = decodeProgress(key.job, record.value)) {
-                                                                                         raw->progress[key.job] = KnownJob{known->queue, known->state};
-                                                                                     }
-                                                                                 }});
+        StreamReader::Handlers{[raw] {
+                                   raw->progress.clear();
+                               },
+            [raw](const StoredRecord &record) {
+                const ParsedKey key = parseKey(record.key);
+                if (key.kind != KeyKind::Job) {
+                    return;
+                }
+                if (record.value.empty()) {
+                    raw->progress.erase(key.job);
+                    raw->accepted.erase(key.job);
+                } else if (const auto known = decodeProgress(key.job, record.value)) {
+                    raw->progress[key.job] = KnownJob{known->queue, known->state};
+                }
+            }});
     view->jobsReader = std::make_unique<StreamReader>(this->context, this->store, Stream::Jobs, partition,
-                                                      StreamReader::Handlers{[] {
-                                                                             },
-                                                                             [raw](const StoredRecord &record) {
-                                                                                 const ParsedKey key = parseKey(record.key);
-                                                                                 if (record.value.empty()) {
-                                                                                     raw->accepted.erase(key.job);
-                                                                                 } else if (key.kind == KeyKind::Cancellation) {
-                                                                                     raw->cancelled.insert(key.job);
-                                                                                 } else if (const auto job = decodeAcceptedJob(key.job, record.value)) {
-                                                                                     raw->accepted.emplace(key.job, job->queue);
-                                                                                 }
-                                                                             }});
+        StreamReader::Handlers{[] {
+                               },
+            [raw](const StoredRecord &record) {
+                const ParsedKey key = parseKey(record.key);
+                if (record.value.empty()) {
+                    raw->accepted.erase(key.job);
+                } else if (key.kind == KeyKind::Cancellation) {
+                    raw->cancelled.insert(key.job);
+                } else if (const auto job = decodeAcceptedJob(key.job, record.value)) {
+                    raw->accepted.emplace(key.job, job->queue);
+                }
+            }});
     return view;
 }
 
@@ -220,8 +220,9 @@
     switch (verdict) {
     case AppendVerdict::Durable:
         view.accepted.emplace(id, queue.id);
-        this->log.emit("job_accepted", {{"job", id.value}, {"queue", queue.id.value}, {"service", queue.service.value},
-                                        {"revision", this->config->revision}, {"steps", static_cast<std::int64_t>(job.spec.steps.size())}});
+        this->log.emit("job_accepted",
+            {{"job", id.value}, {"queue", queue.id.value}, {"service", queue.service.value}, {"revision", this->config->revision},
+                {"steps", static_cast<std::int64_t>(job.spec.steps.size())}});
         co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
     case AppendVerdict::NotStored:
         this->log.emit("job_refused", {{"job", id.value}, {"queue", queue.id.value}, {"reason", "the store takes no records"}}, EventWeight::Essential);
@@ -315,8 +316,8 @@
 
 JobGateway::~JobGateway() = default;
 
-Result<std::unique_ptr<JobGateway>> JobGateway::create(net::io_context &context, RecordStore &store, EventLog &log, Metrics &metrics,
-                                                       const NodeSettings &settings)
+Result<std::unique_ptr<JobGateway>> JobGateway::create(
+    net::io_context &context, RecordStore &store, EventLog &log, Metrics &metrics, const NodeSettings &settings)
 {
     if (settings.partitions < 1) {
         return makeError(ErrorCode::InvalidArgument, "must be at least 1", "partitions");
--- a/src/scheduler/jobgateway.h
+++ b/src/scheduler/jobgateway.h
@@ -14,8 +14,8 @@
 class JobGateway : public CallerService
 {
 public:
-    static Result<std::unique_ptr<JobGateway>> create(net::io_context &context, RecordStore &store, EventLog &log, Metrics &metrics,
-                                                      const NodeSettings &settings);
+    static Result<std::unique_ptr<JobGateway>> create(
+        net::io_context &context, RecordStore &store, EventLog &log, Metrics &metrics, const NodeSettings &settings);
     ~JobGateway() override;
 
     // Puts a configuration in force. Older revisions than the current one are ignored.
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -36,9 +36,9 @@
 int main(int argc, char **argv)
 {
     parseFlags(argc, argv,
-               "mangocourse-scheduler\n\nRuns with the settings file that the platform provides.\n"
-               "SIGTERM hands duties over and stops, SIGHUP reads the settings again, SIGUSR1 dumps the state.\n\n"
-               "Examples:\n  mangocourse-scheduler\n  kill -USR1 PID    # one \"state\" event on standard output");
+        "mangocourse-scheduler\n\nRuns with the settings file that the platform provides.\n"
+        "SIGTERM hands duties over and stops, SIGHUP reads the settings again, SIGUSR1 dumps the state.\n\n"
+        "Examples:\n  mangocourse-scheduler\n  kill -USR1 PID    # one \"state\" event on standard output");
     std::signal(SIGPIPE, SIG_IGN);
     net::io_context context(1);
     Result<std::unique_ptr<PlatformAdapter>> platform = openPlatform(context);
--- a/src/scheduler/operatorfeed.cpp
+++ b/src/scheduler/operatorfeed.cpp
@@ -21,11 +21,11 @@
     , log(log)
     , handlers(std::move(handlers))
     , reader(context, platform.store(), Stream::Operator, 0,
-             StreamReader::Handlers{[] {
-                                    },
-                                    [this](const StoredRecord &record) {
-                                        this->apply(record);
-                                    }})
+          StreamReader::Handlers{[] {
+                                 },
+              [this](const StoredRecord &record) {
+                  this->apply(record);
+              }})
 {
 }
 
@@ -36,8 +36,8 @@
     }
     Result<OperatorRecord> decoded = this->platform.decodeOperatorRecord(record.key, record.value);
     if (!decoded) {
-        this->log.emit("operator_record_unreadable", {{"key", record.key}, {"offset", record.offset}, {"reason", describe(decoded.error())}},
-                       EventWeight::Essential);
+        this->log.emit(
+            "operator_record_unreadable", {{"key", record.key}, {"offset", record.offset}, {"reason", describe(decoded.error())}}, EventWeight::Essential);
         return;
     }
     if (auto *config = std::get_if<FleetConfig>(&*decoded)) {
@@ -45,15 +45,14 @@
             return;
         }
         this->log.emit("config_in_force", {{"revision", config->revision}, {"offset", record.offset}, {"queues", std::int64_t(config->queues.size())}},
-                       EventWeight::Essential);
+            EventWeight::Essential);
         this->current = std::make_shared<const FleetConfig>(std::move(*config));
         this->handlers.config(this->current);
     } else if (auto *wave = std::get_if<MaintenanceWave>(&*decoded)) {
-        this->log.emit("wave_requested", {{"wave", wave->id.value},
-                                          {"machines", std::int64_t(wave->machines.size())},
-                                          {"parallel", std::int64_t(wave->parallel)},
-                                          {"duration_ms", std::int64_t(wave->duration.count())}},
-                       EventWeight::Essential);
+        this->log.emit("wave_requested",
+            {{"wave", wave->id.value}, {"machines", std::int64_t(wave->machines.size())}, {"parallel", std::int64_t(wave->parallel)},
+                {"duration_ms", std::int64_t(wave->duration.count())}},
+            EventWeight::Essential);
         this->known[wave->id] = std::move(*wave);
     }
 }
@@ -65,8 +64,8 @@
         const Result<void> read = co_await this->reader.follow(feedWait);
         const bool isReachable = read.has_value();
         if (isReachable != wasReachable) {
-            this->log.emit(isReachable ? "store_regained" : "store_lost", {{"reason", isReachable ? std::string() : describe(read.error())}},
-                           EventWeight::Essential);
+            this->log.emit(
+                isReachable ? "store_regained" : "store_lost", {{"reason", isReachable ? std::string() : describe(read.error())}}, EventWeight::Essential);
             wasReachable = isReachable;
         }
         this->handlers.contact(isReachable);
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -62,10 +62,8 @@
     for (auto shard = this->owned.begin(); shard != this->owned.end();) {
         const bool isLost = !wanted.contains(shard->first);
         if (isLost || isUncertain || shard->second->isSuperseded()) {
-            this->owner.log.emit(isLost ? "ownership_lost" : "ownership_renewed", {{"partition", std::int64_t(shard->first)},
-                                                                                   {"token", shard->second->token()},
-                                                                                   {"generation", membership.generation}},
-                                 EventWeight::Essential);
+            this->owner.log.emit(isLost ? "ownership_lost" : "ownership_renewed",
+                {{"partition", std::int64_t(shard->first)}, {"token", shard->second->token()}, {"generation", membership.generation}}, EventWeight::Essential);
             shard->second->stop();
             shard = this->owned.erase(shard);
         } else {
--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -182,7 +182,8 @@
             co_return;
         }
         this->told[id] = wave.isCompleted;
-        this->log.emit("wave_status", {{"wave", id.value}, {"completed", wave.isCompleted}, {"begun", std::int64_t(wave.begun.size())}}, EventWeight::Essential);
+        this->log.emit(
+            "wave_status", {{"wave", id.value}, {"completed", wave.isCompleted}, {"begun", std::int64_t(wave.begun.size())}}, EventWeight::Essential);
     }
 }
 
@@ -194,23 +195,17 @@
             continue;
         }
         this->notedNeeds[need.service] = figures;
-        this->log.emit("pool_need", {{"service", need.service.value},
-                                     {"needed", std::int64_t(need.needed)},
-                                     {"size", std::int64_t(need.size)},
-                                     {"inflow", need.inflow},
-                                     {"backlog", need.backlog},
-                                     {"report_age_ms", std::int64_t(need.reportAge.count())}});
+        this->log.emit("pool_need",
+            {{"service", need.service.value}, {"needed", std::int64_t(need.needed)}, {"size", std::int64_t(need.size)}, {"inflow", need.inflow},
+                {"backlog", need.backlog}, {"report_age_ms", std::int64_t(need.reportAge.count())}});
     }
 }
 
 void PlanningDuty::Private::noteOutcome(const char *event, const Evacuation &order, MachineOutcome outcome)
 {
-    this->log.emit(event, {{"machine", order.machine.value},
-                           {"wave", order.wave.value},
-                           {"target", order.target.value},
-                           {"token", this->token},
-                           {"outcome", toString(outcome)}},
-                   EventWeight::Essential);
+    this->log.emit(event,
+        {{"machine", order.machine.value}, {"wave", order.wave.value}, {"target", order.target.value}, {"token", this->token}, {"outcome", toString(outcome)}},
+        EventWeight::Essential);
     if (outcome == MachineOutcome::Fenced) {
         this->isStopped = true;
     }
@@ -275,8 +270,8 @@
 
 PlanningDuty::~PlanningDuty() = default;
 
-std::shared_ptr<PlanningDuty> PlanningDuty::create(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed,
-                                                   std::int64_t token)
+std::shared_ptr<PlanningDuty> PlanningDuty::create(
+    net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token)
 {
     return std::shared_ptr<PlanningDuty>(new PlanningDuty(std::make_unique<Private>(context, platform, log, feed, token)));
 }
@@ -286,13 +281,13 @@
     Private *state = this->d.get();
     state->mayOrderFrom = bootNow() + state->platform.settings().planLease;
     state->reports = std::make_unique<StreamReader>(state->context, state->platform.store(), Stream::Plan, reportPartition,
-                                                    StreamReader::Handlers{[] {
-                                                                           },
-                                                                           [state](const StoredRecord &record) {
-                                                                               if (const auto report = decodePoolReport(record.value)) {
-                                                                                   state->planner->setReport(*report, bootNow());
-                                                                               }
-                                                                           }});
+        StreamReader::Handlers{[] {
+                               },
+            [state](const StoredRecord &record) {
+                if (const auto report = decodePoolReport(record.value)) {
+                    state->planner->setReport(*report, bootNow());
+                }
+            }});
     net::co_spawn(
         state->context,
         [self = this->shared_from_this(), state]() -> net::awaitable<void> {
--- a/src/scheduler/planningduty.h
+++ b/src/scheduler/planningduty.h
@@ -22,8 +22,8 @@
 class PlanningDuty : public std::enable_shared_from_this<PlanningDuty>
 {
 public:
-    static std::shared_ptr<PlanningDuty> create(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed,
-                                                std::int64_t token);
+    static std::shared_ptr<PlanningDuty> create(
+        net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token);
     ~PlanningDuty();
 
     void start();
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -72,8 +72,9 @@
     virtual ~RecordStore() = default;
 
     // Appends all records or none. Conflict: fenced by a higher epoch, or out of sequence. An empty list only sets the epoch.
-    virtual net::awaitable<Result<void>> append(Stream stream, std::int32_t partition, std::vector<StoredRecord> records,
-                                                std::optional<ProducerStamp> stamp, std::chrono::milliseconds limit) = 0;
+    virtual net::awaitable<Result<void>> append(
+        Stream stream, std::int32_t partition, std::vector<StoredRecord> records, std::optional<ProducerStamp> stamp, std::chrono::milliseconds limit)
+        = 0;
 
     // Returns records from the offset on; waits up to `wait` for the first. Gap: that part of the history is gone.
     virtual net::awaitable<Result<StreamBatch>> read(Stream stream, std::int32_t partition, std::int64_t from, std::chrono::milliseconds wait) = 0;
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -47,7 +47,7 @@
     flags |= step.isLongRunning ? LongRunning : 0U;
     flags |= step.isFiller ? Filler : 0U;
     return Json::array({step.count, step.room.cpu, step.room.memory, step.room.accelerators, step.estimate.count(), step.dependsOn, flags, step.requiredLabel,
-                        step.preferredRack, step.perExecutorLimit, step.image, step.tailTarget.count(), step.availabilityBudget});
+        step.preferredRack, step.perExecutorLimit, step.image, step.tailTarget.count(), step.availabilityBudget});
 }
 
 StepSpec stepFromJson(const Json &json)
@@ -83,7 +83,7 @@
     }
     const Recurrence &schedule = job.spec.recurrence;
     return toBytes(Json::array({job.queue.value, job.service.value, job.acceptedAt.time_since_epoch().count(), job.spec.payload, std::move(steps),
-                                schedule.count, schedule.first.time_since_epoch().count(), schedule.interval.count()}));
+        schedule.count, schedule.first.time_since_epoch().count(), schedule.interval.count()}));
 }
 
 Result<AcceptedJob> decodeAcceptedJob(const JobId &id, std::string_view bytes)
@@ -117,7 +117,7 @@
         items.push_back(Json::array({item.occurrence, item.step, item.index, item.isDone ? 1 : 0, item.failures, item.countedRun}));
     }
     return toBytes(Json::array({static_cast<int>(progress.state), progress.queue.value, progress.service.value, progress.endedAt.time_since_epoch().count(),
-                                std::move(items), progress.mayHaveBegun}));
+        std::move(items), progress.mayHaveBegun}));
 }
 
 Result<JobProgress> decodeProgress(const JobId &id, std::string_view bytes)
@@ -137,7 +137,7 @@
         progress.mayHaveBegun = json.at(5).get<bool>();
         for (const Json &item : json.at(4)) {
             progress.items.push_back(ItemProgress{item.at(0).get<std::int32_t>(), item.at(1).get<std::int32_t>(), item.at(2).get<std::int32_t>(),
-                                                  item.at(3).get<int>() != 0, item.at(4).get<std::int32_t>(), item.at(5).get<std::int64_t>()});
+                item.at(3).get<int>() != 0, item.at(4).get<std::int32_t>(), item.at(5).get<std::int64_t>()});
         }
         return progress;
     } catch (const Json::exception &exception) {
@@ -149,9 +149,8 @@
 {
     Json evacuations = Json::array();
     for (const Evacuation &evacuation : state.evacuations) {
-        evacuations.push_back(
-            Json::array({evacuation.machine.value, evacuation.executor.value, evacuation.born, static_cast<int>(evacuation.purpose), evacuation.wave.value,
-                         evacuation.target.value, evacuation.isOrdered}));
+        evacuations.push_back(Json::array({evacuation.machine.value, evacuation.executor.value, evacuation.born, static_cast<int>(evacuation.purpose),
+            evacuation.wave.value, evacuation.target.value, evacuation.isOrdered}));
     }
     Json waves = Json::array();
     for (const auto &[id, wave] : state.waves) {
@@ -180,10 +179,8 @@
         state.number = json.at(0).get<std::int64_t>();
         for (const Json &row : json.at(1)) {
             state.evacuations.push_back(Evacuation{MachineId{row.at(0).get<std::string>()}, ExecutorId{row.at(1).get<std::string>()},
-                                                   row.at(2).get<std::int64_t>(),
-                                                   row.at(3).get<int>() == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move,
-                                                   WaveId{row.at(4).get<std::string>()}, ServiceId{row.at(5).get<std::string>()},
-                                                   row.at(6).get<bool>()});
+                row.at(2).get<std::int64_t>(), row.at(3).get<int>() == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move,
+                WaveId{row.at(4).get<std::string>()}, ServiceId{row.at(5).get<std::string>()}, row.at(6).get<bool>()});
         }
         for (const Json &row : json.at(2)) {
             PlannerState::Wave &wave = state.waves[WaveId{row.at(0).get<std::string>()}];
@@ -212,8 +209,8 @@
     for (const ExecutorUse &use : report.executors) {
         executors.push_back(Json::array({use.executor.value, use.born, use.runs, use.longRunning, use.isReachable}));
     }
-    return toBytes(Json::array({report.service.value, report.token, report.number, report.evacuationsSeen, report.longRunningCpu, report.inflow,
-                                report.backlog, report.lateBacklog, report.spread, std::move(executors)}));
+    return toBytes(Json::array({report.service.value, report.token, report.number, report.evacuationsSeen, report.longRunningCpu, report.inflow, report.backlog,
+        report.lateBacklog, report.spread, std::move(executors)}));
 }
 
 Result<PoolReport> decodePoolReport(std::string_view bytes)
@@ -231,8 +228,8 @@
         report.lateBacklog = json.at(7).get<std::int64_t>();
         report.spread = json.at(8).get<std::int32_t>();
         for (const Json &row : json.at(9)) {
-            report.executors.push_back(ExecutorUse{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int64_t>(),
-                                                   row.at(2).get<std::int32_t>(), row.at(3).get<std::int32_t>(), row.at(4).get<bool>()});
+            report.executors.push_back(ExecutorUse{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int64_t>(), row.at(2).get<std::int32_t>(),
+                row.at(3).get<std::int32_t>(), row.at(4).get<bool>()});
         }
         return report;
     } catch (const Json::exception &exception) {
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -47,34 +47,34 @@
         , platform(std::move(adapter))
         , log(EventLog::create(this->platform->settings().name.value, logBudget))
         , directory(context, this->platform->store(), *this->log,
-                    [this](const std::string &id, const std::string &report) {
-                        return this->platform->decodeExecutor(id, report);
-                    })
+              [this](const std::string &id, const std::string &report) {
+                  return this->platform->decodeExecutor(id, report);
+              })
         , feed(context, *this->platform, *this->log,
-               OperatorFeed::Handlers{[this](std::shared_ptr<const FleetConfig> config) {
-                                          this->gateway->setConfig(config);
-                                          this->ownership.setConfig(config);
-                                      },
-                                      [this](bool isReachable) {
-                                          this->gateway->noteStore(isReachable);
-                                      }})
+              OperatorFeed::Handlers{[this](std::shared_ptr<const FleetConfig> config) {
+                                         this->gateway->setConfig(config);
+                                         this->ownership.setConfig(config);
+                                     },
+                  [this](bool isReachable) {
+                      this->gateway->noteStore(isReachable);
+                  }})
         , ownership(OwnerContext{context, this->platform->store(), this->platform->executors(), this->platform->policy(), *this->log, this->metrics,
-                                 this->platform->settings()},
-                    Ownership::Handlers{[this](bool isReachable) {
-                                            this->gateway->noteStore(isReachable);
-                                            if (this->planning) {
-                                                this->planning->setHorizon(this->ownership.planningUntil());
-                                            }
-                                        },
-                                        [this](std::int64_t token) {
-                                            this->changePlanning(token);
-                                        }})
+                        this->platform->settings()},
+              Ownership::Handlers{[this](bool isReachable) {
+                                      this->gateway->noteStore(isReachable);
+                                      if (this->planning) {
+                                          this->planning->setHorizon(this->ownership.planningUntil());
+                                      }
+                                  },
+                  [this](std::int64_t token) {
+                      this->changePlanning(token);
+                  }})
         , evacuations(context, this->platform->store(), Stream::Plan, plannerPartition,
-                      StreamReader::Handlers{[] {
-                                             },
-                                             [this](const StoredRecord &record) {
-                                                 this->applyPlan(record);
-                                             }})
+              StreamReader::Handlers{[] {
+                                     },
+                  [this](const StoredRecord &record) {
+                      this->applyPlan(record);
+                  }})
     {
     }
 
@@ -209,22 +209,13 @@
     nlohmann::json pools = nlohmann::json::array();
     for (const auto &[partition, shard] : this->ownership.shards()) {
         for (const auto &[service, summary] : shard->summaries()) {
-            pools.push_back({{"service", service.value},
-                             {"partition", partition},
-                             {"token", shard->token()},
-                             {"active", shard->isActive()},
-                             {"jobs", summary.jobs},
-                             {"runs", summary.runs},
-                             {"executors", summary.executors},
-                             {"cpu", summary.capacity.cpu},
-                             {"cpu_used", summary.used.cpu}});
+            pools.push_back(
+                {{"service", service.value}, {"partition", partition}, {"token", shard->token()}, {"active", shard->isActive()}, {"jobs", summary.jobs},
+                    {"runs", summary.runs}, {"executors", summary.executors}, {"cpu", summary.capacity.cpu}, {"cpu_used", summary.used.cpu}});
         }
     }
-    return {{"process", this->platform->settings().name.value},
-            {"ready", this->gateway->isReady()},
-            {"revision", this->feed.config() ? this->feed.config()->revision : 0},
-            {"planning", this->ownership.planningToken()},
-            {"pools", pools}};
+    return {{"process", this->platform->settings().name.value}, {"ready", this->gateway->isReady()},
+        {"revision", this->feed.config() ? this->feed.config()->revision : 0}, {"planning", this->ownership.planningToken()}, {"pools", pools}};
 }
 
 SchedulerProcess::SchedulerProcess(std::unique_ptr<Private> impl)
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -103,8 +103,7 @@
     if (!this->config || !this->config->services.contains(service)) {
         return nullptr;
     }
-    Result<std::unique_ptr<PoolScheduler>> pool
-        = PoolScheduler::create(service, this->owner.settings.scheduler, this->token, this->runBase, this->clearAt);
+    Result<std::unique_ptr<PoolScheduler>> pool = PoolScheduler::create(service, this->owner.settings.scheduler, this->token, this->runBase, this->clearAt);
     if (!pool) {
         this->owner.log.emit("pool_failed", {{"service", service.value}, {"reason", describe(pool.error())}}, EventWeight::Essential);
         return nullptr;
@@ -123,14 +122,10 @@
 
 void ShardOwner::Private::observe(const SchedulerEvent &event)
 {
-    this->owner.log.emit(event.event, {{"job", event.item.job.value},
-                                       {"occurrence", std::int64_t(event.item.occurrence)},
-                                       {"step", std::int64_t(event.item.step)},
-                                       {"index", std::int64_t(event.item.index)},
-                                       {"run", event.run},
-                                       {"executor", event.executor.value},
-                                       {"token", this->token},
-                                       {"outcome", event.outcome}});
+    this->owner.log.emit(event.event,
+        {{"job", event.item.job.value}, {"occurrence", std::int64_t(event.item.occurrence)}, {"step", std::int64_t(event.item.step)},
+            {"index", std::int64_t(event.item.index)}, {"run", event.run}, {"executor", event.executor.value}, {"token", this->token},
+            {"outcome", event.outcome}});
 }
 
 void ShardOwner::Private::addJob(const AcceptedJob &job)
@@ -184,8 +179,8 @@
         return;
     }
     this->isFenced = true;
-    this->owner.log.emit("ownership_superseded", {{"partition", std::int64_t(this->partition)}, {"token", this->token}, {"seen_by", by}},
-                         EventWeight::Essential);
+    this->owner.log.emit(
+        "ownership_superseded", {{"partition", std::int64_t(this->partition)}, {"token", this->token}, {"seen_by", by}}, EventWeight::Essential);
 }
 
 bool ShardOwner::Private::hasChanges() const
@@ -222,10 +217,9 @@
                 this->state.fence(appended.error().message.c_str());
                 co_return false;
             }
-            this->state.owner.log.emit("progress_delayed", {{"partition", std::int64_t(this->state.partition)},
-                                                            {"token", this->state.token},
-                                                            {"reason", describe(appended.error())}},
-                                       EventWeight::Essential);
+            this->state.owner.log.emit("progress_delayed",
+                {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}, {"reason", describe(appended.error())}},
+                EventWeight::Essential);
             co_await sleepFor(this->state.owner.context, retryPause);
         }
         co_return false;
@@ -293,8 +287,7 @@
 template<typename State>
 net::awaitable<void> OwnerLoops<State>::run()
 {
-    this->state.owner.log.emit("takeover_started", {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}},
-                               EventWeight::Essential);
+    this->state.owner.log.emit("takeover_started", {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}}, EventWeight::Essential);
     while (!this->isOver()) {
         const bool isLoaded = co_await this->load();
         if (isLoaded) {
@@ -307,11 +300,11 @@
     }
     State *state = &this->state;
     const auto reader = std::make_shared<StreamReader>(this->state.owner.context, this->state.owner.store, Stream::Jobs, this->state.partition,
-                                                       StreamReader::Handlers{[] {
-                                                                              },
-                                                                              [state](const StoredRecord &record) {
-                                                                                  state->applyJobRecord(record);
-                                                                              }});
+        StreamReader::Handlers{[] {
+                               },
+            [state](const StoredRecord &record) {
+                state->applyJobRecord(record);
+            }});
     while (!this->isOver()) {
         const Result<void> read = co_await reader->follow(milliseconds::zero());
         if (read) {
@@ -329,11 +322,10 @@
             this->state.poolOf(service);
         }
     }
-    this->state.owner.log.emit("takeover_done", {{"partition", std::int64_t(this->state.partition)},
-                                                 {"token", this->state.token},
-                                                 {"pools", std::int64_t(this->state.pools.size())},
-                                                 {"known_jobs", std::int64_t(this->state.progress.size())}},
-                               EventWeight::Essential);
+    this->state.owner.log.emit("takeover_done",
+        {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}, {"pools", std::int64_t(this->state.pools.size())},
+            {"known_jobs", std::int64_t(this->state.progress.size())}},
+        EventWeight::Essential);
     const auto self = this->self;
     State &owned = this->state;
     this->spawn([self, &owned, reader]() -> net::awaitable<void> {
@@ -448,14 +440,10 @@
     if (reply.outcome == OrderOutcome::Fenced) {
         this->state.fence("executor");
     }
-    this->state.owner.log.emit("run_start", {{"job", order.run.item.job.value},
-                                             {"occurrence", std::int64_t(order.run.item.occurrence)},
-                                             {"step", std::int64_t(order.run.item.step)},
-                                             {"index", std::int64_t(order.run.item.index)},
-                                             {"run", order.run.run},
-                                             {"executor", order.executor.id.value},
-                                             {"token", order.run.token},
-                                             {"outcome", toString(reply.outcome)}});
+    this->state.owner.log.emit("run_start",
+        {{"job", order.run.item.job.value}, {"occurrence", std::int64_t(order.run.item.occurrence)}, {"step", std::int64_t(order.run.item.step)},
+            {"index", std::int64_t(order.run.item.index)}, {"run", order.run.run}, {"executor", order.executor.id.value}, {"token", order.run.token},
+            {"outcome", toString(reply.outcome)}});
     pool->onStarted(key, order.run, reply, sentAt, bootNow());
     if (reply.outcome != OrderOutcome::Done) {
         this->state.planWanted.notify();
@@ -482,11 +470,9 @@
     if (reply.outcome == OrderOutcome::Fenced) {
         this->state.fence("executor");
     }
-    this->state.owner.log.emit("run_paced", {{"job", order.run.item.job.value},
-                                             {"index", std::int64_t(order.run.item.index)},
-                                             {"executor", order.executor.id.value},
-                                             {"percent", std::int64_t(order.run.percent)},
-                                             {"outcome", toString(reply.outcome)}});
+    this->state.owner.log.emit("run_paced",
+        {{"job", order.run.item.job.value}, {"index", std::int64_t(order.run.item.index)}, {"executor", order.executor.id.value},
+            {"percent", std::int64_t(order.run.percent)}, {"outcome", toString(reply.outcome)}});
 }
 
 template<typename State>
@@ -555,10 +541,8 @@
         for (const JobProgress &progress : pool->takeChanged()) {
             records.push_back(StoredRecord{progress.id.value, encodeProgress(progress), -1});
             if (isFinal(progress.state)) {
-                this->state.owner.log.emit("job_ended", {{"job", progress.id.value},
-                                                         {"queue", progress.queue.value},
-                                                         {"state", toString(progress.state)},
-                                                         {"token", this->state.token}});
+                this->state.owner.log.emit("job_ended",
+                    {{"job", progress.id.value}, {"queue", progress.queue.value}, {"state", toString(progress.state)}, {"token", this->state.token}});
             }
         }
     }
