A taker does not wait for lives that are known to be over

Ruled out: missing room and lost ends (the run's end was listed, nothing was refused). Change: the record of an executor's use names its machine, so a later life of the machine settles it; the evacuation list says which lives an order has ended.

--- a/src/include/mangocourse/execution.h
+++ b/src/include/mangocourse/execution.h
@@ -16,6 +16,24 @@
 // Lives of executors that get no work: by id, the latest birth that is meant. A birth of 0 means every life under that id.
 using ExecutorLives = std::map<ExecutorId, std::int64_t>;
 
+// What the planner of the machines tells the pools' owners. Each change has a higher number.
+struct EvacuationList {
+    std::int64_t number = 0;
+    // Lives whose machines are to be emptied.
+    ExecutorLives emptying;
+    // Lives that an order has ended; discovery may still show them.
+    ExecutorLives ended;
+
+    bool operator==(const EvacuationList &) const = default;
+};
+
+// Returns true where the lives include this one.
+inline bool includesLife(const ExecutorLives &lives, const ExecutorId &id, std::int64_t born)
+{
+    const auto life = lives.find(id);
+    return life != lives.end() && (life->second == 0 || born <= life->second);
+}
+
 // One call's answer to an order.
 enum class OrderOutcome {
     Done,
--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -92,8 +92,7 @@
 
     bool operator==(const PlannerState &) const = default;
 
-    // All lives that get no work.
-    ExecutorLives lives() const;
+    EvacuationList list() const;
 };
 
 // What the last plan took a pool to need, for the log.
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <vector>
@@ -145,10 +146,10 @@
 
     // All executors that discovery shows now, of this pool and of others. `used` names those that an earlier owner may have used.
     void setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint now);
-    void setEarlierExecutors(const std::set<ExecutorKey> &used);
+    void setEarlierExecutors(const std::map<ExecutorKey, MachineId> &used);
 
-    // Executors that get no new work and whose work moves away.
-    void setEvacuations(const ExecutorLives &lives);
+    // Executors that get no new work and whose work moves away, and those that are over.
+    void setEvacuations(const EvacuationList &list, TimePoint now);
     // What the planner of the machines has to know; token and numbers are left to the caller.
     PoolReport report(TimePoint now) const;
 
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -433,16 +433,19 @@
     }
 }
 
-ExecutorLives PlannerState::lives() const
+EvacuationList PlannerState::list() const
 {
-    ExecutorLives lives;
+    EvacuationList list;
+    list.number = this->number;
     for (const auto &[executor, life] : this->ended) {
-        lives[executor] = life.born;
+        list.ended[executor] = life.born;
     }
     for (const Evacuation &evacuation : this->evacuations) {
-        lives[evacuation.executor] = evacuation.born;
+        if (!evacuation.executor.isEmpty()) {
+            list.emptying[evacuation.executor] = evacuation.born;
+        }
     }
-    return lives;
+    return list;
 }
 
 FleetPlanner::FleetPlanner(std::unique_ptr<Private> impl)
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -65,8 +65,8 @@
             return false;
         }
     }
-    return std::all_of(this->earlier.begin(), this->earlier.end(), [this](const ExecutorKey &key) {
-        const auto found = this->executors.find(key);
+    return std::all_of(this->earlier.begin(), this->earlier.end(), [this](const auto &entry) {
+        const auto found = this->executors.find(entry.first);
         return found != this->executors.end() && found->second.isContacted;
     });
 }
@@ -192,8 +192,7 @@
 
 bool PoolScheduler::Private::isEvacuated(const Executor &executor) const
 {
-    const auto life = this->evacuations.find(executor.info.id);
-    return life != this->evacuations.end() && (life->second == 0 || executor.info.born <= life->second);
+    return includesLife(this->evacuations.emptying, executor.info.id, executor.info.born);
 }
 
 bool PoolScheduler::Private::isUsable(const Executor &executor, TimePoint now) const
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -387,7 +387,8 @@
         executor.isListed = false;
     }
     for (const ExecutorInfo &info : executors) {
-        if (info.service != this->d->service) {
+        const bool isEnded = includesLife(this->d->evacuations.ended, info.id, info.born);
+        if (info.service != this->d->service || isEnded) {
             continue;
         }
         const ExecutorKey key{info.id, info.born};
@@ -407,10 +408,17 @@
             this->d->dropExecutor(executor, now, "the machine has started anew");
         }
     }
-    std::erase_if(this->d->earlier, [&executors](const ExecutorKey &key) {
-        return std::any_of(executors.begin(), executors.end(), [&key](const ExecutorInfo &info) {
-            return info.id == key.id && info.born > key.born;
+    std::erase_if(this->d->earlier, [this, &executors](const auto &entry) {
+        const auto &[key, machine] = entry;
+        const bool isEnded = includesLife(this->d->evacuations.ended, key.id, key.born);
+        const bool isOver = isEnded || std::any_of(executors.begin(), executors.end(), [&key = key, &machine = machine](const ExecutorInfo &info) {
+            const bool isSameMachine = info.id == key.id || (!machine.isEmpty() && info.machine == machine);
+            return isSameMachine && info.born > key.born;
         });
+        if (isOver && !this->d->executors.contains(key)) {
+            this->d->forgotten.push_back(key);
+        }
+        return isOver;
     });
     std::erase_if(this->d->executors, [this, now](const auto &entry) {
         const Executor &executor = entry.second;
@@ -423,7 +431,7 @@
         return isOver;
     });
     if (now >= this->d->clearAt) {
-        for (const ExecutorKey &key : std::exchange(this->d->earlier, {})) {
+        for (const auto &[key, machine] : std::exchange(this->d->earlier, {})) {
             const bool isNoted = std::find(this->d->forgotten.begin(), this->d->forgotten.end(), key) != this->d->forgotten.end();
             if (!isNoted && !this->d->executors.contains(key)) {
                 this->d->forgotten.push_back(key);
@@ -432,14 +440,27 @@
     }
 }
 
-void PoolScheduler::setEarlierExecutors(const std::set<ExecutorKey> &used)
+void PoolScheduler::setEarlierExecutors(const std::map<ExecutorKey, MachineId> &used)
 {
     this->d->earlier = used;
 }
 
-void PoolScheduler::setEvacuations(const ExecutorLives &lives)
+void PoolScheduler::setEvacuations(const EvacuationList &list, TimePoint now)
 {
-    this->d->evacuations = lives;
+    this->d->evacuations = list;
+    for (auto &[key, executor] : this->d->executors) {
+        if (includesLife(list.ended, key.id, key.born)) {
+            this->d->dropExecutor(executor, now, "its machine was ordered away");
+            executor.isListed = false;
+        }
+    }
+    std::erase_if(this->d->earlier, [this, &list](const auto &entry) {
+        const bool isEnded = includesLife(list.ended, entry.first.id, entry.first.born);
+        if (isEnded && !this->d->executors.contains(entry.first)) {
+            this->d->forgotten.push_back(entry.first);
+        }
+        return isEnded;
+    });
 }
 
 void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow)
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -152,8 +152,8 @@
     std::function<void(const SchedulerEvent &)> observer;
     std::map<QueueId, QueueConfig> queues;
     std::map<ExecutorKey, Executor> executors;
-    std::set<ExecutorKey> earlier;
-    ExecutorLives evacuations;
+    std::map<ExecutorKey, MachineId> earlier;
+    EvacuationList evacuations;
     std::unordered_map<JobId, JobEntry> jobs;
     std::set<JobId> open;
     std::set<JobId> changed;
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -172,7 +172,7 @@
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
     this->list({executor("one"), executor("two")});
-    this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
     this->addBegun("a");
     this->report("two");
     this->report("one", {ReportedRun{ItemId{JobId{"a"}, 0, 0, 0}, 7, {}, 100, 0}});
@@ -184,7 +184,7 @@
 TEST_F(PoolSchedulerTest, AnEarlierOwnersWorkOnASilentExecutorIsWaitedOut)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
-    this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
     this->list({executor("one"), executor("two")});
     this->report("two");
     this->addBegun("a");
@@ -200,7 +200,7 @@
 TEST_F(PoolSchedulerTest, JobsThatNobodyBeganNeedNotWaitForAnEarlierOwnersWork)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
-    this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
     this->list({executor("one"), executor("two")});
     this->report("two");
     const JobProgress begun{JobId{"a"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Running, true, {}, {}};
@@ -293,7 +293,7 @@
         this->report(order.executor.id.value, {ReportedRun{order.run.item, order.run.run, {}, 100, 0}});
     }
     this->scheduler->onReport(ExecutorKey{ExecutorId{"two"}, 100}, ExecutorReport{}, this->now, this->now, this->wall);
-    this->scheduler->setEvacuations({{ExecutorId{"one"}, 100}});
+    this->scheduler->setEvacuations(EvacuationList{1, {{ExecutorId{"one"}, 100}}, {}}, this->now);
     EXPECT_TRUE(this->plan().stops.empty());
 }
 
@@ -347,7 +347,7 @@
 
 TEST_F(PoolSchedulerTest, ALaterLifeUnderTheSameIdGetsWorkAgain)
 {
-    this->scheduler->setEvacuations({{ExecutorId{"one"}, 100}});
+    this->scheduler->setEvacuations(EvacuationList{1, {{ExecutorId{"one"}, 100}}, {}}, this->now);
     this->list({executor("one", 100)});
     this->report("one");
     this->add(this->job("a"));
@@ -360,7 +360,7 @@
 TEST_F(PoolSchedulerTest, SilentExecutorsOfAnEarlierOwnerAreForgottenOnlyOnceTheyAreClear)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
-    this->scheduler->setEarlierExecutors({ExecutorKey{ExecutorId{"one"}, 100}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
     this->list({executor("one"), executor("two")});
     this->report("two");
     this->advance(3s);
@@ -373,6 +373,30 @@
     EXPECT_EQ(this->scheduler->takeForgotten().size(), 1U);
 }
 
+TEST_F(PoolSchedulerTest, AnEarlierLifeOfAMachineThatStartedAnewNeedNotBeWaitedFor)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"old"}, 100}, MachineId{"machine-one"}}});
+    this->list({executor("one", 200), executor("two")});
+    this->report("two");
+    this->report("one", {}, {}, 200);
+    this->addBegun("a");
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
+TEST_F(PoolSchedulerTest, ALifeThatAnOrderEndedNeedNotBeWaitedFor)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
+    this->scheduler->setEvacuations(EvacuationList{1, {}, {{ExecutorId{"one"}, 100}}}, this->now);
+    this->list({executor("one"), executor("two")});
+    this->report("two");
+    this->addBegun("a");
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts[0].executor.id.value, "two");
+}
+
 TEST_F(PoolSchedulerTest, AFailureThatIsListedAgainToTheNextOwnerCountsOnce)
 {
     this->list({executor("one"), executor("two")});
@@ -442,7 +466,7 @@
     for (const StartOrder &order : first.starts) {
         this->report(order.executor.id.value, {ReportedRun{order.run.item, order.run.run, {}, 100, 0}});
     }
-    this->scheduler->setEvacuations({{ExecutorId{"one"}, 100}, {ExecutorId{"two"}, 0}});
+    this->scheduler->setEvacuations(EvacuationList{1, {{ExecutorId{"one"}, 100}, {ExecutorId{"two"}, 0}}, {}}, this->now);
     EXPECT_EQ(this->plan().stops.size(), 1U);
     this->advance(50ms);
     EXPECT_TRUE(this->plan().stops.empty());
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -78,7 +78,7 @@
         this->owned.emplace(partition, shard);
         shard->setConfig(this->config);
         shard->setExecutors(this->executors);
-        shard->setEvacuations(this->evacuations, this->evacuationsNumber);
+        shard->setEvacuations(this->knownEvacuations);
         shard->start();
     }
     this->setTerms(sentAt);
@@ -159,12 +159,11 @@
     }
 }
 
-void Ownership::setEvacuations(const ExecutorLives &lives, std::int64_t number)
+void Ownership::setEvacuations(const EvacuationList &list)
 {
-    this->evacuations = lives;
-    this->evacuationsNumber = number;
+    this->knownEvacuations = list;
     for (auto &[partition, shard] : this->owned) {
-        shard->setEvacuations(lives, number);
+        shard->setEvacuations(list);
     }
 }
 
@@ -173,9 +172,9 @@
     this->isPlanKnown = true;
 }
 
-const ExecutorLives &Ownership::evacuated() const
+const EvacuationList &Ownership::evacuations() const
 {
-    return this->evacuations;
+    return this->knownEvacuations;
 }
 
 bool Ownership::ownsAnything() const
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -27,11 +27,10 @@
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors);
-    void setEvacuations(const ExecutorLives &lives, std::int64_t number);
+    void setEvacuations(const EvacuationList &list);
     // Tells that the evacuations so far are known: an owner that did not know them might place work there.
     void notePlanKnown();
-    // Executors that are being emptied.
-    const ExecutorLives &evacuated() const;
+    const EvacuationList &evacuations() const;
     bool ownsAnything() const;
     std::int64_t planningToken() const;
     // Until when the planning duty may act.
@@ -49,8 +48,7 @@
     std::map<std::int32_t, std::shared_ptr<ShardOwner>> owned;
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
-    ExecutorLives evacuations;
-    std::int64_t evacuationsNumber = 0;
+    EvacuationList knownEvacuations;
     std::int64_t generation = 0;
     std::int64_t planning = 0;
     TimePoint confirmedAt{};
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -143,7 +143,7 @@
         this->log->emit("plan_unreadable", {{"reason", describe(state.error())}}, EventWeight::Essential);
         return;
     }
-    this->ownership.setEvacuations(state->lives(), state->number);
+    this->ownership.setEvacuations(state->list());
 }
 
 net::awaitable<void> SchedulerProcess::Private::followPlan()
@@ -170,7 +170,7 @@
         return std::abs(one - other) > std::max<std::int64_t>(std::max(one, other) / 4, 64'000);
     };
     // While machines are emptied every change of what runs on them counts.
-    const bool hasMoved = report.evacuationsSeen != last.evacuationsSeen || (!this->ownership.evacuated().empty() && report.executors != last.executors);
+    const bool hasMoved = report.evacuationsSeen != last.evacuationsSeen || (!this->ownership.evacuations().emptying.empty() && report.executors != last.executors);
     return isOld || hasMoved || report.token != last.token || report.spread != last.spread || report.longRunningCpu != last.longRunningCpu
         || differs(report.inflow, last.inflow) || differs(report.backlog, last.backlog);
 }
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char *producerName = "owner";
+constexpr const char *unknownMachine = "?";
 constexpr milliseconds appendLimit{1200};
 constexpr milliseconds retryPause{80};
 // Progress that nobody waits for gathers this long.
@@ -71,9 +72,9 @@
     TimePoint clearAt{};
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
-    ExecutorLives evacuations;
-    std::int64_t evacuationsSeen = 0;
-    std::set<ExecutorKey> recorded;
+    EvacuationList evacuations;
+    // Executor lives whose use is durable, with their machines.
+    std::map<ExecutorKey, MachineId> recorded;
     std::map<ServiceId, std::unique_ptr<PoolScheduler>> pools;
     std::map<JobId, AcceptedJob> unplaced;
     std::map<JobId, JobProgress> progress;
@@ -114,8 +115,8 @@
     });
     raw->setConfig(*this->config);
     raw->setEarlierExecutors(this->recorded);
+    raw->setEvacuations(this->evacuations, bootNow());
     raw->setExecutors(this->executors, bootNow());
-    raw->setEvacuations(this->evacuations);
     this->pools.emplace(service, std::move(*pool));
     return raw;
 }
@@ -225,6 +226,17 @@
         co_return false;
     }
 
+    // An empty value would delete the record.
+    std::string machineName(const ExecutorKey &key) const
+    {
+        for (const ExecutorInfo &info : this->state.executors) {
+            if (info.id == key.id && !info.machine.isEmpty()) {
+                return info.machine.value;
+            }
+        }
+        return unknownMachine;
+    }
+
     net::awaitable<bool> load();
     net::awaitable<void> run();
     net::awaitable<void> tail(std::shared_ptr<StreamReader> reader);
@@ -266,7 +278,7 @@
             takeovers = std::atoll(record.value.c_str());
             break;
         case KeyKind::Executor:
-            this->state.recorded.insert(key.executor);
+            this->state.recorded[key.executor] = MachineId{record.value};
             break;
         case KeyKind::Job:
             if (Result<JobProgress> progress = decodeProgress(key.job, record.value)) {
@@ -382,7 +394,7 @@
                 if (this->state.recorded.contains(key)) {
                     pool->markRecorded(key);
                 } else {
-                    this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), "1", -1});
+                    this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), this->machineName(key), -1});
                 }
             }
             for (const ExecutorKey &key : pool->takeForgotten()) {
@@ -553,7 +565,7 @@
     const bool isDurable = co_await this->appendUntilDurable(std::move(records));
     if (isDurable) {
         for (const ExecutorKey &key : newlyRecorded) {
-            this->state.recorded.insert(key);
+            this->state.recorded[key] = MachineId{this->machineName(key)};
         }
         for (auto &[service, pool] : this->state.pools) {
             pool->markPersisted();
@@ -669,12 +681,11 @@
     this->d->planWanted.notify();
 }
 
-void ShardOwner::setEvacuations(const ExecutorLives &lives, std::int64_t number)
+void ShardOwner::setEvacuations(const EvacuationList &list)
 {
-    this->d->evacuations = lives;
-    this->d->evacuationsSeen = number;
+    this->d->evacuations = list;
     for (auto &[service, pool] : this->d->pools) {
-        pool->setEvacuations(lives);
+        pool->setEvacuations(list, bootNow());
     }
     this->d->planWanted.notify();
 }
@@ -703,7 +714,7 @@
     for (const auto &[service, pool] : this->d->pools) {
         PoolReport report = pool->report(bootNow());
         report.token = this->d->token;
-        report.evacuationsSeen = this->d->evacuationsSeen;
+        report.evacuationsSeen = this->d->evacuations.number;
         reports.push_back(std::move(report));
     }
     return reports;
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -45,8 +45,7 @@
     void setTerm(const OwnershipTerm &term);
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors);
-    // `number` is that of the list; it comes back in the reports.
-    void setEvacuations(const ExecutorLives &lives, std::int64_t number);
+    void setEvacuations(const EvacuationList &list);
 
     // Returns true once a successor was noticed.
     bool isSuperseded() const;
