Store calls are counted; the executors' list is read faster while machines move

Change: counters and times of store calls by name and subject on the metrics address; the list is read every 200 ms while machines are emptied, and only by owners of pools; changes of the plan are read together.

--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -41,12 +41,13 @@
         "Examples:\n  mangocourse-scheduler\n  kill -USR1 PID    # one \"state\" event on standard output");
     std::signal(SIGPIPE, SIG_IGN);
     net::io_context context(1);
-    Result<std::unique_ptr<PlatformAdapter>> platform = openPlatform(context);
+    Metrics metrics;
+    Result<std::unique_ptr<PlatformAdapter>> platform = openPlatform(context, metrics);
     if (!platform) {
         std::cerr << "mangocourse-scheduler: " << describe(platform.error()) << "\n";
         return ExitCode::badUsage;
     }
-    Result<std::unique_ptr<SchedulerProcess>> process = SchedulerProcess::create(context, std::move(*platform));
+    Result<std::unique_ptr<SchedulerProcess>> process = SchedulerProcess::create(context, metrics, std::move(*platform));
     if (!process) {
         std::cerr << "mangocourse-scheduler: " << describe(process.error()) << "\n";
         return ExitCode::unavailable;
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -177,9 +177,11 @@
     return this->knownEvacuations;
 }
 
-bool Ownership::ownsAnything() const
+bool Ownership::ownsPools() const
 {
-    return !this->owned.empty();
+    return std::any_of(this->owned.begin(), this->owned.end(), [](const auto &entry) {
+        return !entry.second->summaries().empty();
+    });
 }
 
 std::int64_t Ownership::planningToken() const
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -31,7 +31,8 @@
     // Tells that the evacuations so far are known: an owner that did not know them might place work there.
     void notePlanKnown();
     const EvacuationList &evacuations() const;
-    bool ownsAnything() const;
+    // Returns true where some owned partition has a pool.
+    bool ownsPools() const;
     std::int64_t planningToken() const;
     // Until when the planning duty may act.
     TimePoint planningUntil() const;
--- a/src/scheduler/platformadapter.h
+++ b/src/scheduler/platformadapter.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "callerrequest.h"
+#include "metrics.h"
 #include "nodesettings.h"
 #include "ports.h"
 
@@ -46,7 +47,7 @@
 };
 
 // Reads the settings and connects to nothing yet. Errors name the field.
-Result<std::unique_ptr<PlatformAdapter>> openPlatform(net::io_context &context);
+Result<std::unique_ptr<PlatformAdapter>> openPlatform(net::io_context &context, Metrics &metrics);
 
 // Reads the settings again; the process keeps its own where they cannot be read.
 Result<NodeSettings> readNodeSettings();
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -24,8 +24,12 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds directoryInterval{500};
+// While machines are on their way, so that they get work soon after they have come.
+constexpr milliseconds busyDirectoryInterval{200};
 constexpr milliseconds idleInterval{250};
 constexpr milliseconds planWait{2000};
+// Changes of the plan that come together are read together.
+constexpr milliseconds planPause{25};
 // Pools are looked at this often, and reported at least every reportRepeat.
 constexpr milliseconds reportInterval{120};
 constexpr milliseconds reportRepeat{1500};
@@ -42,8 +46,9 @@
 class SchedulerProcess::Private
 {
 public:
-    Private(net::io_context &context, std::unique_ptr<PlatformAdapter> adapter)
+    Private(net::io_context &context, Metrics &metrics, std::unique_ptr<PlatformAdapter> adapter)
         : context(context)
+        , metrics(metrics)
         , platform(std::move(adapter))
         , log(EventLog::create(this->platform->settings().name.value, logBudget))
         , directory(context, this->platform->store(), *this->log,
@@ -79,9 +84,9 @@
     }
 
     net::io_context &context;
+    Metrics &metrics;
     std::unique_ptr<PlatformAdapter> platform;
     std::unique_ptr<EventLog> log;
-    Metrics metrics;
     std::unique_ptr<JobGateway> gateway;
     std::unique_ptr<CallerSide> callers;
     std::unique_ptr<HttpServer> admin;
@@ -108,7 +113,7 @@
 net::awaitable<void> SchedulerProcess::Private::followDirectory()
 {
     while (!this->isStopping) {
-        if (!this->ownership.ownsAnything()) {
+        if (!this->ownership.ownsPools()) {
             co_await sleepFor(this->context, idleInterval);
             continue;
         }
@@ -116,7 +121,7 @@
         if (read) {
             this->ownership.setExecutors(this->directory.executors());
         }
-        co_await sleepFor(this->context, directoryInterval);
+        co_await sleepFor(this->context, this->ownership.evacuations().emptying.empty() ? directoryInterval : busyDirectoryInterval);
     }
 }
 
@@ -152,6 +157,7 @@
         const Result<void> read = co_await this->evacuations.follow(planWait);
         if (read) {
             this->ownership.notePlanKnown();
+            co_await sleepFor(this->context, planPause);
         } else {
             co_await sleepFor(this->context, idleInterval);
         }
@@ -225,9 +231,9 @@
 
 SchedulerProcess::~SchedulerProcess() = default;
 
-Result<std::unique_ptr<SchedulerProcess>> SchedulerProcess::create(net::io_context &context, std::unique_ptr<PlatformAdapter> platform)
+Result<std::unique_ptr<SchedulerProcess>> SchedulerProcess::create(net::io_context &context, Metrics &metrics, std::unique_ptr<PlatformAdapter> platform)
 {
-    auto impl = std::make_unique<Private>(context, std::move(platform));
+    auto impl = std::make_unique<Private>(context, metrics, std::move(platform));
     const NodeSettings &settings = impl->platform->settings();
     Result<std::unique_ptr<JobGateway>> gateway = JobGateway::create(context, impl->platform->store(), *impl->log, impl->metrics, settings);
     if (!gateway) {
--- a/src/scheduler/schedulerprocess.h
+++ b/src/scheduler/schedulerprocess.h
@@ -10,7 +10,7 @@
 class SchedulerProcess
 {
 public:
-    static Result<std::unique_ptr<SchedulerProcess>> create(net::io_context &context, std::unique_ptr<PlatformAdapter> platform);
+    static Result<std::unique_ptr<SchedulerProcess>> create(net::io_context &context, Metrics &metrics, std::unique_ptr<PlatformAdapter> platform);
     ~SchedulerProcess();
 
     // Starts all duties; they run on the io_context.
