--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -156,7 +156,7 @@
     // Adds a job with what is known of its earlier progress. Adding a known job again changes nothing. That a job may have
     // begun is durable before its first start, so one of which it is not known has never been started by anybody.
     void addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow);
-    void cancelJob(const JobId &job, WallTime wallNow);
+    void cancelJob(const JobId &job, TimePoint now, WallTime wallNow);
     bool hasJob(const JobId &job) const;
     // Drops jobs whose final state is older than the bound.
     std::vector<JobId> forgetJobsBefore(WallTime bound);
--- /dev/null
+++ b/src/libmangocourse/poolevents.cpp
@@ -0,0 +1,358 @@
+// How the pool scheduler's state changes: runs, ends, items and jobs.
+#include "poolscheduler_pvt.h"
+
+#include <algorithm>
+
+namespace MangoCourse {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Weight of one observation in smoothed figures.
+constexpr double smoothing = 0.2;
+// An executor on which this many distinct jobs failed in a row is avoided for a while.
+constexpr std::size_t suspiciousFailures = 2;
+constexpr milliseconds avoidance{5000};
+
+template<typename T>
+TimePoint after(TimePoint start, T span)
+{
+    return start + std::chrono::duration_cast<Duration>(span);
+}
+
+}
+
+WallTime dueTime(const JobSpec &spec, std::size_t occurrence)
+{
+    if (spec.recurrence.count == 0) {
+        return WallTime{};
+    }
+    return spec.recurrence.first + static_cast<std::int64_t>(occurrence) * spec.recurrence.interval;
+}
+
+Executor *PoolScheduler::Private::find(const ExecutorKey &key)
+{
+    const auto found = this->executors.find(key);
+    return found == this->executors.end() ? nullptr : &found->second;
+}
+
+JobEntry *PoolScheduler::Private::findJob(const JobId &id)
+{
+    const auto found = this->jobs.find(id);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+Item *PoolScheduler::Private::findItem(const ItemId &id)
+{
+    JobEntry *entry = this->findJob(id.job);
+    if (entry == nullptr || id.occurrence < 0 || id.step < 0 || id.index < 0) {
+        return nullptr;
+    }
+    if (static_cast<std::size_t>(id.occurrence) >= entry->occurrences.size()) {
+        return nullptr;
+    }
+    OccurrenceState &occurrence = entry->occurrences[static_cast<std::size_t>(id.occurrence)];
+    if (static_cast<std::size_t>(id.step) >= occurrence.steps.size()) {
+        return nullptr;
+    }
+    std::vector<Item> &items = occurrence.steps[static_cast<std::size_t>(id.step)].items;
+    return static_cast<std::size_t>(id.index) < items.size() ? &items[static_cast<std::size_t>(id.index)] : nullptr;
+}
+
+const StepSpec &PoolScheduler::Private::stepOf(const ItemId &id)
+{
+    return this->jobs.at(id.job).job.spec.steps[static_cast<std::size_t>(id.step)];
+}
+
+void PoolScheduler::Private::touch(JobEntry &entry)
+{
+    this->changed.insert(entry.job.id);
+}
+
+void PoolScheduler::Private::note(const char *event, const ItemId &item, const Executor &executor, std::int64_t run, std::string outcome)
+{
+    if (this->observer) {
+        this->observer(SchedulerEvent{event, item, executor.info.id, run, std::move(outcome)});
+    }
+}
+
+void PoolScheduler::Private::openOccurrence(JobEntry &entry, std::size_t number, TimePoint now)
+{
+    OccurrenceState &occurrence = entry.occurrences[number];
+    if (occurrence.isOpen) {
+        return;
+    }
+    occurrence.isOpen = true;
+    occurrence.steps.resize(entry.job.spec.steps.size());
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        occurrence.steps[step].items.resize(static_cast<std::size_t>(entry.job.spec.steps[step].count));
+        for (Item &item : occurrence.steps[step].items) {
+            item.lastRun = this->runBase;
+            item.waitingSince = now;
+        }
+    }
+}
+
+void PoolScheduler::Private::readQueue(JobEntry &entry)
+{
+    const auto found = this->queues.find(entry.job.queue);
+    if (found == this->queues.end()) {
+        return;
+    }
+    const QueueConfig &queue = found->second;
+    entry.priority = queue.priority;
+    entry.attempts = std::max(1, queue.attempts);
+    entry.hasPolicy = queue.policy.has_value();
+    const auto chain = this->remainingChain(entry);
+    const auto objective = milliseconds(static_cast<std::int64_t>(queue.slackFactor * static_cast<double>(chain.count()))) + queue.targetLatency;
+    entry.objective = after(entry.addedAt, objective);
+}
+
+void PoolScheduler::Private::noteClock(Executor &executor, const std::optional<milliseconds> &clock, TimePoint now)
+{
+    if (clock) {
+        executor.clock = clock;
+        executor.clockAt = now;
+    }
+}
+
+Run &PoolScheduler::Private::adopt(Executor &executor, const ItemId &id, std::int64_t number, TimePoint now)
+{
+    Item *item = this->findItem(id);
+    const StepSpec &spec = this->stepOf(id);
+    Run &run = executor.runs[id];
+    run.item = id;
+    run.number = number;
+    run.phase = RunPhase::Running;
+    run.startedAt = now;
+    run.settledAt = now;
+    run.room = spec.room;
+    if (spec.isFiller) {
+        run.room.cpu = 0;
+    }
+    run.isFiller = spec.isFiller;
+    run.isLongRunning = spec.isLongRunning;
+    run.tailTarget = spec.tailTarget;
+    run.expected = spec.estimate;
+    executor.used += run.room;
+    item->lastRun = std::max(item->lastRun, number);
+    item->where.push_back(executor.key());
+    if (item->phase == ItemPhase::Waiting) {
+        item->phase = ItemPhase::Active;
+    }
+    return run;
+}
+
+void PoolScheduler::Private::release(Executor &executor, std::map<ItemId, Run>::iterator run, TimePoint now)
+{
+    const ItemId id = run->first;
+    executor.used -= run->second.room;
+    executor.runs.erase(run);
+    Item *item = this->findItem(id);
+    if (item == nullptr) {
+        return;
+    }
+    std::erase(item->where, executor.key());
+    if (item->where.empty() && item->phase == ItemPhase::Active) {
+        item->phase = ItemPhase::Waiting;
+        item->waitingSince = now;
+    }
+}
+
+void PoolScheduler::Private::requestStop(Executor &executor, Run &run, const char *reason)
+{
+    if (run.phase == RunPhase::Stopping) {
+        return;
+    }
+    run.phase = RunPhase::Stopping;
+    run.isStopConfirmed = false;
+    run.stopSentAt = TimePoint{};
+    this->note("stop_requested", run.item, executor, run.number, reason);
+}
+
+void PoolScheduler::Private::stopOthers(const ItemId &id, const Executor &except, const char *reason)
+{
+    const Item *item = this->findItem(id);
+    if (item == nullptr) {
+        return;
+    }
+    for (const ExecutorKey &key : item->where) {
+        if (key == except.key()) {
+            continue;
+        }
+        if (Executor *other = this->find(key)) {
+            this->requestStop(*other, other->runs.at(id), reason);
+        }
+    }
+}
+
+void PoolScheduler::Private::learnTime(Executor &executor, const Run &run, TimePoint now)
+{
+    if (run.isLongRunning || run.expected.count() <= 0 || run.startedAt == TimePoint{}) {
+        return;
+    }
+    const double actual = std::chrono::duration<double, std::milli>(now - run.startedAt).count();
+    const double ratio = std::clamp(actual / static_cast<double>(run.expected.count()), 0.1, 20.0);
+    double &queueRatio = this->timeRatio.try_emplace(this->jobs.at(run.item.job).job.queue, 1.0).first->second;
+    executor.slowness += smoothing * (ratio / std::max(queueRatio, 0.1) - executor.slowness);
+    queueRatio += smoothing * (std::min(ratio, 4.0) - queueRatio);
+}
+
+void PoolScheduler::Private::finishJob(JobEntry &entry, JobState state, TimePoint now, WallTime wallNow)
+{
+    if (!entry.isOpen()) {
+        return;
+    }
+    entry.state = state;
+    entry.endedAt = wallNow;
+    this->open.erase(entry.job.id);
+    this->touch(entry);
+    this->isUrgent = true;
+    this->noteDecided(entry, now);
+    for (auto &[key, executor] : this->executors) {
+        const auto first = executor.runs.lower_bound(ItemId{entry.job.id, 0, 0, 0});
+        for (auto run = first; run != executor.runs.end() && run->first.job == entry.job.id; ++run) {
+            this->requestStop(executor, run->second, state == JobState::Cancelled ? "job cancelled" : "job ended");
+        }
+    }
+}
+
+void PoolScheduler::Private::noteBegun(JobEntry &entry, TimePoint now)
+{
+    if (!entry.hasRun && entry.isOpen()) {
+        entry.hasRun = true;
+        entry.begunAt = now;
+        entry.state = JobState::Running;
+        this->touch(entry);
+    }
+}
+
+void PoolScheduler::Private::noteDecided(const JobEntry &entry, TimePoint now) const
+{
+    if (!this->observer) {
+        return;
+    }
+    const auto since = [&entry](TimePoint at) {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(at - entry.addedAt).count());
+    };
+    std::string text = std::string(toString(entry.state)) + " after " + since(now) + " ms";
+    text += entry.begunAt == TimePoint{} ? ", not begun by this owner" : ", begun after " + since(entry.begunAt) + " ms";
+    text += ", objective " + since(entry.objective) + " ms";
+    this->observer(SchedulerEvent{"job_decided", ItemId{entry.job.id, 0, 0, 0}, {}, 0, std::move(text)});
+}
+
+void PoolScheduler::Private::checkCompleted(JobEntry &entry, TimePoint now, WallTime wallNow)
+{
+    for (const OccurrenceState &occurrence : entry.occurrences) {
+        if (!occurrence.isOpen) {
+            return;
+        }
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (occurrence.steps[step].done < entry.job.spec.steps[step].count) {
+                return;
+            }
+        }
+    }
+    this->finishJob(entry, JobState::Completed, now, wallNow);
+}
+
+void PoolScheduler::Private::finishItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow)
+{
+    executor.failedJobs.clear();
+    JobEntry &entry = *this->findJob(end.item.job);
+    StepState &step = entry.occurrences[static_cast<std::size_t>(end.item.occurrence)].steps[static_cast<std::size_t>(end.item.step)];
+    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(end.item.step)];
+    this->touch(entry);
+    if (spec.isLongRunning) {
+        return;
+    }
+    const std::size_t first = spec.isGang ? 0 : static_cast<std::size_t>(end.item.index);
+    const std::size_t last = spec.isGang ? step.items.size() : first + 1;
+    for (std::size_t index = first; index < last; ++index) {
+        Item &item = step.items[index];
+        if (item.phase == ItemPhase::Done) {
+            continue;
+        }
+        item.phase = ItemPhase::Done;
+        ++step.done;
+        ItemId id = end.item;
+        id.index = static_cast<std::int32_t>(index);
+        if (!spec.isGang) {
+            this->stopOthers(id, executor, "another copy is done");
+        }
+    }
+    if (entry.isOpen()) {
+        this->checkCompleted(entry, now, wallNow);
+    }
+}
+
+void PoolScheduler::Private::failItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow)
+{
+    executor.failedJobs.insert(end.item.job);
+    if (executor.failedJobs.size() >= suspiciousFailures) {
+        executor.avoidedUntil = after(now, avoidance);
+        this->note("executor_avoided", end.item, executor, end.run, "several jobs failed in a row");
+    }
+    JobEntry &entry = *this->findJob(end.item.job);
+    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(end.item.step)];
+    Item &item = *this->findItem(end.item);
+    item.failedOn = executor.info.id;
+    this->touch(entry);
+    if (spec.isLongRunning || item.phase == ItemPhase::Done) {
+        return;
+    }
+    // An end that was not acknowledged is listed again to the next owner.
+    if (end.run <= item.countedRun) {
+        return;
+    }
+    item.countedRun = end.run;
+    ++item.failures;
+    std::int32_t failures = item.failures;
+    if (spec.isGang) {
+        StepState &step = entry.occurrences[static_cast<std::size_t>(end.item.occurrence)].steps[static_cast<std::size_t>(end.item.step)];
+        failures = ++step.gangFailures;
+    }
+    if (failures >= entry.attempts) {
+        item.phase = ItemPhase::Failed;
+        this->finishJob(entry, JobState::Failed, now, wallNow);
+    }
+}
+
+void PoolScheduler::Private::endRun(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow)
+{
+    Item *item = this->findItem(end.item);
+    if (item == nullptr) {
+        return;
+    }
+    if (!end.checkpoint.empty()) {
+        item->checkpoint = end.checkpoint;
+    }
+    item->lastRun = std::max(item->lastRun, end.run);
+    const auto run = executor.runs.find(end.item);
+    const bool isKnown = run != executor.runs.end() && run->second.number <= end.run;
+    if (isKnown && end.end == RunEnd::Done) {
+        this->learnTime(executor, run->second, now);
+    }
+    static constexpr const char *names[] = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
+    this->note("run_ended", end.item, executor, end.run, names[static_cast<int>(end.end)]);
+    if (isKnown) {
+        this->release(executor, run, now);
+    }
+    if (end.end == RunEnd::Done) {
+        this->finishItem(executor, end, now, wallNow);
+    } else if (end.end == RunEnd::Failed) {
+        this->failItem(executor, end, now, wallNow);
+    }
+}
+
+void PoolScheduler::Private::dropExecutor(Executor &executor, TimePoint now, const char *reason)
+{
+    while (!executor.runs.empty()) {
+        const auto run = executor.runs.begin();
+        this->note("run_lost", run->first, executor, run->second.number, reason);
+        this->release(executor, run, now);
+    }
+}
+
+}
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -120,6 +120,7 @@
     JobState state = JobState::Queued;
     WallTime endedAt{};
     TimePoint addedAt{};
+    TimePoint begunAt{};
     // An earlier owner may have started some of it.
     bool isInherited = false;
     // That the job may have begun is about to be durable, or is.
@@ -183,9 +184,10 @@
     void endRun(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
     void finishItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
     void failItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
-    void finishJob(JobEntry &entry, JobState state, WallTime wallNow);
-    void noteBegun(JobEntry &entry);
-    void checkCompleted(JobEntry &entry, WallTime wallNow);
+    void finishJob(JobEntry &entry, JobState state, TimePoint now, WallTime wallNow);
+    void noteDecided(const JobEntry &entry, TimePoint now) const;
+    void noteBegun(JobEntry &entry, TimePoint now);
+    void checkCompleted(JobEntry &entry, TimePoint now, WallTime wallNow);
     void dropExecutor(Executor &executor, TimePoint now, const char *reason);
     void stopOthers(const ItemId &id, const Executor &except, const char *reason);
     void requestStop(Executor &executor, Run &run, const char *reason);
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -324,7 +324,7 @@
     this->report("one");
     this->add(this->job("a"));
     const SchedulerOrders first = this->planAndConfirm();
-    this->scheduler->cancelJob(JobId{"a"}, this->wall);
+    this->scheduler->cancelJob(JobId{"a"}, this->now, this->wall);
     EXPECT_EQ(this->plan().stops.size(), 1U);
     this->report("one", {}, {ReportedEnd{1, first.starts[0].run.item, 1, RunEnd::Stopped, {}}});
     EXPECT_TRUE(this->plan().starts.empty());
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -176,7 +176,8 @@
         return std::abs(one - other) > std::max<std::int64_t>(std::max(one, other) / 4, 64'000);
     };
     // While machines are emptied every change of what runs on them counts.
-    const bool hasMoved = report.evacuationsSeen != last.evacuationsSeen || (!this->ownership.evacuations().emptying.empty() && report.executors != last.executors);
+    const bool hasMoved
+        = report.evacuationsSeen != last.evacuationsSeen || (!this->ownership.evacuations().emptying.empty() && report.executors != last.executors);
     return isOld || hasMoved || report.token != last.token || report.spread != last.spread || report.longRunningCpu != last.longRunningCpu
         || differs(report.inflow, last.inflow) || differs(report.backlog, last.backlog);
 }
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -59,6 +59,7 @@
 
 private:
     class Private;
+    struct Loops;
     explicit ShardOwner(std::unique_ptr<Private> impl);
     std::unique_ptr<Private> d;
 };
--- /dev/null
+++ b/src/scheduler/shardowner_pvt.h
@@ -0,0 +1,109 @@
+// The state behind ShardOwner and the coroutines that work on it.
+#pragma once
+
+#include <map>
+
+#include "event.h"
+#include "recordcodec.h"
+#include "shardowner.h"
+#include "streamreader.h"
+
+namespace MangoCourse {
+
+// The wall clock, and the clock that goes on while the machine is suspended.
+inline WallTime wallNow()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+inline TimePoint bootNow()
+{
+    return BootClock().now();
+}
+
+class ShardOwner::Private
+{
+public:
+    explicit Private(const OwnerContext &owner, std::int32_t partition, std::int64_t token)
+        : owner(owner)
+        , partition(partition)
+        , token(token)
+        , planWanted(owner.context)
+        , persistWanted(owner.context)
+        , renewWanted(owner.context)
+    {
+    }
+
+    OwnerContext owner;
+    std::int32_t partition;
+    std::int64_t token;
+    std::int64_t sequence = 0;
+    std::int64_t runBase = 0;
+    bool isFirstOwner = true;
+    bool isStopped = false;
+    bool isFenced = false;
+    bool isLoaded = false;
+    OwnershipTerm term;
+    TimePoint clearAt{};
+    std::shared_ptr<const FleetConfig> config;
+    std::vector<ExecutorInfo> executors;
+    EvacuationList evacuations;
+    // Executor lives whose use is durable, with their machines.
+    std::map<ExecutorKey, MachineId> recorded;
+    std::map<ServiceId, std::unique_ptr<PoolScheduler>> pools;
+    std::map<JobId, AcceptedJob> unplaced;
+    std::map<JobId, JobProgress> progress;
+    std::set<JobId> cancelled;
+    std::map<ExecutorKey, std::shared_ptr<Event>> renewing;
+    std::vector<StoredRecord> extraRecords;
+    bool isPersisting = false;
+    Event planWanted;
+    Event persistWanted;
+    Event renewWanted;
+
+    PoolScheduler *poolOf(const ServiceId &service);
+    void addJob(const AcceptedJob &job);
+    void applyJobRecord(const StoredRecord &record);
+    void cancelKnown(const JobId &job);
+    void fence(const char *by);
+    void observe(const SchedulerEvent &event);
+    bool hasChanges() const;
+};
+
+// The coroutines of one owner. Each holds the owner alive and ends soon after it was stopped.
+struct ShardOwner::Loops {
+    std::shared_ptr<ShardOwner> self;
+    Private &state;
+
+    bool isOver() const
+    {
+        return this->state.isStopped || this->state.isFenced;
+    }
+
+    // Repeats the call until the store answers; false where the ownership ended meanwhile.
+    net::awaitable<bool> appendUntilDurable(std::vector<StoredRecord> records);
+
+    // An empty value would delete the record.
+    std::string machineName(const ExecutorKey &key) const;
+
+    net::awaitable<bool> load();
+    net::awaitable<void> run();
+    net::awaitable<void> tail(std::shared_ptr<StreamReader> reader);
+    net::awaitable<void> plan();
+    net::awaitable<void> persist();
+    net::awaitable<bool> persistOnce();
+    net::awaitable<void> renew(PoolScheduler *pool, ExecutorKey key, std::shared_ptr<Event> wanted);
+    net::awaitable<void> send(PoolScheduler *pool, StartOrder order);
+    net::awaitable<void> send(PoolScheduler *pool, StopOrder order);
+    net::awaitable<void> send(PoolScheduler *pool, PaceOrder order);
+    net::awaitable<void> ask(PoolScheduler *pool, PolicyQuestion question);
+    void dispatch(PoolScheduler *pool, SchedulerOrders orders);
+    void watchExecutors();
+    template<typename Coroutine>
+    void spawn(Coroutine coroutine)
+    {
+        net::co_spawn(this->state.owner.context, std::move(coroutine), net::detached);
+    }
+};
+
+}
--- /dev/null
+++ b/src/scheduler/shardownerloops.cpp
@@ -0,0 +1,394 @@
+// The coroutines of a partition's owner: taking over, following, planning, orders, renewals, progress.
+#include "shardowner_pvt.h"
+
+#include <algorithm>
+
+namespace MangoCourse {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *producerName = "owner";
+constexpr const char *unknownMachine = "?";
+constexpr milliseconds appendLimit{1200};
+constexpr milliseconds retryPause{80};
+// Progress that nobody waits for gathers this long.
+constexpr milliseconds persistInterval{30};
+constexpr milliseconds persistTurn{5};
+constexpr milliseconds tailWait{2000};
+// Events that come together are planned for together.
+constexpr milliseconds planPause{2};
+constexpr milliseconds renewalPause{10};
+// Longest wait for ends to become durable before an executor is asked again.
+constexpr milliseconds unsavedPatience{400};
+constexpr milliseconds renewalRetry{150};
+constexpr milliseconds idleCheck{1000};
+// What an earlier owner may have started beyond its horizon through slow clocks and rounding.
+constexpr milliseconds clearMargin{350};
+// Run numbers of one owner stay within this span.
+constexpr std::int64_t runSpan = 100'000;
+
+}
+
+net::awaitable<bool> ShardOwner::Loops::appendUntilDurable(std::vector<StoredRecord> records)
+{
+    while (!this->state.isStopped) {
+        const ProducerStamp stamp{producerName, this->state.token, this->state.sequence};
+        Result<void> appended = co_await this->state.owner.store.append(Stream::Progress, this->state.partition, records, stamp, appendLimit);
+        if (appended) {
+            ++this->state.sequence;
+            co_return true;
+        }
+        if (appended.error().code == ErrorCode::Conflict) {
+            this->state.fence(appended.error().message.c_str());
+            co_return false;
+        }
+        this->state.owner.log.emit("progress_delayed",
+            {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}, {"reason", describe(appended.error())}}, EventWeight::Essential);
+        co_await sleepFor(this->state.owner.context, retryPause);
+    }
+    co_return false;
+}
+
+std::string ShardOwner::Loops::machineName(const ExecutorKey &key) const
+{
+    for (const ExecutorInfo &info : this->state.executors) {
+        if (info.id == key.id && !info.machine.isEmpty()) {
+            return info.machine.value;
+        }
+    }
+    return unknownMachine;
+}
+
+net::awaitable<bool> ShardOwner::Loops::load()
+{
+    // An empty append sets the epoch: from here on no earlier owner changes the progress.
+    std::vector<StoredRecord> none;
+    const bool isFenceSet = co_await this->appendUntilDurable(none);
+    if (!isFenceSet) {
+        co_return false;
+    }
+    Result<StreamBatch> batch = co_await this->state.owner.store.newest(Stream::Progress, this->state.partition);
+    if (!batch) {
+        co_return false;
+    }
+    std::int64_t takeovers = 0;
+    for (const StoredRecord &record : batch->records) {
+        const ParsedKey key = parseKey(record.key);
+        switch (key.kind) {
+        case KeyKind::Owner:
+            takeovers = std::atoll(record.value.c_str());
+            break;
+        case KeyKind::Executor:
+            this->state.recorded[key.executor] = MachineId{record.value};
+            break;
+        case KeyKind::Job:
+            if (Result<JobProgress> progress = decodeProgress(key.job, record.value)) {
+                this->state.progress[key.job] = std::move(*progress);
+            }
+            break;
+        case KeyKind::Cancellation:
+            break;
+        }
+    }
+    this->state.runBase = takeovers * runSpan;
+    this->state.clearAt = takeovers == 0 ? TimePoint{} : bootNow() + this->state.owner.settings.scheduler.longestLease + clearMargin;
+    std::vector<StoredRecord> mark{StoredRecord{ownerKey, std::to_string(takeovers + 1), -1}};
+    const bool isMarked = co_await this->appendUntilDurable(std::move(mark));
+    co_return isMarked;
+}
+
+net::awaitable<void> ShardOwner::Loops::run()
+{
+    this->state.owner.log.emit("takeover_started", {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}}, EventWeight::Essential);
+    while (!this->isOver()) {
+        const bool isLoaded = co_await this->load();
+        if (isLoaded) {
+            break;
+        }
+        co_await sleepFor(this->state.owner.context, retryPause);
+    }
+    while (!this->isOver() && !this->state.config) {
+        co_await sleepFor(this->state.owner.context, retryPause);
+    }
+    Private *state = &this->state;
+    const auto reader = std::make_shared<StreamReader>(this->state.owner.context, this->state.owner.store, Stream::Jobs, this->state.partition,
+        StreamReader::Handlers{[] {
+                               },
+            [state](const StoredRecord &record) {
+                state->applyJobRecord(record);
+            }});
+    while (!this->isOver()) {
+        const Result<void> read = co_await reader->follow(milliseconds::zero());
+        if (read) {
+            break;
+        }
+        co_await sleepFor(this->state.owner.context, retryPause);
+    }
+    if (this->isOver()) {
+        co_return;
+    }
+    this->state.isLoaded = true;
+    // Pools without jobs are contacted too, so that an earlier owner's work there is found.
+    for (const auto &[service, known] : this->state.config->services) {
+        if (!known.isStandby && partitionOf(service, this->state.owner.settings.partitions) == this->state.partition) {
+            this->state.poolOf(service);
+        }
+    }
+    this->state.owner.log.emit("takeover_done",
+        {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}, {"pools", std::int64_t(this->state.pools.size())},
+            {"known_jobs", std::int64_t(this->state.progress.size())}},
+        EventWeight::Essential);
+    const auto self = this->self;
+    Private &owned = this->state;
+    this->spawn([self, &owned, reader]() -> net::awaitable<void> {
+        Loops loops{self, owned};
+        co_await loops.tail(reader);
+    });
+    this->spawn([self, &owned]() -> net::awaitable<void> {
+        Loops loops{self, owned};
+        co_await loops.persist();
+    });
+    co_await this->plan();
+}
+
+net::awaitable<void> ShardOwner::Loops::tail(std::shared_ptr<StreamReader> reader)
+{
+    while (!this->isOver()) {
+        const Result<void> read = co_await reader->follow(tailWait);
+        if (!read) {
+            co_await sleepFor(this->state.owner.context, retryPause);
+        }
+        this->state.planWanted.notify();
+    }
+}
+
+void ShardOwner::Loops::watchExecutors()
+{
+    for (auto &[service, pool] : this->state.pools) {
+        const std::vector<ExecutorKey> keys = pool->executors();
+        for (const ExecutorKey &key : keys) {
+            if (this->state.renewing.contains(key)) {
+                continue;
+            }
+            const auto wanted = std::make_shared<Event>(this->state.owner.context);
+            this->state.renewing.emplace(key, wanted);
+            this->spawn([self = this->self, &owned = this->state, raw = pool.get(), key, wanted]() -> net::awaitable<void> {
+                Loops loops{self, owned};
+                co_await loops.renew(raw, key, wanted);
+            });
+        }
+    }
+}
+
+net::awaitable<void> ShardOwner::Loops::plan()
+{
+    while (!this->isOver()) {
+        const TimePoint now = bootNow();
+        TimePoint wakeup = now + milliseconds(500);
+        for (auto &[service, pool] : this->state.pools) {
+            const std::vector<ExecutorKey> used = pool->takeNewlyUsed();
+            for (const ExecutorKey &key : used) {
+                if (this->state.recorded.contains(key)) {
+                    pool->markRecorded(key);
+                } else {
+                    this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), this->machineName(key), -1});
+                }
+            }
+            for (const ExecutorKey &key : pool->takeForgotten()) {
+                this->state.recorded.erase(key);
+                this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), {}, -1});
+            }
+        }
+        this->watchExecutors();
+        for (auto &[service, pool] : this->state.pools) {
+            this->dispatch(pool.get(), pool->plan(now, wallNow(), this->state.term));
+            wakeup = std::min(wakeup, pool->nextWakeup(now, wallNow()));
+            if (this->state.owner.policy != nullptr) {
+                for (PolicyQuestion &question : pool->policyQuestions(now)) {
+                    this->spawn([self = this->self, &owned = this->state, raw = pool.get(), question]() -> net::awaitable<void> {
+                        Loops loops{self, owned};
+                        co_await loops.ask(raw, question);
+                    });
+                }
+            }
+        }
+        if (this->state.hasChanges()) {
+            this->state.persistWanted.notify();
+        }
+        for (auto &[key, wanted] : this->state.renewing) {
+            wanted->notify();
+        }
+        co_await sleepFor(this->state.owner.context, planPause);
+        const auto wait = std::chrono::duration_cast<milliseconds>(wakeup - bootNow());
+        co_await this->state.planWanted.waitFor(std::max(milliseconds(1), wait));
+    }
+}
+
+void ShardOwner::Loops::dispatch(PoolScheduler *pool, SchedulerOrders orders)
+{
+    const auto sendAll = [this, pool](auto &list) {
+        for (auto &order : list) {
+            this->spawn([self = this->self, &owned = this->state, pool, order = std::move(order)]() mutable -> net::awaitable<void> {
+                Loops loops{self, owned};
+                co_await loops.send(pool, std::move(order));
+            });
+        }
+    };
+    sendAll(orders.stops);
+    sendAll(orders.starts);
+    sendAll(orders.paces);
+}
+
+net::awaitable<void> ShardOwner::Loops::send(PoolScheduler *pool, StartOrder order)
+{
+    const ExecutorKey key{order.executor.id, order.executor.born};
+    const TimePoint sentAt = bootNow();
+    const OrderReply reply = co_await this->state.owner.executors.start(order.executor, order.run);
+    if (reply.outcome == OrderOutcome::Fenced) {
+        this->state.fence("executor");
+    }
+    this->state.owner.log.emit("run_start",
+        {{"job", order.run.item.job.value}, {"occurrence", std::int64_t(order.run.item.occurrence)}, {"step", std::int64_t(order.run.item.step)},
+            {"index", std::int64_t(order.run.item.index)}, {"run", order.run.run}, {"executor", order.executor.id.value}, {"token", order.run.token},
+            {"outcome", toString(reply.outcome)}});
+    pool->onStarted(key, order.run, reply, sentAt, bootNow());
+    if (reply.outcome != OrderOutcome::Done) {
+        this->state.planWanted.notify();
+    }
+}
+
+net::awaitable<void> ShardOwner::Loops::send(PoolScheduler *pool, StopOrder order)
+{
+    const ExecutorKey key{order.executor.id, order.executor.born};
+    const TimePoint sentAt = bootNow();
+    const OrderReply reply = co_await this->state.owner.executors.stop(order.executor, order.run);
+    if (reply.outcome == OrderOutcome::Fenced) {
+        this->state.fence("executor");
+    }
+    pool->onStopped(key, order.run, reply, sentAt, bootNow());
+}
+
+net::awaitable<void> ShardOwner::Loops::send(PoolScheduler *pool, PaceOrder order)
+{
+    (void)pool;
+    const OrderReply reply = co_await this->state.owner.executors.pace(order.executor, order.run);
+    if (reply.outcome == OrderOutcome::Fenced) {
+        this->state.fence("executor");
+    }
+    this->state.owner.log.emit("run_paced",
+        {{"job", order.run.item.job.value}, {"index", std::int64_t(order.run.item.index)}, {"executor", order.executor.id.value},
+            {"percent", std::int64_t(order.run.percent)}, {"outcome", toString(reply.outcome)}});
+}
+
+net::awaitable<void> ShardOwner::Loops::ask(PoolScheduler *pool, PolicyQuestion question)
+{
+    Result<PolicyAnswer> answer = co_await this->state.owner.policy->advise(question.step, question.executors);
+    if (!answer) {
+        this->state.owner.log.emit("policy_failed", {{"job", question.step.job.value}, {"reason", describe(answer.error())}}, EventWeight::Essential);
+        co_await sleepFor(this->state.owner.context, retryPause);
+        answer = PolicyAnswer{};
+    }
+    pool->onPolicy(question.step, *answer, bootNow());
+    this->state.planWanted.notify();
+}
+
+net::awaitable<void> ShardOwner::Loops::renew(PoolScheduler *pool, ExecutorKey key, std::shared_ptr<Event> wanted)
+{
+    while (!this->isOver()) {
+        const TimePoint sentAt = bootNow();
+        const std::optional<RenewalPlan> plan = pool->renewal(key, sentAt, this->state.term.horizon);
+        if (!plan) {
+            const std::vector<ExecutorKey> known = pool->executors();
+            if (std::find(known.begin(), known.end(), key) == known.end()) {
+                break;
+            }
+            co_await wanted->waitFor(idleCheck);
+            continue;
+        }
+        const ExecutorReport report = co_await this->state.owner.executors.renew(plan->executor, plan->renewal);
+        if (report.outcome == OrderOutcome::Fenced) {
+            this->state.fence("executor");
+            break;
+        }
+        if (this->isOver()) {
+            break;
+        }
+        pool->onReport(key, report, sentAt, bootNow(), wallNow());
+        this->state.planWanted.notify();
+        co_await sleepFor(this->state.owner.context, report.outcome == OrderOutcome::Done ? renewalPause : renewalRetry);
+        const TimePoint patience = bootNow() + unsavedPatience;
+        while (!this->isOver() && pool->hasUnsavedEnds(key) && bootNow() < patience) {
+            co_await wanted->waitFor(unsavedPatience);
+        }
+    }
+    this->state.renewing.erase(key);
+}
+
+net::awaitable<bool> ShardOwner::Loops::persistOnce()
+{
+    // Two appends under way would carry the same sequence, and the store would take the second for a repeat of the first.
+    while (this->state.isPersisting) {
+        co_await sleepFor(this->state.owner.context, persistTurn);
+    }
+    this->state.isPersisting = true;
+    std::vector<StoredRecord> records = std::move(this->state.extraRecords);
+    this->state.extraRecords.clear();
+    std::vector<ExecutorKey> newlyRecorded;
+    for (const StoredRecord &record : records) {
+        if (!record.value.empty()) {
+            newlyRecorded.push_back(parseKey(record.key).executor);
+        }
+    }
+    for (auto &[service, pool] : this->state.pools) {
+        for (const JobProgress &progress : pool->takeChanged()) {
+            records.push_back(StoredRecord{progress.id.value, encodeProgress(progress), -1});
+            if (isFinal(progress.state)) {
+                this->state.owner.log.emit("job_ended",
+                    {{"job", progress.id.value}, {"queue", progress.queue.value}, {"state", toString(progress.state)}, {"token", this->state.token}});
+            }
+        }
+    }
+    if (records.empty()) {
+        this->state.isPersisting = false;
+        co_return true;
+    }
+    const bool isDurable = co_await this->appendUntilDurable(std::move(records));
+    if (isDurable) {
+        for (const ExecutorKey &key : newlyRecorded) {
+            this->state.recorded[key] = MachineId{this->machineName(key)};
+        }
+        for (auto &[service, pool] : this->state.pools) {
+            pool->markPersisted();
+            for (const ExecutorKey &key : newlyRecorded) {
+                pool->markRecorded(key);
+            }
+        }
+        this->state.planWanted.notify();
+        for (auto &[key, wanted] : this->state.renewing) {
+            wanted->notify();
+        }
+    }
+    this->state.isPersisting = false;
+    co_return isDurable;
+}
+
+net::awaitable<void> ShardOwner::Loops::persist()
+{
+    while (!this->isOver()) {
+        co_await this->state.persistWanted.waitFor(milliseconds(1000));
+        const bool isUrgent = !this->state.extraRecords.empty() || std::any_of(this->state.pools.begin(), this->state.pools.end(), [](const auto &entry) {
+            return entry.second->hasUrgentChange();
+        });
+        if (!isUrgent) {
+            co_await sleepFor(this->state.owner.context, persistInterval);
+        }
+        if (this->isOver()) {
+            break;
+        }
+        co_await this->persistOnce();
+    }
+}
+
+}
