--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -406,6 +406,21 @@
     EXPECT_EQ(this->store.repeats, 0);
 }
 
+TEST_F(SchedulerTest, OldJobsAreDeletedTheirStateLast)
+{
+    this->settings.statusRetention = -120s;
+    const auto owner = this->own(1);
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->runUntil([this] {
+        const auto &records = this->store.partitions[{Stream::Progress, 0}].records;
+        return !records.empty() && records.back().key == "00000000000000aa" && records.back().value.empty();
+    });
+    const auto &jobs = this->store.partitions[{Stream::Jobs, 0}].records;
+    EXPECT_TRUE(jobs.back().value.empty());
+    EXPECT_EQ(this->executors.starts.size(), 3U);
+    owner->stop();
+}
+
 TEST(RecordCodec, RecordsAreReadBack)
 {
     StepSpec step;
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -91,6 +91,8 @@
     net::awaitable<void> tail(std::shared_ptr<StreamReader> reader);
     net::awaitable<void> plan();
     net::awaitable<void> persist();
+    // Deletes jobs whose final state nobody can ask for any more.
+    net::awaitable<void> expireJobs();
     net::awaitable<bool> persistOnce();
     net::awaitable<void> renew(PoolScheduler *pool, ExecutorKey key, std::shared_ptr<Event> wanted);
     net::awaitable<void> send(PoolScheduler *pool, StartOrder order);
--- a/src/scheduler/shardownerloops.cpp
+++ b/src/scheduler/shardownerloops.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds idleCheck{1000};
 // What an earlier owner may have started beyond its horizon through slow clocks and rounding.
 constexpr milliseconds clearMargin{350};
+constexpr milliseconds expiryInterval{5000};
+// Submissions may be repeated, or carried out late by the store, for this long after the state is asked for no more.
+constexpr milliseconds expiryMargin{60'000};
 // Run numbers of one owner stay within this span.
 constexpr std::int64_t runSpan = 100'000;
 
@@ -150,6 +153,10 @@
         Loops loops{self, owned};
         co_await loops.persist();
     });
+    this->spawn([self, &owned]() -> net::awaitable<void> {
+        Loops loops{self, owned};
+        co_await loops.expireJobs();
+    });
     co_await this->plan();
 }
 
@@ -374,6 +381,35 @@
     co_return isDurable;
 }
 
+net::awaitable<void> ShardOwner::Loops::expireJobs()
+{
+    while (!this->isOver()) {
+        co_await sleepFor(this->state.owner.context, expiryInterval);
+        const WallTime bound = wallNow() - this->state.owner.settings.statusRetention - expiryMargin;
+        std::vector<StoredRecord> jobs;
+        std::vector<StoredRecord> states;
+        for (auto &[service, pool] : this->state.pools) {
+            for (const JobId &id : pool->forgetJobsBefore(bound)) {
+                jobs.push_back(StoredRecord{id.value, {}, -1});
+                jobs.push_back(StoredRecord{cancellationKey(id), {}, -1});
+                states.push_back(StoredRecord{id.value, {}, -1});
+                this->state.progress.erase(id);
+                this->state.cancelled.erase(id);
+            }
+        }
+        // The state goes last: without the submission it can do no harm, the other way round the job would run again.
+        bool isDeleted = jobs.empty();
+        while (!isDeleted && !this->isOver()) {
+            const Result<void> appended = co_await this->state.owner.store.append(Stream::Jobs, this->state.partition, jobs, std::nullopt, appendLimit);
+            isDeleted = appended.has_value();
+            if (!isDeleted) {
+                co_await sleepFor(this->state.owner.context, retryPause);
+            }
+        }
+        this->state.extraRecords.insert(this->state.extraRecords.end(), states.begin(), states.end());
+    }
+}
+
 net::awaitable<void> ShardOwner::Loops::persist()
 {
     while (!this->isOver()) {
