Work that stands still is taken elsewhere

Cause: runs that hang on an ill executor were never ended; their jobs were late for good. Change: a finite run beyond four times its estimate and 1.5 s is stopped and restarted on another executor, an item twice at most; the executor gets no work for 3 s. Ruled out: a limit by the queue's learned ratio, which hanging runs would move themselves. Test WorkThatStandsStillIsTakenElsewhereAFewTimes, red before.

--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -395,18 +395,18 @@
 void FleetPlanner::Private::planMoves(std::map<ServiceId, PoolView> &pools, TimePoint now)
 {
     PoolView *standby = nullptr;
-    std::vector<PoolView *> short_;
+    std::vector<PoolView *> lacking;
     for (auto &[service, pool] : pools) {
         if (pool.isStandby) {
             standby = &pool;
         } else if (pool.report != nullptr && pool.size() < pool.needed) {
-            short_.push_back(&pool);
+            lacking.push_back(&pool);
         }
     }
-    std::sort(short_.begin(), short_.end(), [](const PoolView *one, const PoolView *other) {
+    std::sort(lacking.begin(), lacking.end(), [](const PoolView *one, const PoolView *other) {
         return one->needed - one->size() > other->needed - other->size();
     });
-    for (PoolView *pool : short_) {
+    for (PoolView *pool : lacking) {
         this->balance(*pool, pools, now);
     }
     if (standby == nullptr) {
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -21,6 +21,11 @@
 constexpr milliseconds watchfulWait{300};
 // An evacuating machine's finite work gets this long to end by itself.
 constexpr milliseconds evacuationPatience{2500};
+// A run that takes this many times its estimate, and the slack, stands still: it is taken elsewhere, an item this often at most.
+constexpr int stallFactor = 4;
+constexpr milliseconds stallSlack{1500};
+constexpr std::int32_t mostStalls = 2;
+constexpr milliseconds stallAvoidance{3000};
 // Pace changes of one run are at least this far apart, so that the tail can follow.
 constexpr milliseconds paceInterval{300};
 // Tail latency against its target: above the first the fillers slow down, below the second they speed up.
@@ -106,6 +111,24 @@
     }
 }
 
+void PoolScheduler::Private::stopStalled(Executor &executor, TimePoint now)
+{
+    for (auto &[id, run] : executor.runs) {
+        const bool isFinite = run.phase == RunPhase::Running && !run.isLongRunning && run.expected.count() > 0 && run.startedAt != TimePoint{};
+        if (!isFinite || span(run.startedAt, now) < stallFactor * run.expected + stallSlack) {
+            continue;
+        }
+        Item *item = this->findItem(id);
+        if (item == nullptr || item->stalls >= mostStalls) {
+            continue;
+        }
+        ++item->stalls;
+        item->failedOn = executor.info.id;
+        executor.avoidedUntil = std::max(executor.avoidedUntil, after(now, stallAvoidance));
+        this->requestStop(executor, run, "it stands still");
+    }
+}
+
 void PoolScheduler::Private::stopOrphans(Executor &executor, TimePoint now)
 {
     for (auto &[id, orphan] : executor.orphans) {
@@ -433,6 +456,7 @@
     state.expireLeases(now, term.confirmedAt);
     state.evacuate(now);
     for (auto &[key, executor] : state.executors) {
+        state.stopStalled(executor, now);
         state.resendStops(executor, now);
         state.stopOrphans(executor, now);
         state.paceFillers(executor, now);
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -97,6 +97,8 @@
     std::string checkpoint;
     std::vector<ExecutorKey> where;
     ExecutorId failedOn;
+    // How often a run was stopped because it stood still.
+    std::int32_t stalls = 0;
     TimePoint waitingSince{};
 };
 
@@ -195,6 +197,7 @@
 
     // Planning
     void expireLeases(TimePoint now, TimePoint confirmedAt);
+    void stopStalled(Executor &executor, TimePoint now);
     void stopOrphans(Executor &executor, TimePoint now);
     void paceFillers(Executor &executor, TimePoint now);
     void resendStops(Executor &executor, TimePoint now);
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -416,6 +416,39 @@
     EXPECT_EQ(this->plan().starts.size(), 1U);
 }
 
+TEST_F(PoolSchedulerTest, WorkThatStandsStillIsTakenElsewhereAFewTimes)
+{
+    this->list({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a"));
+    std::int64_t ends = 0;
+    std::string last;
+    std::size_t stops = 0;
+    for (int round = 0; round < 4; ++round) {
+        const SchedulerOrders started = this->planAndConfirm();
+        if (started.starts.empty()) {
+            break;
+        }
+        const StartOrder &start = started.starts[0];
+        EXPECT_NE(start.executor.id.value, last);
+        last = start.executor.id.value;
+        for (int second = 0; second < 9; ++second) {
+            this->advance(1s);
+            this->renewal(last);
+            this->report("one", last == "one" ? std::vector{ReportedRun{start.run.item, start.run.run, {}, 3, 0}} : std::vector<ReportedRun>{});
+            this->report("two", last == "two" ? std::vector{ReportedRun{start.run.item, start.run.run, {}, 3, 0}} : std::vector<ReportedRun>{});
+            const SchedulerOrders orders = this->plan();
+            if (!orders.stops.empty()) {
+                ++stops;
+                this->report(last, {}, {ReportedEnd{++ends, start.run.item, start.run.run, RunEnd::Stopped, {}}});
+                break;
+            }
+        }
+    }
+    EXPECT_EQ(stops, 2U);
+}
+
 TEST_F(PoolSchedulerTest, EndsAreAcknowledgedOnlyOnceTheyAreDurable)
 {
     this->list({executor("one")});
