Comments that said something else; a value nobody read

Cause: second read of the change as a newcomer. Change: two comments in the pool scheduler, one field that was written and never read.

--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds shortestLease{400};
 // How long an unanswered stop waits for its repetition.
 constexpr milliseconds stopRepeat{300};
-// The longest a renewal waits for an end, and its share of the lease.
+// The longest a renewal waits for an end, and the longest while something is about to change.
 constexpr milliseconds longestWait{1200};
 constexpr milliseconds watchfulWait{300};
 // An evacuating machine's finite work gets this long to end by itself.
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -243,7 +243,6 @@
     }
     executor->failingSince = TimePoint{};
     executor->isContacted = true;
-    executor->lastReportAt = now;
     executor->acknowledgedEnd = executor->sentEnd;
     this->d->noteClock(*executor, report.clock, now);
     for (const ReportedEnd &end : report.ended) {
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -28,7 +28,7 @@
     TimePoint settledAt{};
     TimePoint stopSentAt{};
     bool isStopConfirmed = false;
-    // Stopped or lost because the system wanted it so, not through a fault of the run.
+    // The last report listed it as running.
     bool isListed = false;
     std::int32_t percent = 0;
     std::int32_t pacedTo = 100;
@@ -49,7 +49,6 @@
     std::optional<std::chrono::milliseconds> clock;
     TimePoint clockAt{};
     TimePoint leaseEnd{};
-    TimePoint lastReportAt{};
     TimePoint avoidedUntil{};
     TimePoint failingSince{};
     std::map<ItemId, Run> runs;
