One look-up for answers to orders, one place for the clocks; unread values are gone

Cause: a last read of the whole change: the same look-up stood in onStarted and onStopped, four files had clock functions of their own, the planner searched its evacuations in three ways, and four settings, two functions, a field and a parameter were never read. Change: settle(), clocks.h, findEvacuation(); the unread is removed. A refused start is logged by its name instead of a number. Nothing else behaves differently.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -21,12 +21,6 @@
     std::chrono::milliseconds leaseLength{3500};
     // The executors shorten longer leases to this.
     std::chrono::milliseconds longestLease{6000};
-    // An executor ends a run within this after a stop.
-    std::chrono::milliseconds stopTime{200};
-    std::chrono::milliseconds restoreTime{600};
-    // Minimum time between ending two items of one availability budget.
-    std::chrono::milliseconds noticeTime{4500};
-    double crossRackFactor = 3.0;
     // Executors' clocks may run this much slower than true time.
     double clockDrift = 0.02;
 };
@@ -76,7 +70,6 @@
 struct StopOrder {
     ExecutorInfo executor;
     StopRun run;
-    std::string reason;
 };
 
 struct PaceOrder {
@@ -163,7 +156,7 @@
 
     void onReport(const ExecutorKey &executor, const ExecutorReport &report, TimePoint sentAt, TimePoint now, WallTime wallNow);
     void onStarted(const ExecutorKey &executor, const StartRun &order, const OrderReply &reply, TimePoint sentAt, TimePoint now);
-    void onStopped(const ExecutorKey &executor, const StopRun &order, const OrderReply &reply, TimePoint sentAt, TimePoint now);
+    void onStopped(const ExecutorKey &executor, const StopRun &order, const OrderReply &reply, TimePoint now);
     void onPolicy(const ItemId &step, const PolicyAnswer &answer, TimePoint now);
 
     // Plans what to do now, within the term. Work whose lease ran out restarts only if nobody else can have renewed it.
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -86,7 +86,7 @@
     static void shareScarcity(std::map<ServiceId, PoolView> &pools);
     const ExecutorUse *useOf(const MachineInfo &machine, TimePoint now) const;
     bool isEvacuating(const MachineId &machine) const;
-    Evacuation *findEvacuation(const MachineId &machine);
+    const Evacuation *findEvacuation(const MachineId &machine) const;
     void evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now);
     void endEvacuation(const MachineId &machine);
     void markOrdered(const MachineId &machine, TimePoint now);
@@ -99,19 +99,17 @@
     std::int32_t inMaintenance(const WaveId &wave) const;
 };
 
-bool FleetPlanner::Private::isEvacuating(const MachineId &machine) const
+const Evacuation *FleetPlanner::Private::findEvacuation(const MachineId &machine) const
 {
-    return std::any_of(this->state.evacuations.begin(), this->state.evacuations.end(), [&machine](const Evacuation &evacuation) {
+    const auto found = std::find_if(this->state.evacuations.begin(), this->state.evacuations.end(), [&machine](const Evacuation &evacuation) {
         return evacuation.machine == machine;
     });
+    return found == this->state.evacuations.end() ? nullptr : &*found;
 }
 
-Evacuation *FleetPlanner::Private::findEvacuation(const MachineId &machine)
+bool FleetPlanner::Private::isEvacuating(const MachineId &machine) const
 {
-    const auto found = std::find_if(this->state.evacuations.begin(), this->state.evacuations.end(), [&machine](const Evacuation &evacuation) {
-        return evacuation.machine == machine;
-    });
-    return found == this->state.evacuations.end() ? nullptr : &*found;
+    return this->findEvacuation(machine) != nullptr;
 }
 
 void FleetPlanner::Private::evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now)
@@ -136,15 +134,18 @@
 
 void FleetPlanner::Private::markOrdered(const MachineId &machine, TimePoint now)
 {
-    if (const Evacuation *evacuation = this->findEvacuation(machine); evacuation != nullptr && !evacuation->executor.isEmpty()) {
-        this->state.ended[evacuation->executor] = PlannerState::EndedLife{evacuation->born, this->wallNow};
-        ++this->state.number;
-    }
     this->untouchedUntil.erase(machine);
     this->evacuatingSince[machine] = now;
     this->state.orderedAt[machine] = this->wallNow;
-    if (Evacuation *evacuation = this->findEvacuation(machine)) {
-        evacuation->isOrdered = true;
+    for (Evacuation &evacuation : this->state.evacuations) {
+        if (evacuation.machine != machine) {
+            continue;
+        }
+        evacuation.isOrdered = true;
+        if (!evacuation.executor.isEmpty()) {
+            this->state.ended[evacuation.executor] = PlannerState::EndedLife{evacuation.born, this->wallNow};
+            ++this->state.number;
+        }
     }
 }
 
@@ -245,9 +246,8 @@
         const auto machine = this->machines.find(id);
         const auto untouched = this->untouchedUntil.find(id);
         const bool isDown = machine != this->machines.end() && machine->second.state == MachineState::InMaintenance;
-        const bool isOrdered = std::any_of(this->state.evacuations.begin(), this->state.evacuations.end(), [&id](const Evacuation &evacuation) {
-            return evacuation.machine == id && evacuation.isOrdered && evacuation.purpose == EvacuationPurpose::Maintenance;
-        });
+        const Evacuation *evacuation = this->findEvacuation(id);
+        const bool isOrdered = evacuation != nullptr && evacuation->isOrdered && evacuation->purpose == EvacuationPurpose::Maintenance;
         count += isDown || isOrdered || untouched != this->untouchedUntil.end() ? 1 : 0;
     }
     return count;
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -37,6 +37,17 @@
     return found == this->executors.end() ? nullptr : &found->second;
 }
 
+Run *PoolScheduler::Private::settle(const ExecutorKey &key, const ItemId &item, std::int64_t number, const OrderReply &reply, TimePoint now)
+{
+    Executor *executor = this->find(key);
+    if (executor == nullptr) {
+        return nullptr;
+    }
+    this->noteClock(*executor, reply.clock, now);
+    const auto found = executor->runs.find(item);
+    return found != executor->runs.end() && found->second.number == number ? &found->second : nullptr;
+}
+
 JobEntry *PoolScheduler::Private::findJob(const JobId &id)
 {
     const auto found = this->jobs.find(id);
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -106,7 +106,7 @@
         const bool isDue = run.stopSentAt == TimePoint{} || now - run.stopSentAt > stopRepeat;
         if (run.phase == RunPhase::Stopping && !run.isStopConfirmed && isDue) {
             run.stopSentAt = now;
-            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, run.number, this->token}, {}});
+            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, run.number, this->token}});
         }
     }
 }
@@ -135,7 +135,7 @@
         if (now - orphan.second > stopRepeat) {
             orphan.second = now;
             this->note("stop_requested", id, executor, orphan.first, "its job has ended or is unknown");
-            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, orphan.first, this->token}, {}});
+            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, orphan.first, this->token}});
         }
     }
 }
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -311,30 +311,23 @@
 
 void PoolScheduler::onStarted(const ExecutorKey &key, const StartRun &order, const OrderReply &reply, TimePoint sentAt, TimePoint now)
 {
-    Executor *executor = this->d->find(key);
-    if (executor == nullptr) {
-        return;
-    }
-    this->d->noteClock(*executor, reply.clock, now);
-    const auto found = executor->runs.find(order.item);
-    if (found == executor->runs.end() || found->second.number != order.run) {
+    Run *run = this->d->settle(key, order.item, order.run, reply, now);
+    if (run == nullptr) {
         return;
     }
-    Run &run = found->second;
-    run.settledAt = now;
+    Executor *executor = this->d->find(key);
+    run->settledAt = now;
     switch (reply.outcome) {
-    case OrderOutcome::Done: {
-        if (run.phase == RunPhase::Starting) {
-            run.phase = RunPhase::Running;
+    case OrderOutcome::Done:
+        if (run->phase == RunPhase::Starting) {
+            run->phase = RunPhase::Running;
         }
-        run.startedAt = sentAt;
-        JobEntry &entry = *this->d->findJob(order.item.job);
-        this->d->noteBegun(entry, now);
+        run->startedAt = sentAt;
+        this->d->noteBegun(*this->d->findJob(order.item.job), now);
         return;
-    }
     case OrderOutcome::Unknown:
-        if (run.phase == RunPhase::Starting) {
-            run.phase = RunPhase::Unsure;
+        if (run->phase == RunPhase::Starting) {
+            run->phase = RunPhase::Unsure;
         }
         executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, milliseconds(500)));
         this->d->note("start_unanswered", order.item, *executor, order.run, "may run");
@@ -352,26 +345,17 @@
     }
     const milliseconds pause = reply.outcome == OrderOutcome::Unhealthy || reply.outcome == OrderOutcome::NotSent ? milliseconds(1000) : milliseconds(100);
     executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, pause));
-    this->d->note("start_refused", order.item, *executor, order.run, std::to_string(static_cast<int>(reply.outcome)));
-    this->d->release(*executor, found, now);
+    this->d->note("start_refused", order.item, *executor, order.run, std::string(toString(reply.outcome)));
+    this->d->release(*executor, executor->runs.find(order.item), now);
 }
 
-void PoolScheduler::onStopped(const ExecutorKey &key, const StopRun &order, const OrderReply &reply, TimePoint sentAt, TimePoint now)
+void PoolScheduler::onStopped(const ExecutorKey &key, const StopRun &order, const OrderReply &reply, TimePoint now)
 {
-    Executor *executor = this->d->find(key);
-    if (executor == nullptr) {
-        return;
-    }
-    this->d->noteClock(*executor, reply.clock, now);
-    const auto found = executor->runs.find(order.item);
-    if (found == executor->runs.end() || found->second.number != order.run) {
-        return;
-    }
-    if (reply.outcome == OrderOutcome::Done) {
-        found->second.isStopConfirmed = true;
-        found->second.settledAt = now;
+    Run *run = this->d->settle(key, order.item, order.run, reply, now);
+    if (run != nullptr && reply.outcome == OrderOutcome::Done) {
+        run->isStopConfirmed = true;
+        run->settledAt = now;
     }
-    (void)sentAt;
 }
 
 void PoolScheduler::onPolicy(const ItemId &step, const PolicyAnswer &answer, TimePoint now)
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -133,7 +133,6 @@
     std::int32_t priority = 0;
     std::int32_t attempts = 1;
     bool hasPolicy = false;
-    bool isChanged = false;
     bool hasRun = false;
     std::vector<OccurrenceState> occurrences;
 
@@ -171,6 +170,8 @@
 
     // Events
     Executor *find(const ExecutorKey &key);
+    // Notes the clock of an answer and returns the run that the order was for, or nullptr where it is no longer known.
+    Run *settle(const ExecutorKey &key, const ItemId &item, std::int64_t number, const OrderReply &reply, TimePoint now);
     JobEntry *findJob(const JobId &id);
     Item *findItem(const ItemId &id);
     const StepSpec &stepOf(const ItemId &id);
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -312,7 +312,7 @@
     const SchedulerOrders stopping = this->plan();
     ASSERT_EQ(stopping.stops.size(), 1U);
     EXPECT_TRUE(stopping.starts.empty());
-    this->scheduler->onStopped(ExecutorKey{ExecutorId{"one"}, 100}, stopping.stops[0].run, OrderReply{OrderOutcome::Done, {}}, this->now, this->now);
+    this->scheduler->onStopped(ExecutorKey{ExecutorId{"one"}, 100}, stopping.stops[0].run, OrderReply{OrderOutcome::Done, {}}, this->now);
     this->advance(10ms);
     this->report("one");
     EXPECT_EQ(this->plan().starts.size(), 1U);
--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -196,10 +196,4 @@
     co_return response;
 }
 
-void ConnectionPool::closeIdle()
-{
-    this->d->open -= this->d->idle.size();
-    this->d->idle.clear();
-}
-
 }
--- a/src/libservice/connectionpool.h
+++ b/src/libservice/connectionpool.h
@@ -33,9 +33,6 @@
     // Where a kept connection turns out to be closed, the call is sent once more, so calls have to be idempotent.
     net::awaitable<Result<HttpResponse>> call(HttpCall call);
 
-    // Closes the idle connections, as after a peer was replaced.
-    void closeIdle();
-
 private:
     class Private;
     explicit ConnectionPool(std::shared_ptr<Private> impl);
--- a/src/scheduler/batchappender.cpp
+++ b/src/scheduler/batchappender.cpp
@@ -23,11 +23,6 @@
 {
 }
 
-std::chrono::steady_clock::time_point BatchAppender::lastSuccess() const
-{
-    return this->succeededAt;
-}
-
 void BatchAppender::settle(Entry &entry, AppendVerdict verdict)
 {
     entry.isSettled = true;
@@ -81,7 +76,6 @@
         }
         Result<void> appended = co_await this->store.append(this->stream, this->partition, std::move(records), std::nullopt, callLimit);
         if (appended) {
-            this->succeededAt = now;
             for (const auto &entry : batch) {
                 settle(*entry, AppendVerdict::Durable);
             }
--- a/src/scheduler/batchappender.h
+++ b/src/scheduler/batchappender.h
@@ -26,9 +26,6 @@
     // Tries until the deadline.
     net::awaitable<AppendVerdict> append(StoredRecord record, std::chrono::steady_clock::time_point deadline);
 
-    // Returns when the last call that succeeded was sent.
-    std::chrono::steady_clock::time_point lastSuccess() const;
-
 private:
     struct Entry {
         explicit Entry(net::io_context &context)
@@ -53,7 +50,6 @@
     std::int32_t partition;
     std::deque<std::shared_ptr<Entry>> waiting;
     bool isRunning = false;
-    std::chrono::steady_clock::time_point succeededAt{};
 };
 
 }
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "batchappender.h"
+#include "clocks.h"
 #include "recordcodec.h"
 #include "streamreader.h"
 
@@ -29,11 +30,6 @@
 // After a queue moved to another service, its earlier partition is looked at for this long.
 constexpr std::chrono::seconds movedQueueMemory{120};
 
-WallTime wallNow()
-{
-    return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
-}
-
 bool isJobId(std::string_view text)
 {
     return text.size() == jobIdDigits && std::all_of(text.begin(), text.end(), [](unsigned char character) {
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "clocks.h"
 #include "event.h"
 
 namespace MangoCourse {
@@ -16,11 +17,6 @@
 // A silent member loses its partitions after this long.
 constexpr milliseconds wantedMembership{1200};
 
-TimePoint bootNow()
-{
-    return BootClock().now();
-}
-
 }
 
 Ownership::Ownership(OwnerContext owner, Handlers handlers)
--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -1,6 +1,7 @@
 // Loads the planner's state, follows the pools' reports, gives orders.
 #include "planningduty.h"
 
+#include "clocks.h"
 #include "event.h"
 #include "recordcodec.h"
 #include "streamreader.h"
@@ -21,16 +22,6 @@
 constexpr milliseconds busyListInterval{450};
 constexpr milliseconds calmListInterval{1500};
 
-WallTime wallNow()
-{
-    return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
-}
-
-TimePoint bootNow()
-{
-    return BootClock().now();
-}
-
 }
 
 class PlanningDuty::Private
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -3,6 +3,7 @@
 
 #include <map>
 
+#include "clocks.h"
 #include "event.h"
 #include "recordcodec.h"
 #include "shardowner.h"
@@ -10,17 +11,6 @@
 
 namespace MangoCourse {
 
-// The wall clock, and the clock that goes on while the machine is suspended.
-inline WallTime wallNow()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-}
-
-inline TimePoint bootNow()
-{
-    return BootClock().now();
-}
-
 class ShardOwner::Private
 {
 public:
--- a/src/scheduler/shardownerloops.cpp
+++ b/src/scheduler/shardownerloops.cpp
@@ -269,12 +269,11 @@
 net::awaitable<void> ShardOwner::Loops::send(PoolScheduler *pool, StopOrder order)
 {
     const ExecutorKey key{order.executor.id, order.executor.born};
-    const TimePoint sentAt = bootNow();
     const OrderReply reply = co_await this->state.owner.executors.stop(order.executor, order.run);
     if (reply.outcome == OrderOutcome::Fenced) {
         this->state.fence("executor");
     }
-    pool->onStopped(key, order.run, reply, sentAt, bootNow());
+    pool->onStopped(key, order.run, reply, bootNow());
 }
 
 net::awaitable<void> ShardOwner::Loops::send(PoolScheduler *pool, PaceOrder order)
