Connections of executors that are gone are given up

Cause: the clients of executors were kept by address for ever. Ruled out: the limit on idle connections, which is only applied when one is taken again. Change: the renewal of an executor ends with giving up its connections. Test ConnectionsOfExecutors- ThatAreGoneAreGivenUp, red without the call.

--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -142,6 +142,7 @@
     std::vector<ReportedRun> running;
     std::vector<ReportedEnd> ended;
     bool endsRuns = true;
+    int forgotten = 0;
 
     net::awaitable<ExecutorReport> renew(const ExecutorInfo &executor, LeaseRenewal renewal) override
     {
@@ -188,6 +189,7 @@
     }
     void forget(const ExecutorInfo &) override
     {
+        ++this->forgotten;
     }
 
 private:
@@ -406,6 +408,20 @@
     EXPECT_EQ(this->store.repeats, 0);
 }
 
+TEST_F(SchedulerTest, ConnectionsOfExecutorsThatAreGoneAreGivenUp)
+{
+    const auto owner = this->own(1);
+    this->runUntil([this] {
+        return this->executors.highestToken == 1;
+    });
+    EXPECT_EQ(this->executors.forgotten, 0);
+    owner->setExecutors({});
+    this->runUntil([this] {
+        return this->executors.forgotten == 1;
+    });
+    owner->stop();
+}
+
 TEST_F(SchedulerTest, OldJobsAreDeletedTheirStateLast)
 {
     this->settings.statusRetention = -120s;
--- a/src/scheduler/shardownerloops.cpp
+++ b/src/scheduler/shardownerloops.cpp
@@ -302,6 +302,7 @@
 
 net::awaitable<void> ShardOwner::Loops::renew(PoolScheduler *pool, ExecutorKey key, std::shared_ptr<Event> wanted)
 {
+    std::optional<ExecutorInfo> called;
     while (!this->isOver()) {
         const TimePoint sentAt = bootNow();
         const std::optional<RenewalPlan> plan = pool->renewal(key, sentAt, this->state.term.horizon);
@@ -313,6 +314,7 @@
             co_await wanted->waitFor(idleCheck);
             continue;
         }
+        called = plan->executor;
         const ExecutorReport report = co_await this->state.owner.executors.renew(plan->executor, plan->renewal);
         if (report.outcome == OrderOutcome::Fenced) {
             this->state.fence("executor");
@@ -329,6 +331,9 @@
             co_await wanted->waitFor(unsavedPatience);
         }
     }
+    if (called) {
+        this->state.owner.executors.forget(*called);
+    }
     this->state.renewing.erase(key);
 }
 
