Failures count whatever the order in which executors list them

A new owner that first heard of run 3 on one executor then took the failures of runs 1 and 2 on others for repeats, and started the item a fourth time. Ruled out: lost ends (all three were listed to the new owner) and the allowance itself. Change: progress keeps the failed runs. Test FailuresThatAreListedOutOfOrderAllCount, red before.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -32,8 +32,8 @@
     std::int32_t index = 0;
     bool isDone = false;
     std::int32_t failures = 0;
-    // The last run whose failure was counted.
-    std::int64_t countedRun = 0;
+    // The runs whose failures were counted; executors may list them in any order, and again.
+    std::vector<std::int64_t> failedRuns;
 
     bool operator==(const ItemProgress &) const = default;
 };
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -314,10 +314,10 @@
         return;
     }
     // An end that was not acknowledged is listed again to the next owner.
-    if (end.run <= item.countedRun) {
+    if (std::find(item.failedRuns.begin(), item.failedRuns.end(), end.run) != item.failedRuns.end()) {
         return;
     }
-    item.countedRun = end.run;
+    item.failedRuns.push_back(end.run);
     ++item.failures;
     std::int32_t failures = item.failures;
     if (spec.isGang) {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -181,8 +181,10 @@
             continue;
         }
         item->failures = known.failures;
-        item->countedRun = known.countedRun;
-        item->lastRun = std::max(item->lastRun, known.countedRun);
+        item->failedRuns = known.failedRuns;
+        for (const std::int64_t run : known.failedRuns) {
+            item->lastRun = std::max(item->lastRun, run);
+        }
         StepState &step = entry.occurrences[static_cast<std::size_t>(known.occurrence)].steps[static_cast<std::size_t>(known.step)];
         if (entry.job.spec.steps[static_cast<std::size_t>(known.step)].isGang) {
             step.gangFailures += known.failures;
@@ -426,7 +428,7 @@
                     const Item &item = steps[step].items[index];
                     if (item.phase == ItemPhase::Done || item.failures > 0) {
                         progress.items.push_back(ItemProgress{static_cast<std::int32_t>(occurrence), static_cast<std::int32_t>(step),
-                            static_cast<std::int32_t>(index), item.phase == ItemPhase::Done, item.failures, item.countedRun});
+                            static_cast<std::int32_t>(index), item.phase == ItemPhase::Done, item.failures, item.failedRuns});
                     }
                 }
             }
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -90,8 +90,8 @@
 struct Item {
     ItemPhase phase = ItemPhase::Waiting;
     std::int32_t failures = 0;
-    // The last run whose failure was counted.
-    std::int64_t countedRun = 0;
+    // The runs whose failures were counted.
+    std::vector<std::int64_t> failedRuns;
     std::int64_t lastRun = 0;
     std::string checkpoint;
     std::vector<ExecutorKey> where;
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -449,6 +449,18 @@
     EXPECT_EQ(stops, 2U);
 }
 
+TEST_F(PoolSchedulerTest, FailuresThatAreListedOutOfOrderAllCount)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now);
+    this->addBegun("a");
+    this->list({executor("one"), executor("two")});
+    const ItemId item{JobId{"a"}, 0, 0, 0};
+    this->report("one", {}, {ReportedEnd{1, item, 2, RunEnd::Failed, {}}});
+    this->report("two", {}, {ReportedEnd{1, item, 1, RunEnd::Failed, {}}});
+    EXPECT_TRUE(this->plan().starts.empty());
+    EXPECT_EQ(this->saved.at(JobId{"a"}).state, JobState::Failed);
+}
+
 TEST_F(PoolSchedulerTest, EndsAreAcknowledgedOnlyOnceTheyAreDurable)
 {
     this->list({executor("one")});
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -114,7 +114,7 @@
 {
     Json items = Json::array();
     for (const ItemProgress &item : progress.items) {
-        items.push_back(Json::array({item.occurrence, item.step, item.index, item.isDone ? 1 : 0, item.failures, item.countedRun}));
+        items.push_back(Json::array({item.occurrence, item.step, item.index, item.isDone ? 1 : 0, item.failures, item.failedRuns}));
     }
     return toBytes(Json::array({static_cast<int>(progress.state), progress.queue.value, progress.service.value, progress.endedAt.time_since_epoch().count(),
         std::move(items), progress.mayHaveBegun}));
@@ -137,7 +137,7 @@
         progress.mayHaveBegun = json.at(5).get<bool>();
         for (const Json &item : json.at(4)) {
             progress.items.push_back(ItemProgress{item.at(0).get<std::int32_t>(), item.at(1).get<std::int32_t>(), item.at(2).get<std::int32_t>(),
-                item.at(3).get<int>() != 0, item.at(4).get<std::int32_t>(), item.at(5).get<std::int64_t>()});
+                item.at(3).get<int>() != 0, item.at(4).get<std::int32_t>(), item.at(5).get<std::vector<std::int64_t>>()});
         }
         return progress;
     } catch (const Json::exception &exception) {
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -452,7 +452,7 @@
     ASSERT_TRUE(back) << describe(back.error());
     EXPECT_EQ(back->spec, job.spec);
     EXPECT_EQ(back->service, job.service);
-    const JobProgress progress{JobId{"j"}, QueueId{"q"}, ServiceId{"s"}, JobState::Running, true, WallTime(5ms), {ItemProgress{1, 2, 3, true, 4, 5}}};
+    const JobProgress progress{JobId{"j"}, QueueId{"q"}, ServiceId{"s"}, JobState::Running, true, WallTime(5ms), {ItemProgress{1, 2, 3, true, 2, {5, 7}}}};
     EXPECT_EQ(*decodeProgress(JobId{"j"}, encodeProgress(progress)), progress);
     PlannerState state;
     state.number = 7;
