--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -123,7 +123,8 @@
 class FleetPlanner
 {
 public:
-    static Result<std::unique_ptr<FleetPlanner>> create(PlannerSettings settings, PlannerState state);
+    // `heldUntil` names machines that an earlier planner may have ordered so lately that this one has to keep away from them.
+    static Result<std::unique_ptr<FleetPlanner>> create(PlannerSettings settings, PlannerState state, std::map<MachineId, TimePoint> heldUntil = {});
     ~FleetPlanner();
 
     void setConfig(const FleetConfig &config);
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -62,6 +62,14 @@
     auto operator<=>(const ExecutorKey &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+// Where an executor's life stands: the machine, empty where it is unknown, and the pool that the life belongs to.
+struct ExecutorPlace {
+    MachineId machine;
+    ServiceId service;
+
+    bool operator==(const ExecutorPlace &) const = default;
+};
+
 struct StartOrder {
     ExecutorInfo executor;
     StartRun run;
@@ -137,9 +145,10 @@
     void setToken(std::int64_t token);
     void setConfig(const FleetConfig &config);
 
-    // All executors that discovery shows now, of this pool and of others. `used` names those that an earlier owner may have used.
+    // All executors that discovery shows now, of this pool and of others.
     void setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint now);
-    void setEarlierExecutors(const std::map<ExecutorKey, MachineId> &used);
+    // Names the executors that earlier owners may have used. Those of other pools are no concern of this one.
+    void setEarlierExecutors(const std::map<ExecutorKey, ExecutorPlace> &used);
 
     // Executors that get no new work and whose work moves away, and those that are over.
     void setEvacuations(const EvacuationList &list, TimePoint now);
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -80,12 +80,14 @@
     std::vector<PoolNeed> needs;
     std::map<MachineId, TimePoint> evacuatingSince;
     std::map<MachineId, TimePoint> untouchedUntil;
+    std::map<MachineId, TimePoint> heldUntil;
 
     std::map<ServiceId, PoolView> viewPools(TimePoint now) const;
     // Cuts the needs down to what there is, each by the same share.
     static void shareScarcity(std::map<ServiceId, PoolView> &pools);
     const ExecutorUse *useOf(const MachineInfo &machine, TimePoint now) const;
     bool isEvacuating(const MachineId &machine) const;
+    bool isHeld(const MachineId &machine, TimePoint now) const;
     const Evacuation *findEvacuation(const MachineId &machine) const;
     void evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now);
     void endEvacuation(const MachineId &machine);
@@ -112,6 +114,12 @@
     return this->findEvacuation(machine) != nullptr;
 }
 
+bool FleetPlanner::Private::isHeld(const MachineId &machine, TimePoint now) const
+{
+    const auto held = this->heldUntil.find(machine);
+    return held != this->heldUntil.end() && now < held->second;
+}
+
 void FleetPlanner::Private::evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now)
 {
     this->evacuatingSince[machine] = now;
@@ -197,7 +205,9 @@
         const auto machine = this->machines.find(evacuation.machine);
         const bool isMove = evacuation.purpose == EvacuationPurpose::Move;
         const auto target = pools.find(isMove || machine == this->machines.end() ? evacuation.target : machine->second.pool);
-        if (target != pools.end() && (isMove || evacuation.isOrdered)) {
+        // A move that has to wait for an earlier planner's last orders comes too late to count on.
+        const bool isComing = evacuation.isOrdered || (isMove && !this->isHeld(evacuation.machine, now));
+        if (target != pools.end() && isComing) {
             ++target->second.coming;
         }
     }
@@ -311,7 +321,8 @@
                 continue;
             }
             isLeft = true;
-            if (machine->second.state == MachineState::Up && !this->isEvacuating(name) && !this->untouchedUntil.contains(name)) {
+            const bool isFree = !this->isEvacuating(name) && !this->untouchedUntil.contains(name) && !this->isHeld(name, now);
+            if (machine->second.state == MachineState::Up && isFree) {
                 waiting.push_back(&machine->second);
             }
         }
@@ -360,7 +371,7 @@
     for (const MachineId &id : donor.up) {
         const MachineInfo &machine = this->machines.at(id);
         const ExecutorUse *use = this->useOf(machine, now);
-        if (this->untouchedUntil.contains(id) || (!donor.isStandby && (use == nullptr || use->longRunning > 0))) {
+        if (this->untouchedUntil.contains(id) || this->isHeld(id, now) || (!donor.isStandby && (use == nullptr || use->longRunning > 0))) {
             continue;
         }
         const std::int32_t runs = use == nullptr ? 0 : use->runs;
@@ -455,11 +466,12 @@
 
 FleetPlanner::~FleetPlanner() = default;
 
-Result<std::unique_ptr<FleetPlanner>> FleetPlanner::create(PlannerSettings settings, PlannerState state)
+Result<std::unique_ptr<FleetPlanner>> FleetPlanner::create(PlannerSettings settings, PlannerState state, std::map<MachineId, TimePoint> heldUntil)
 {
     auto impl = std::make_unique<Private>();
     impl->settings = settings;
     impl->state = std::move(state);
+    impl->heldUntil = std::move(heldUntil);
     return std::unique_ptr<FleetPlanner>(new FleetPlanner(std::move(impl)));
 }
 
@@ -526,7 +538,8 @@
     });
     state.dropStale(now);
     for (const Evacuation &evacuation : state.state.evacuations) {
-        if (evacuation.isOrdered || state.untouchedUntil.contains(evacuation.machine) || !state.isEmptied(evacuation, now)) {
+        const bool isTouchable = !state.untouchedUntil.contains(evacuation.machine) && !state.isHeld(evacuation.machine, now);
+        if (evacuation.isOrdered || !isTouchable || !state.isEmptied(evacuation, now)) {
             continue;
         }
         if (evacuation.purpose == EvacuationPurpose::Move) {
--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -183,6 +183,38 @@
     EXPECT_EQ(orders.move[0].machine, MachineId{"spare"});
 }
 
+TEST_F(FleetPlannerTest, MachinesOfAnEarlierPlannersLastOrdersWaitWhileOthersAreTaken)
+{
+    this->planner = std::move(*FleetPlanner::create(PlannerSettings{}, PlannerState{}, {{MachineId{"p1"}, this->now + 3s}}));
+    this->planner->setConfig(this->config);
+    for (const char *name : {"d1", "d2"}) {
+        this->machine(name, "desk");
+    }
+    for (const char *name : {"p1", "p2"}) {
+        this->machine(name, "parked");
+    }
+    this->list();
+    const auto tellNeed = [this] {
+        PoolReport report = this->report("desk", {"d1", "d2"});
+        report.inflow = 200'000;
+        report.backlog = 200'000;
+        this->tell(report);
+    };
+    tellNeed();
+    this->plan();
+    const PlannerOrders first = this->plan();
+    ASSERT_EQ(first.move.size(), 1U);
+    EXPECT_EQ(first.move[0].machine.value, "p2");
+    this->advance(3100ms);
+    this->list();
+    tellNeed();
+    this->plan();
+    const PlannerOrders later = this->plan();
+    EXPECT_TRUE(std::any_of(later.move.begin(), later.move.end(), [](const Evacuation &order) {
+        return order.machine.value == "p1";
+    }));
+}
+
 TEST_F(FleetPlannerTest, LateWorkOfOnePoolDoesNotHoldWhatAFreshBurstNeeds)
 {
     for (int index = 0; index < 10; ++index) {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -118,9 +118,14 @@
     }
 }
 
-void PoolScheduler::setEarlierExecutors(const std::map<ExecutorKey, MachineId> &used)
+void PoolScheduler::setEarlierExecutors(const std::map<ExecutorKey, ExecutorPlace> &used)
 {
-    this->d->earlier = used;
+    this->d->earlier.clear();
+    for (const auto &[key, place] : used) {
+        if (place.service == this->d->service) {
+            this->d->earlier.emplace(key, place.machine);
+        }
+    }
 }
 
 void PoolScheduler::setEvacuations(const EvacuationList &list, TimePoint now)
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -48,6 +48,11 @@
         return info;
     }
 
+    static ExecutorPlace place(const std::string &name)
+    {
+        return ExecutorPlace{MachineId{"machine-" + name}, ServiceId{"desk"}};
+    }
+
     void list(const std::vector<ExecutorInfo> &infos)
     {
         this->scheduler->setExecutors(infos, this->now);
@@ -172,7 +177,7 @@
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
     this->list({executor("one"), executor("two")});
-    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, place("one")}});
     this->addBegun("a");
     this->report("two");
     this->report("one", {ReportedRun{ItemId{JobId{"a"}, 0, 0, 0}, 7, {}, 100, 0}});
@@ -184,7 +189,7 @@
 TEST_F(PoolSchedulerTest, AnEarlierOwnersWorkOnASilentExecutorIsWaitedOut)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
-    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, place("one")}});
     this->list({executor("one"), executor("two")});
     this->report("two");
     this->addBegun("a");
@@ -197,10 +202,28 @@
     EXPECT_EQ(orders.starts[0].run.run, 100'001);
 }
 
+TEST_F(PoolSchedulerTest, ExecutorsOfAnotherPoolAreNeitherWaitedForNorForgotten)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    ExecutorInfo other = executor("other");
+    other.service = ServiceId{"shop"};
+    this->scheduler->setEarlierExecutors({
+        {ExecutorKey{ExecutorId{"one"}, 100}, place("one")},
+        {ExecutorKey{ExecutorId{"other"}, 100}, ExecutorPlace{MachineId{"machine-other"}, ServiceId{"shop"}}},
+    });
+    this->list({executor("one"), other});
+    this->report("one");
+    this->addBegun("a");
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+    this->advance(7s);
+    this->list({executor("one"), other});
+    EXPECT_TRUE(this->scheduler->takeForgotten().empty());
+}
+
 TEST_F(PoolSchedulerTest, JobsThatNobodyBeganNeedNotWaitForAnEarlierOwnersWork)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
-    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, place("one")}});
     this->list({executor("one"), executor("two")});
     this->report("two");
     const JobProgress begun{JobId{"a"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Running, true, {}, {}};
@@ -360,7 +383,7 @@
 TEST_F(PoolSchedulerTest, SilentExecutorsOfAnEarlierOwnerAreForgottenOnlyOnceTheyAreClear)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
-    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, place("one")}});
     this->list({executor("one"), executor("two")});
     this->report("two");
     this->advance(3s);
@@ -376,7 +399,7 @@
 TEST_F(PoolSchedulerTest, AnEarlierLifeOfAMachineThatStartedAnewNeedNotBeWaitedFor)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
-    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"old"}, 100}, MachineId{"machine-one"}}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"old"}, 100}, place("one")}});
     this->list({executor("one", 200), executor("two")});
     this->report("two");
     this->report("one", {}, {}, 200);
@@ -387,7 +410,7 @@
 TEST_F(PoolSchedulerTest, ALifeThatAnOrderEndedNeedNotBeWaitedFor)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
-    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, MachineId{"machine-one"}}});
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, place("one")}});
     this->scheduler->setEvacuations(EvacuationList{1, {}, {{ExecutorId{"one"}, 100}}}, this->now);
     this->list({executor("one"), executor("two")});
     this->report("two");
--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -27,12 +27,13 @@
 class PlanningDuty::Private
 {
 public:
-    Private(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token)
+    Private(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, SeenOrders ordersSeen)
         : context(context)
         , platform(platform)
         , log(log)
         , feed(feed)
         , token(token)
+        , ordersSeen(std::move(ordersSeen))
     {
     }
 
@@ -41,12 +42,10 @@
     EventLog &log;
     const OperatorFeed &feed;
     std::int64_t token;
+    SeenOrders ordersSeen;
     std::int64_t sequence = 0;
     bool isStopped = false;
     TimePoint horizon{};
-    // An earlier planner's last orders must not mix with this one's: the machines that it was about to order wait.
-    TimePoint mayOrderFrom{};
-    std::set<MachineId> inherited;
     TimePoint listedAt{};
     PlannerState saved;
     std::unique_ptr<FleetPlanner> planner;
@@ -68,14 +67,31 @@
     net::awaitable<void> move(Evacuation order);
     void noteNeeds();
     void noteOutcome(const char *event, const Evacuation &order, MachineOutcome outcome);
-    bool mayOrder(const MachineId &machine) const;
+    bool mayOrder() const;
+    std::map<MachineId, TimePoint> machinesOfEarlierPlanner() const;
 };
 
-bool PlanningDuty::Private::mayOrder(const MachineId &machine) const
+bool PlanningDuty::Private::mayOrder() const
 {
-    const TimePoint now = bootNow();
-    const bool isSettled = now >= this->mayOrderFrom || !this->inherited.contains(machine);
-    return now < this->horizon && isSettled && !this->isStopped;
+    return bootNow() < this->horizon && !this->isStopped;
+}
+
+std::map<MachineId, TimePoint> PlanningDuty::Private::machinesOfEarlierPlanner() const
+{
+    const milliseconds lease = this->platform.settings().planLease;
+    std::map<MachineId, TimePoint> heldUntil;
+    for (const auto &[machine, at] : this->saved.orderedAt) {
+        const auto seen = this->ordersSeen.find(machine);
+        const bool isThatOrder = seen != this->ordersSeen.end() && seen->second.recordedAt == at;
+        heldUntil[machine] = (isThatOrder ? seen->second.seenAt : bootNow()) + lease;
+    }
+    for (const Evacuation &evacuation : this->saved.evacuations) {
+        // What was intended may have been ordered until now, with nobody left to record it.
+        if (!evacuation.isOrdered) {
+            heldUntil[evacuation.machine] = bootNow() + lease;
+        }
+    }
+    return heldUntil;
 }
 
 net::awaitable<bool> PlanningDuty::Private::append(std::vector<StoredRecord> records)
@@ -116,13 +132,7 @@
             this->saved = std::move(*state);
         }
     }
-    for (const Evacuation &evacuation : this->saved.evacuations) {
-        this->inherited.insert(evacuation.machine);
-    }
-    for (const auto &[machine, at] : this->saved.orderedAt) {
-        this->inherited.insert(machine);
-    }
-    Result<std::unique_ptr<FleetPlanner>> planner = FleetPlanner::create(this->platform.settings().planner, this->saved);
+    Result<std::unique_ptr<FleetPlanner>> planner = FleetPlanner::create(this->platform.settings().planner, this->saved, this->machinesOfEarlierPlanner());
     if (!planner) {
         co_return false;
     }
@@ -238,14 +248,14 @@
     }
     co_await this->tellOperator();
     for (const Evacuation &order : orders.maintain) {
-        if (this->mayOrder(order.machine)) {
+        if (this->mayOrder()) {
             co_await this->maintain(order);
         } else {
             this->planner->onMaintained(order, false, false, bootNow());
         }
     }
     for (const Evacuation &order : orders.move) {
-        if (this->mayOrder(order.machine)) {
+        if (this->mayOrder()) {
             co_await this->move(order);
         } else {
             this->planner->onMoved(order, false, false, bootNow());
@@ -262,15 +272,14 @@
 PlanningDuty::~PlanningDuty() = default;
 
 std::shared_ptr<PlanningDuty> PlanningDuty::create(
-    net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token)
+    net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, SeenOrders ordersSeen)
 {
-    return std::shared_ptr<PlanningDuty>(new PlanningDuty(std::make_unique<Private>(context, platform, log, feed, token)));
+    return std::shared_ptr<PlanningDuty>(new PlanningDuty(std::make_unique<Private>(context, platform, log, feed, token, std::move(ordersSeen))));
 }
 
 void PlanningDuty::start()
 {
     Private *state = this->d.get();
-    state->mayOrderFrom = bootNow() + state->platform.settings().planLease;
     state->reports = std::make_unique<StreamReader>(state->context, state->platform.store(), Stream::Plan, reportPartition,
         StreamReader::Handlers{[] {
                                },
--- a/src/scheduler/planningduty.h
+++ b/src/scheduler/planningduty.h
@@ -1,6 +1,7 @@
 // The duty that plans maintenance and moves for the whole fleet; one process has it at a time.
 #pragma once
 
+#include <map>
 #include <memory>
 
 #include <mangocourse/bootclock.h>
@@ -18,12 +19,20 @@
 inline constexpr std::int32_t reportPartition = 1;
 inline constexpr const char *plannerKey = "planner";
 
+// An order to a machine that a planner recorded, and when this process learnt of it, which is never before it was given.
+struct SeenOrder {
+    WallTime recordedAt{};
+    TimePoint seenAt{};
+};
+
+using SeenOrders = std::map<MachineId, SeenOrder>;
+
 // Runs until stop(). Its records and orders carry the token, so an earlier planner cannot interfere.
 class PlanningDuty : public std::enable_shared_from_this<PlanningDuty>
 {
 public:
     static std::shared_ptr<PlanningDuty> create(
-        net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token);
+        net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, SeenOrders ordersSeen);
     ~PlanningDuty();
 
     void start();
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -145,6 +145,21 @@
     }
 }
 
+std::string encodeExecutorPlace(const ExecutorPlace &place)
+{
+    return toBytes(Json::array({place.machine.value, place.service.value}));
+}
+
+Result<ExecutorPlace> decodeExecutorPlace(std::string_view bytes)
+{
+    try {
+        const Json json = fromBytes(bytes);
+        return ExecutorPlace{MachineId{json.at(0).get<std::string>()}, ServiceId{json.at(1).get<std::string>()}};
+    } catch (const Json::exception &exception) {
+        return makeError(ErrorCode::Decode, exception.what(), "executor place");
+    }
+}
+
 std::string encodePlannerState(const PlannerState &state)
 {
     Json evacuations = Json::array();
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -338,6 +338,47 @@
     EXPECT_EQ(this->call(CallerAction::Submit, this->job, 300ms).outcome, CallerOutcome::MayBeAccepted);
 }
 
+TEST_F(SchedulerTest, WhileTheStoreIsAwayCallersLearnAtOnceWhenToComeBack)
+{
+    this->store.mood = StoreMood::Refusing;
+    bool isProbing = true;
+    net::co_spawn(
+        this->context,
+        [this, &isProbing]() -> net::awaitable<void> {
+            const auto until = std::chrono::steady_clock::now() + 1200ms;
+            for (int number = 0; std::chrono::steady_clock::now() < until; ++number) {
+                CallerRequest request;
+                request.action = CallerAction::Submit;
+                request.host = "host";
+                request.path = "/counter/00000000000000" + std::to_string(10 + number % 80);
+                request.limit = 3000ms;
+                request.decodeJob = [] {
+                    return Result<JobSpec>(JobSpec{"work", {StepSpec{}}, {}});
+                };
+                const CallerReply reply = co_await this->gateway->handle(request);
+                EXPECT_EQ(reply.outcome, CallerOutcome::NotAccepted);
+            }
+            isProbing = false;
+        },
+        net::detached);
+    const auto later = std::chrono::steady_clock::now() + 100ms;
+    this->runUntil([later] {
+        return std::chrono::steady_clock::now() > later;
+    });
+    const auto asked = std::chrono::steady_clock::now();
+    const CallerReply reply = this->call(CallerAction::Submit, this->job, 3000ms);
+    EXPECT_EQ(reply.outcome, CallerOutcome::NotAccepted);
+    EXPECT_GT(reply.retryAfter, 0ms);
+    // Not held until the caller's limit.
+    EXPECT_LT(std::chrono::steady_clock::now() - asked, 1000ms);
+    this->runUntil([&isProbing] {
+        return !isProbing;
+    });
+    EXPECT_TRUE((this->store.partitions[{Stream::Jobs, 0}].records.empty()));
+    this->store.mood = StoreMood::Fine;
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+}
+
 TEST_F(SchedulerTest, UnknownJobsAndQueuesAreToldApart)
 {
     EXPECT_EQ(this->call(CallerAction::Read, this->job).outcome, CallerOutcome::NoSuchJob);
@@ -461,6 +502,8 @@
     state.ended[ExecutorId{"y"}] = PlannerState::EndedLife{6, WallTime(7ms)};
     state.orderedAt[MachineId{"m"}] = WallTime(8ms);
     EXPECT_EQ(*decodePlannerState(encodePlannerState(state)), state);
+    const ExecutorPlace place{MachineId{"m"}, ServiceId{"s"}};
+    EXPECT_EQ(*decodeExecutorPlace(encodeExecutorPlace(place)), place);
     PoolReport report;
     report.service = ServiceId{"s"};
     report.lateBacklog = 5;
@@ -471,6 +514,7 @@
         EXPECT_FALSE(decodeProgress(JobId{"j"}, bad));
         EXPECT_FALSE(decodePlannerState(bad));
         EXPECT_FALSE(decodePoolReport(bad));
+        EXPECT_FALSE(decodeExecutorPlace(bad));
     }
 }
 
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "clocks.h"
 #include "event.h"
 #include "eventlog.h"
 #include "executordirectory.h"
@@ -95,6 +96,7 @@
     Ownership ownership;
     StreamReader evacuations;
     std::shared_ptr<PlanningDuty> planning;
+    SeenOrders ordersSeen;
     std::map<ServiceId, PoolReport> reported;
     std::map<ServiceId, steady_clock::time_point> reportedAt;
     std::int64_t reportNumber = 0;
@@ -133,7 +135,7 @@
         this->planning.reset();
     }
     if (token != 0 && this->platform->machines() != nullptr) {
-        this->planning = PlanningDuty::create(this->context, *this->platform, *this->log, this->feed, token);
+        this->planning = PlanningDuty::create(this->context, *this->platform, *this->log, this->feed, token, this->ordersSeen);
         this->planning->start();
     }
 }
@@ -148,6 +150,15 @@
         this->log->emit("plan_unreadable", {{"reason", describe(state.error())}}, EventWeight::Essential);
         return;
     }
+    for (const auto &[machine, at] : state->orderedAt) {
+        SeenOrder &seen = this->ordersSeen[machine];
+        if (seen.recordedAt != at) {
+            seen = SeenOrder{at, bootNow()};
+        }
+    }
+    std::erase_if(this->ordersSeen, [&state](const auto &entry) {
+        return !state->orderedAt.contains(entry.first);
+    });
     this->ownership.setEvacuations(state->list());
 }
 
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -38,8 +38,8 @@
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
     EvacuationList evacuations;
-    // Executor lives whose use is durable, with their machines.
-    std::map<ExecutorKey, MachineId> recorded;
+    // Executor lives whose use is durable.
+    std::map<ExecutorKey, ExecutorPlace> recorded;
     std::map<ServiceId, std::unique_ptr<PoolScheduler>> pools;
     std::map<JobId, AcceptedJob> unplaced;
     std::map<JobId, JobProgress> progress;
@@ -73,8 +73,8 @@
     // Repeats the call until the store answers; false where the ownership ended meanwhile.
     net::awaitable<bool> appendUntilDurable(std::vector<StoredRecord> records);
 
-    // An empty value would delete the record.
-    std::string machineName(const ExecutorKey &key) const;
+    // The machine is empty where discovery does not name it.
+    ExecutorPlace placeOf(const ExecutorKey &key, const ServiceId &service) const;
 
     net::awaitable<bool> load();
     net::awaitable<void> run();
--- a/src/scheduler/shardownerloops.cpp
+++ b/src/scheduler/shardownerloops.cpp
@@ -10,7 +10,6 @@
 using std::chrono::milliseconds;
 
 constexpr const char *producerName = "owner";
-constexpr const char *unknownMachine = "?";
 constexpr milliseconds appendLimit{1200};
 constexpr milliseconds retryPause{80};
 // Progress that nobody waits for gathers this long.
@@ -54,14 +53,13 @@
     co_return false;
 }
 
-std::string ShardOwner::Loops::machineName(const ExecutorKey &key) const
+ExecutorPlace ShardOwner::Loops::placeOf(const ExecutorKey &key, const ServiceId &service) const
 {
-    for (const ExecutorInfo &info : this->state.executors) {
-        if (info.id == key.id && !info.machine.isEmpty()) {
-            return info.machine.value;
-        }
-    }
-    return unknownMachine;
+    const auto &known = this->state.executors;
+    const auto info = std::find_if(known.begin(), known.end(), [&key](const ExecutorInfo &one) {
+        return one.id == key.id && one.born == key.born;
+    });
+    return ExecutorPlace{info == known.end() ? MachineId{} : info->machine, service};
 }
 
 net::awaitable<bool> ShardOwner::Loops::load()
@@ -84,7 +82,12 @@
             takeovers = std::atoll(record.value.c_str());
             break;
         case KeyKind::Executor:
-            this->state.recorded[key.executor] = MachineId{record.value};
+            if (Result<ExecutorPlace> place = decodeExecutorPlace(record.value)) {
+                this->state.recorded[key.executor] = std::move(*place);
+            } else {
+                this->state.owner.log.emit(
+                    "executor_unreadable", {{"executor", key.executor.id.value}, {"reason", describe(place.error())}}, EventWeight::Essential);
+            }
             break;
         case KeyKind::Job:
             if (Result<JobProgress> progress = decodeProgress(key.job, record.value)) {
@@ -200,7 +203,7 @@
                 if (this->state.recorded.contains(key)) {
                     pool->markRecorded(key);
                 } else {
-                    this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), this->machineName(key), -1});
+                    this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), encodeExecutorPlace(this->placeOf(key, service)), -1});
                 }
             }
             for (const ExecutorKey &key : pool->takeForgotten()) {
@@ -346,10 +349,14 @@
     this->state.isPersisting = true;
     std::vector<StoredRecord> records = std::move(this->state.extraRecords);
     this->state.extraRecords.clear();
-    std::vector<ExecutorKey> newlyRecorded;
+    std::map<ExecutorKey, ExecutorPlace> newlyRecorded;
     for (const StoredRecord &record : records) {
-        if (!record.value.empty()) {
-            newlyRecorded.push_back(parseKey(record.key).executor);
+        const ParsedKey key = parseKey(record.key);
+        if (key.kind != KeyKind::Executor || record.value.empty()) {
+            continue;
+        }
+        if (const Result<ExecutorPlace> place = decodeExecutorPlace(record.value)) {
+            newlyRecorded.emplace(key.executor, *place);
         }
     }
     for (auto &[service, pool] : this->state.pools) {
@@ -367,12 +374,12 @@
     }
     const bool isDurable = co_await this->appendUntilDurable(std::move(records));
     if (isDurable) {
-        for (const ExecutorKey &key : newlyRecorded) {
-            this->state.recorded[key] = MachineId{this->machineName(key)};
+        for (const auto &[key, place] : newlyRecorded) {
+            this->state.recorded[key] = place;
         }
         for (auto &[service, pool] : this->state.pools) {
             pool->markPersisted();
-            for (const ExecutorKey &key : newlyRecorded) {
+            for (const auto &[key, place] : newlyRecorded) {
                 pool->markRecorded(key);
             }
         }
