Planner: one at a time stays in its group; evacuations count from their own list

An evacuation also waited for a report that follows the newest list, which never came while the list changed ten times a second (test red first). Ruled out: unreachable executors (none), a lack of reports.

Change: orders are recorded before they are given, so intents that are not recorded are free; processes stand by for the planning outside the group; an evacuation needs the list that began it; idle machines are parked after 4.5 s, so that the next burst finds them up; the log of needs counts leaving and unreachable machines.

--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -61,6 +61,8 @@
     ServiceId target;
     // The order was carried out.
     bool isOrdered = false;
+    // The number of the first list that had it.
+    std::int64_t since = 0;
 
     bool operator==(const Evacuation &) const = default;
 };
@@ -102,6 +104,9 @@
     std::int32_t size = 0;
     std::int64_t inflow = 0;
     std::int64_t backlog = 0;
+    // Machines of the pool that do not count as its own: on their way out, and those that its owner cannot reach.
+    std::int32_t leaving = 0;
+    std::int32_t unreachable = 0;
     // Age of the pool's report when the plan was made; negative where there is none.
     std::chrono::milliseconds reportAge{};
 };
@@ -116,7 +121,7 @@
     std::chrono::milliseconds moveTime{1500};
     std::chrono::milliseconds maintenanceTime{2000};
     // A machine has to be needless for this long before it is parked.
-    std::chrono::milliseconds parkAfter{1500};
+    std::chrono::milliseconds parkAfter{4500};
 };
 
 // One planner for the whole fleet. Calls come from one thread.
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -52,6 +52,8 @@
     std::vector<MachineId> up;
     // Machines on their way into the pool.
     std::int32_t coming = 0;
+    std::int32_t leaving = 0;
+    std::int32_t unreachable = 0;
     std::int64_t cpuPerMachine = 0;
     std::int32_t needed = 0;
     // What it keeps when machines are scarce.
@@ -125,8 +127,8 @@
     this->evacuatingSince[machine] = now;
     const MachineInfo &info = this->machines.at(machine);
     const ExecutorUse *use = this->useOf(info, now);
-    this->state.evacuations.push_back(Evacuation{machine, info.executor, use == nullptr ? 0 : use->born, purpose, wave, target, false});
     ++this->state.number;
+    this->state.evacuations.push_back(Evacuation{machine, info.executor, use == nullptr ? 0 : use->born, purpose, wave, target, false, this->state.number});
 }
 
 void FleetPlanner::Private::endEvacuation(const MachineId &machine)
@@ -190,6 +192,7 @@
         }
         pool->second.cpuPerMachine = std::max(pool->second.cpuPerMachine, machine.capacity.cpu);
         if (this->isEvacuating(id)) {
+            ++pool->second.leaving;
             continue;
         }
         if (machine.state == MachineState::Moving || machine.state == MachineState::InMaintenance) {
@@ -198,6 +201,8 @@
             const ExecutorUse *use = this->useOf(machine, now);
             if (use == nullptr || use->isReachable) {
                 pool->second.up.push_back(id);
+            } else {
+                ++pool->second.unreachable;
             }
         }
     }
@@ -274,7 +279,7 @@
         return true;
     }
     const auto report = this->reports.find(machine->second.pool);
-    if (report == this->reports.end() || now - report->second.at > reportLife || report->second.report.evacuationsSeen < this->state.number) {
+    if (report == this->reports.end() || now - report->second.at > reportLife || report->second.report.evacuationsSeen < evacuation.since) {
         return false;
     }
     const ExecutorUse *use = this->useOf(machine->second, now);
@@ -549,6 +554,8 @@
         } else {
             continue;
         }
+        // Recorded before the order is given, so that a later planner knows of it in any case.
+        state.state.orderedAt[evacuation.machine] = wallNow;
         state.untouchedUntil[evacuation.machine] = after(now, unknownHold);
     }
     std::map<ServiceId, PoolView> pools = state.viewPools(now);
@@ -556,9 +563,13 @@
     for (const auto &[service, pool] : pools) {
         const auto report = state.reports.find(service);
         const bool isKnown = report != state.reports.end();
-        const auto age = isKnown ? std::chrono::duration_cast<milliseconds>(now - report->second.at) : milliseconds(-1);
-        state.needs.push_back(
-            PoolNeed{service, pool.needed, pool.size(), isKnown ? report->second.report.inflow : 0, isKnown ? report->second.report.backlog : 0, age});
+        PoolNeed need{service, pool.needed, pool.size()};
+        need.leaving = pool.leaving;
+        need.unreachable = pool.unreachable;
+        need.inflow = isKnown ? report->second.report.inflow : 0;
+        need.backlog = isKnown ? report->second.report.backlog : 0;
+        need.reportAge = isKnown ? std::chrono::duration_cast<milliseconds>(now - report->second.at) : milliseconds(-1);
+        state.needs.push_back(std::move(need));
     }
     state.startMaintenance(pools, now, wallNow);
     state.planMoves(pools, now);
--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -183,6 +183,27 @@
     EXPECT_EQ(orders.move[0].machine, MachineId{"spare"});
 }
 
+TEST_F(FleetPlannerTest, LaterChangesOfTheListDoNotHoldUpAMachineThatItsOwnerHasEmptied)
+{
+    for (const char *name : {"d1", "d2", "d3", "d4", "d5", "d6"}) {
+        this->machine(name, "desk");
+    }
+    this->list();
+    this->tell(this->report("desk", {"d1", "d2", "d3", "d4", "d5", "d6"}));
+    this->wave({"d1"}, 2);
+    this->plan();
+    ASSERT_EQ(this->planner->state().evacuations.size(), 1U);
+    const PoolReport emptied = this->report("desk", {"d1", "d2", "d3", "d4", "d5", "d6"});
+    this->wave({"d1", "d2"}, 2);
+    this->plan();
+    ASSERT_EQ(this->planner->state().evacuations.size(), 2U);
+    // The owner follows the list with the first machine, not yet the one with the second.
+    this->tell(emptied);
+    const PlannerOrders orders = this->plan();
+    ASSERT_EQ(orders.maintain.size(), 1U);
+    EXPECT_EQ(orders.maintain[0].machine, MachineId{"d1"});
+}
+
 TEST_F(FleetPlannerTest, MachinesOfAnEarlierPlannersLastOrdersWaitWhileOthersAreTaken)
 {
     this->planner = std::move(*FleetPlanner::create(PlannerSettings{}, PlannerState{}, {{MachineId{"p1"}, this->now + 3s}}));
--- a/src/scheduler/nodesettings.h
+++ b/src/scheduler/nodesettings.h
@@ -1,6 +1,7 @@
 // What one scheduler process knows at its start.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 
@@ -30,6 +31,13 @@
     std::chrono::milliseconds shortestMembership{1000};
     bool hasMachines = false;
     bool hasPolicy = false;
+
+    // A member of a group that is silent for this long is replaced.
+    std::chrono::milliseconds membershipSilence() const
+    {
+        constexpr std::chrono::milliseconds wanted{1200};
+        return std::max(wanted, this->shortestMembership);
+    }
 };
 
 }
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -12,54 +12,42 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds joinInterval{200};
-constexpr milliseconds joinRetry{100};
-// A silent member loses its partitions after this long.
-constexpr milliseconds wantedMembership{1200};
+constexpr milliseconds startCheck{100};
 
 }
 
-Ownership::Ownership(OwnerContext owner, Handlers handlers)
+Ownership::Ownership(OwnerContext owner, std::function<void(bool isReachable)> contact)
     : owner(owner)
-    , handlers(std::move(handlers))
+    , member(owner.context, owner.store, owner.log, Group::Owners, owner.settings.membershipSilence(),
+          GroupMember::Handlers{[this](const MembershipConfirmation &confirmation) {
+                                    this->apply(confirmation);
+                                },
+              std::move(contact)})
 {
 }
 
-milliseconds Ownership::membershipTime() const
+void Ownership::setTerms()
 {
-    return std::max(wantedMembership, this->owner.settings.shortestMembership);
-}
-
-void Ownership::setTerms(TimePoint sentAt)
-{
-    this->confirmedAt = std::max(this->confirmedAt, sentAt);
+    const TimePoint confirmedAt = this->member.confirmedAt();
     for (auto &[partition, shard] : this->owned) {
-        shard->setTerm(OwnershipTerm{this->confirmedAt, this->confirmedAt + this->owner.settings.scheduler.longestLease});
+        shard->setTerm(OwnershipTerm{confirmedAt, confirmedAt + this->owner.settings.scheduler.longestLease});
     }
 }
 
-void Ownership::apply(const Membership &membership, TimePoint sentAt)
+void Ownership::apply(const MembershipConfirmation &confirmation)
 {
-    const milliseconds allowed = this->membershipTime();
-    const bool hadGap = this->confirmedAt != TimePoint{} && sentAt - this->confirmedAt > allowed;
-    const bool hasChanged = membership.generation != this->generation;
-    // After a gap in which the group changed, a partition may have been elsewhere and come back.
-    const bool isUncertain = hadGap && hasChanged;
-    this->generation = membership.generation;
+    const std::int64_t generation = confirmation.membership.generation;
     std::set<std::int32_t> wanted;
-    bool plans = false;
-    for (const OwnedPartition &part : membership.owned) {
+    for (const OwnedPartition &part : confirmation.membership.owned) {
         if (part.stream == Stream::Jobs) {
             wanted.insert(part.partition);
-        } else if (part.stream == Stream::Plan && part.partition == 0) {
-            plans = true;
         }
     }
     for (auto shard = this->owned.begin(); shard != this->owned.end();) {
         const bool isLost = !wanted.contains(shard->first);
-        if (isLost || isUncertain || shard->second->isSuperseded()) {
+        if (isLost || confirmation.isUncertain || shard->second->isSuperseded()) {
             this->owner.log.emit(isLost ? "ownership_lost" : "ownership_renewed",
-                {{"partition", std::int64_t(shard->first)}, {"token", shard->second->token()}, {"generation", membership.generation}}, EventWeight::Essential);
+                {{"partition", std::int64_t(shard->first)}, {"token", shard->second->token()}, {"generation", generation}}, EventWeight::Essential);
             shard->second->stop();
             shard = this->owned.erase(shard);
         } else {
@@ -70,73 +58,36 @@
         if (this->owned.contains(partition)) {
             continue;
         }
-        const auto shard = ShardOwner::create(this->owner, partition, membership.generation);
+        const auto shard = ShardOwner::create(this->owner, partition, generation);
         this->owned.emplace(partition, shard);
         shard->setConfig(this->config);
         shard->setExecutors(this->executors);
         shard->setEvacuations(this->knownEvacuations);
         shard->start();
     }
-    this->setTerms(sentAt);
-    if (plans && (this->planning == 0 || isUncertain)) {
-        this->planning = membership.generation;
-        this->handlers.planning(this->planning);
-    } else if (!plans && this->planning != 0) {
-        this->planning = 0;
-        this->handlers.planning(0);
-    }
-}
-
-net::awaitable<void> Ownership::leaveEarlierLife()
-{
-    // Under the same name and generation the token of the process's earlier life would be used again.
-    while (!this->isRetired) {
-        const Result<void> left = co_await this->owner.store.leave();
-        if (left || left.error().code == ErrorCode::Refused || left.error().code == ErrorCode::Conflict) {
-            co_return;
-        }
-        co_await sleepFor(this->owner.context, joinRetry);
-    }
+    this->setTerms();
 }
 
 net::awaitable<void> Ownership::run()
 {
-    co_await this->leaveEarlierLife();
-    while (!this->isRetired) {
-        if (!this->config || !this->isPlanKnown) {
-            // Such a member could not serve what it is given.
-            co_await sleepFor(this->owner.context, joinRetry);
-            continue;
-        }
-        const TimePoint sentAt = bootNow();
-        const Result<Membership> joined = co_await this->owner.store.join(this->generation, this->membershipTime());
-        if (this->isRetired) {
-            break;
-        }
-        if (joined) {
-            this->apply(*joined, sentAt);
-        }
-        this->handlers.contact(joined.has_value());
-        if (!joined) {
-            this->owner.log.emit("join_failed", {{"reason", describe(joined.error())}, {"generation", this->generation}});
-        }
-        co_await sleepFor(this->owner.context, joined ? joinInterval : joinRetry);
+    // A member without these could not serve what it is given.
+    while (!this->isRetired && (!this->config || !this->isPlanKnown)) {
+        co_await sleepFor(this->owner.context, startCheck);
+    }
+    if (!this->isRetired) {
+        co_await this->member.run();
     }
 }
 
 net::awaitable<void> Ownership::retire()
 {
     this->isRetired = true;
-    if (this->planning != 0) {
-        this->planning = 0;
-        this->handlers.planning(0);
-    }
+    this->member.stop();
     for (auto &[partition, shard] : this->owned) {
         co_await shard->handOver();
     }
     this->owned.clear();
-    const Result<void> left = co_await this->owner.store.leave();
-    this->owner.log.emit("left_group", {{"generation", this->generation}, {"confirmed", left.has_value()}}, EventWeight::Essential);
+    co_await this->member.leave();
 }
 
 void Ownership::setConfig(std::shared_ptr<const FleetConfig> config)
@@ -180,16 +131,6 @@
     });
 }
 
-std::int64_t Ownership::planningToken() const
-{
-    return this->planning;
-}
-
-TimePoint Ownership::planningUntil() const
-{
-    return this->confirmedAt + this->membershipTime();
-}
-
 const std::map<std::int32_t, std::shared_ptr<ShardOwner>> &Ownership::shards() const
 {
     return this->owned;
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 
+#include "groupmember.h"
 #include "shardowner.h"
 
 namespace MangoCourse {
@@ -12,13 +13,7 @@
 class Ownership
 {
 public:
-    struct Handlers {
-        std::function<void(bool isReachable)> contact;
-        // Called when the planning duty is gained, with its token, and when it is lost, with 0.
-        std::function<void(std::int64_t token)> planning;
-    };
-
-    Ownership(OwnerContext owner, Handlers handlers);
+    Ownership(OwnerContext owner, std::function<void(bool isReachable)> contact);
 
     // Keeps the membership until retire().
     net::awaitable<void> run();
@@ -33,26 +28,18 @@
     const EvacuationList &evacuations() const;
     // Returns true where some owned partition has a pool.
     bool ownsPools() const;
-    std::int64_t planningToken() const;
-    // Until when the planning duty may act.
-    TimePoint planningUntil() const;
     const std::map<std::int32_t, std::shared_ptr<ShardOwner>> &shards() const;
 
 private:
-    std::chrono::milliseconds membershipTime() const;
-    net::awaitable<void> leaveEarlierLife();
-    void apply(const Membership &membership, TimePoint sentAt);
-    void setTerms(TimePoint sentAt);
+    void apply(const MembershipConfirmation &confirmation);
+    void setTerms();
 
     OwnerContext owner;
-    Handlers handlers;
+    GroupMember member;
     std::map<std::int32_t, std::shared_ptr<ShardOwner>> owned;
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
     EvacuationList knownEvacuations;
-    std::int64_t generation = 0;
-    std::int64_t planning = 0;
-    TimePoint confirmedAt{};
     bool isPlanKnown = false;
     bool isRetired = false;
 };
--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -21,13 +21,15 @@
 // The list of machines is read this often while something moves, and else.
 constexpr milliseconds busyListInterval{450};
 constexpr milliseconds calmListInterval{1500};
+// An order that could not be given within this time of its plan is planned anew.
+constexpr milliseconds orderPatience{700};
 
 }
 
 class PlanningDuty::Private
 {
 public:
-    Private(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, SeenOrders ordersSeen)
+    Private(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, std::optional<SeenOrders> ordersSeen)
         : context(context)
         , platform(platform)
         , log(log)
@@ -42,7 +44,7 @@
     EventLog &log;
     const OperatorFeed &feed;
     std::int64_t token;
-    SeenOrders ordersSeen;
+    std::optional<SeenOrders> ordersSeen;
     std::int64_t sequence = 0;
     bool isStopped = false;
     TimePoint horizon{};
@@ -67,29 +69,28 @@
     net::awaitable<void> move(Evacuation order);
     void noteNeeds();
     void noteOutcome(const char *event, const Evacuation &order, MachineOutcome outcome);
-    bool mayOrder() const;
+    bool mayOrder(TimePoint plannedAt) const;
     std::map<MachineId, TimePoint> machinesOfEarlierPlanner() const;
 };
 
-bool PlanningDuty::Private::mayOrder() const
+bool PlanningDuty::Private::mayOrder(TimePoint plannedAt) const
 {
-    return bootNow() < this->horizon && !this->isStopped;
+    const TimePoint now = bootNow();
+    return now < this->horizon && now - plannedAt < orderPatience && !this->isStopped;
 }
 
 std::map<MachineId, TimePoint> PlanningDuty::Private::machinesOfEarlierPlanner() const
 {
-    const milliseconds lease = this->platform.settings().planLease;
+    // Recorded before the order is given, which happens within the patience.
+    const milliseconds hold = this->platform.settings().planLease + orderPatience;
     std::map<MachineId, TimePoint> heldUntil;
-    for (const auto &[machine, at] : this->saved.orderedAt) {
-        const auto seen = this->ordersSeen.find(machine);
-        const bool isThatOrder = seen != this->ordersSeen.end() && seen->second.recordedAt == at;
-        heldUntil[machine] = (isThatOrder ? seen->second.seenAt : bootNow()) + lease;
+    if (!this->ordersSeen) {
+        return heldUntil;
     }
-    for (const Evacuation &evacuation : this->saved.evacuations) {
-        // What was intended may have been ordered until now, with nobody left to record it.
-        if (!evacuation.isOrdered) {
-            heldUntil[evacuation.machine] = bootNow() + lease;
-        }
+    for (const auto &[machine, at] : this->saved.orderedAt) {
+        const auto seen = this->ordersSeen->find(machine);
+        const bool isThatOrder = seen != this->ordersSeen->end() && seen->second.recordedAt == at;
+        heldUntil[machine] = (isThatOrder ? seen->second.seenAt : bootNow()) + hold;
     }
     return heldUntil;
 }
@@ -198,7 +199,8 @@
         this->notedNeeds[need.service] = figures;
         this->log.emit("pool_need",
             {{"service", need.service.value}, {"needed", std::int64_t(need.needed)}, {"size", std::int64_t(need.size)}, {"inflow", need.inflow},
-                {"backlog", need.backlog}, {"report_age_ms", std::int64_t(need.reportAge.count())}});
+                {"backlog", need.backlog}, {"leaving", std::int64_t(need.leaving)}, {"unreachable", std::int64_t(need.unreachable)},
+                {"report_age_ms", std::int64_t(need.reportAge.count())}});
     }
 }
 
@@ -240,7 +242,8 @@
         this->planner->setConfig(*this->feed.config());
     }
     this->planner->setWaves(this->feed.waves(), wallNow());
-    const PlannerOrders orders = this->planner->plan(bootNow(), wallNow());
+    const TimePoint plannedAt = bootNow();
+    const PlannerOrders orders = this->planner->plan(plannedAt, wallNow());
     this->noteNeeds();
     const bool isSaved = co_await this->save();
     if (!isSaved) {
@@ -248,14 +251,14 @@
     }
     co_await this->tellOperator();
     for (const Evacuation &order : orders.maintain) {
-        if (this->mayOrder()) {
+        if (this->mayOrder(plannedAt)) {
             co_await this->maintain(order);
         } else {
             this->planner->onMaintained(order, false, false, bootNow());
         }
     }
     for (const Evacuation &order : orders.move) {
-        if (this->mayOrder()) {
+        if (this->mayOrder(plannedAt)) {
             co_await this->move(order);
         } else {
             this->planner->onMoved(order, false, false, bootNow());
@@ -272,7 +275,7 @@
 PlanningDuty::~PlanningDuty() = default;
 
 std::shared_ptr<PlanningDuty> PlanningDuty::create(
-    net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, SeenOrders ordersSeen)
+    net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, std::optional<SeenOrders> ordersSeen)
 {
     return std::shared_ptr<PlanningDuty>(new PlanningDuty(std::make_unique<Private>(context, platform, log, feed, token, std::move(ordersSeen))));
 }
--- a/src/scheduler/planningduty.h
+++ b/src/scheduler/planningduty.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 #include <mangocourse/bootclock.h>
 #include <mangocourse/fleetplanner.h>
@@ -31,8 +32,9 @@
 class PlanningDuty : public std::enable_shared_from_this<PlanningDuty>
 {
 public:
-    static std::shared_ptr<PlanningDuty> create(
-        net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, SeenOrders ordersSeen);
+    // `ordersSeen` is missing in a process that has just started: whoever planned before is gone, and its late orders are fenced.
+    static std::shared_ptr<PlanningDuty> create(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed,
+        std::int64_t token, std::optional<SeenOrders> ordersSeen);
     ~PlanningDuty();
 
     void start();
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -53,6 +53,19 @@
     std::int64_t end = 0;
 };
 
+// The store's groups that deal partitions out.
+enum class Group {
+    // Who owns which partition of jobs.
+    Owners,
+    // Who plans the machines: the holder of partition 0 of the plan.
+    Planners,
+};
+
+constexpr std::string_view toString(Group group)
+{
+    return group == Group::Owners ? "owners" : "planners";
+}
+
 struct OwnedPartition {
     Stream stream = Stream::Jobs;
     std::int32_t partition = 0;
@@ -82,11 +95,14 @@
     // Returns the newest record of each key, and the offset from which reading misses nothing.
     virtual net::awaitable<Result<StreamBatch>> newest(Stream stream, std::int32_t partition) = 0;
 
-    // Joins the group of owners, or keeps the membership. A member that is silent for `ttl` loses its partitions.
-    virtual net::awaitable<Result<Membership>> join(std::int64_t generation, std::chrono::milliseconds ttl) = 0;
+    // Joins the group, or keeps the membership. A member that is silent for `ttl` loses its partitions.
+    virtual net::awaitable<Result<Membership>> join(Group group, std::int64_t generation, std::chrono::milliseconds ttl) = 0;
 
     // Gives up the membership at once.
-    virtual net::awaitable<Result<void>> leave() = 0;
+    virtual net::awaitable<Result<void>> leave(Group group) = 0;
+
+    // Returns true where another member holds partitions.
+    virtual net::awaitable<Result<bool>> hasOtherMembers(Group group) = 0;
 };
 
 // Calls to executors.
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -165,7 +165,7 @@
     Json evacuations = Json::array();
     for (const Evacuation &evacuation : state.evacuations) {
         evacuations.push_back(Json::array({evacuation.machine.value, evacuation.executor.value, evacuation.born, static_cast<int>(evacuation.purpose),
-            evacuation.wave.value, evacuation.target.value, evacuation.isOrdered}));
+            evacuation.wave.value, evacuation.target.value, evacuation.isOrdered, evacuation.since}));
     }
     Json waves = Json::array();
     for (const auto &[id, wave] : state.waves) {
@@ -195,7 +195,7 @@
         for (const Json &row : json.at(1)) {
             state.evacuations.push_back(Evacuation{MachineId{row.at(0).get<std::string>()}, ExecutorId{row.at(1).get<std::string>()},
                 row.at(2).get<std::int64_t>(), row.at(3).get<int>() == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move,
-                WaveId{row.at(4).get<std::string>()}, ServiceId{row.at(5).get<std::string>()}, row.at(6).get<bool>()});
+                WaveId{row.at(4).get<std::string>()}, ServiceId{row.at(5).get<std::string>()}, row.at(6).get<bool>(), row.at(7).get<std::int64_t>()});
         }
         for (const Json &row : json.at(2)) {
             PlannerState::Wave &wave = state.waves[WaveId{row.at(0).get<std::string>()}];
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -1,5 +1,6 @@
 // The scheduler's duties against a store kept in memory.
 #include "batchappender.h"
+#include "groupmember.h"
 #include "jobgateway.h"
 #include "recordcodec.h"
 #include "shardowner.h"
@@ -117,14 +118,25 @@
         co_return batch;
     }
 
-    net::awaitable<Result<Membership>> join(std::int64_t, std::chrono::milliseconds) override
+    net::awaitable<Result<Membership>> join(Group, std::int64_t, std::chrono::milliseconds) override
     {
-        co_return Membership{};
+        co_await sleepFor(this->context, 1ms);
+        if (this->mood == StoreMood::Refusing) {
+            co_return makeError(ErrorCode::Unavailable, "refused");
+        }
+        co_return this->membership;
     }
-    net::awaitable<Result<void>> leave() override
+    net::awaitable<Result<void>> leave(Group) override
     {
         co_return Result<void>{};
     }
+    net::awaitable<Result<bool>> hasOtherMembers(Group) override
+    {
+        co_return false;
+    }
+
+    // The answer to joins.
+    Membership membership;
 };
 
 // Executors that start at once and end each run after a while.
@@ -379,6 +391,42 @@
     EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
 }
 
+TEST_F(SchedulerTest, AMembershipThatMayHaveLapsedIsUncertainOnceTheGroupHasChanged)
+{
+    std::vector<MembershipConfirmation> confirmations;
+    GroupMember member(this->context, this->store, *this->log, Group::Planners, 300ms,
+        GroupMember::Handlers{[&confirmations](const MembershipConfirmation &confirmation) {
+                                  confirmations.push_back(confirmation);
+                              },
+            [](bool) {
+            }});
+    this->store.membership = Membership{7, {OwnedPartition{Stream::Plan, 0}}};
+    net::co_spawn(this->context, member.run(), net::detached);
+    this->runUntil([&confirmations] {
+        return confirmations.size() == 2;
+    });
+    EXPECT_FALSE(confirmations.back().isUncertain);
+    EXPECT_EQ(member.confirmedUntil() - member.confirmedAt(), Duration(300ms));
+    this->store.mood = StoreMood::Refusing;
+    const auto lapsed = std::chrono::steady_clock::now() + 600ms;
+    this->runUntil([lapsed] {
+        return std::chrono::steady_clock::now() > lapsed;
+    });
+    this->store.mood = StoreMood::Fine;
+    this->store.membership.generation = 9;
+    const std::size_t before = confirmations.size();
+    this->runUntil([&confirmations, before] {
+        return confirmations.size() > before;
+    });
+    EXPECT_TRUE(confirmations[before].isUncertain);
+    EXPECT_EQ(member.generation(), 9);
+    member.stop();
+    const auto ended = std::chrono::steady_clock::now() + 400ms;
+    this->runUntil([ended] {
+        return std::chrono::steady_clock::now() > ended;
+    });
+}
+
 TEST_F(SchedulerTest, UnknownJobsAndQueuesAreToldApart)
 {
     EXPECT_EQ(this->call(CallerAction::Read, this->job).outcome, CallerOutcome::NoSuchJob);
@@ -497,7 +545,7 @@
     EXPECT_EQ(*decodeProgress(JobId{"j"}, encodeProgress(progress)), progress);
     PlannerState state;
     state.number = 7;
-    state.evacuations.push_back(Evacuation{MachineId{"m"}, ExecutorId{"x"}, 5, EvacuationPurpose::Move, {}, ServiceId{"s"}, true});
+    state.evacuations.push_back(Evacuation{MachineId{"m"}, ExecutorId{"x"}, 5, EvacuationPurpose::Move, {}, ServiceId{"s"}, true, 6});
     state.waves[WaveId{"1"}] = PlannerState::Wave{{MachineId{"m"}}, WallTime(5ms), true};
     state.ended[ExecutorId{"y"}] = PlannerState::EndedLife{6, WallTime(7ms)};
     state.orderedAt[MachineId{"m"}] = WallTime(8ms);
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds busyDirectoryInterval{200};
 constexpr milliseconds idleInterval{250};
 constexpr milliseconds planWait{2000};
+// Processes that stand by for the planning look this often whether somebody has it.
+constexpr milliseconds candidateInterval{500};
 // Changes of the plan that come together are read together.
 constexpr milliseconds planPause{25};
 // Pools are looked at this often, and reported at least every reportRepeat.
@@ -66,14 +68,14 @@
                   }})
         , ownership(OwnerContext{context, this->platform->store(), this->platform->executors(), this->platform->policy(), *this->log, this->metrics,
                         this->platform->settings()},
-              Ownership::Handlers{[this](bool isReachable) {
-                                      this->gateway->noteStore(isReachable);
-                                      if (this->planning) {
-                                          this->planning->setHorizon(this->ownership.planningUntil());
-                                      }
-                                  },
-                  [this](std::int64_t token) {
-                      this->changePlanning(token);
+              [this](bool isReachable) {
+                  this->gateway->noteStore(isReachable);
+              })
+        , planner(context, this->platform->store(), *this->log, Group::Planners, this->platform->settings().membershipSilence(),
+              GroupMember::Handlers{[this](const MembershipConfirmation &confirmation) {
+                                        this->applyPlanning(confirmation);
+                                    },
+                  [](bool) {
                   }})
         , evacuations(context, this->platform->store(), Stream::Plan, plannerPartition,
               StreamReader::Handlers{[] {
@@ -94,8 +96,11 @@
     ExecutorDirectory directory;
     OperatorFeed feed;
     Ownership ownership;
+    GroupMember planner;
     StreamReader evacuations;
     std::shared_ptr<PlanningDuty> planning;
+    std::int64_t planningToken = 0;
+    std::optional<TimePoint> planKnownSince;
     SeenOrders ordersSeen;
     std::map<ServiceId, PoolReport> reported;
     std::map<ServiceId, steady_clock::time_point> reportedAt;
@@ -103,6 +108,11 @@
     bool isStopping = false;
 
     void changePlanning(std::int64_t token);
+    void applyPlanning(const MembershipConfirmation &confirmation);
+    // True where this process has followed the plan for so long that it knows all orders that still matter.
+    bool isInformed() const;
+    // Stands by until nobody plans, then joins the planners.
+    net::awaitable<void> joinPlanners();
     void applyPlan(const StoredRecord &record);
     net::awaitable<void> followPlan();
     net::awaitable<void> reportPools();
@@ -130,16 +140,68 @@
 void SchedulerProcess::Private::changePlanning(std::int64_t token)
 {
     this->log->emit(token != 0 ? "planning_gained" : "planning_lost", {{"token", token}}, EventWeight::Essential);
+    this->planningToken = token;
     if (this->planning) {
         this->planning->stop();
         this->planning.reset();
     }
     if (token != 0 && this->platform->machines() != nullptr) {
-        this->planning = PlanningDuty::create(this->context, *this->platform, *this->log, this->feed, token, this->ordersSeen);
+        this->planning = PlanningDuty::create(this->context, *this->platform, *this->log, this->feed, token,
+            this->isInformed() ? std::optional(this->ordersSeen) : std::nullopt);
         this->planning->start();
     }
 }
 
+void SchedulerProcess::Private::applyPlanning(const MembershipConfirmation &confirmation)
+{
+    const auto &parts = confirmation.membership.owned;
+    const bool isPlanner = std::find(parts.begin(), parts.end(), OwnedPartition{Stream::Plan, plannerPartition}) != parts.end();
+    if (isPlanner && (this->planningToken == 0 || confirmation.isUncertain)) {
+        this->changePlanning(confirmation.membership.generation);
+    } else if (!isPlanner) {
+        if (this->planningToken != 0) {
+            this->changePlanning(0);
+        }
+        // Each member more moves the planning about, so only the planner stays in the group.
+        this->planner.stop();
+    }
+    if (this->planning) {
+        this->planning->setHorizon(this->planner.confirmedUntil());
+    }
+}
+
+bool SchedulerProcess::Private::isInformed() const
+{
+    return this->planKnownSince && bootNow() - *this->planKnownSince > this->platform->settings().planLease;
+}
+
+net::awaitable<void> SchedulerProcess::Private::joinPlanners()
+{
+    bool hasGivenWay = false;
+    while (!this->isStopping) {
+        if (!this->planKnownSince || !this->feed.config()) {
+            co_await sleepFor(this->context, idleInterval);
+            continue;
+        }
+        const Result<bool> hasOthers = co_await this->platform->store().hasOtherMembers(Group::Planners);
+        if (!hasOthers || *hasOthers) {
+            hasGivenWay = false;
+            co_await sleepFor(this->context, candidateInterval);
+            continue;
+        }
+        if (!this->isInformed() && !hasGivenWay) {
+            // One that has followed the plan for longer knows which machines were ordered lately.
+            hasGivenWay = true;
+            co_await sleepFor(this->context, candidateInterval);
+            continue;
+        }
+        co_await this->planner.run();
+        if (!this->isStopping) {
+            co_await this->planner.leave();
+        }
+    }
+}
+
 void SchedulerProcess::Private::applyPlan(const StoredRecord &record)
 {
     if (record.key != plannerKey) {
@@ -168,6 +230,7 @@
         const Result<void> read = co_await this->evacuations.follow(planWait);
         if (read) {
             this->ownership.notePlanKnown();
+            this->planKnownSince = this->planKnownSince.value_or(bootNow());
             co_await sleepFor(this->context, planPause);
         } else {
             co_await sleepFor(this->context, idleInterval);
@@ -233,7 +296,7 @@
         }
     }
     return {{"process", this->platform->settings().name.value}, {"ready", this->gateway->isReady()},
-        {"revision", this->feed.config() ? this->feed.config()->revision : 0}, {"planning", this->ownership.planningToken()}, {"pools", pools}};
+        {"revision", this->feed.config() ? this->feed.config()->revision : 0}, {"planning", this->planningToken}, {"pools", pools}};
 }
 
 SchedulerProcess::SchedulerProcess(std::unique_ptr<Private> impl)
@@ -287,6 +350,7 @@
     }
     net::co_spawn(state->context, state->feed.run(), net::detached);
     net::co_spawn(state->context, state->ownership.run(), net::detached);
+    net::co_spawn(state->context, state->joinPlanners(), net::detached);
     net::co_spawn(state->context, state->followDirectory(), net::detached);
     net::co_spawn(state->context, state->followPlan(), net::detached);
     net::co_spawn(state->context, state->reportPools(), net::detached);
@@ -301,6 +365,10 @@
     state.gateway->retire();
     state.callers->discourage();
     state.isStopping = true;
+    if (state.planningToken != 0) {
+        state.changePlanning(0);
+    }
+    co_await state.planner.leave();
     co_await state.ownership.retire();
     while (steady_clock::now() < latest && (steady_clock::now() - start < callersLeave || state.callers->activeRequests() > 0)) {
         co_await sleepFor(state.context, milliseconds(50));
