Speculative items get second runs; pools keep what they needed a moment ago

Speculative items waited out leases and earlier owners like others, although they may run twice.

Change: a pool gives machines away only beyond the most that it needed in the last 0.9 s. A speculative item gets a second run once its executor is silent for 0.2 s or it takes twice as long as usual, and is not waited for after a takeover.

--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 
 namespace MangoCourse {
 
@@ -20,6 +21,8 @@
 constexpr double packing = 0.85;
 // Machines that a pool keeps beyond its need, against the next second's arrivals.
 constexpr std::int32_t spareMachines = 1;
+// A pool gives machines away only where it has not needed them for this long: needs shrink for moments when another pool's rise.
+constexpr milliseconds needMemory{900};
 // Emptying a machine takes about this long.
 constexpr milliseconds evacuationTime{2500};
 // A wave is hurried when less than this many times the time it needs is left.
@@ -56,6 +59,8 @@
     std::int32_t unreachable = 0;
     std::int64_t cpuPerMachine = 0;
     std::int32_t needed = 0;
+    // The most that it needed lately.
+    std::int32_t neededLately = 0;
     // What it keeps when machines are scarce.
     std::int32_t least = 0;
     const PoolReport *report = nullptr;
@@ -79,6 +84,8 @@
     WallTime wallNow{};
     std::map<ServiceId, KnownReport> reports;
     std::map<ServiceId, TimePoint> needlessSince;
+    // Needs over the last moments, the highest first among those that are not older than a later one.
+    std::map<ServiceId, std::deque<std::pair<TimePoint, std::int32_t>>> recentNeeds;
     std::vector<PoolNeed> needs;
     std::map<MachineId, TimePoint> evacuatingSince;
     std::map<MachineId, TimePoint> untouchedUntil;
@@ -87,6 +94,7 @@
     std::map<ServiceId, PoolView> viewPools(TimePoint now) const;
     // Cuts the needs down to what there is, each by the same share.
     static void shareScarcity(std::map<ServiceId, PoolView> &pools);
+    void rememberNeeds(std::map<ServiceId, PoolView> &pools, TimePoint now);
     const ExecutorUse *useOf(const MachineInfo &machine, TimePoint now) const;
     bool isEvacuating(const MachineId &machine) const;
     bool isHeld(const MachineId &machine, TimePoint now) const;
@@ -253,6 +261,21 @@
     }
 }
 
+void FleetPlanner::Private::rememberNeeds(std::map<ServiceId, PoolView> &pools, TimePoint now)
+{
+    for (auto &[service, pool] : pools) {
+        auto &recent = this->recentNeeds[service];
+        while (!recent.empty() && recent.back().second <= pool.needed) {
+            recent.pop_back();
+        }
+        recent.emplace_back(now, pool.needed);
+        while (now - recent.front().first > needMemory) {
+            recent.pop_front();
+        }
+        pool.neededLately = recent.front().second;
+    }
+}
+
 std::int32_t FleetPlanner::Private::inMaintenance(const WaveId &wave) const
 {
     std::int32_t count = 0;
@@ -393,7 +416,7 @@
     while (pool.size() < pool.needed) {
         PoolView *donor = nullptr;
         for (auto &[service, other] : pools) {
-            const bool canGive = &other != &pool && !other.up.empty() && (other.isStandby || (other.report != nullptr && other.size() > other.needed));
+            const bool canGive = &other != &pool && !other.up.empty() && (other.isStandby || (other.report != nullptr && other.size() > other.neededLately));
             if (canGive && this->donate(other, now) && (donor == nullptr || other.isStandby)) {
                 donor = &other;
             }
@@ -559,6 +582,7 @@
         state.untouchedUntil[evacuation.machine] = after(now, unknownHold);
     }
     std::map<ServiceId, PoolView> pools = state.viewPools(now);
+    state.rememberNeeds(pools, now);
     state.needs.clear();
     for (const auto &[service, pool] : pools) {
         const auto report = state.reports.find(service);
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -26,6 +26,10 @@
 constexpr milliseconds stallSlack{1500};
 constexpr std::int32_t mostStalls = 2;
 constexpr milliseconds stallAvoidance{3000};
+// A speculative item gets a second run once its executor has been silent for this long, or once it takes this many times as long as expected.
+constexpr milliseconds copyAfterSilence{200};
+constexpr double copyFactor = 2.0;
+constexpr milliseconds copySlack{300};
 // Pace changes of one run are at least this far apart, so that the tail can follow.
 constexpr milliseconds paceInterval{300};
 // Tail latency against its target: above the first the fillers slow down, below the second they speed up.
@@ -383,12 +387,32 @@
     this->isUrgent = true;
 }
 
-void PoolScheduler::Private::place(JobEntry &entry, TimePoint now, WallTime wallNow, TimePoint horizon)
+bool PoolScheduler::Private::wantsCopy(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now)
 {
+    if (item.phase != ItemPhase::Active || item.where.size() != 1) {
+        return false;
+    }
+    const Executor &executor = *this->find(item.where.front());
+    const Run &run = executor.runs.at(id);
+    if (executor.failingSince != TimePoint{} && now - executor.failingSince > copyAfterSilence) {
+        return true;
+    }
+    if (run.phase != RunPhase::Running || run.startedAt == TimePoint{} || run.expected.count() <= 0) {
+        return false;
+    }
+    const auto ratio = this->timeRatio.find(entry.job.queue);
+    const double usual = static_cast<double>(run.expected.count()) * (ratio == this->timeRatio.end() ? 1.0 : std::max(1.0, ratio->second));
+    return static_cast<double>((span(run.startedAt, now) - copySlack).count()) > copyFactor * usual;
+}
+
+void PoolScheduler::Private::place(JobEntry &entry, const PlacementRound &round)
+{
+    const TimePoint now = round.now;
+    const TimePoint horizon = round.horizon;
     for (std::size_t number = 0; number < entry.occurrences.size(); ++number) {
         OccurrenceState &occurrence = entry.occurrences[number];
         if (!occurrence.isOpen) {
-            if (dueTime(entry.job.spec, number) > wallNow) {
+            if (dueTime(entry.job.spec, number) > round.wallNow) {
                 break;
             }
             this->openOccurrence(entry, number, now);
@@ -400,16 +424,21 @@
             if (state.done >= spec.count || lacksPolicy || !this->isStepReady(entry, occurrence, step)) {
                 continue;
             }
+            // What an earlier owner started may run unseen; only speculative items may run twice.
+            if (entry.isInherited && !round.isClear && !spec.isSpeculative) {
+                continue;
+            }
             if (spec.isGang) {
                 this->placeGang(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), now, horizon);
                 continue;
             }
             for (std::size_t index = 0; index < state.items.size(); ++index) {
                 Item &item = state.items[index];
-                if (item.phase != ItemPhase::Waiting) {
+                const ItemId id{entry.job.id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), static_cast<std::int32_t>(index)};
+                const bool isCopy = spec.isSpeculative && !round.isOverloaded && this->wantsCopy(entry, id, item, now);
+                if (item.phase != ItemPhase::Waiting && !isCopy) {
                     continue;
                 }
-                const ItemId id{entry.job.id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), static_cast<std::int32_t>(index)};
                 Executor *executor = this->choose(entry, id, item, now);
                 if (executor == nullptr) {
                     break;
@@ -461,18 +490,14 @@
         state.stopOrphans(executor, now);
         state.paceFillers(executor, now);
     }
-    const bool isClear = state.isClear(now);
     if (span(now, horizon) < shortestLease) {
         return std::move(state.orders);
     }
     // Long-running first, then by priority those that can still meet their objective, the least slack first.
-    const bool isOverloaded = state.isOverloaded();
+    const PlacementRound round{now, wallNow, horizon, state.isClear(now), state.isOverloaded()};
     std::vector<std::pair<std::tuple<int, bool, std::int32_t, bool, std::int64_t>, JobEntry *>> order;
     for (const JobId &id : state.open) {
         JobEntry &entry = *state.findJob(id);
-        if (!isClear && entry.isInherited) {
-            continue;
-        }
         const bool isLongRunning = entry.job.spec.steps.front().isLongRunning;
         const bool isFiller = entry.job.spec.steps.front().isFiller;
         const auto ratio = state.timeRatio.find(entry.job.queue);
@@ -482,14 +507,14 @@
         const bool isLate = !isLongRunning && slack < milliseconds::zero();
         const int group = isLongRunning && !isFiller ? 0 : 1;
         // Under overload what has begun is finished, and of the rest the newest has the best chance to be in time.
-        const bool isPutOff = isOverloaded && !isLongRunning && !entry.hasRun;
+        const bool isPutOff = round.isOverloaded && !isLongRunning && !entry.hasRun;
         order.emplace_back(std::tuple(group, isLate, entry.priority, isPutOff, isPutOff ? -slack.count() : slack.count()), &entry);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
         return left.first < right.first;
     });
     for (auto &[key, entry] : order) {
-        state.place(*entry, now, wallNow, horizon);
+        state.place(*entry, round);
     }
     return std::move(state.orders);
 }
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -142,6 +142,16 @@
     }
 };
 
+// What holds for all placements of one plan.
+struct PlacementRound {
+    TimePoint now{};
+    WallTime wallNow{};
+    TimePoint horizon{};
+    // Nothing of an earlier owner can run unseen.
+    bool isClear = true;
+    bool isOverloaded = false;
+};
+
 class PoolScheduler::Private
 {
 public:
@@ -209,7 +219,9 @@
     std::chrono::milliseconds remainingChain(const JobEntry &entry) const;
     Executor *choose(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
     bool admits(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const;
-    void place(JobEntry &entry, TimePoint now, WallTime wallNow, TimePoint horizon);
+    // Returns true where a second run of a speculative item may end sooner than the one under way.
+    bool wantsCopy(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
+    void place(JobEntry &entry, const PlacementRound &round);
     bool placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, TimePoint now, TimePoint horizon);
     void startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, TimePoint now, TimePoint horizon);
     std::chrono::milliseconds leaseUntil(const Executor &executor, TimePoint now, TimePoint horizon) const;
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -220,6 +220,51 @@
     EXPECT_TRUE(this->scheduler->takeForgotten().empty());
 }
 
+TEST_F(PoolSchedulerTest, ASpeculativeItemOnASilentExecutorGetsASecondRunAtOnce)
+{
+    this->list({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    StepSpec step;
+    step.room = Room{4000, gigabyte, 0};
+    step.estimate = 1000ms;
+    this->add(this->job("plain", step));
+    step.isSpeculative = true;
+    this->add(this->job("twice", step));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 2U);
+    const std::string holder = first.starts[0].executor.id.value;
+    ASSERT_EQ(first.starts[1].executor.id.value, holder);
+    ExecutorReport silence;
+    silence.outcome = OrderOutcome::Unknown;
+    this->scheduler->onReport(ExecutorKey{ExecutorId{holder}, 100}, silence, this->now, this->now, this->wall);
+    this->advance(300ms);
+    const SchedulerOrders second = this->planAndConfirm();
+    ASSERT_EQ(second.starts.size(), 1U);
+    EXPECT_EQ(second.starts[0].run.item.job, JobId{"twice"});
+    EXPECT_NE(second.starts[0].executor.id.value, holder);
+    EXPECT_GT(second.starts[0].run.run, first.starts[0].run.run);
+    EXPECT_TRUE(this->plan().starts.empty());
+}
+
+TEST_F(PoolSchedulerTest, SpeculativeItemsOfAnEarlierOwnerAreNotWaitedFor)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->scheduler->setEarlierExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, place("one")}});
+    this->list({executor("one"), executor("two")});
+    this->report("two");
+    StepSpec step;
+    step.room = Room{4000, gigabyte, 0};
+    step.estimate = 1000ms;
+    step.isSpeculative = true;
+    const JobProgress begun{JobId{"twice"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Running, true, {}, {}};
+    this->add(this->job("twice", step), &begun);
+    this->addBegun("plain");
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts[0].run.item.job, JobId{"twice"});
+}
+
 TEST_F(PoolSchedulerTest, JobsThatNobodyBeganNeedNotWaitForAnEarlierOwnersWork)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
