A new owner interrupts nothing while an earlier owner's stops may be under way

Cause: an executor lists a run until its stop is through. Ruled out: orders of the planner (the stop was the owner's), ends by the rack failure (two seconds later).

Change: an adopted run counts as at work only once the time of a stop has passed.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -21,6 +21,8 @@
     std::chrono::milliseconds leaseLength{3500};
     // The executors shorten longer leases to this.
     std::chrono::milliseconds longestLease{6000};
+    // An executor ends a run within this time of the order to stop it.
+    std::chrono::milliseconds stopTime{1000};
     // Executors' clocks may run this much slower than true time.
     double clockDrift = 0.02;
 };
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds shortestLease{400};
 // How long an unanswered stop waits for its repetition.
 constexpr milliseconds stopRepeat{300};
+// An end reaches the owner within this time.
+constexpr milliseconds stopSlack{300};
 // The longest a renewal waits for an end, and the longest while something is about to change.
 constexpr milliseconds longestWait{1200};
 constexpr milliseconds watchfulWait{300};
@@ -173,7 +175,14 @@
     }
 }
 
-bool PoolScheduler::Private::mayInterrupt(const ItemId &id)
+bool PoolScheduler::Private::isSurelyAtWork(const Run &run, TimePoint now) const
+{
+    // An executor lists a run until its stop is through, also one that an earlier owner ordered.
+    const bool isSettled = run.adoptedAt == TimePoint{} || now - run.adoptedAt > this->settings.stopTime + stopSlack;
+    return run.phase == RunPhase::Running && run.percent >= 100 && isSettled;
+}
+
+bool PoolScheduler::Private::mayInterrupt(const ItemId &id, TimePoint now)
 {
     const StepSpec &spec = this->stepOf(id);
     if (!spec.isLongRunning) {
@@ -192,7 +201,7 @@
             const Executor *executor = this->find(key);
             const auto run = executor->runs.find(other);
             const bool answers = executor->failingSince == TimePoint{};
-            isAtWork = isAtWork || (answers && run != executor->runs.end() && run->second.phase == RunPhase::Running && run->second.percent >= 100);
+            isAtWork = isAtWork || (answers && run != executor->runs.end() && this->isSurelyAtWork(run->second, now));
         }
         away += isAtWork ? 0 : 1;
     }
@@ -210,7 +219,7 @@
                 continue;
             }
             const bool isOverdue = now - run.startedAt > evacuationPatience;
-            if (run.isLongRunning ? this->mayInterrupt(id) : (isOverdue && !executor.info.isDraining)) {
+            if (run.isLongRunning ? this->mayInterrupt(id, now) : (isOverdue && !executor.info.isDraining)) {
                 this->requestStop(executor, run, "its machine is being emptied");
             }
         }
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -272,6 +272,7 @@
         const bool isAdopted = known == executor->runs.end();
         Run &run = isAdopted ? this->d->adopt(*executor, reported.item, reported.run, now) : known->second;
         if (isAdopted) {
+            run.adoptedAt = now;
             // Whoever started it may have given it the longest lease.
             executor->leaseEnd
                 = std::max(executor->leaseEnd, after(now, this->d->settings.longestLease * (1.0 + this->d->settings.clockDrift) + leaseRounding));
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -24,6 +24,8 @@
     std::int64_t number = 0;
     RunPhase phase = RunPhase::Starting;
     TimePoint startedAt{};
+    // When it was found on its executor, if another owner started it.
+    TimePoint adoptedAt{};
     // The last order for this run that got an answer or gave up; reports sent earlier say nothing about it.
     TimePoint settledAt{};
     TimePoint stopSentAt{};
@@ -212,7 +214,8 @@
     void paceFillers(Executor &executor, TimePoint now);
     void resendStops(Executor &executor, TimePoint now);
     void evacuate(TimePoint now);
-    bool mayInterrupt(const ItemId &id);
+    bool isSurelyAtWork(const Run &run, TimePoint now) const;
+    bool mayInterrupt(const ItemId &id, TimePoint now);
     bool isEvacuated(const Executor &executor) const;
     bool isUsable(const Executor &executor, TimePoint now) const;
     bool isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const;
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -561,6 +561,31 @@
     EXPECT_EQ(this->saved.at(JobId{"a"}).state, JobState::Failed);
 }
 
+TEST_F(PoolSchedulerTest, ANewOwnerInterruptsNothingWhileAnEarlierOwnersStopsMayBeUnderWay)
+{
+    StepSpec step;
+    step.count = 2;
+    step.room = Room{4000, gigabyte, 0};
+    step.isLongRunning = true;
+    step.availabilityBudget = 1;
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->list({executor("one"), executor("two"), executor("three")});
+    const JobProgress begun{JobId{"a"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Running, true, {}, {}};
+    this->add(this->job("a", step), &begun);
+    const auto reportBoth = [this] {
+        this->report("one", {ReportedRun{ItemId{JobId{"a"}, 0, 0, 0}, 1, {}, 100, 0}});
+        this->report("two", {ReportedRun{ItemId{JobId{"a"}, 0, 0, 1}, 1, {}, 100, 0}});
+        this->report("three");
+    };
+    reportBoth();
+    this->scheduler->setEvacuations(EvacuationList{1, {{ExecutorId{"one"}, 100}}, {}}, this->now);
+    // The earlier owner may just have stopped the item on the other executor, which lists it until it has ended.
+    EXPECT_TRUE(this->plan().stops.empty());
+    this->advance(SchedulerSettings{}.stopTime + 500ms);
+    reportBoth();
+    EXPECT_EQ(this->plan().stops.size(), 1U);
+}
+
 TEST_F(PoolSchedulerTest, AvailabilityBudgetHoldsWhileMachinesAreEmptied)
 {
     StepSpec step;
