Long-running items share few machines

Ruled out: reports (fresh) and the planner's needs (right).

Change: they go where long-running work is already, two of a step to a machine.

--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds copyAfterSilence{200};
 constexpr double copyFactor = 2.0;
 constexpr milliseconds copySlack{300};
+// Long-running items of one step that share a machine where there is a choice.
+constexpr int mostTogether = 2;
 // Pace changes of one run are at least this far apart, so that the tail can follow.
 constexpr milliseconds paceInterval{300};
 // Tail latency against its target: above the first the fillers slow down, below the second they speed up.
@@ -64,6 +66,18 @@
     return info.labels.size() > 1 ? info.labels[1] : std::string();
 }
 
+// Long-running items share few machines, so that the others can be given to other pools, but one machine holds few of the same step.
+int longRunningRank(const Executor &executor, const ItemId &id)
+{
+    int ofStep = 0;
+    bool holdsLongRunning = false;
+    for (const auto &[other, run] : executor.runs) {
+        holdsLongRunning = holdsLongRunning || run.isLongRunning;
+        ofStep += other.job == id.job && other.occurrence == id.occurrence && other.step == id.step ? 1 : 0;
+    }
+    return (ofStep >= mostTogether ? 2 : 0) + (holdsLongRunning ? 0 : 1);
+}
+
 }
 
 bool PoolScheduler::Private::isClear(TimePoint now) const
@@ -306,7 +320,7 @@
         }
     }
     Executor *best = nullptr;
-    std::tuple<bool, bool, bool, bool, std::int64_t> bestScore;
+    std::tuple<bool, bool, bool, bool, int, std::int64_t> bestScore;
     for (auto &[key, executor] : this->executors) {
         if (!this->isUsable(executor, now) || !executor.free().fits(wanted) || !this->admits(executor, entry, id, spec)) {
             continue;
@@ -316,9 +330,10 @@
         const bool hasFailedHere = item.failedOn == executor.info.id;
         const bool isSuspect = !executor.failedJobs.empty();
         const bool isSlow = executor.slowness > slowExecutor;
-        // Long-running items spread out; finite ones fill the fullest executor, so that wide room stays for large items.
+        // Finite items fill the fullest executor, so that wide room stays for large items.
         const std::int64_t left = executor.free().cpu - wanted.cpu;
-        const auto score = std::tuple(hasFailedHere, isOffRack, isSlow, isSuspect, spec.isLongRunning ? -left : left);
+        const int spread = spec.isLongRunning ? longRunningRank(executor, id) : 0;
+        const auto score = std::tuple(hasFailedHere, isOffRack, isSlow, isSuspect, spread, spec.isFiller ? -left : left);
         if (best == nullptr || score < bestScore) {
             best = &executor;
             bestScore = score;
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -561,6 +561,34 @@
     EXPECT_EQ(this->saved.at(JobId{"a"}).state, JobState::Failed);
 }
 
+TEST_F(PoolSchedulerTest, LongRunningItemsShareFewMachines)
+{
+    StepSpec step;
+    step.count = 4;
+    step.room = Room{4000, gigabyte, 0};
+    step.isLongRunning = true;
+    std::vector<ExecutorInfo> infos;
+    for (int index = 0; index < 8; ++index) {
+        infos.push_back(executor("e" + std::to_string(index)));
+    }
+    this->list(infos);
+    for (const ExecutorInfo &info : infos) {
+        this->report(info.id.value);
+    }
+    this->add(this->job("a", step));
+    this->add(this->job("b", step));
+    std::map<std::string, int> perMachine;
+    const SchedulerOrders orders = this->planAndConfirm();
+    ASSERT_EQ(orders.starts.size(), 8U);
+    for (const StartOrder &order : orders.starts) {
+        ++perMachine[order.executor.id.value];
+    }
+    EXPECT_EQ(perMachine.size(), 2U);
+    for (const auto &[name, items] : perMachine) {
+        EXPECT_EQ(items, 4) << name;
+    }
+}
+
 TEST_F(PoolSchedulerTest, ANewOwnerInterruptsNothingWhileAnEarlierOwnersStopsMayBeUnderWay)
 {
     StepSpec step;
