Lost work restarts only once the ownership is confirmed after the loss

Leases that ran out had that guard already; lives that are over had not. Ruled out: fencing at the executor (the successor, frozen too, had not called that one yet).

--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -357,12 +357,16 @@
     }
 }
 
-void PoolScheduler::Private::dropExecutor(Executor &executor, TimePoint now, const char *reason)
+void PoolScheduler::Private::dropExecutor(Executor &executor, TimePoint now, TimePoint overAt, const char *reason)
 {
     while (!executor.runs.empty()) {
         const auto run = executor.runs.begin();
-        this->note("run_lost", run->first, executor, run->second.number, reason);
+        const ItemId id = run->first;
+        this->note("run_lost", id, executor, run->second.number, reason);
         this->release(executor, run, now);
+        if (Item *item = this->findItem(id)) {
+            item->lostAt = overAt;
+        }
     }
 }
 
--- a/src/libmangocourse/poolhistory_test.cpp
+++ b/src/libmangocourse/poolhistory_test.cpp
@@ -695,7 +695,8 @@
 TEST(PoolHistory, SeedsThatOnceFailed)
 {
     // 500959: an executor that came back while its record was about to be deleted stayed in use without one.
-    for (const std::uint32_t seed : {500959U}) {
+    // 4002148: an owner that woke up within its term restarted an item whose end its successor had acknowledged.
+    for (const std::uint32_t seed : {500959U, 4002148U}) {
         History history(seed);
         history.run(40'000ms);
         EXPECT_TRUE(history.judge.broken.empty()) << "seed " << seed << ": " << history.judge.broken.front();
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -115,7 +115,7 @@
     for (auto &[key, executor] : this->executors) {
         // A successor that took over before the lease ended may have renewed it.
         if (!executor.runs.empty() && executor.leaseEnd < std::min(now, confirmedAt)) {
-            this->dropExecutor(executor, now, "the lease ran out");
+            this->dropExecutor(executor, now, executor.leaseEnd, "the lease ran out");
         }
     }
 }
@@ -360,13 +360,14 @@
     this->orders.starts.push_back(StartOrder{executor.info, std::move(order)});
 }
 
-bool PoolScheduler::Private::placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, TimePoint now, TimePoint horizon)
+bool PoolScheduler::Private::placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round)
 {
+    const TimePoint now = round.now;
     StepState &state = entry.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)];
     std::int64_t number = 0;
     std::string checkpoint;
     for (const Item &item : state.items) {
-        if (item.phase != ItemPhase::Waiting) {
+        if (item.phase != ItemPhase::Waiting || item.lostAt > round.confirmedAt) {
             return false;
         }
         number = std::max(number, item.lastRun);
@@ -395,7 +396,7 @@
             return false;
         }
         item.checkpoint = checkpoint;
-        this->startOn(*executor, entry, id, item, number + 1, now, horizon);
+        this->startOn(*executor, entry, id, item, number + 1, now, round.horizon);
     }
     return true;
 }
@@ -453,7 +454,7 @@
                 continue;
             }
             if (spec.isGang) {
-                this->placeGang(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), now, horizon);
+                this->placeGang(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), round);
                 continue;
             }
             for (std::size_t index = 0; index < state.items.size(); ++index) {
@@ -463,6 +464,10 @@
                 if (item.phase != ItemPhase::Waiting && !isCopy) {
                     continue;
                 }
+                // A successor may have acknowledged the end of a run that this owner takes as lost.
+                if (item.lostAt > round.confirmedAt && !spec.isSpeculative) {
+                    continue;
+                }
                 Executor *executor = this->choose(entry, id, item, now);
                 if (executor == nullptr) {
                     break;
@@ -518,7 +523,7 @@
         return std::move(state.orders);
     }
     // Long-running first, then by priority those that can still meet their objective, the least slack first.
-    const PlacementRound round{now, wallNow, horizon, state.isClear(now), state.isOverloaded()};
+    const PlacementRound round{now, wallNow, horizon, term.confirmedAt, state.isClear(now), state.isOverloaded()};
     std::vector<std::pair<std::tuple<int, bool, std::int32_t, bool, std::int64_t>, JobEntry *>> order;
     for (const JobId &id : state.open) {
         JobEntry &entry = *state.findJob(id);
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -85,7 +85,7 @@
             return info.born > executor.info.born && (info.id == executor.info.id || (!info.machine.isEmpty() && info.machine == executor.info.machine));
         });
         if (isSucceeded) {
-            this->d->dropExecutor(executor, now, "the machine has started anew");
+            this->d->dropExecutor(executor, now, now, "the machine has started anew");
         }
     }
     std::erase_if(this->d->earlier, [this, &executors](const auto &entry) {
@@ -135,7 +135,7 @@
     this->d->evacuations = list;
     for (auto &[key, executor] : this->d->executors) {
         if (includesLife(list.ended, key.id, key.born)) {
-            this->d->dropExecutor(executor, now, "its machine was ordered away");
+            this->d->dropExecutor(executor, now, now, "its machine was ordered away");
             executor.isListed = false;
         }
     }
@@ -240,13 +240,13 @@
             executor->failingSince = now;
         }
         if (report.outcome == OrderOutcome::OtherBoot) {
-            this->d->dropExecutor(*executor, now, "another boot answers at its address");
+            this->d->dropExecutor(*executor, now, now, "another boot answers at its address");
             executor->isListed = false;
         }
         return;
     }
     if (report.born != 0 && report.born != key.born) {
-        this->d->dropExecutor(*executor, now, "the executor has started anew");
+        this->d->dropExecutor(*executor, now, now, "the executor has started anew");
         executor->isListed = false;
         return;
     }
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -101,6 +101,8 @@
     // How often a run was stopped because it stood still.
     std::int32_t stalls = 0;
     TimePoint waitingSince{};
+    // When the life that held the last run was over at the latest; unset where the run's end is known.
+    TimePoint lostAt{};
 };
 
 struct StepState {
@@ -149,6 +151,8 @@
     TimePoint now{};
     WallTime wallNow{};
     TimePoint horizon{};
+    // The latest time at which the owner is known to have been the only one.
+    TimePoint confirmedAt{};
     // Nothing of an earlier owner can run unseen.
     bool isClear = true;
     bool isOverloaded = false;
@@ -202,7 +206,8 @@
     void noteDecided(const JobEntry &entry, TimePoint now) const;
     void noteBegun(JobEntry &entry, TimePoint now);
     void checkCompleted(JobEntry &entry, TimePoint now, WallTime wallNow);
-    void dropExecutor(Executor &executor, TimePoint now, const char *reason);
+    // Gives up the runs of a life that was over at `overAt` at the latest.
+    void dropExecutor(Executor &executor, TimePoint now, TimePoint overAt, const char *reason);
     void stopOthers(const ItemId &id, const Executor &except, const char *reason);
     void requestStop(Executor &executor, Run &run, const char *reason);
     void learnTime(Executor &executor, const Run &run, TimePoint now);
@@ -225,7 +230,7 @@
     // Returns true where a second run of a speculative item may end sooner than the one under way.
     bool wantsCopy(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
     void place(JobEntry &entry, const PlacementRound &round);
-    bool placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, TimePoint now, TimePoint horizon);
+    bool placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
     void startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, TimePoint now, TimePoint horizon);
     std::chrono::milliseconds leaseUntil(const Executor &executor, TimePoint now, TimePoint horizon) const;
     void extendLease(Executor &executor, std::chrono::milliseconds until, TimePoint now) const;
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -571,6 +571,25 @@
     EXPECT_TRUE(this->scheduler->takeForgotten().empty());
 }
 
+TEST_F(PoolSchedulerTest, WorkOfALifeThatIsOverRestartsOnlyOnceTheOwnershipIsConfirmedAfterIt)
+{
+    this->list({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    const std::string holder = first.starts[0].executor.id.value;
+    const std::string other = holder == "one" ? "two" : "one";
+    // A successor may have acknowledged the end of the run before the machine started anew.
+    this->confirmedAt = this->now;
+    this->advance(2s);
+    this->list({executor(holder, 200), executor(other)});
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->confirmedAt = this->now;
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 TEST_F(PoolSchedulerTest, LongRunningItemsShareFewMachines)
 {
     StepSpec step;
