--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,8 @@
 	python3 -W ignore src/demo/slopes.py --binaries $(BUILD)/bin
 
 soak: build
+	for seed in 1 2 3 4 5; do SEED=$$((seed * 1000000)) HISTORIES=$(HISTORIES) $(BUILD)/src/libmangocourse/mangocourse_test --gtest_brief=1 --gtest_filter='PoolHistory.*' & pids="$$pids $$!"; done; \
+	for pid in $$pids; do wait $$pid || exit 1; done
 	for seed in 1 2 3 4 5; do RC_PARAMS="seed=$$seed max_success=$(HISTORIES)" $(BUILD)/src/mangoscript/promises_test --gtest_brief=1 & pids="$$pids $$!"; done; \
 	for pid in $$pids; do wait $$pid || exit 1; done
 
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -195,6 +195,9 @@
             co_await sleepFor(this->context, candidateInterval);
             continue;
         }
+        if (this->isStopping) {
+            break;
+        }
         co_await this->planner.run();
         if (!this->isStopping) {
             co_await this->planner.leave();
