--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -29,7 +29,8 @@
 class PlanningDuty::Private
 {
 public:
-    Private(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, std::optional<SeenOrders> ordersSeen)
+    Private(
+        net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, std::optional<SeenOrders> ordersSeen)
         : context(context)
         , platform(platform)
         , log(log)
--- a/src/scheduler/planningduty.h
+++ b/src/scheduler/planningduty.h
@@ -33,8 +33,8 @@
 {
 public:
     // `ordersSeen` is missing in a process that has just started: whoever planned before is gone, and its late orders are fenced.
-    static std::shared_ptr<PlanningDuty> create(net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed,
-        std::int64_t token, std::optional<SeenOrders> ordersSeen);
+    static std::shared_ptr<PlanningDuty> create(
+        net::io_context &context, PlatformAdapter &platform, EventLog &log, const OperatorFeed &feed, std::int64_t token, std::optional<SeenOrders> ordersSeen);
     ~PlanningDuty();
 
     void start();
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -146,8 +146,8 @@
         this->planning.reset();
     }
     if (token != 0 && this->platform->machines() != nullptr) {
-        this->planning = PlanningDuty::create(this->context, *this->platform, *this->log, this->feed, token,
-            this->isInformed() ? std::optional(this->ordersSeen) : std::nullopt);
+        this->planning = PlanningDuty::create(
+            this->context, *this->platform, *this->log, this->feed, token, this->isInformed() ? std::optional(this->ordersSeen) : std::nullopt);
         this->planning->start();
     }
 }
