Planners settle before they leave; a lapsed planner stands by

Ruled out: the pool's owner (active throughout) and its reports.

Change: a member that does not plan leaves only after a second; candidates look at different moments; a planner whose membership lapsed stands by like the others.

--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -31,6 +31,10 @@
 constexpr milliseconds planWait{2000};
 // Processes that stand by for the planning look this often whether somebody has it.
 constexpr milliseconds candidateInterval{500};
+// Spreads the candidates, so that they do not all join at the same moment.
+constexpr std::size_t candidateSpread = 250;
+// Members that joined together wait this long for the store to settle who plans; if all left at once, nobody would.
+constexpr milliseconds surplusPatience{1000};
 // Changes of the plan that come together are read together.
 constexpr milliseconds planPause{25};
 // Pools are looked at this often, and reported at least every reportRepeat.
@@ -75,7 +79,8 @@
               GroupMember::Handlers{[this](const MembershipConfirmation &confirmation) {
                                         this->applyPlanning(confirmation);
                                     },
-                  [](bool) {
+                  [this](bool isReachable) {
+                      this->notePlannersContact(isReachable);
                   }})
         , evacuations(context, this->platform->store(), Stream::Plan, plannerPartition,
               StreamReader::Handlers{[] {
@@ -101,6 +106,8 @@
     std::shared_ptr<PlanningDuty> planning;
     std::int64_t planningToken = 0;
     std::optional<TimePoint> planKnownSince;
+    // Since when this process has been a member of the planners without planning.
+    std::optional<TimePoint> withoutPlanSince;
     SeenOrders ordersSeen;
     std::map<ServiceId, PoolReport> reported;
     std::map<ServiceId, steady_clock::time_point> reportedAt;
@@ -109,6 +116,7 @@
 
     void changePlanning(std::int64_t token);
     void applyPlanning(const MembershipConfirmation &confirmation);
+    void notePlannersContact(bool isReachable);
     // True where this process has followed the plan for so long that it knows all orders that still matter.
     bool isInformed() const;
     // Stands by until nobody plans, then joins the planners.
@@ -158,10 +166,11 @@
     const bool isPlanner = std::find(parts.begin(), parts.end(), OwnedPartition{Stream::Plan, plannerPartition}) != parts.end();
     if (isPlanner && (this->planningToken == 0 || confirmation.isUncertain)) {
         this->changePlanning(confirmation.membership.generation);
-    } else if (!isPlanner) {
-        if (this->planningToken != 0) {
-            this->changePlanning(0);
-        }
+    } else if (!isPlanner && this->planningToken != 0) {
+        this->changePlanning(0);
+    }
+    this->withoutPlanSince = isPlanner ? std::nullopt : std::optional(this->withoutPlanSince.value_or(bootNow()));
+    if (this->withoutPlanSince && bootNow() - *this->withoutPlanSince > surplusPatience) {
         // Each member more moves the planning about, so only the planner stays in the group.
         this->planner.stop();
     }
@@ -170,6 +179,18 @@
     }
 }
 
+void SchedulerProcess::Private::notePlannersContact(bool isReachable)
+{
+    if (isReachable || bootNow() < this->planner.confirmedUntil()) {
+        return;
+    }
+    // Another process may plan by now; joining on would take the planning back from it as soon as the store can be reached again.
+    if (this->planningToken != 0) {
+        this->changePlanning(0);
+    }
+    this->planner.stop();
+}
+
 bool SchedulerProcess::Private::isInformed() const
 {
     return this->planKnownSince && bootNow() - *this->planKnownSince > this->platform->settings().planLease;
@@ -177,6 +198,8 @@
 
 net::awaitable<void> SchedulerProcess::Private::joinPlanners()
 {
+    const std::size_t name = std::hash<std::string>{}(this->platform->settings().name.value);
+    const milliseconds interval = candidateInterval + milliseconds(name % candidateSpread);
     bool hasGivenWay = false;
     while (!this->isStopping) {
         if (!this->planKnownSince || !this->feed.config()) {
@@ -184,20 +207,25 @@
             continue;
         }
         const Result<bool> hasOthers = co_await this->platform->store().hasOtherMembers(Group::Planners);
-        if (!hasOthers || *hasOthers) {
+        if (!hasOthers) {
+            co_await sleepFor(this->context, idleInterval);
+            continue;
+        }
+        if (*hasOthers) {
             hasGivenWay = false;
-            co_await sleepFor(this->context, candidateInterval);
+            co_await sleepFor(this->context, interval);
             continue;
         }
         if (!this->isInformed() && !hasGivenWay) {
             // One that has followed the plan for longer knows which machines were ordered lately.
             hasGivenWay = true;
-            co_await sleepFor(this->context, candidateInterval);
+            co_await sleepFor(this->context, interval);
             continue;
         }
         if (this->isStopping) {
             break;
         }
+        this->withoutPlanSince.reset();
         co_await this->planner.run();
         if (!this->isStopping) {
             co_await this->planner.leave();
