--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -15,12 +15,6 @@
 constexpr std::size_t suspiciousFailures = 2;
 constexpr milliseconds avoidance{5000};
 
-template<typename T>
-TimePoint after(TimePoint start, T span)
-{
-    return start + std::chrono::duration_cast<Duration>(span);
-}
-
 }
 
 WallTime dueTime(const JobSpec &spec, std::size_t occurrence)
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -11,12 +11,6 @@
 
 constexpr milliseconds leaseRounding{60};
 
-template<typename T>
-TimePoint after(TimePoint start, T span)
-{
-    return start + std::chrono::duration_cast<Duration>(span);
-}
-
 }
 
 PoolScheduler::PoolScheduler(std::unique_ptr<Private> impl)
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -240,6 +240,17 @@
     bool isOverloaded() const;
 };
 
+template<typename Rep, typename Period>
+TimePoint after(TimePoint start, std::chrono::duration<Rep, Period> span)
+{
+    return start + std::chrono::duration_cast<Duration>(span);
+}
+
+inline std::chrono::milliseconds span(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from);
+}
+
 // Returns the occurrence's due time, or the epoch for a job without a schedule.
 WallTime dueTime(const JobSpec &spec, std::size_t occurrence);
 
