Second read: item ids only for items that can start, twins joined, dead state out

Cause: the read of the whole change found, in it, - work on a hot path: place() built an ItemId, whose job id of 16 digits is a heap string, for every item of every open job on each plan, done and running ones too; it came in with the second runs of speculative items; - twins: the learned factor of a queue in two places, the look-up of a report that is not too old in three, the condition under which a machine may be ordered in three, a purpose compared three times beside the variable that says so; - dead state: setToken, hasJob, waitingSince and the times passed only for it, an event and a flag of the owner, the time in a membership's confirmation; two constants named storeSilence that meant different things. Ruled out: the guard in expireLeases, which the guard of lost work covers. Without it runs would be dropped earlier than now, so it stays.

Change: the phase is checked before the id is built; learnedFactor(), freshReport() and mayOrder() serve all; the rest is gone. No change of behaviour; no test changed.

Speed was not measured.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -143,8 +143,6 @@
 
     void setObserver(std::function<void(const SchedulerEvent &)> observer);
 
-    // Replaces the token after the ownership was confirmed anew.
-    void setToken(std::int64_t token);
     void setConfig(const FleetConfig &config);
 
     // All executors that discovery shows now, of this pool and of others.
@@ -161,7 +159,6 @@
     // begun is durable before its first start, so one of which it is not known has never been started by anybody.
     void addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow);
     void cancelJob(const JobId &job, TimePoint now, WallTime wallNow);
-    bool hasJob(const JobId &job) const;
     // Drops jobs whose final state is older than the bound.
     std::vector<JobId> forgetJobsBefore(WallTime bound);
 
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -95,9 +95,12 @@
     // Cuts the needs down to what there is, each by the same share.
     static void shareScarcity(std::map<ServiceId, PoolView> &pools);
     void rememberNeeds(std::map<ServiceId, PoolView> &pools, TimePoint now);
+    const PoolReport *freshReport(const ServiceId &service, TimePoint now) const;
     const ExecutorUse *useOf(const MachineInfo &machine, TimePoint now) const;
     bool isEvacuating(const MachineId &machine) const;
     bool isHeld(const MachineId &machine, TimePoint now) const;
+    // No order is under way, and no earlier planner's order is too fresh.
+    bool mayOrder(const MachineId &machine, TimePoint now) const;
     const Evacuation *findEvacuation(const MachineId &machine) const;
     void evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now);
     void endEvacuation(const MachineId &machine);
@@ -130,6 +133,11 @@
     return held != this->heldUntil.end() && now < held->second;
 }
 
+bool FleetPlanner::Private::mayOrder(const MachineId &machine, TimePoint now) const
+{
+    return !this->untouchedUntil.contains(machine) && !this->isHeld(machine, now);
+}
+
 void FleetPlanner::Private::evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now)
 {
     this->evacuatingSince[machine] = now;
@@ -167,13 +175,19 @@
     }
 }
 
+const PoolReport *FleetPlanner::Private::freshReport(const ServiceId &service, TimePoint now) const
+{
+    const auto known = this->reports.find(service);
+    return known == this->reports.end() || now - known->second.at > reportLife ? nullptr : &known->second.report;
+}
+
 const ExecutorUse *FleetPlanner::Private::useOf(const MachineInfo &machine, TimePoint now) const
 {
-    const auto known = this->reports.find(machine.pool);
-    if (known == this->reports.end() || now - known->second.at > reportLife) {
+    const PoolReport *report = this->freshReport(machine.pool, now);
+    if (report == nullptr) {
         return nullptr;
     }
-    for (const ExecutorUse &use : known->second.report.executors) {
+    for (const ExecutorUse &use : report->executors) {
         if (use.executor == machine.executor) {
             return &use;
         }
@@ -188,10 +202,7 @@
         PoolView &pool = pools[service];
         pool.service = service;
         pool.isStandby = known.isStandby;
-        const auto report = this->reports.find(service);
-        if (report != this->reports.end() && now - report->second.at < reportLife) {
-            pool.report = &report->second.report;
-        }
+        pool.report = this->freshReport(service, now);
     }
     for (const auto &[id, machine] : this->machines) {
         const auto pool = pools.find(machine.pool);
@@ -301,8 +312,8 @@
     if (service != this->config.services.end() && service->second.isStandby) {
         return true;
     }
-    const auto report = this->reports.find(machine->second.pool);
-    if (report == this->reports.end() || now - report->second.at > reportLife || report->second.report.evacuationsSeen < evacuation.since) {
+    const PoolReport *report = this->freshReport(machine->second.pool, now);
+    if (report == nullptr || report->evacuationsSeen < evacuation.since) {
         return false;
     }
     const ExecutorUse *use = this->useOf(machine->second, now);
@@ -321,8 +332,8 @@
         const milliseconds absence = (isMove ? this->settings.moveTime : this->settings.maintenanceTime) + returnMargin;
         // The next life may have the same id, so after its time of absence a machine that is up has come back.
         const bool isBack = isUp && (machine->second.executor != evacuation.executor || (evacuation.isOrdered && now - since > absence));
-        const bool isParked = isUp && evacuation.isOrdered && evacuation.purpose == EvacuationPurpose::Move && machine->second.pool == evacuation.target;
-        const bool isTooSlow = evacuation.purpose == EvacuationPurpose::Move && !evacuation.isOrdered && now - since > movePatience;
+        const bool isParked = isUp && evacuation.isOrdered && isMove && machine->second.pool == evacuation.target;
+        const bool isTooSlow = isMove && !evacuation.isOrdered && now - since > movePatience;
         const bool isForgotten = evacuation.isOrdered && now - since > orderMemory;
         const bool isFailed = isListed && machine->second.state == MachineState::Down;
         if ((!isListed || isBack || isParked || isTooSlow || isForgotten || isFailed) && !this->untouchedUntil.contains(evacuation.machine)) {
@@ -349,8 +360,7 @@
                 continue;
             }
             isLeft = true;
-            const bool isFree = !this->isEvacuating(name) && !this->untouchedUntil.contains(name) && !this->isHeld(name, now);
-            if (machine->second.state == MachineState::Up && isFree) {
+            if (machine->second.state == MachineState::Up && !this->isEvacuating(name) && this->mayOrder(name, now)) {
                 waiting.push_back(&machine->second);
             }
         }
@@ -399,7 +409,7 @@
     for (const MachineId &id : donor.up) {
         const MachineInfo &machine = this->machines.at(id);
         const ExecutorUse *use = this->useOf(machine, now);
-        if (this->untouchedUntil.contains(id) || this->isHeld(id, now) || (!donor.isStandby && (use == nullptr || use->longRunning > 0))) {
+        if (!this->mayOrder(id, now) || (!donor.isStandby && (use == nullptr || use->longRunning > 0))) {
             continue;
         }
         const std::int32_t runs = use == nullptr ? 0 : use->runs;
@@ -566,8 +576,7 @@
     });
     state.dropStale(now);
     for (const Evacuation &evacuation : state.state.evacuations) {
-        const bool isTouchable = !state.untouchedUntil.contains(evacuation.machine) && !state.isHeld(evacuation.machine, now);
-        if (evacuation.isOrdered || !isTouchable || !state.isEmptied(evacuation, now)) {
+        if (evacuation.isOrdered || !state.mayOrder(evacuation.machine, now) || !state.isEmptied(evacuation, now)) {
             continue;
         }
         if (evacuation.purpose == EvacuationPurpose::Move) {
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -82,7 +82,7 @@
     }
 }
 
-void PoolScheduler::Private::openOccurrence(JobEntry &entry, std::size_t number, TimePoint now)
+void PoolScheduler::Private::openOccurrence(JobEntry &entry, std::size_t number)
 {
     OccurrenceState &occurrence = entry.occurrences[number];
     if (occurrence.isOpen) {
@@ -94,7 +94,6 @@
         occurrence.steps[step].items.resize(static_cast<std::size_t>(entry.job.spec.steps[step].count));
         for (Item &item : occurrence.steps[step].items) {
             item.lastRun = this->runBase;
-            item.waitingSince = now;
         }
     }
 }
@@ -149,7 +148,7 @@
     return run;
 }
 
-void PoolScheduler::Private::release(Executor &executor, std::map<ItemId, Run>::iterator run, TimePoint now)
+void PoolScheduler::Private::release(Executor &executor, std::map<ItemId, Run>::iterator run)
 {
     const ItemId id = run->first;
     executor.used -= run->second.room;
@@ -161,7 +160,6 @@
     std::erase(item->where, executor.key());
     if (item->where.empty() && item->phase == ItemPhase::Active) {
         item->phase = ItemPhase::Waiting;
-        item->waitingSince = now;
     }
 }
 
@@ -342,7 +340,7 @@
     static constexpr const char *names[] = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
     this->note("run_ended", end.item, executor, end.run, names[static_cast<int>(end.end)]);
     if (isKnown) {
-        this->release(executor, run, now);
+        this->release(executor, run);
     }
     if (end.end == RunEnd::Done) {
         this->finishItem(executor, end, now, wallNow);
@@ -351,13 +349,13 @@
     }
 }
 
-void PoolScheduler::Private::dropExecutor(Executor &executor, TimePoint now, TimePoint overAt, const char *reason)
+void PoolScheduler::Private::dropExecutor(Executor &executor, TimePoint overAt, const char *reason)
 {
     while (!executor.runs.empty()) {
         const auto run = executor.runs.begin();
         const ItemId id = run->first;
         this->note("run_lost", id, executor, run->second.number, reason);
-        this->release(executor, run, now);
+        this->release(executor, run);
         if (Item *item = this->findItem(id)) {
             item->lostAt = overAt;
         }
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -69,7 +69,7 @@
     for (auto &[key, executor] : this->executors) {
         // A successor that took over before the lease ended may have renewed it.
         if (!executor.runs.empty() && executor.leaseEnd < std::min(now, confirmedAt)) {
-            this->dropExecutor(executor, now, executor.leaseEnd, "the lease ran out");
+            this->dropExecutor(executor, executor.leaseEnd, "the lease ran out");
         }
     }
 }
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -192,7 +192,7 @@
             for (std::size_t placed = 0; placed < index; ++placed) {
                 const ItemId member{entry.job.id, occurrence, step, static_cast<std::int32_t>(placed)};
                 Executor &holder = *this->find(state.items[placed].where.front());
-                this->release(holder, holder.runs.find(member), now);
+                this->release(holder, holder.runs.find(member));
                 state.items[placed].lastRun = number;
             }
             this->orders.starts.resize(startsBefore);
@@ -215,11 +215,14 @@
     this->isUrgent = true;
 }
 
+double PoolScheduler::Private::learnedFactor(const QueueId &queue) const
+{
+    const auto ratio = this->timeRatio.find(queue);
+    return ratio == this->timeRatio.end() ? 1.0 : std::max(1.0, ratio->second);
+}
+
 bool PoolScheduler::Private::wantsCopy(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now)
 {
-    if (item.phase != ItemPhase::Active || item.where.size() != 1) {
-        return false;
-    }
     const Executor &executor = *this->find(item.where.front());
     const Run &run = executor.runs.at(id);
     if (executor.failingSince != TimePoint{} && now - executor.failingSince > copyAfterSilence) {
@@ -228,8 +231,7 @@
     if (run.phase != RunPhase::Running || run.startedAt == TimePoint{} || run.expected.count() <= 0) {
         return false;
     }
-    const auto ratio = this->timeRatio.find(entry.job.queue);
-    const double usual = static_cast<double>(run.expected.count()) * (ratio == this->timeRatio.end() ? 1.0 : std::max(1.0, ratio->second));
+    const double usual = static_cast<double>(run.expected.count()) * this->learnedFactor(entry.job.queue);
     return static_cast<double>((span(run.startedAt, now) - copySlack).count()) > copyFactor * usual;
 }
 
@@ -243,7 +245,7 @@
             if (dueTime(entry.job.spec, number) > round.wallNow) {
                 break;
             }
-            this->openOccurrence(entry, number, now);
+            this->openOccurrence(entry, number);
         }
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const StepSpec &spec = entry.job.spec.steps[step];
@@ -262,15 +264,18 @@
             }
             for (std::size_t index = 0; index < state.items.size(); ++index) {
                 Item &item = state.items[index];
-                const ItemId id{entry.job.id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), static_cast<std::int32_t>(index)};
-                const bool isCopy = spec.isSpeculative && !round.isOverloaded && this->wantsCopy(entry, id, item, now);
-                if (item.phase != ItemPhase::Waiting && !isCopy) {
+                const bool mayCopy = spec.isSpeculative && !round.isOverloaded && item.phase == ItemPhase::Active && item.where.size() == 1;
+                if (item.phase != ItemPhase::Waiting && !mayCopy) {
                     continue;
                 }
                 // A successor may have acknowledged the end of a run that this owner takes as lost.
                 if (item.lostAt > round.confirmedAt && !spec.isSpeculative) {
                     continue;
                 }
+                const ItemId id{entry.job.id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), static_cast<std::int32_t>(index)};
+                if (mayCopy && !this->wantsCopy(entry, id, item, now)) {
+                    continue;
+                }
                 Executor *executor = this->choose(entry, id, item, now);
                 if (executor == nullptr) {
                     break;
@@ -332,9 +337,8 @@
         JobEntry &entry = *state.findJob(id);
         const bool isLongRunning = entry.job.spec.steps.front().isLongRunning;
         const bool isFiller = entry.job.spec.steps.front().isFiller;
-        const auto ratio = state.timeRatio.find(entry.job.queue);
-        const double factor = ratio == state.timeRatio.end() ? 1.0 : std::max(1.0, ratio->second);
-        const auto chain = milliseconds(static_cast<std::int64_t>(static_cast<double>(state.remainingChain(entry).count()) * factor));
+        const double expected = static_cast<double>(state.remainingChain(entry).count()) * state.learnedFactor(entry.job.queue);
+        const auto chain = milliseconds(static_cast<std::int64_t>(expected));
         const auto slack = span(now, entry.objective) - chain;
         const bool isLate = !isLongRunning && slack < milliseconds::zero();
         const int group = isLongRunning && !isFiller ? 0 : 1;
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -40,11 +40,6 @@
     this->d->observer = std::move(observer);
 }
 
-void PoolScheduler::setToken(std::int64_t token)
-{
-    this->d->token = token;
-}
-
 void PoolScheduler::setConfig(const FleetConfig &config)
 {
     this->d->queues.clear();
@@ -79,7 +74,7 @@
             return info.born > executor.info.born && (info.id == executor.info.id || (!info.machine.isEmpty() && info.machine == executor.info.machine));
         });
         if (isSucceeded) {
-            this->d->dropExecutor(executor, now, now, "the machine has started anew");
+            this->d->dropExecutor(executor, now, "the machine has started anew");
         }
     }
     std::erase_if(this->d->earlier, [this, &executors](const auto &entry) {
@@ -129,7 +124,7 @@
     this->d->evacuations = list;
     for (auto &[key, executor] : this->d->executors) {
         if (includesLife(list.ended, key.id, key.born)) {
-            this->d->dropExecutor(executor, now, now, "its machine was ordered away");
+            this->d->dropExecutor(executor, now, "its machine was ordered away");
             executor.isListed = false;
         }
     }
@@ -160,7 +155,7 @@
     this->d->open.insert(job.id);
     this->d->noteArrival(entry, now);
     if (job.spec.recurrence.count == 0) {
-        this->d->openOccurrence(entry, 0, now);
+        this->d->openOccurrence(entry, 0);
     }
     this->d->readQueue(entry);
     if (progress == nullptr) {
@@ -176,7 +171,7 @@
         if (known.occurrence < 0 || static_cast<std::size_t>(known.occurrence) >= entry.occurrences.size()) {
             continue;
         }
-        this->d->openOccurrence(entry, static_cast<std::size_t>(known.occurrence), now);
+        this->d->openOccurrence(entry, static_cast<std::size_t>(known.occurrence));
         Item *item = this->d->findItem(ItemId{job.id, known.occurrence, known.step, known.index});
         if (item == nullptr) {
             continue;
@@ -204,11 +199,6 @@
     }
 }
 
-bool PoolScheduler::hasJob(const JobId &job) const
-{
-    return this->d->jobs.contains(job);
-}
-
 std::vector<JobId> PoolScheduler::forgetJobsBefore(WallTime bound)
 {
     std::vector<JobId> forgotten;
@@ -234,13 +224,13 @@
             executor->failingSince = now;
         }
         if (report.outcome == OrderOutcome::OtherBoot) {
-            this->d->dropExecutor(*executor, now, now, "another boot answers at its address");
+            this->d->dropExecutor(*executor, now, "another boot answers at its address");
             executor->isListed = false;
         }
         return;
     }
     if (report.born != 0 && report.born != key.born) {
-        this->d->dropExecutor(*executor, now, now, "the executor has started anew");
+        this->d->dropExecutor(*executor, now, "the executor has started anew");
         executor->isListed = false;
         return;
     }
@@ -308,7 +298,7 @@
             this->d->requestStop(*executor, state, "the start got no answer");
         } else if (state.phase == RunPhase::Stopping && state.isStopConfirmed) {
             this->d->note("run_lost", state.item, *executor, state.number, "it never started");
-            this->d->release(*executor, current, now);
+            this->d->release(*executor, current);
         }
     }
 }
@@ -350,7 +340,7 @@
     const milliseconds pause = reply.outcome == OrderOutcome::Unhealthy || reply.outcome == OrderOutcome::NotSent ? milliseconds(1000) : milliseconds(100);
     executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, pause));
     this->d->note("start_refused", order.item, *executor, order.run, std::string(toString(reply.outcome)));
-    this->d->release(*executor, executor->runs.find(order.item), now);
+    this->d->release(*executor, executor->runs.find(order.item));
 }
 
 void PoolScheduler::onStopped(const ExecutorKey &key, const StopRun &order, const OrderReply &reply, TimePoint now)
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -100,7 +100,6 @@
     ExecutorId failedOn;
     // How often a run was stopped because it stood still.
     std::int32_t stalls = 0;
-    TimePoint waitingSince{};
     // When the life that held the last run was over at the latest; unset where the run's end is known.
     TimePoint lostAt{};
 };
@@ -193,12 +192,12 @@
     const StepSpec &stepOf(const ItemId &id);
     void touch(JobEntry &entry);
     void note(const char *event, const ItemId &item, const Executor &executor, std::int64_t run, std::string outcome);
-    void openOccurrence(JobEntry &entry, std::size_t number, TimePoint now);
+    void openOccurrence(JobEntry &entry, std::size_t number);
     void readQueue(JobEntry &entry);
     void noteArrival(const JobEntry &entry, TimePoint now);
     void noteClock(Executor &executor, const std::optional<std::chrono::milliseconds> &clock, TimePoint now);
     Run &adopt(Executor &executor, const ItemId &id, std::int64_t number, TimePoint now);
-    void release(Executor &executor, std::map<ItemId, Run>::iterator run, TimePoint now);
+    void release(Executor &executor, std::map<ItemId, Run>::iterator run);
     void endRun(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
     void finishItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
     void failItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
@@ -207,7 +206,7 @@
     void noteBegun(JobEntry &entry, TimePoint now);
     void checkCompleted(JobEntry &entry, TimePoint now, WallTime wallNow);
     // Gives up the runs of a life that was over at `overAt` at the latest.
-    void dropExecutor(Executor &executor, TimePoint now, TimePoint overAt, const char *reason);
+    void dropExecutor(Executor &executor, TimePoint overAt, const char *reason);
     void stopOthers(const ItemId &id, const Executor &except, const char *reason);
     void requestStop(Executor &executor, Run &run, const char *reason);
     void learnTime(Executor &executor, const Run &run, TimePoint now);
@@ -227,7 +226,9 @@
     std::chrono::milliseconds remainingChain(const JobEntry &entry) const;
     Executor *choose(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
     bool admits(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const;
-    // Returns true where a second run of a speculative item may end sooner than the one under way.
+    // How many times as long as estimated the queue's items take, 1 at least.
+    double learnedFactor(const QueueId &queue) const;
+    // Returns true where a second run may end sooner than the only one of the item that is under way.
     bool wantsCopy(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
     void place(JobEntry &entry, const PlacementRound &round);
     bool placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
--- a/src/scheduler/batchappender.cpp
+++ b/src/scheduler/batchappender.cpp
@@ -15,7 +15,7 @@
 // How long a record that may be stored is tried again; the caller can settle it at another gateway as well.
 constexpr milliseconds unsettledPatience{1600};
 // A store that has taken nothing for this long is taken as away.
-constexpr milliseconds storeSilence{500};
+constexpr milliseconds awayAfter{500};
 // One append carries at most this much, well under the store's limit.
 constexpr std::size_t batchBytes = 1024 * 1024;
 
@@ -38,7 +38,7 @@
 
 bool BatchAppender::isStoreAway(steady_clock::time_point now) const
 {
-    return this->isRunning && this->failingSince && now - *this->failingSince > storeSilence;
+    return this->isRunning && this->failingSince && now - *this->failingSince > awayAfter;
 }
 
 net::awaitable<AppendVerdict> BatchAppender::append(StoredRecord record, steady_clock::time_point deadline)
--- a/src/scheduler/groupmember.cpp
+++ b/src/scheduler/groupmember.cpp
@@ -43,7 +43,7 @@
     const bool hasChanged = membership.generation != this->knownGeneration;
     this->knownGeneration = membership.generation;
     this->lastConfirmed = std::max(this->lastConfirmed, sentAt);
-    this->handlers.confirmed(MembershipConfirmation{std::move(membership), sentAt, hadGap && hasChanged});
+    this->handlers.confirmed(MembershipConfirmation{std::move(membership), hadGap && hasChanged});
 }
 
 net::awaitable<void> GroupMember::run()
--- a/src/scheduler/groupmember.h
+++ b/src/scheduler/groupmember.h
@@ -13,8 +13,6 @@
 // One answer to a join.
 struct MembershipConfirmation {
     Membership membership;
-    // When the join was sent: the membership lasts from then on.
-    TimePoint sentAt{};
     // The group changed while the membership may have lapsed, so a partition may have been elsewhere and come back.
     bool isUncertain = false;
 };
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -20,7 +20,6 @@
         , token(token)
         , planWanted(owner.context)
         , persistWanted(owner.context)
-        , renewWanted(owner.context)
     {
     }
 
@@ -29,7 +28,6 @@
     std::int64_t token;
     std::int64_t sequence = 0;
     std::int64_t runBase = 0;
-    bool isFirstOwner = true;
     bool isStopped = false;
     bool isFenced = false;
     bool isLoaded = false;
@@ -49,7 +47,6 @@
     bool isPersisting = false;
     Event planWanted;
     Event persistWanted;
-    Event renewWanted;
 
     PoolScheduler *poolOf(const ServiceId &service);
     void addJob(const AcceptedJob &job);
