Planner's needs, histories' judge and takeover tests in files of their own

Change: what the pools need is in fleetneeds.cpp, with the state in fleetplanner_pvt.h; the judge and the fake executor are in poolhistory_test.h; the fixture is in poolscheduler_test.h and the tests of a changed owner in pooltakeover_test.cpp. Moves only: the tests' names and assertions, sorted, have the same checksum before and after.

--- /dev/null
+++ b/src/libmangocourse/fleetplanner_pvt.h
@@ -0,0 +1,79 @@
+// The state behind FleetPlanner, shared by the pools' needs and the orders.
+#pragma once
+
+#include <deque>
+
+#include <mangocourse/fleetplanner.h>
+
+namespace MangoCourse {
+
+struct KnownReport {
+    PoolReport report;
+    TimePoint at{};
+};
+
+struct PoolView {
+    ServiceId service;
+    bool isStandby = false;
+    // Machines that are up and stay.
+    std::vector<MachineId> up;
+    // Machines on their way into the pool.
+    std::int32_t coming = 0;
+    std::int32_t leaving = 0;
+    std::int32_t unreachable = 0;
+    std::int64_t cpuPerMachine = 0;
+    std::int32_t needed = 0;
+    // The most that it needed lately.
+    std::int32_t neededLately = 0;
+    // What it keeps when machines are scarce.
+    std::int32_t least = 0;
+    const PoolReport *report = nullptr;
+
+    std::int32_t size() const
+    {
+        return static_cast<std::int32_t>(this->up.size()) + this->coming;
+    }
+};
+
+class FleetPlanner::Private
+{
+public:
+    PlannerSettings settings;
+    PlannerState state;
+    FleetConfig config;
+    std::map<WaveId, MaintenanceWave> waves;
+    std::map<MachineId, MachineInfo> machines;
+    WallTime wallNow{};
+    std::map<ServiceId, KnownReport> reports;
+    std::map<ServiceId, TimePoint> needlessSince;
+    // Needs over the last moments, the highest first among those that are not older than a later one.
+    std::map<ServiceId, std::deque<std::pair<TimePoint, std::int32_t>>> recentNeeds;
+    std::vector<PoolNeed> needs;
+    std::map<MachineId, TimePoint> evacuatingSince;
+    std::map<MachineId, TimePoint> untouchedUntil;
+    std::map<MachineId, TimePoint> heldUntil;
+
+    std::map<ServiceId, PoolView> viewPools(TimePoint now) const;
+    // Cuts the needs down to what there is, each by the same share.
+    static void shareScarcity(std::map<ServiceId, PoolView> &pools);
+    void rememberNeeds(std::map<ServiceId, PoolView> &pools, TimePoint now);
+    const PoolReport *freshReport(const ServiceId &service, TimePoint now) const;
+    const ExecutorUse *useOf(const MachineInfo &machine, TimePoint now) const;
+    bool isEvacuating(const MachineId &machine) const;
+    bool isHeld(const MachineId &machine, TimePoint now) const;
+    // No order is under way, and no earlier planner's order is too fresh.
+    bool mayOrder(const MachineId &machine, TimePoint now) const;
+    const Evacuation *findEvacuation(const MachineId &machine) const;
+    void evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now);
+    void endEvacuation(const MachineId &machine);
+    void markOrdered(const MachineId &machine, TimePoint now);
+    void startMaintenance(std::map<ServiceId, PoolView> &pools, TimePoint now, WallTime wallNow);
+    void planMoves(std::map<ServiceId, PoolView> &pools, TimePoint now);
+    void balance(PoolView &pool, std::map<ServiceId, PoolView> &pools, TimePoint now);
+    std::optional<MachineId> donate(PoolView &donor, TimePoint now) const;
+    void dropStale(TimePoint now);
+    bool isEmptied(const Evacuation &evacuation, TimePoint now) const;
+    std::int32_t inMaintenance(const WaveId &wave) const;
+};
+
+}
--- /dev/null
+++ b/src/libmangocourse/poolscheduler_test.h
@@ -0,0 +1,151 @@
+// The fixture of the pool scheduler's tests: a virtual clock and hand-written reports.
+#pragma once
+
+#include <mangocourse/poolscheduler.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace MangoCourse {
+
+using namespace std::chrono_literals;
+
+inline constexpr std::int64_t gigabyte = 1024;
+
+class PoolSchedulerTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->config.revision = 1;
+        QueueConfig queue;
+        queue.id = QueueId{"counter"};
+        queue.service = ServiceId{"desk"};
+        queue.attempts = 2;
+        queue.slackFactor = 1.6;
+        queue.targetLatency = 600ms;
+        this->config.queues.push_back(queue);
+        this->config.services.emplace(ServiceId{"desk"}, ServiceConfig{ServiceId{"desk"}, {}, 64, true, false});
+        this->scheduler = this->makeScheduler(1, 0, TimePoint{});
+    }
+
+    std::unique_ptr<PoolScheduler> makeScheduler(std::int64_t token, std::int64_t runBase, TimePoint clearAt)
+    {
+        auto made = PoolScheduler::create(ServiceId{"desk"}, SchedulerSettings{}, token, runBase, clearAt);
+        (*made)->setConfig(this->config);
+        return std::move(*made);
+    }
+
+    static ExecutorInfo executor(const std::string &name, std::int64_t born = 100)
+    {
+        ExecutorInfo info;
+        info.id = ExecutorId{name};
+        info.machine = MachineId{"machine-" + name};
+        info.service = ServiceId{"desk"};
+        info.born = born;
+        info.capacity = Room{64000, 256 * gigabyte, 0};
+        info.labels = {"a", "rack-1"};
+        return info;
+    }
+
+    static ExecutorPlace place(const std::string &name)
+    {
+        return ExecutorPlace{MachineId{"machine-" + name}, ServiceId{"desk"}};
+    }
+
+    void list(const std::vector<ExecutorInfo> &infos)
+    {
+        this->scheduler->setExecutors(infos, this->now);
+        for (const ExecutorKey &key : this->scheduler->takeNewlyUsed()) {
+            this->scheduler->markRecorded(key);
+        }
+    }
+
+    void report(const std::string &name, std::vector<ReportedRun> running = {}, std::vector<ReportedEnd> ended = {}, std::int64_t born = 100)
+    {
+        ExecutorReport report;
+        report.outcome = OrderOutcome::Done;
+        report.clock = std::chrono::duration_cast<std::chrono::milliseconds>(this->now.time_since_epoch());
+        report.born = born;
+        report.running = std::move(running);
+        report.ended = std::move(ended);
+        this->scheduler->onReport(ExecutorKey{ExecutorId{name}, born}, report, this->now, this->now, this->wall);
+    }
+
+    AcceptedJob job(const std::string &name, StepSpec step = {}) const
+    {
+        if (step.room == Room{}) {
+            step.room = Room{4000, gigabyte, 0};
+            step.estimate = 1000ms;
+        }
+        return AcceptedJob{JobId{name}, QueueId{"counter"}, ServiceId{"desk"}, this->wall, JobSpec{"work", {step}, {}}};
+    }
+
+    void add(const AcceptedJob &accepted, const JobProgress *progress = nullptr)
+    {
+        this->scheduler->addJob(accepted, progress, this->now, this->wall);
+    }
+
+    // Adds a job that an earlier owner began.
+    void addBegun(const std::string &name)
+    {
+        const JobProgress begun{JobId{name}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Running, true, {}, {}};
+        this->add(this->job(name), &begun);
+    }
+
+    SchedulerOrders planOnce()
+    {
+        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->now + 6s});
+    }
+
+    // Plans, makes what was announced durable, and plans again.
+    SchedulerOrders plan()
+    {
+        SchedulerOrders orders = this->planOnce();
+        for (JobProgress &progress : this->scheduler->takeChanged()) {
+            this->saved[progress.id] = std::move(progress);
+        }
+        this->scheduler->markPersisted();
+        SchedulerOrders more = this->planOnce();
+        orders.starts.insert(orders.starts.end(), more.starts.begin(), more.starts.end());
+        orders.stops.insert(orders.stops.end(), more.stops.begin(), more.stops.end());
+        return orders;
+    }
+
+    // Plans and answers every start with success.
+    SchedulerOrders planAndConfirm()
+    {
+        SchedulerOrders orders = this->plan();
+        for (const StartOrder &order : orders.starts) {
+            this->answer(order, OrderOutcome::Done);
+        }
+        return orders;
+    }
+
+    void answer(const StartOrder &order, OrderOutcome outcome)
+    {
+        this->scheduler->onStarted(ExecutorKey{order.executor.id, order.executor.born}, order.run, OrderReply{outcome, std::nullopt}, this->now, this->now);
+    }
+
+    void advance(std::chrono::milliseconds time)
+    {
+        this->now += time;
+        this->wall += time;
+    }
+
+    std::optional<RenewalPlan> renewal(const std::string &name, std::int64_t born = 100)
+    {
+        return this->scheduler->renewal(ExecutorKey{ExecutorId{name}, born}, this->now, this->now + 6s);
+    }
+
+    FleetConfig config;
+    std::unique_ptr<PoolScheduler> scheduler;
+    std::map<JobId, JobProgress> saved;
+    // The last confirmation of the ownership; now, where none is set.
+    std::optional<TimePoint> confirmedAt;
+    TimePoint now{100s};
+    WallTime wall{1'000'000s};
+};
+
+}
