--- /dev/null
+++ b/src/bench/poolbench.cpp
@@ -0,0 +1,213 @@
+// poolbench: what the pool scheduler's decisions cost, by executors and open jobs.
+#include <benchmark/benchmark.h>
+
+#include <deque>
+
+#include <mangocourse/poolscheduler.h>
+
+namespace MangoCourse {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+constexpr int itemsPerJob = 10;
+constexpr std::int64_t coresPerItem = 6200;
+// As an owner plans, renews and saves under load.
+constexpr milliseconds tick{10};
+constexpr milliseconds runTime{1000};
+
+// A pool whose executors answer everything at once and end each item after its time.
+class BusyPool
+{
+public:
+    BusyPool(int executors, int openJobs)
+    {
+        FleetConfig config;
+        config.revision = 1;
+        QueueConfig queue;
+        queue.id = QueueId{"counter"};
+        queue.service = ServiceId{"desk"};
+        queue.attempts = 3;
+        queue.slackFactor = 1.6;
+        config.queues.push_back(queue);
+        config.services.emplace(ServiceId{"desk"}, ServiceConfig{ServiceId{"desk"}, {}, 64, true, false});
+        this->scheduler = std::move(*PoolScheduler::create(ServiceId{"desk"}, SchedulerSettings{}, 1, 0, TimePoint{}));
+        this->scheduler->setConfig(config);
+        for (int number = 0; number < executors; ++number) {
+            ExecutorInfo info;
+            info.id = ExecutorId{"executor-" + std::to_string(number)};
+            info.machine = MachineId{"machine-" + std::to_string(number)};
+            info.service = ServiceId{"desk"};
+            info.born = 1;
+            info.capacity = Room{64'000, 256 * 1024, 0};
+            info.labels = {"a", "rack-" + std::to_string(number / 20)};
+            this->infos.push_back(info);
+        }
+        this->list();
+        for (const ExecutorInfo &info : this->infos) {
+            this->report(ExecutorKey{info.id, info.born}, {});
+        }
+        for (int number = 0; number < openJobs; ++number) {
+            this->addJob();
+        }
+        this->save();
+        for (int round = 0; round < 3; ++round) {
+            this->step();
+        }
+    }
+
+    void list()
+    {
+        this->scheduler->setExecutors(this->infos, this->now);
+        for (const ExecutorKey &key : this->scheduler->takeNewlyUsed()) {
+            this->scheduler->markRecorded(key);
+        }
+    }
+
+    // One round of plan, answers, ends, and durable progress. Each job that ends is followed by another.
+    void step()
+    {
+        this->now += tick;
+        this->wall += tick;
+        std::map<ExecutorKey, std::vector<ReportedEnd>> ends;
+        while (!this->running.empty() && this->running.front().endsAt <= this->now) {
+            const Work &work = this->running.front();
+            ends[work.executor].push_back(ReportedEnd{++this->endNumbers[work.executor], work.item, work.run, RunEnd::Done, {}});
+            this->listed[work.executor].erase(work.item);
+            this->running.pop_front();
+        }
+        for (const auto &[key, ended] : ends) {
+            this->report(key, ended);
+            this->ended += static_cast<std::int64_t>(ended.size());
+        }
+        const SchedulerOrders orders = this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->now, this->now + 6s});
+        for (const StartOrder &order : orders.starts) {
+            const ExecutorKey key{order.executor.id, order.executor.born};
+            this->scheduler->onStarted(key, order.run, OrderReply{OrderOutcome::Done, std::nullopt}, this->now, this->now);
+            this->running.push_back(Work{key, order.run.item, order.run.run, this->now + runTime});
+            this->listed[key][order.run.item] = order.run.run;
+        }
+        this->started += static_cast<std::int64_t>(orders.starts.size());
+        this->save();
+        for (const auto &[key, list] : ends) {
+            benchmark::DoNotOptimize(this->scheduler->renewal(key, this->now, this->now + 6s));
+        }
+        benchmark::DoNotOptimize(this->scheduler->nextWakeup(this->now, this->wall));
+    }
+
+    SchedulerOrders plan()
+    {
+        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->now, this->now + 6s});
+    }
+
+    std::int64_t started = 0;
+    std::int64_t ended = 0;
+
+private:
+    struct Work {
+        ExecutorKey executor;
+        ItemId item;
+        std::int64_t run = 0;
+        TimePoint endsAt{};
+    };
+
+    void addJob()
+    {
+        AcceptedJob job;
+        std::string name = std::to_string(++this->jobs);
+        job.id = JobId{std::string(16 - name.size(), '0') + name};
+        job.queue = QueueId{"counter"};
+        job.service = ServiceId{"desk"};
+        job.acceptedAt = this->wall;
+        StepSpec step;
+        step.count = itemsPerJob;
+        step.room = Room{coresPerItem, 1024, 0};
+        step.estimate = runTime;
+        job.spec.payload = "work";
+        job.spec.steps.push_back(step);
+        this->scheduler->addJob(job, nullptr, this->now, this->wall);
+    }
+
+    void report(const ExecutorKey &key, const std::vector<ReportedEnd> &ended)
+    {
+        ExecutorReport report;
+        report.outcome = OrderOutcome::Done;
+        report.clock = std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch());
+        report.born = key.born;
+        for (const auto &[item, run] : this->listed[key]) {
+            report.running.push_back(ReportedRun{item, run, {}, 100, 0});
+        }
+        report.ended = ended;
+        this->scheduler->onReport(key, report, this->now, this->now, this->wall);
+    }
+
+    void save()
+    {
+        const std::vector<JobProgress> changed = this->scheduler->takeChanged();
+        this->scheduler->markPersisted();
+        for (const JobProgress &progress : changed) {
+            if (isFinal(progress.state)) {
+                this->addJob();
+            }
+        }
+    }
+
+    std::unique_ptr<PoolScheduler> scheduler;
+    std::vector<ExecutorInfo> infos;
+    std::deque<Work> running;
+    std::map<ExecutorKey, std::map<ItemId, std::int64_t>> listed;
+    std::map<ExecutorKey, std::int64_t> endNumbers;
+    int jobs = 0;
+    TimePoint now{100s};
+    WallTime wall{1'000'000s};
+};
+
+// One item from its start to its durable end, in a pool that is full and has a backlog.
+void itemUnderLoad(benchmark::State &state)
+{
+    BusyPool pool(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+    const std::int64_t before = pool.started;
+    for ([[maybe_unused]] auto round : state) {
+        pool.step();
+    }
+    state.counters["per_item"]
+        = benchmark::Counter(static_cast<double>(pool.started - before), benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+}
+
+void planWithNothingToDo(benchmark::State &state)
+{
+    BusyPool pool(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+    for ([[maybe_unused]] auto round : state) {
+        benchmark::DoNotOptimize(pool.plan());
+    }
+}
+
+void listRead(benchmark::State &state)
+{
+    BusyPool pool(static_cast<int>(state.range(0)), 10);
+    for ([[maybe_unused]] auto round : state) {
+        pool.list();
+    }
+}
+
+void sizes(benchmark::internal::Benchmark *benchmark)
+{
+    for (const int executors : {80, 300, 2400}) {
+        for (const int jobs : {10, 100, 1000}) {
+            benchmark->Args({executors, jobs});
+        }
+    }
+    benchmark->MinTime(0.2);
+}
+
+BENCHMARK(itemUnderLoad)->Apply(sizes)->Unit(benchmark::kMicrosecond);
+BENCHMARK(planWithNothingToDo)->Apply(sizes)->Unit(benchmark::kMicrosecond);
+BENCHMARK(listRead)->Arg(80)->Arg(300)->Arg(2400)->Unit(benchmark::kMicrosecond);
+
+}
+
+}
+
+BENCHMARK_MAIN();
