--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -173,6 +173,11 @@
     // Returns the renewal that the executor needs, or nothing while none is needed.
     std::optional<RenewalPlan> renewal(const ExecutorKey &executor, TimePoint now, TimePoint horizon) const;
     std::vector<ExecutorKey> executors() const;
+    bool knows(const ExecutorKey &executor) const;
+    // Returns true once after executors came or went.
+    bool takeExecutorSetChanged();
+    // Executors whose renewal() may have something to send since the last call.
+    std::vector<ExecutorKey> takeRenewalsWanted();
     // Executor lives that come into use. They get work once markRecorded() says that the use is durable.
     std::vector<ExecutorKey> takeNewlyUsed();
     void markRecorded(const ExecutorKey &executor);
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -75,6 +75,13 @@
     this->changed.insert(entry.job.id);
 }
 
+void PoolScheduler::Private::wantPlacement(JobEntry &entry)
+{
+    if (entry.isOpen()) {
+        this->placeable.insert(&entry);
+    }
+}
+
 void PoolScheduler::Private::note(const char *event, const ItemId &item, const Executor &executor, std::int64_t run, std::string outcome)
 {
     if (this->observer) {
@@ -108,8 +115,8 @@
     entry.priority = queue.priority;
     entry.attempts = std::max(1, queue.attempts);
     entry.hasPolicy = queue.policy.has_value();
-    const auto chain = this->remainingChain(entry);
-    const auto objective = milliseconds(static_cast<std::int64_t>(queue.slackFactor * static_cast<double>(chain.count()))) + queue.targetLatency;
+    entry.timeRatio = &this->timeRatio.try_emplace(queue.id, 1.0).first->second;
+    const auto objective = milliseconds(static_cast<std::int64_t>(queue.slackFactor * static_cast<double>(entry.chainLeft.count()))) + queue.targetLatency;
     entry.objective = after(entry.addedAt, objective);
 }
 
@@ -140,6 +147,11 @@
     run.tailTarget = spec.tailTarget;
     run.expected = spec.estimate;
     executor.used += run.room;
+    executor.fillers += run.isFiller ? 1 : 0;
+    if (executor.runs.size() == 1) {
+        // An idle executor's lease is not renewed; now it has to be.
+        this->renewalsWanted.insert(executor.key());
+    }
     item->lastRun = std::max(item->lastRun, number);
     item->where.push_back(executor.key());
     if (item->phase == ItemPhase::Waiting) {
@@ -152,6 +164,8 @@
 {
     const ItemId id = run->first;
     executor.used -= run->second.room;
+    executor.fillers -= run->second.isFiller ? 1 : 0;
+    executor.stops -= run->second.phase == RunPhase::Stopping ? 1 : 0;
     executor.runs.erase(run);
     Item *item = this->findItem(id);
     if (item == nullptr) {
@@ -160,6 +174,7 @@
     std::erase(item->where, executor.key());
     if (item->where.empty() && item->phase == ItemPhase::Active) {
         item->phase = ItemPhase::Waiting;
+        this->wantPlacement(*this->findJob(id.job));
     }
 }
 
@@ -169,6 +184,7 @@
         return;
     }
     run.phase = RunPhase::Stopping;
+    ++executor.stops;
     run.isStopConfirmed = false;
     run.stopSentAt = TimePoint{};
     this->note("stop_requested", run.item, executor, run.number, reason);
@@ -210,13 +226,26 @@
     entry.state = state;
     entry.endedAt = wallNow;
     this->open.erase(entry.job.id);
+    this->placeable.erase(&entry);
     this->touch(entry);
     this->isUrgent = true;
     this->noteDecided(entry, now);
-    for (auto &[key, executor] : this->executors) {
-        const auto first = executor.runs.lower_bound(ItemId{entry.job.id, 0, 0, 0});
-        for (auto run = first; run != executor.runs.end() && run->first.job == entry.job.id; ++run) {
-            this->requestStop(executor, run->second, state == JobState::Cancelled ? "job cancelled" : "job ended");
+    const char *reason = state == JobState::Cancelled ? "job cancelled" : "job ended";
+    ItemId id{entry.job.id, 0, 0, 0};
+    for (id.occurrence = 0; static_cast<std::size_t>(id.occurrence) < entry.occurrences.size(); ++id.occurrence) {
+        const auto &steps = entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps;
+        for (id.step = 0; static_cast<std::size_t>(id.step) < steps.size(); ++id.step) {
+            this->stopStep(id, steps[static_cast<std::size_t>(id.step)], reason);
+        }
+    }
+}
+
+void PoolScheduler::Private::stopStep(ItemId id, const StepState &step, const char *reason)
+{
+    for (id.index = 0; static_cast<std::size_t>(id.index) < step.items.size(); ++id.index) {
+        for (const ExecutorKey &key : step.items[static_cast<std::size_t>(id.index)].where) {
+            Executor &executor = *this->find(key);
+            this->requestStop(executor, executor.runs.at(id), reason);
         }
     }
 }
@@ -285,7 +314,9 @@
             this->stopOthers(id, executor, "another copy is done");
         }
     }
-    if (entry.isOpen()) {
+    if (entry.isOpen() && step.done >= spec.count) {
+        entry.chainLeft = this->remainingChain(entry);
+        this->wantPlacement(entry);
         this->checkCompleted(entry, now, wallNow);
     }
 }
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -76,6 +76,9 @@
 
 void PoolScheduler::Private::resendStops(Executor &executor, TimePoint now)
 {
+    if (executor.stops == 0) {
+        return;
+    }
     for (auto &[id, run] : executor.runs) {
         const bool isDue = run.stopSentAt == TimePoint{} || now - run.stopSentAt > stopRepeat;
         if (run.phase == RunPhase::Stopping && !run.isStopConfirmed && isDue) {
@@ -116,6 +119,9 @@
 
 void PoolScheduler::Private::paceFillers(Executor &executor, TimePoint now)
 {
+    if (executor.fillers == 0) {
+        return;
+    }
     double worst = 0;
     bool isServing = false;
     for (const auto &[id, run] : executor.runs) {
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -2,7 +2,6 @@
 #include "poolscheduler_pvt.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace MangoCourse {
 
@@ -20,6 +19,9 @@
 constexpr int mostTogether = 2;
 // Ready work beyond this share of the pool's cores is overload.
 constexpr double overloadFactor = 1.3;
+// Overload is a state of seconds, and runs that stand still are noticed late anyway: neither is looked at in each plan.
+constexpr milliseconds overloadInterval{50};
+constexpr milliseconds stallInterval{200};
 // An executor that takes this many times as long as others is avoided where there is a choice.
 constexpr double slowExecutor = 2.0;
 
@@ -106,45 +108,89 @@
     return true;
 }
 
-Executor *PoolScheduler::Private::choose(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now)
+void PoolScheduler::Private::refreshIndex(TimePoint now)
+{
+    for (auto &[key, executor] : this->executors) {
+        if (this->isUsable(executor, now)) {
+            this->index.put(executor);
+        } else {
+            this->index.remove(executor);
+        }
+    }
+}
+
+void PoolScheduler::Private::reindex(Executor &executor)
+{
+    if (executor.isIndexed) {
+        this->index.put(executor);
+    }
+}
+
+std::string PoolScheduler::Private::rackOfSiblings(const JobEntry &entry, const ItemId &id)
+{
+    for (const Item &sibling : entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)].items) {
+        if (!sibling.where.empty()) {
+            return rackOf(this->find(sibling.where.front())->info);
+        }
+    }
+    return {};
+}
+
+PoolScheduler::Private::Candidate PoolScheduler::Private::bestOf(
+    const RoomIndex::Slots &slots, const JobEntry &entry, const ItemId &id, const Item &item, const std::string &siblingRack) const
 {
     const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
     Room wanted = spec.room;
     if (spec.isFiller) {
         wanted.cpu = 0;
     }
-    std::string siblingRack;
-    if (spec.isSameRack) {
-        for (const Item &sibling : entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)].items) {
-            if (!sibling.where.empty()) {
-                siblingRack = rackOf(this->find(sibling.where.front())->info);
-                break;
-            }
-        }
-    }
-    Executor *best = nullptr;
-    std::tuple<bool, bool, bool, bool, int, std::int64_t> bestScore;
-    for (auto &[key, executor] : this->executors) {
-        if (!this->isUsable(executor, now) || !executor.free().fits(wanted) || !this->admits(executor, entry, id, spec)) {
-            continue;
+    Candidate best;
+    const auto consider = [&](Executor &executor) {
+        if (!executor.free().fits(wanted) || !this->admits(executor, entry, id, spec)) {
+            return false;
         }
         const bool isOffRack
             = (!spec.preferredRack.empty() && !hasLabel(executor.info, spec.preferredRack)) || (!siblingRack.empty() && rackOf(executor.info) != siblingRack);
-        const bool hasFailedHere = item.failedOn == executor.info.id;
-        const bool isSuspect = !executor.failedJobs.empty();
-        const bool isSlow = executor.slowness > slowExecutor;
+        CandidateRank rank;
+        rank.hasFailedHere = item.failedOn == executor.info.id;
+        rank.isOffRack = isOffRack;
+        rank.isSlow = executor.slowness > slowExecutor;
+        rank.isSuspect = !executor.failedJobs.empty();
+        rank.spread = spec.isLongRunning ? longRunningRank(executor, id) : 0;
         // Finite items fill the fullest executor, so that wide room stays for large items.
-        const std::int64_t left = executor.free().cpu - wanted.cpu;
-        const int spread = spec.isLongRunning ? longRunningRank(executor, id) : 0;
-        const auto score = std::tuple(hasFailedHere, isOffRack, isSlow, isSuspect, spread, spec.isFiller ? -left : left);
-        if (best == nullptr || score < bestScore) {
-            best = &executor;
-            bestScore = score;
+        rank.left = spec.isFiller ? wanted.cpu - executor.free().cpu : executor.free().cpu - wanted.cpu;
+        if (best.executor == nullptr || rank < best.rank) {
+            best = Candidate{&executor, rank};
         }
+        return rank.isIdeal();
+    };
+    // In this order of the slots the first ideal one is the best of all.
+    if (spec.isFiller) {
+        std::any_of(slots.rbegin(), slots.rend(), [&consider](const RoomSlot &slot) {
+            return consider(*slot.executor);
+        });
+    } else {
+        std::any_of(slots.lower_bound(RoomSlot{wanted.cpu, 0, nullptr}), slots.end(), [&consider](const RoomSlot &slot) {
+            return consider(*slot.executor);
+        });
     }
     return best;
 }
 
+Executor *PoolScheduler::Private::choose(const JobEntry &entry, const ItemId &id, const Item &item)
+{
+    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
+    const std::string siblingRack = spec.isSameRack ? this->rackOfSiblings(entry, id) : std::string();
+    const std::string &nearRack = spec.preferredRack.empty() ? siblingRack : spec.preferredRack;
+    if (!nearRack.empty()) {
+        const Candidate near = this->bestOf(this->index.slots(nearRack), entry, id, item, siblingRack);
+        if (near.executor != nullptr && near.rank.isIdeal()) {
+            return near.executor;
+        }
+    }
+    return this->bestOf(this->index.slots(spec.requiredLabel), entry, id, item, siblingRack).executor;
+}
+
 void PoolScheduler::Private::startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, TimePoint now, TimePoint horizon)
 {
     const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
@@ -160,6 +206,7 @@
         order.pass = state.passes.at(executor.info.id);
     }
     this->extendLease(executor, order.until, now);
+    this->reindex(executor);
     this->orders.starts.push_back(StartOrder{executor.info, std::move(order)});
 }
 
@@ -186,13 +233,14 @@
     for (std::size_t index = 0; index < state.items.size(); ++index) {
         Item &item = state.items[index];
         const ItemId id{entry.job.id, occurrence, step, static_cast<std::int32_t>(index)};
-        Executor *executor = this->choose(entry, id, item, now);
+        Executor *executor = this->choose(entry, id, item);
         if (executor == nullptr) {
             // All members or none: take back what was placed.
             for (std::size_t placed = 0; placed < index; ++placed) {
                 const ItemId member{entry.job.id, occurrence, step, static_cast<std::int32_t>(placed)};
                 Executor &holder = *this->find(state.items[placed].where.front());
                 this->release(holder, holder.runs.find(member));
+                this->reindex(holder);
                 state.items[placed].lastRun = number;
             }
             this->orders.starts.resize(startsBefore);
@@ -215,10 +263,9 @@
     this->isUrgent = true;
 }
 
-double PoolScheduler::Private::learnedFactor(const QueueId &queue) const
+double PoolScheduler::Private::learnedFactor(const JobEntry &entry)
 {
-    const auto ratio = this->timeRatio.find(queue);
-    return ratio == this->timeRatio.end() ? 1.0 : std::max(1.0, ratio->second);
+    return entry.timeRatio == nullptr ? 1.0 : std::max(1.0, *entry.timeRatio);
 }
 
 bool PoolScheduler::Private::wantsCopy(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now)
@@ -231,63 +278,76 @@
     if (run.phase != RunPhase::Running || run.startedAt == TimePoint{} || run.expected.count() <= 0) {
         return false;
     }
-    const double usual = static_cast<double>(run.expected.count()) * this->learnedFactor(entry.job.queue);
+    const double usual = static_cast<double>(run.expected.count()) * learnedFactor(entry);
     return static_cast<double>((span(run.startedAt, now) - copySlack).count()) > copyFactor * usual;
 }
 
-void PoolScheduler::Private::place(JobEntry &entry, const PlacementRound &round)
+bool PoolScheduler::Private::placeStep(JobEntry &entry, std::int32_t number, std::int32_t step, const PlacementRound &round)
 {
-    const TimePoint now = round.now;
-    const TimePoint horizon = round.horizon;
+    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(step)];
+    StepState &state = entry.occurrences[static_cast<std::size_t>(number)].steps[static_cast<std::size_t>(step)];
+    bool isLeft = false;
+    for (std::size_t index = 0; index < state.items.size(); ++index) {
+        Item &item = state.items[index];
+        const bool mayCopy = spec.isSpeculative && item.phase == ItemPhase::Active && item.where.size() == 1;
+        if (item.phase != ItemPhase::Waiting && !mayCopy) {
+            continue;
+        }
+        isLeft = true;
+        // A successor may have acknowledged the end of a run that this owner takes as lost.
+        if (item.lostAt > round.confirmedAt && !spec.isSpeculative) {
+            continue;
+        }
+        const ItemId id{entry.job.id, number, step, static_cast<std::int32_t>(index)};
+        if (mayCopy && (round.isOverloaded || !this->wantsCopy(entry, id, item, round.now))) {
+            continue;
+        }
+        Executor *executor = this->choose(entry, id, item);
+        if (executor == nullptr) {
+            break;
+        }
+        if (!entry.mayStart) {
+            this->announce(entry);
+            break;
+        }
+        this->startOn(*executor, entry, id, item, item.lastRun + 1, round.now, round.horizon);
+    }
+    return isLeft;
+}
+
+bool PoolScheduler::Private::place(JobEntry &entry, const PlacementRound &round)
+{
+    bool isLeft = false;
     for (std::size_t number = 0; number < entry.occurrences.size(); ++number) {
         OccurrenceState &occurrence = entry.occurrences[number];
         if (!occurrence.isOpen) {
             if (dueTime(entry.job.spec, number) > round.wallNow) {
-                break;
+                return true;
             }
             this->openOccurrence(entry, number);
         }
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const StepSpec &spec = entry.job.spec.steps[step];
             StepState &state = occurrence.steps[step];
-            const bool lacksPolicy = entry.hasPolicy && state.passesUntil <= now;
-            if (state.done >= spec.count || lacksPolicy || !this->isStepReady(entry, occurrence, step)) {
+            if (state.done >= spec.count || !this->isStepReady(entry, occurrence, step)) {
                 continue;
             }
+            const bool lacksPolicy = entry.hasPolicy && state.passesUntil <= round.now;
             // What an earlier owner started may run unseen; only speculative items may run twice.
-            if (entry.isInherited && !round.isClear && !spec.isSpeculative) {
-                continue;
+            const bool mayRunUnseen = entry.isInherited && !round.isClear && !spec.isSpeculative;
+            if (lacksPolicy || mayRunUnseen) {
+                isLeft = true;
+            } else if (spec.isGang) {
+                isLeft = !this->placeGang(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), round) || isLeft;
+            } else {
+                isLeft = this->placeStep(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), round) || isLeft;
             }
-            if (spec.isGang) {
-                this->placeGang(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), round);
-                continue;
-            }
-            for (std::size_t index = 0; index < state.items.size(); ++index) {
-                Item &item = state.items[index];
-                const bool mayCopy = spec.isSpeculative && !round.isOverloaded && item.phase == ItemPhase::Active && item.where.size() == 1;
-                if (item.phase != ItemPhase::Waiting && !mayCopy) {
-                    continue;
-                }
-                // A successor may have acknowledged the end of a run that this owner takes as lost.
-                if (item.lostAt > round.confirmedAt && !spec.isSpeculative) {
-                    continue;
-                }
-                const ItemId id{entry.job.id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), static_cast<std::int32_t>(index)};
-                if (mayCopy && !this->wantsCopy(entry, id, item, now)) {
-                    continue;
-                }
-                Executor *executor = this->choose(entry, id, item, now);
-                if (executor == nullptr) {
-                    break;
-                }
-                if (!entry.mayStart) {
-                    this->announce(entry);
-                    return;
-                }
-                this->startOn(*executor, entry, id, item, item.lastRun + 1, now, horizon);
+            if (entry.isAnnounced && !entry.mayStart) {
+                return true;
             }
         }
     }
+    return isLeft;
 }
 
 bool PoolScheduler::Private::isOverloaded() const
@@ -314,6 +374,30 @@
     return static_cast<double>(wanted) > overloadFactor * static_cast<double>(capacity.cpu);
 }
 
+bool PoolScheduler::Private::checkOverload(TimePoint now)
+{
+    if (this->overloadCheckedAt == TimePoint{} || now - this->overloadCheckedAt >= overloadInterval) {
+        this->overloadCheckedAt = now;
+        this->wasOverloaded = this->isOverloaded();
+    }
+    return this->wasOverloaded;
+}
+
+PlacementRank PoolScheduler::Private::rankOf(const JobEntry &entry, const PlacementRound &round) const
+{
+    const StepSpec &first = entry.job.spec.steps.front();
+    const double expected = static_cast<double>(entry.chainLeft.count()) * learnedFactor(entry);
+    const auto slack = span(round.now, entry.objective) - milliseconds(static_cast<std::int64_t>(expected));
+    PlacementRank rank;
+    rank.group = first.isLongRunning && !first.isFiller ? 0 : 1;
+    rank.isLate = !first.isLongRunning && slack < milliseconds::zero();
+    rank.priority = entry.priority;
+    // Under overload what has begun is finished, and of the rest the newest has the best chance to be in time.
+    rank.isPutOff = round.isOverloaded && !first.isLongRunning && !entry.hasRun;
+    rank.slack = rank.isPutOff ? -slack.count() : slack.count();
+    return rank;
+}
+
 SchedulerOrders PoolScheduler::plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term)
 {
     Private &state = *this->d;
@@ -321,36 +405,34 @@
     state.orders = SchedulerOrders{};
     state.expireLeases(now, term.confirmedAt);
     state.evacuate(now);
+    const bool checksStalls = now - state.stallsCheckedAt >= stallInterval;
+    state.stallsCheckedAt = checksStalls ? now : state.stallsCheckedAt;
     for (auto &[key, executor] : state.executors) {
-        state.stopStalled(executor, now);
+        if (checksStalls) {
+            state.stopStalled(executor, now);
+        }
         state.resendStops(executor, now);
         state.stopOrphans(executor, now);
         state.paceFillers(executor, now);
     }
-    if (span(now, horizon) < shortestLease) {
+    if (state.placeable.empty() || span(now, horizon) < shortestLease) {
         return std::move(state.orders);
     }
-    // Long-running first, then by priority those that can still meet their objective, the least slack first.
-    const PlacementRound round{now, wallNow, horizon, term.confirmedAt, state.isClear(now), state.isOverloaded()};
-    std::vector<std::pair<std::tuple<int, bool, std::int32_t, bool, std::int64_t>, JobEntry *>> order;
-    for (const JobId &id : state.open) {
-        JobEntry &entry = *state.findJob(id);
-        const bool isLongRunning = entry.job.spec.steps.front().isLongRunning;
-        const bool isFiller = entry.job.spec.steps.front().isFiller;
-        const double expected = static_cast<double>(state.remainingChain(entry).count()) * state.learnedFactor(entry.job.queue);
-        const auto chain = milliseconds(static_cast<std::int64_t>(expected));
-        const auto slack = span(now, entry.objective) - chain;
-        const bool isLate = !isLongRunning && slack < milliseconds::zero();
-        const int group = isLongRunning && !isFiller ? 0 : 1;
-        // Under overload what has begun is finished, and of the rest the newest has the best chance to be in time.
-        const bool isPutOff = round.isOverloaded && !isLongRunning && !entry.hasRun;
-        order.emplace_back(std::tuple(group, isLate, entry.priority, isPutOff, isPutOff ? -slack.count() : slack.count()), &entry);
+    state.refreshIndex(now);
+    const PlacementRound round{now, wallNow, horizon, term.confirmedAt, state.isClear(now), state.checkOverload(now)};
+    std::vector<std::pair<PlacementRank, JobEntry *>> order;
+    order.reserve(state.placeable.size());
+    for (JobEntry *entry : state.placeable) {
+        order.emplace_back(state.rankOf(*entry, round), entry);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
-        return left.first < right.first;
+        return left.first != right.first ? left.first < right.first : left.second->job.id < right.second->job.id;
     });
-    for (auto &[key, entry] : order) {
-        state.place(*entry, round);
+    for (const auto &[rank, entry] : order) {
+        const bool isLeft = state.place(*entry, round);
+        if (!isLeft) {
+            state.placeable.erase(entry);
+        }
     }
     return std::move(state.orders);
 }
@@ -358,8 +440,9 @@
 std::vector<PolicyQuestion> PoolScheduler::policyQuestions(TimePoint now) const
 {
     std::vector<PolicyQuestion> questions;
-    for (const JobId &id : this->d->open) {
-        JobEntry &entry = *this->d->findJob(id);
+    for (JobEntry *placeable : this->d->placeable) {
+        JobEntry &entry = *placeable;
+        const JobId &id = entry.job.id;
         if (!entry.hasPolicy) {
             continue;
         }
@@ -399,9 +482,10 @@
     if (this->d->clearAt > now) {
         next = std::min(next, this->d->clearAt);
     }
-    for (const JobId &id : this->d->open) {
-        const JobEntry &entry = *this->d->findJob(id);
-        for (std::size_t number = 0; number < entry.occurrences.size(); ++number) {
+    for (const JobEntry *placeable : this->d->placeable) {
+        const JobEntry &entry = *placeable;
+        const bool isScheduled = entry.job.spec.recurrence.count > 0;
+        for (std::size_t number = 0; isScheduled && number < entry.occurrences.size(); ++number) {
             if (!entry.occurrences[number].isOpen) {
                 const auto wait = std::max(milliseconds(1), dueTime(entry.job.spec, number) - wallNow);
                 next = std::min(next, after(now, std::min(wait, milliseconds(500))));
--- a/src/libmangocourse/poolreport.cpp
+++ b/src/libmangocourse/poolreport.cpp
@@ -57,7 +57,7 @@
     for (const JobId &id : this->d->open) {
         const JobEntry &entry = *this->d->findJob(id);
         const std::vector<StepSpec> &specs = entry.job.spec.steps;
-        const bool isLate = entry.objective < now + this->d->remainingChain(entry);
+        const bool isLate = entry.objective < now + entry.chainLeft;
         std::int64_t &backlog = isLate ? report.lateBacklog : report.backlog;
         for (const OccurrenceState &occurrence : entry.occurrences) {
             for (std::size_t step = 0; occurrence.isOpen && step < specs.size(); ++step) {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -59,7 +59,16 @@
             continue;
         }
         const ExecutorKey key{info.id, info.born};
-        Executor &executor = this->d->executors[key];
+        const auto [known, isNew] = this->d->executors.try_emplace(key);
+        Executor &executor = known->second;
+        if (isNew) {
+            executor.ordinal = ++this->d->lastOrdinal;
+            this->d->isExecutorSetChanged = true;
+            this->d->renewalsWanted.insert(key);
+        }
+        if (executor.isIndexed && executor.indexedLabels != info.labels) {
+            this->d->index.remove(executor);
+        }
         executor.info = info;
         executor.isListed = true;
         // In use again: a deletion that nobody has taken yet would leave it without a record.
@@ -89,16 +98,24 @@
         }
         return isOver;
     });
-    std::erase_if(this->d->executors, [this, now](const auto &entry) {
-        const Executor &executor = entry.second;
+    for (auto known = this->d->executors.begin(); known != this->d->executors.end();) {
+        Executor &executor = known->second;
         // What an earlier owner gave a silent executor ends only with the longest lease.
         const bool isClear = executor.isContacted || now >= this->d->clearAt;
         const bool isOver = !executor.isListed && executor.runs.empty() && executor.leaseEnd < now && isClear;
-        if (isOver && executor.isRecorded) {
-            this->d->forgotten.push_back(entry.first);
+        if (!isOver) {
+            ++known;
+            continue;
         }
-        return isOver;
-    });
+        if (executor.isRecorded) {
+            this->d->forgotten.push_back(known->first);
+        }
+        this->d->index.remove(executor);
+        this->d->isExecutorSetChanged = true;
+        // Its renewing ends.
+        this->d->renewalsWanted.insert(known->first);
+        known = this->d->executors.erase(known);
+    }
     if (now >= this->d->clearAt) {
         for (const auto &[key, machine] : std::exchange(this->d->earlier, {})) {
             const bool isNoted = std::find(this->d->forgotten.begin(), this->d->forgotten.end(), key) != this->d->forgotten.end();
@@ -153,10 +170,12 @@
         return;
     }
     this->d->open.insert(job.id);
+    this->d->wantPlacement(entry);
     this->d->noteArrival(entry, now);
     if (job.spec.recurrence.count == 0) {
         this->d->openOccurrence(entry, 0);
     }
+    entry.chainLeft = this->d->remainingChain(entry);
     this->d->readQueue(entry);
     if (progress == nullptr) {
         this->d->touch(entry);
@@ -190,6 +209,7 @@
             ++step.done;
         }
     }
+    entry.chainLeft = this->d->remainingChain(entry);
 }
 
 void PoolScheduler::cancelJob(const JobId &job, TimePoint now, WallTime wallNow)
@@ -208,6 +228,7 @@
         }
     }
     for (const JobId &id : forgotten) {
+        this->d->placeable.erase(this->d->findJob(id));
         this->d->jobs.erase(id);
     }
     return forgotten;
@@ -235,7 +256,10 @@
         return;
     }
     executor->failingSince = TimePoint{};
-    executor->isContacted = true;
+    if (!executor->isContacted) {
+        executor->isContacted = true;
+        this->d->renewalsWanted.insert(key);
+    }
     executor->acknowledgedEnd = executor->sentEnd;
     this->d->noteClock(*executor, report.clock, now);
     for (const ReportedEnd &end : report.ended) {
@@ -369,6 +393,7 @@
         state.passes[pass.executor] = pass.pass;
     }
     state.passesUntil = after(now, answer.validity);
+    this->d->wantPlacement(*entry);
 }
 
 std::vector<ExecutorKey> PoolScheduler::executors() const
@@ -380,6 +405,23 @@
     return keys;
 }
 
+bool PoolScheduler::knows(const ExecutorKey &executor) const
+{
+    return this->d->executors.contains(executor);
+}
+
+bool PoolScheduler::takeExecutorSetChanged()
+{
+    return std::exchange(this->d->isExecutorSetChanged, false);
+}
+
+std::vector<ExecutorKey> PoolScheduler::takeRenewalsWanted()
+{
+    std::vector<ExecutorKey> wanted(this->d->renewalsWanted.begin(), this->d->renewalsWanted.end());
+    this->d->renewalsWanted.clear();
+    return wanted;
+}
+
 std::vector<ExecutorKey> PoolScheduler::takeNewlyUsed()
 {
     std::vector<ExecutorKey> used;
@@ -443,13 +485,17 @@
 void PoolScheduler::markPersisted()
 {
     for (auto &[key, executor] : this->d->executors) {
-        executor.persistedEnd = executor.collectedEnd;
+        if (executor.persistedEnd != executor.collectedEnd) {
+            executor.persistedEnd = executor.collectedEnd;
+            this->d->renewalsWanted.insert(key);
+        }
     }
     std::erase_if(this->d->announced, [this](const JobId &id) {
         JobEntry *entry = this->d->findJob(id);
         const bool isSettled = entry == nullptr || entry->isAnnouncementCollected;
         if (entry != nullptr && isSettled) {
             entry->mayStart = true;
+            this->d->wantPlacement(*entry);
         }
         return isSettled;
     });
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -4,9 +4,12 @@
 #include <deque>
 #include <map>
 #include <unordered_map>
+#include <unordered_set>
 
 #include <mangocourse/poolscheduler.h>
 
+#include "roomindex_pvt.h"
+
 namespace MangoCourse {
 
 enum class RunPhase {
@@ -57,6 +60,9 @@
     // Runs that belong to no open job, and when they were last told to stop.
     std::map<ItemId, std::pair<std::int64_t, TimePoint>> orphans;
     Room used;
+    // Runs that are being stopped, and runs that live on spare processor time.
+    std::int32_t stops = 0;
+    std::int32_t fillers = 0;
     std::int64_t processedEnd = 0;
     std::int64_t collectedEnd = 0;
     std::int64_t persistedEnd = 0;
@@ -69,6 +75,11 @@
     double slowness = 1.0;
     bool isAnnounced = false;
     bool isRecorded = false;
+    // The place in the index of usable executors.
+    std::uint64_t ordinal = 0;
+    bool isIndexed = false;
+    std::int64_t indexedCpu = 0;
+    std::vector<std::string> indexedLabels;
 
     ExecutorKey key() const
     {
@@ -138,6 +149,10 @@
     bool hasPolicy = false;
     bool hasRun = false;
     std::vector<OccurrenceState> occurrences;
+    // The longest chain of steps that is not done yet, by their estimates.
+    std::chrono::milliseconds chainLeft{};
+    // Actual run time against the estimate of the job's queue; owned by the scheduler.
+    const double *timeRatio = nullptr;
 
     bool isOpen() const
     {
@@ -157,9 +172,43 @@
     bool isOverloaded = false;
 };
 
+// When a job's turn comes among those that wait for room; the lowest first.
+struct PlacementRank {
+    // Serving long-running work first.
+    int group = 0;
+    bool isLate = false;
+    std::int32_t priority = 0;
+    bool isPutOff = false;
+    // Milliseconds of slack; negated where the newest comes first.
+    std::int64_t slack = 0;
+
+    auto operator<=>(const PlacementRank &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
 class PoolScheduler::Private
 {
 public:
+    // How well an executor suits an item; the lowest is taken.
+    struct CandidateRank {
+        bool hasFailedHere = false;
+        bool isOffRack = false;
+        bool isSlow = false;
+        bool isSuspect = false;
+        std::int32_t spread = 0;
+        std::int64_t left = 0;
+
+        auto operator<=>(const CandidateRank &) const = default; // NOLINT(modernize-use-nullptr)
+        bool isIdeal() const
+        {
+            return !this->hasFailedHere && !this->isOffRack && !this->isSlow && !this->isSuspect && this->spread == 0;
+        }
+    };
+
+    struct Candidate {
+        Executor *executor = nullptr;
+        CandidateRank rank;
+    };
+
     ServiceId service;
     SchedulerSettings settings;
     std::int64_t token = 0;
@@ -172,6 +221,16 @@
     EvacuationList evacuations;
     std::unordered_map<JobId, JobEntry> jobs;
     std::set<JobId> open;
+    // Open jobs that may have something to place: a waiting item, a second run, an occurrence to come.
+    std::unordered_set<JobEntry *> placeable;
+    RoomIndex index;
+    std::uint64_t lastOrdinal = 0;
+    // Executors whose renewal may be wanted now, since the last call of takeRenewalsWanted().
+    std::set<ExecutorKey> renewalsWanted;
+    bool isExecutorSetChanged = false;
+    TimePoint overloadCheckedAt{};
+    bool wasOverloaded = false;
+    TimePoint stallsCheckedAt{};
     std::set<JobId> changed;
     // Announced jobs that wait for the announcement to be durable.
     std::set<JobId> announced;
@@ -202,6 +261,8 @@
     void finishItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
     void failItem(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow);
     void finishJob(JobEntry &entry, JobState state, TimePoint now, WallTime wallNow);
+    // Stops what runs of the step that `id` names.
+    void stopStep(ItemId id, const StepState &step, const char *reason);
     void noteDecided(const JobEntry &entry, TimePoint now) const;
     void noteBegun(JobEntry &entry, TimePoint now);
     void checkCompleted(JobEntry &entry, TimePoint now, WallTime wallNow);
@@ -224,13 +285,24 @@
     bool isUsable(const Executor &executor, TimePoint now) const;
     bool isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const;
     std::chrono::milliseconds remainingChain(const JobEntry &entry) const;
-    Executor *choose(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
+    // Brings the index of usable executors up to date.
+    void refreshIndex(TimePoint now);
+    void reindex(Executor &executor);
+    PlacementRank rankOf(const JobEntry &entry, const PlacementRound &round) const;
+    // Notes that the job may have something to place.
+    void wantPlacement(JobEntry &entry);
+    bool checkOverload(TimePoint now);
+    std::string rackOfSiblings(const JobEntry &entry, const ItemId &id);
+    Candidate bestOf(const RoomIndex::Slots &slots, const JobEntry &entry, const ItemId &id, const Item &item, const std::string &siblingRack) const;
+    Executor *choose(const JobEntry &entry, const ItemId &id, const Item &item);
     bool admits(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const;
     // How many times as long as estimated the queue's items take, 1 at least.
-    double learnedFactor(const QueueId &queue) const;
+    static double learnedFactor(const JobEntry &entry);
     // Returns true where a second run may end sooner than the only one of the item that is under way.
     bool wantsCopy(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
-    void place(JobEntry &entry, const PlacementRound &round);
+    // Returns true where the job may have something to place later.
+    bool place(JobEntry &entry, const PlacementRound &round);
+    bool placeStep(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
     bool placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
     void startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, TimePoint now, TimePoint horizon);
     std::chrono::milliseconds leaseUntil(const Executor &executor, TimePoint now, TimePoint horizon) const;
--- a/src/libservice/eventlog.cpp
+++ b/src/libservice/eventlog.cpp
@@ -1,9 +1,11 @@
-// Structured events over spdlog's asynchronous logger.
+// Structured events, gathered by a thread of their own and written through spdlog.
 #include "eventlog.h"
 
+#include <condition_variable>
 #include <map>
+#include <mutex>
+#include <thread>
 
-#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -11,8 +13,10 @@
 
 namespace {
 
-// Lines that wait for standard output.
-constexpr std::size_t ringSize = 4096;
+// Bytes that wait for standard output at most.
+constexpr std::size_t bufferLimit = 1024 * 1024;
+// Lines that come within this time are written together: each wake-up of the writer costs processor time.
+constexpr std::chrono::milliseconds gatherTime{25};
 
 void appendEscaped(std::string &out, std::string_view text)
 {
@@ -34,10 +38,6 @@
 struct ValueWriter {
     std::string &out;
 
-    void operator()(const std::string &text) const
-    {
-        appendEscaped(this->out, text);
-    }
     void operator()(std::string_view text) const
     {
         appendEscaped(this->out, text);
@@ -73,15 +73,69 @@
 public:
     std::string process;
     std::uint32_t budget = 0;
-    std::shared_ptr<spdlog::details::thread_pool> pool;
-    std::shared_ptr<spdlog::async_logger> logger;
+    std::shared_ptr<spdlog::logger> logger;
     std::map<std::string, Budget, std::less<>> budgets;
     std::uint64_t suppressed = 0;
 
+    // Guards what the writer shares: the lines that wait, how many found no room, and whether the log ends.
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::string pending;
+    bool isEnding = false;
+    std::thread writer;
+
     // Returns whether the event may be written, and in `left` how many of its kind were left out before.
     bool admit(std::string_view event, EventWeight weight, std::uint64_t &left);
+    void put(std::string_view line);
+    void writePending();
+    void runWriter();
 };
 
+void EventLog::Private::put(std::string_view line)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->pending.size() + line.size() > bufferLimit) {
+        ++this->suppressed;
+        return;
+    }
+    const bool wasEmpty = this->pending.empty();
+    this->pending += line;
+    this->pending += '\n';
+    if (wasEmpty) {
+        this->changed.notify_one();
+    }
+}
+
+void EventLog::Private::writePending()
+{
+    std::string lines;
+    {
+        const std::lock_guard lock(this->mutex);
+        lines.swap(this->pending);
+    }
+    if (!lines.empty()) {
+        lines.pop_back();
+        this->logger->info(std::string_view(lines));
+        this->logger->flush();
+    }
+}
+
+void EventLog::Private::runWriter()
+{
+    std::unique_lock lock(this->mutex);
+    while (!this->isEnding) {
+        this->changed.wait(lock, [this] {
+            return this->isEnding || !this->pending.empty();
+        });
+        this->changed.wait_for(lock, gatherTime, [this] {
+            return this->isEnding;
+        });
+        lock.unlock();
+        this->writePending();
+        lock.lock();
+    }
+}
+
 bool EventLog::Private::admit(std::string_view event, EventWeight weight, std::uint64_t &left)
 {
     auto found = this->budgets.find(event);
@@ -99,6 +153,7 @@
     const std::uint32_t limit = weight == EventWeight::Essential ? this->budget * 10 : this->budget;
     if (state.used > limit) {
         ++state.left;
+        const std::lock_guard lock(this->mutex);
         ++this->suppressed;
         return false;
     }
@@ -114,6 +169,12 @@
 
 EventLog::~EventLog()
 {
+    {
+        const std::lock_guard lock(this->d->mutex);
+        this->d->isEnding = true;
+    }
+    this->d->changed.notify_one();
+    this->d->writer.join();
     this->flush();
 }
 
@@ -122,10 +183,11 @@
     auto impl = std::make_unique<Private>();
     impl->process = std::move(process);
     impl->budget = budget;
-    impl->pool = std::make_shared<spdlog::details::thread_pool>(ringSize, 1);
-    impl->logger = std::make_shared<spdlog::async_logger>(
-        impl->process, std::make_shared<spdlog::sinks::stdout_sink_mt>(), impl->pool, spdlog::async_overflow_policy::overrun_oldest);
+    impl->logger = std::make_shared<spdlog::logger>(impl->process, std::make_shared<spdlog::sinks::stdout_sink_mt>());
     impl->logger->set_pattern("%v");
+    impl->writer = std::thread([raw = impl.get()] {
+        raw->runWriter();
+    });
     return std::unique_ptr<EventLog>(new EventLog(std::move(impl)));
 }
 
@@ -152,17 +214,18 @@
         fmt::format_to(std::back_inserter(line), ",\"left_out\":{}", left);
     }
     line += '}';
-    this->d->logger->info(std::string_view(line));
+    this->d->put(line);
 }
 
 std::uint64_t EventLog::suppressed() const
 {
-    return this->d->suppressed + this->d->pool->overrun_counter();
+    const std::lock_guard lock(this->d->mutex);
+    return this->d->suppressed;
 }
 
 void EventLog::flush()
 {
-    this->d->logger->flush();
+    this->d->writePending();
 }
 
 }
--- a/src/libservice/eventlog.h
+++ b/src/libservice/eventlog.h
@@ -12,8 +12,8 @@
 
 namespace MangoCourse {
 
-// A value keeps its type in the line: text is quoted and escaped, numbers and truth values are not.
-using EventValue = std::variant<std::string, std::string_view, const char *, std::int64_t, double, bool>;
+// A value keeps its type in the line: text is quoted and escaped, numbers and truth values are not. Text need only live until the call ends.
+using EventValue = std::variant<std::string_view, const char *, std::int64_t, double, bool>;
 
 struct EventField {
     std::string_view name;
@@ -26,7 +26,7 @@
     Essential,
 };
 
-// Writes through a ring that a thread of its own empties; when the ring is full the oldest lines are dropped and counted.
+// Writes through a bounded buffer that a thread of its own empties some times a second; lines that find it full are dropped and counted.
 class EventLog
 {
 public:
@@ -39,7 +39,7 @@
     // Lines left out so far.
     std::uint64_t suppressed() const;
 
-    // Writes what the ring holds. Call before the process ends.
+    // Writes what the buffer holds. Call before the process ends.
     void flush();
 
 private:
--- a/src/scheduler/nodesettings.h
+++ b/src/scheduler/nodesettings.h
@@ -19,6 +19,8 @@
     Endpoint readiness;
     Endpoint admin;
     std::int32_t partitions = 8;
+    // What the machine gives this process, in thousandths of a core; 0 where the settings do not say.
+    std::int32_t processorShare = 0;
     SchedulerSettings scheduler;
     PlannerSettings planner;
     // Time between the request to stop and the end by force.
@@ -32,6 +34,14 @@
     bool hasMachines = false;
     bool hasPolicy = false;
 
+    // Processes with little processor time wait this much longer before they take a duty that nobody has: a stronger one may be about to.
+    std::chrono::milliseconds dutyDelay() const
+    {
+        constexpr std::int32_t ample = 500;
+        constexpr std::chrono::milliseconds longest{700};
+        return longest * (ample - std::clamp(this->processorShare, 0, ample)) / ample;
+    }
+
     // A member of a group that is silent for this long is replaced.
     std::chrono::milliseconds membershipSilence() const
     {
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -3,8 +3,9 @@
 
 #include <algorithm>
 
+#include <mangocourse/ownerchoice.h>
+
 #include "clocks.h"
-#include "event.h"
 
 namespace MangoCourse {
 
@@ -13,6 +14,14 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds startCheck{100};
+// How often a process that stands by looks at the owners, and one whose machine is small while it owns.
+constexpr milliseconds standByInterval{800};
+constexpr milliseconds vacancyInterval{150};
+constexpr milliseconds memberInterval{2000};
+// A machine with this share of a core, in thousandths, need not look whether others are stronger.
+constexpr std::int32_t ampleShare = 500;
+// The join under way when a membership ends is waited for, so that it cannot come after the leaving.
+constexpr milliseconds lastJoinWait{1000};
 
 }
 
@@ -22,7 +31,9 @@
           GroupMember::Handlers{[this](const MembershipConfirmation &confirmation) {
                                     this->apply(confirmation);
                                 },
-              std::move(contact)})
+              contact})
+    , memberStopped(owner.context)
+    , contact(std::move(contact))
 {
 }
 
@@ -74,15 +85,67 @@
     while (!this->isRetired && (!this->config || !this->isPlanKnown)) {
         co_await sleepFor(this->owner.context, startCheck);
     }
-    if (!this->isRetired) {
-        co_await this->member.run();
+    while (!this->isRetired) {
+        co_await this->review();
     }
 }
 
-net::awaitable<void> Ownership::retire()
+net::awaitable<void> Ownership::review()
+{
+    const NodeSettings &settings = this->owner.settings;
+    if (this->isMember && settings.processorShare >= ampleShare) {
+        co_await sleepFor(this->owner.context, memberInterval);
+        co_return;
+    }
+    const Result<std::vector<GroupHolder>> holders = co_await this->owner.store.holders(Group::Owners);
+    this->contact(holders.has_value());
+    if (!holders) {
+        this->owner.log.emit("owners_unknown", {{"reason", describe(holders.error())}});
+        co_await sleepFor(this->owner.context, this->isMember ? memberInterval : vacancyInterval);
+        co_return;
+    }
+    OwnerView view{settings.processorShare, this->isMember, {}, {}, settings.dutyDelay()};
+    for (const GroupHolder &holder : *holders) {
+        if (holder.process != settings.name.value) {
+            view.otherShares.push_back(holder.processorShare);
+        }
+    }
+    this->vacantSince = view.otherShares.empty() ? std::optional(this->vacantSince.value_or(bootNow())) : std::nullopt;
+    view.vacantFor = this->vacantSince ? std::chrono::duration_cast<milliseconds>(bootNow() - *this->vacantSince) : milliseconds::zero();
+    const OwnerMove move = chooseOwnerMove(view);
+    if (this->isRetired) {
+        co_return;
+    }
+    if (move == OwnerMove::Join) {
+        this->join();
+    } else if (move == OwnerMove::Leave) {
+        co_await this->resign();
+    }
+    const bool isVacant = view.otherShares.empty() && !this->isMember;
+    co_await sleepFor(this->owner.context, this->isMember ? memberInterval : (isVacant ? vacancyInterval : standByInterval));
+}
+
+void Ownership::join()
+{
+    this->isMember = true;
+    this->owner.log.emit("owners_joined", {{"share", std::int64_t(this->owner.settings.processorShare)}}, EventWeight::Essential);
+    net::co_spawn(
+        this->owner.context,
+        [this]() -> net::awaitable<void> {
+            co_await this->member.run();
+            this->isMember = false;
+            this->memberStopped.notify();
+        },
+        net::detached);
+}
+
+net::awaitable<void> Ownership::resign()
 {
-    this->isRetired = true;
     this->member.stop();
+    const TimePoint latest = bootNow() + lastJoinWait;
+    while (this->isMember && bootNow() < latest) {
+        co_await this->memberStopped.waitFor(lastJoinWait);
+    }
     for (auto &[partition, shard] : this->owned) {
         co_await shard->handOver();
     }
@@ -90,6 +153,12 @@
     co_await this->member.leave();
 }
 
+net::awaitable<void> Ownership::retire()
+{
+    this->isRetired = true;
+    co_await this->resign();
+}
+
 void Ownership::setConfig(std::shared_ptr<const FleetConfig> config)
 {
     this->config = std::move(config);
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
+#include "event.h"
 #include "groupmember.h"
 #include "shardowner.h"
 
@@ -15,7 +17,7 @@
 public:
     Ownership(OwnerContext owner, std::function<void(bool isReachable)> contact);
 
-    // Keeps the membership until retire().
+    // Stands by or owns, by what the machine can carry, until retire().
     net::awaitable<void> run();
     // Hands everything over and leaves the group.
     net::awaitable<void> retire();
@@ -32,6 +34,11 @@
 
 private:
     void apply(const MembershipConfirmation &confirmation);
+    // Joins or leaves the owners where that is better for the pools.
+    net::awaitable<void> review();
+    void join();
+    // Hands over what is owned and leaves the group.
+    net::awaitable<void> resign();
     void setTerms();
 
     OwnerContext owner;
@@ -42,6 +49,12 @@
     EvacuationList knownEvacuations;
     bool isPlanKnown = false;
     bool isRetired = false;
+    // The membership is being kept.
+    bool isMember = false;
+    // Since when no other process has been seen to own anything.
+    std::optional<TimePoint> vacantSince;
+    Event memberStopped;
+    std::function<void(bool isReachable)> contact;
 };
 
 }
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -73,6 +73,15 @@
     auto operator<=>(const OwnedPartition &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+// A member of a group that holds partitions.
+struct GroupHolder {
+    std::string process;
+    // What its machine gives it, in thousandths of a core; 0 where it does not say.
+    std::int32_t processorShare = 0;
+
+    bool operator==(const GroupHolder &) const = default;
+};
+
 struct Membership {
     std::int64_t generation = 0;
     std::vector<OwnedPartition> owned;
@@ -101,8 +110,8 @@
     // Gives up the membership at once.
     virtual net::awaitable<Result<void>> leave(Group group) = 0;
 
-    // Returns true where another member holds partitions.
-    virtual net::awaitable<Result<bool>> hasOtherMembers(Group group) = 0;
+    // Returns the members that hold partitions, each once; this process is one of them where it does.
+    virtual net::awaitable<Result<std::vector<GroupHolder>>> holders(Group group) = 0;
 };
 
 // Calls to executors.
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -130,13 +130,18 @@
     {
         co_return Result<void>{};
     }
-    net::awaitable<Result<bool>> hasOtherMembers(Group) override
+    net::awaitable<Result<std::vector<GroupHolder>>> holders(Group) override
     {
-        co_return false;
+        co_await sleepFor(this->context, 1ms);
+        if (this->mood == StoreMood::Refusing) {
+            co_return makeError(ErrorCode::Unavailable, "refused");
+        }
+        co_return this->groupHolders;
     }
 
     // The answer to joins.
     Membership membership;
+    std::vector<GroupHolder> groupHolders;
 };
 
 // Executors that start at once and end each run after a while.
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -199,19 +199,22 @@
 net::awaitable<void> SchedulerProcess::Private::joinPlanners()
 {
     const std::size_t name = std::hash<std::string>{}(this->platform->settings().name.value);
-    const milliseconds interval = candidateInterval + milliseconds(name % candidateSpread);
+    const milliseconds interval = candidateInterval + milliseconds(name % candidateSpread) + this->platform->settings().dutyDelay();
     bool hasGivenWay = false;
     while (!this->isStopping) {
         if (!this->planKnownSince || !this->feed.config()) {
             co_await sleepFor(this->context, idleInterval);
             continue;
         }
-        const Result<bool> hasOthers = co_await this->platform->store().hasOtherMembers(Group::Planners);
-        if (!hasOthers) {
+        const Result<std::vector<GroupHolder>> holders = co_await this->platform->store().holders(Group::Planners);
+        if (!holders) {
             co_await sleepFor(this->context, idleInterval);
             continue;
         }
-        if (*hasOthers) {
+        const bool hasOthers = std::any_of(holders->begin(), holders->end(), [this](const GroupHolder &holder) {
+            return holder.process != this->platform->settings().name.value;
+        });
+        if (hasOthers) {
             hasGivenWay = false;
             co_await sleepFor(this->context, interval);
             continue;
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -87,7 +87,13 @@
     net::awaitable<void> send(PoolScheduler *pool, PaceOrder order);
     net::awaitable<void> ask(PoolScheduler *pool, PolicyQuestion question);
     void dispatch(PoolScheduler *pool, SchedulerOrders orders);
-    void watchExecutors();
+    // Renews the leases of executors that came.
+    void watchExecutors(PoolScheduler *pool);
+    // Wakes the renewals that have something to send.
+    void wakeRenewals();
+    // Records the executors that come into use, and drops the records of those that are over.
+    void noteUse(const ServiceId &service, PoolScheduler &pool);
+    void askPolicies(PoolScheduler *pool, TimePoint now);
     template<typename Coroutine>
     void spawn(Coroutine coroutine)
     {
--- a/src/scheduler/shardownerloops.cpp
+++ b/src/scheduler/shardownerloops.cpp
@@ -18,11 +18,14 @@
 constexpr milliseconds tailWait{2000};
 // Events that come together are planned for together.
 constexpr milliseconds planPause{2};
+// After a plan the owner rests this many times as long as it took, up to the bound.
+constexpr int planRest = 3;
+constexpr milliseconds longestPlanPause{40};
 constexpr milliseconds renewalPause{10};
 // Longest wait for ends to become durable before an executor is asked again.
 constexpr milliseconds unsavedPatience{400};
 constexpr milliseconds renewalRetry{150};
-constexpr milliseconds idleCheck{1000};
+constexpr milliseconds idleCheck{3000};
 // What an earlier owner may have started beyond its horizon through slow clocks and rounding.
 constexpr milliseconds clearMargin{350};
 constexpr milliseconds expiryInterval{5000};
@@ -174,63 +177,82 @@
     }
 }
 
-void ShardOwner::Loops::watchExecutors()
+void ShardOwner::Loops::watchExecutors(PoolScheduler *pool)
+{
+    for (const ExecutorKey &key : pool->executors()) {
+        if (this->state.renewing.contains(key)) {
+            continue;
+        }
+        const auto wanted = std::make_shared<Event>(this->state.owner.context);
+        this->state.renewing.emplace(key, wanted);
+        this->spawn([self = this->self, &owned = this->state, pool, key, wanted]() -> net::awaitable<void> {
+            Loops loops{self, owned};
+            co_await loops.renew(pool, key, wanted);
+        });
+    }
+}
+
+void ShardOwner::Loops::wakeRenewals()
 {
     for (auto &[service, pool] : this->state.pools) {
-        const std::vector<ExecutorKey> keys = pool->executors();
-        for (const ExecutorKey &key : keys) {
-            if (this->state.renewing.contains(key)) {
-                continue;
+        for (const ExecutorKey &key : pool->takeRenewalsWanted()) {
+            const auto renewing = this->state.renewing.find(key);
+            if (renewing != this->state.renewing.end()) {
+                renewing->second->notify();
             }
-            const auto wanted = std::make_shared<Event>(this->state.owner.context);
-            this->state.renewing.emplace(key, wanted);
-            this->spawn([self = this->self, &owned = this->state, raw = pool.get(), key, wanted]() -> net::awaitable<void> {
-                Loops loops{self, owned};
-                co_await loops.renew(raw, key, wanted);
-            });
         }
     }
 }
 
+void ShardOwner::Loops::noteUse(const ServiceId &service, PoolScheduler &pool)
+{
+    for (const ExecutorKey &key : pool.takeNewlyUsed()) {
+        if (this->state.recorded.contains(key)) {
+            pool.markRecorded(key);
+        } else {
+            this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), encodeExecutorPlace(this->placeOf(key, service)), -1});
+        }
+    }
+    for (const ExecutorKey &key : pool.takeForgotten()) {
+        this->state.recorded.erase(key);
+        this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), {}, -1});
+    }
+}
+
+void ShardOwner::Loops::askPolicies(PoolScheduler *pool, TimePoint now)
+{
+    if (this->state.owner.policy == nullptr) {
+        return;
+    }
+    for (PolicyQuestion &question : pool->policyQuestions(now)) {
+        this->spawn([self = this->self, &owned = this->state, pool, question]() -> net::awaitable<void> {
+            Loops loops{self, owned};
+            co_await loops.ask(pool, question);
+        });
+    }
+}
+
 net::awaitable<void> ShardOwner::Loops::plan()
 {
     while (!this->isOver()) {
         const TimePoint now = bootNow();
         TimePoint wakeup = now + milliseconds(500);
         for (auto &[service, pool] : this->state.pools) {
-            const std::vector<ExecutorKey> used = pool->takeNewlyUsed();
-            for (const ExecutorKey &key : used) {
-                if (this->state.recorded.contains(key)) {
-                    pool->markRecorded(key);
-                } else {
-                    this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), encodeExecutorPlace(this->placeOf(key, service)), -1});
-                }
+            this->noteUse(service, *pool);
+            if (pool->takeExecutorSetChanged()) {
+                this->watchExecutors(pool.get());
             }
-            for (const ExecutorKey &key : pool->takeForgotten()) {
-                this->state.recorded.erase(key);
-                this->state.extraRecords.push_back(StoredRecord{executorKeyName(key), {}, -1});
-            }
-        }
-        this->watchExecutors();
-        for (auto &[service, pool] : this->state.pools) {
             this->dispatch(pool.get(), pool->plan(now, wallNow(), this->state.term));
             wakeup = std::min(wakeup, pool->nextWakeup(now, wallNow()));
-            if (this->state.owner.policy != nullptr) {
-                for (PolicyQuestion &question : pool->policyQuestions(now)) {
-                    this->spawn([self = this->self, &owned = this->state, raw = pool.get(), question]() -> net::awaitable<void> {
-                        Loops loops{self, owned};
-                        co_await loops.ask(raw, question);
-                    });
-                }
-            }
+            this->askPolicies(pool.get(), now);
         }
         if (this->state.hasChanges()) {
             this->state.persistWanted.notify();
         }
-        for (auto &[key, wanted] : this->state.renewing) {
-            wanted->notify();
-        }
-        co_await sleepFor(this->state.owner.context, planPause);
+        this->wakeRenewals();
+        // A plan takes at most its share of the processor, so that renewals, answers and the membership keep theirs.
+        const auto rest = std::chrono::duration_cast<milliseconds>(planRest * (bootNow() - now));
+        co_await sleepFor(this->state.owner.context, std::clamp(rest, planPause, longestPlanPause));
         const auto wait = std::chrono::duration_cast<milliseconds>(wakeup - bootNow());
         co_await this->state.planWanted.waitFor(std::max(milliseconds(1), wait));
     }
@@ -310,8 +332,7 @@
         const TimePoint sentAt = bootNow();
         const std::optional<RenewalPlan> plan = pool->renewal(key, sentAt, this->state.term.horizon);
         if (!plan) {
-            const std::vector<ExecutorKey> known = pool->executors();
-            if (std::find(known.begin(), known.end(), key) == known.end()) {
+            if (!pool->knows(key)) {
                 break;
             }
             co_await wanted->waitFor(idleCheck);
@@ -384,9 +405,7 @@
             }
         }
         this->state.planWanted.notify();
-        for (auto &[key, wanted] : this->state.renewing) {
-            wanted->notify();
-        }
+        this->wakeRenewals();
     }
     this->state.isPersisting = false;
     co_return isDurable;
