Waves that leave bursts their machines, orders side by side, machines found by name

Orders to machines went out one after another. The planner looked through a pool's report for each machine, and copied the configuration for each plan. Change: machines that hold long-running work begin first; a wave is hurried later; long-running items keep away from machines whose maintenance is to come; twelve orders at a time; executors and evacuations are found by name; the operator's records are decoded once for each key.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -152,6 +152,9 @@
 
     // Executors that get no new work and whose work moves away, and those that are over.
     void setEvacuations(const EvacuationList &list, TimePoint now);
+    // Machines whose maintenance is to come, each with the time before which a life must have begun to be meant. Long-running work that
+    // can go elsewhere is not put there: it would have to move again.
+    void setDueMachines(std::map<MachineId, WallTime> due);
     // What the planner of the machines has to know; token and numbers are left to the caller.
     PoolReport report(TimePoint now) const;
 
--- a/src/libmangocourse/fleetneeds.cpp
+++ b/src/libmangocourse/fleetneeds.cpp
@@ -33,16 +33,12 @@
 
 const ExecutorUse *FleetPlanner::Private::useOf(const MachineInfo &machine, TimePoint now) const
 {
-    const PoolReport *report = this->freshReport(machine.pool, now);
-    if (report == nullptr) {
+    if (this->freshReport(machine.pool, now) == nullptr) {
         return nullptr;
     }
-    for (const ExecutorUse &use : report->executors) {
-        if (use.executor == machine.executor) {
-            return &use;
-        }
-    }
-    return nullptr;
+    const KnownReport &known = this->reports.at(machine.pool);
+    const auto use = known.uses.find(machine.executor);
+    return use == known.uses.end() ? nullptr : &known.report.executors[use->second];
 }
 
 std::map<ServiceId, PoolView> FleetPlanner::Private::viewPools(TimePoint now) const
@@ -62,6 +58,8 @@
         pool->second.cpuPerMachine = std::max(pool->second.cpuPerMachine, machine.capacity.cpu);
         if (this->isEvacuating(id)) {
             ++pool->second.leaving;
+            const ExecutorUse *use = this->useOf(machine, now);
+            pool->second.emptyingLongRunning += use != nullptr && use->longRunning > 0 && machine.state == MachineState::Up ? 1 : 0;
             continue;
         }
         if (machine.state == MachineState::Moving || machine.state == MachineState::InMaintenance) {
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <tuple>
 
 namespace MangoCourse {
 
@@ -12,8 +14,11 @@
 
 // Emptying a machine takes about this long.
 constexpr milliseconds evacuationTime{2500};
-// A wave is hurried when less than this many times the time it needs is left.
-constexpr double hurry = 2.5;
+// A wave is hurried when less than this many times the time it needs, and the slack, is left.
+constexpr double hurry = 1.3;
+constexpr milliseconds hurrySlack{3000};
+// Machines of one pool whose long-running work is moved away at a time. The steps' budgets let few items go at once, so more would only wait.
+constexpr std::int32_t mostEmptying = 2;
 // An evacuation for a move is given up after this: the need has passed.
 constexpr milliseconds movePatience{3000};
 // An order without an answer keeps its machine untouched this long.
@@ -42,7 +47,7 @@
 
 bool FleetPlanner::Private::isEvacuating(const MachineId &machine) const
 {
-    return this->findEvacuation(machine) != nullptr;
+    return this->evacuating.contains(machine);
 }
 
 bool FleetPlanner::Private::isHeld(const MachineId &machine, TimePoint now) const
@@ -59,6 +64,7 @@
 void FleetPlanner::Private::evacuate(const MachineId &machine, EvacuationPurpose purpose, const WaveId &wave, const ServiceId &target, TimePoint now)
 {
     this->evacuatingSince[machine] = now;
+    this->evacuating.insert(machine);
     const MachineInfo &info = this->machines.at(machine);
     const ExecutorUse *use = this->useOf(info, now);
     ++this->state.number;
@@ -71,6 +77,7 @@
         return evacuation.machine == machine;
     });
     if (removed > 0) {
+        this->evacuating.erase(machine);
         this->evacuatingSince.erase(machine);
         ++this->state.number;
     }
@@ -182,49 +189,72 @@
         const milliseconds round = evacuationTime + this->settings.maintenanceTime;
         const double rounds = std::ceil(static_cast<double>(waiting.size()) / static_cast<double>(std::max(1, wave.parallel)));
         const milliseconds left = progress.seenAt + wave.duration - wallNow;
-        const bool isHurried = static_cast<double>(left.count()) < hurry * rounds * static_cast<double>(round.count());
-        // Parked machines first, then those with the least work to move.
-        std::sort(waiting.begin(), waiting.end(), [&](const MachineInfo *one, const MachineInfo *other) {
-            const auto weight = [&](const MachineInfo *machine) {
-                const ExecutorUse *use = this->useOf(*machine, now);
-                return use == nullptr ? -1 : use->longRunning * 100 + use->runs;
-            };
-            return weight(one) < weight(other);
-        });
-        for (const MachineInfo *machine : waiting) {
+        const bool isHurried = static_cast<double>((left - hurrySlack).count()) < hurry * rounds * static_cast<double>(round.count());
+        for (const WaitingMachine &next : this->byWork(waiting, now)) {
             if (active >= wave.parallel) {
                 break;
             }
-            PoolView &pool = pools[machine->pool];
-            const std::int32_t upNow = static_cast<std::int32_t>(pool.up.size());
-            const std::int32_t least = isHurried ? std::max(1, pool.report != nullptr ? pool.report->spread : 1) : pool.needed;
-            if (!pool.isStandby && upNow - 1 < least) {
+            PoolView &pool = pools[next.machine->pool];
+            if (!this->mayEmpty(pool, next.longRunning, isHurried)) {
                 continue;
             }
-            std::erase(pool.up, machine->id);
+            std::erase(pool.up, next.machine->id);
+            pool.emptyingLongRunning += next.longRunning > 0 ? 1 : 0;
             ++active;
-            this->evacuate(machine->id, EvacuationPurpose::Maintenance, id, {}, now);
+            this->evacuate(next.machine->id, EvacuationPurpose::Maintenance, id, {}, now);
         }
     }
 }
 
-std::optional<MachineId> FleetPlanner::Private::donate(PoolView &donor, TimePoint now) const
+std::vector<FleetPlanner::Private::WaitingMachine> FleetPlanner::Private::byWork(const std::vector<const MachineInfo *> &waiting, TimePoint now) const
 {
-    const MachineId *best = nullptr;
-    std::int32_t bestRuns = 0;
-    for (const MachineId &id : donor.up) {
-        const MachineInfo &machine = this->machines.at(id);
-        const ExecutorUse *use = this->useOf(machine, now);
-        if (!this->mayOrder(id, now) || (!donor.isStandby && (use == nullptr || use->longRunning > 0))) {
-            continue;
-        }
-        const std::int32_t runs = use == nullptr ? 0 : use->runs;
-        if (best == nullptr || runs < bestRuns) {
-            best = &id;
-            bestRuns = runs;
+    std::vector<WaitingMachine> sorted;
+    sorted.reserve(waiting.size());
+    for (const MachineInfo *machine : waiting) {
+        const ExecutorUse *use = this->useOf(*machine, now);
+        sorted.push_back(WaitingMachine{machine, use == nullptr ? 0 : use->longRunning, use == nullptr ? -1 : use->runs});
+    }
+    // Long-running work moves item by item, so its machines take longest and begin first; of the rest the parked ones, then those with little work.
+    std::stable_sort(sorted.begin(), sorted.end(), [](const WaitingMachine &one, const WaitingMachine &other) {
+        return std::tuple(one.longRunning == 0, one.runs) < std::tuple(other.longRunning == 0, other.runs);
+    });
+    return sorted;
+}
+
+bool FleetPlanner::Private::mayEmpty(const PoolView &pool, std::int32_t longRunning, bool isHurried) const
+{
+    if (pool.isStandby) {
+        return true;
+    }
+    const auto afterwards = static_cast<std::int32_t>(pool.up.size()) - 1;
+    const std::int32_t spread = std::max(1, pool.report != nullptr ? pool.report->spread : 1);
+    if (longRunning > 0) {
+        return pool.emptyingLongRunning < mostEmptying && afterwards >= spread;
+    }
+    return afterwards >= (isHurried ? spread : pool.needed);
+}
+
+bool FleetPlanner::Private::canDonate(PoolView &donor, TimePoint now) const
+{
+    if (!donor.donations) {
+        donor.donations.emplace();
+        for (const MachineId &id : donor.up) {
+            const ExecutorUse *use = this->useOf(this->machines.at(id), now);
+            if (this->mayOrder(id, now) && (donor.isStandby || (use != nullptr && use->longRunning == 0))) {
+                donor.donations->push_back(Donation{use == nullptr ? 0 : use->runs, id});
+            }
         }
+        std::sort(donor.donations->begin(), donor.donations->end(), std::greater<>());
     }
-    return best == nullptr ? std::nullopt : std::optional(*best);
+    return !donor.donations->empty();
+}
+
+MachineId FleetPlanner::Private::donate(PoolView &donor) const
+{
+    MachineId machine = std::move(donor.donations->back().machine);
+    donor.donations->pop_back();
+    std::erase(donor.up, machine);
+    return machine;
 }
 
 void FleetPlanner::Private::balance(PoolView &pool, std::map<ServiceId, PoolView> &pools, TimePoint now)
@@ -233,15 +263,14 @@
         PoolView *donor = nullptr;
         for (auto &[service, other] : pools) {
             const bool canGive = &other != &pool && !other.up.empty() && (other.isStandby || (other.report != nullptr && other.size() > other.neededLately));
-            if (canGive && this->donate(other, now) && (donor == nullptr || other.isStandby)) {
+            if (canGive && this->canDonate(other, now) && (donor == nullptr || other.isStandby)) {
                 donor = &other;
             }
         }
         if (donor == nullptr) {
             return;
         }
-        const MachineId machine = *this->donate(*donor, now);
-        std::erase(donor->up, machine);
+        const MachineId machine = this->donate(*donor);
         ++pool.coming;
         this->evacuate(machine, EvacuationPurpose::Move, {}, pool.service, now);
     }
@@ -277,13 +306,9 @@
         if (now - since < this->settings.parkAfter) {
             continue;
         }
-        while (pool.size() > pool.needed) {
-            const std::optional<MachineId> machine = this->donate(pool, now);
-            if (!machine) {
-                break;
-            }
-            std::erase(pool.up, *machine);
-            this->evacuate(*machine, EvacuationPurpose::Move, {}, standby->service, now);
+        while (pool.size() > pool.needed && this->canDonate(pool, now)) {
+            const MachineId machine = this->donate(pool);
+            this->evacuate(machine, EvacuationPurpose::Move, {}, standby->service, now);
         }
     }
 }
@@ -315,6 +340,9 @@
     auto impl = std::make_unique<Private>();
     impl->settings = settings;
     impl->state = std::move(state);
+    for (const Evacuation &evacuation : impl->state.evacuations) {
+        impl->evacuating.insert(evacuation.machine);
+    }
     impl->heldUntil = std::move(heldUntil);
     return std::unique_ptr<FleetPlanner>(new FleetPlanner(std::move(impl)));
 }
@@ -360,9 +388,14 @@
 {
     KnownReport &known = this->d->reports[report.service];
     const bool isOlder = std::pair(report.token, report.number) < std::pair(known.report.token, known.report.number);
-    if (!isOlder) {
-        known.report = report;
-        known.at = now;
+    if (isOlder) {
+        return;
+    }
+    known.report = report;
+    known.at = now;
+    known.uses.clear();
+    for (std::size_t index = 0; index < report.executors.size(); ++index) {
+        known.uses.emplace(report.executors[index].executor, index);
     }
 }
 
--- a/src/libmangocourse/fleetplanner_pvt.h
+++ b/src/libmangocourse/fleetplanner_pvt.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <deque>
+#include <unordered_map>
+#include <unordered_set>
 
 #include <mangocourse/fleetplanner.h>
 
@@ -10,6 +12,16 @@
 struct KnownReport {
     PoolReport report;
     TimePoint at{};
+    // The report's executors by name.
+    std::unordered_map<ExecutorId, std::size_t> uses;
+};
+
+// A machine that a pool can give away, the one with the least work first.
+struct Donation {
+    std::int32_t runs = 0;
+    MachineId machine;
+
+    auto operator<=>(const Donation &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct PoolView {
@@ -21,6 +33,8 @@
     std::int32_t coming = 0;
     std::int32_t leaving = 0;
     std::int32_t unreachable = 0;
+    // Machines that are emptied of long-running work for their maintenance.
+    std::int32_t emptyingLongRunning = 0;
     std::int64_t cpuPerMachine = 0;
     std::int32_t needed = 0;
     // The most that it needed lately.
@@ -28,6 +42,8 @@
     // What it keeps when machines are scarce.
     std::int32_t least = 0;
     const PoolReport *report = nullptr;
+    // What it can give away, the best last; unset until somebody asks.
+    std::optional<std::vector<Donation>> donations;
 
     std::int32_t size() const
     {
@@ -38,6 +54,14 @@
 class FleetPlanner::Private
 {
 public:
+    // A machine of a wave whose turn has not come.
+    struct WaitingMachine {
+        const MachineInfo *machine = nullptr;
+        std::int32_t longRunning = 0;
+        // What runs there; negative where nobody reports.
+        std::int32_t runs = 0;
+    };
+
     PlannerSettings settings;
     PlannerState state;
     FleetConfig config;
@@ -49,6 +73,8 @@
     // Needs over the last moments, the highest first among those that are not older than a later one.
     std::map<ServiceId, std::deque<std::pair<TimePoint, std::int32_t>>> recentNeeds;
     std::vector<PoolNeed> needs;
+    // The machines of all evacuations.
+    std::unordered_set<MachineId> evacuating;
     std::map<MachineId, TimePoint> evacuatingSince;
     std::map<MachineId, TimePoint> untouchedUntil;
     std::map<MachineId, TimePoint> heldUntil;
@@ -68,9 +94,16 @@
     void endEvacuation(const MachineId &machine);
     void markOrdered(const MachineId &machine, TimePoint now);
     void startMaintenance(std::map<ServiceId, PoolView> &pools, TimePoint now, WallTime wallNow);
+    // Those that wait, in the order of their turns.
+    std::vector<WaitingMachine> byWork(const std::vector<const MachineInfo *> &waiting, TimePoint now) const;
+    // Returns true where the pool can do without one machine more, which holds so many long-running items.
+    bool mayEmpty(const PoolView &pool, std::int32_t longRunning, bool isHurried) const;
     void planMoves(std::map<ServiceId, PoolView> &pools, TimePoint now);
     void balance(PoolView &pool, std::map<ServiceId, PoolView> &pools, TimePoint now);
-    std::optional<MachineId> donate(PoolView &donor, TimePoint now) const;
+    // Returns true where the pool can give a machine away.
+    bool canDonate(PoolView &donor, TimePoint now) const;
+    // Takes the machine that the pool misses least; canDonate() holds.
+    MachineId donate(PoolView &donor) const;
     void dropStale(TimePoint now);
     bool isEmptied(const Evacuation &evacuation, TimePoint now) const;
     std::int32_t inMaintenance(const WaveId &wave) const;
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -205,6 +205,12 @@
     return includesLife(this->evacuations.emptying, executor.info.id, executor.info.born);
 }
 
+bool PoolScheduler::Private::isDue(const Executor &executor) const
+{
+    const auto known = this->due.find(executor.info.machine);
+    return known != this->due.end() && WallTime(milliseconds(executor.info.born)) < known->second;
+}
+
 std::optional<RenewalPlan> PoolScheduler::renewal(const ExecutorKey &key, TimePoint now, TimePoint horizon) const
 {
     Executor *executor = this->d->find(key);
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -156,6 +156,7 @@
         rank.isOffRack = isOffRack;
         rank.isSlow = executor.slowness > slowExecutor;
         rank.isSuspect = !executor.failedJobs.empty();
+        rank.isDue = spec.isLongRunning && this->isDue(executor);
         rank.spread = spec.isLongRunning ? longRunningRank(executor, id) : 0;
         // Finite items fill the fullest executor, so that wide room stays for large items.
         rank.left = spec.isFiller ? wanted.cpu - executor.free().cpu : executor.free().cpu - wanted.cpu;
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -154,6 +154,11 @@
     });
 }
 
+void PoolScheduler::setDueMachines(std::map<MachineId, WallTime> due)
+{
+    this->d->due = std::move(due);
+}
+
 void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow)
 {
     if (this->d->jobs.contains(job.id)) {
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -194,13 +194,15 @@
         bool isOffRack = false;
         bool isSlow = false;
         bool isSuspect = false;
+        // Its machine's maintenance is to come.
+        bool isDue = false;
         std::int32_t spread = 0;
         std::int64_t left = 0;
 
         auto operator<=>(const CandidateRank &) const = default; // NOLINT(modernize-use-nullptr)
         bool isIdeal() const
         {
-            return !this->hasFailedHere && !this->isOffRack && !this->isSlow && !this->isSuspect && this->spread == 0;
+            return !this->hasFailedHere && !this->isOffRack && !this->isSlow && !this->isSuspect && !this->isDue && this->spread == 0;
         }
     };
 
@@ -219,6 +221,7 @@
     std::map<ExecutorKey, Executor> executors;
     std::map<ExecutorKey, MachineId> earlier;
     EvacuationList evacuations;
+    std::map<MachineId, WallTime> due;
     std::unordered_map<JobId, JobEntry> jobs;
     std::set<JobId> open;
     // Open jobs that may have something to place: a waiting item, a second run, an occurrence to come.
@@ -282,6 +285,7 @@
     bool isSurelyAtWork(const Run &run, TimePoint now) const;
     bool mayInterrupt(const ItemId &id, TimePoint now);
     bool isEvacuated(const Executor &executor) const;
+    bool isDue(const Executor &executor) const;
     bool isUsable(const Executor &executor, TimePoint now) const;
     bool isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const;
     std::chrono::milliseconds remainingChain(const JobEntry &entry) const;
--- a/src/scheduler/operatorfeed.cpp
+++ b/src/scheduler/operatorfeed.cpp
@@ -24,7 +24,8 @@
           StreamReader::Handlers{[] {
                                  },
               [this](const StoredRecord &record) {
-                  this->apply(record);
+                  // Only the newest of a key counts, and a configuration is large: the others are not decoded.
+                  this->unread.insert_or_assign(record.key, record);
               }})
 {
 }
@@ -53,7 +54,9 @@
             {{"wave", wave->id.value}, {"machines", std::int64_t(wave->machines.size())}, {"parallel", std::int64_t(wave->parallel)},
                 {"duration_ms", std::int64_t(wave->duration.count())}},
             EventWeight::Essential);
-        this->known[wave->id] = std::move(*wave);
+        MaintenanceWave &known = this->known[wave->id];
+        known = std::move(*wave);
+        this->handlers.wave(known);
     }
 }
 
@@ -62,6 +65,9 @@
     bool wasReachable = true;
     while (!this->isStopped) {
         const Result<void> read = co_await this->reader.follow(feedWait);
+        for (const auto &[key, record] : std::exchange(this->unread, {})) {
+            this->apply(record);
+        }
         const bool isReachable = read.has_value();
         if (isReachable != wasReachable) {
             this->log.emit(
--- a/src/scheduler/operatorfeed.h
+++ b/src/scheduler/operatorfeed.h
@@ -16,6 +16,7 @@
 public:
     struct Handlers {
         std::function<void(std::shared_ptr<const FleetConfig>)> config;
+        std::function<void(const MaintenanceWave &)> wave;
         std::function<void(bool isReachable)> contact;
     };
 
@@ -37,6 +38,8 @@
     Handlers handlers;
     std::shared_ptr<const FleetConfig> current;
     std::map<WaveId, MaintenanceWave> known;
+    // The newest record of each key that has not been decoded yet.
+    std::map<std::string, StoredRecord> unread;
     StreamReader reader;
     bool isStopped = false;
 };
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -74,6 +74,7 @@
         shard->setConfig(this->config);
         shard->setExecutors(this->executors);
         shard->setEvacuations(this->knownEvacuations);
+        shard->setDueMachines(this->due);
         shard->start();
     }
     this->setTerms();
@@ -183,6 +184,20 @@
     }
 }
 
+void Ownership::addWave(const MaintenanceWave &wave)
+{
+    if (!this->waves.insert(wave.id).second) {
+        return;
+    }
+    const WallTime now = wallNow();
+    for (const MachineId &machine : wave.machines) {
+        this->due[machine] = now;
+    }
+    for (auto &[partition, shard] : this->owned) {
+        shard->setDueMachines(this->due);
+    }
+}
+
 void Ownership::notePlanKnown()
 {
     this->isPlanKnown = true;
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -25,6 +25,8 @@
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors);
     void setEvacuations(const EvacuationList &list);
+    // Its machines get no long-running work that can go elsewhere until they have been maintained.
+    void addWave(const MaintenanceWave &wave);
     // Tells that the evacuations so far are known: an owner that did not know them might place work there.
     void notePlanKnown();
     const EvacuationList &evacuations() const;
@@ -47,6 +49,9 @@
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
     EvacuationList knownEvacuations;
+    // Machines of all waves, and when each was asked for.
+    std::map<MachineId, WallTime> due;
+    std::set<WaveId> waves;
     bool isPlanKnown = false;
     bool isRetired = false;
     // The membership is being kept.
--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -21,6 +21,8 @@
 // The list of machines is read this often while something moves, and else.
 constexpr milliseconds busyListInterval{450};
 constexpr milliseconds calmListInterval{1500};
+// Orders under way at a time: a burst wants many machines at once.
+constexpr std::size_t orderLanes = 12;
 // An order that could not be given within this time of its plan is planned anew.
 constexpr milliseconds orderPatience{700};
 
@@ -50,6 +52,7 @@
     bool isStopped = false;
     TimePoint horizon{};
     TimePoint listedAt{};
+    Revision plannedRevision = 0;
     PlannerState saved;
     std::unique_ptr<FleetPlanner> planner;
     std::unique_ptr<StreamReader> reports;
@@ -68,6 +71,9 @@
     net::awaitable<void> tellOperator();
     net::awaitable<void> maintain(Evacuation order);
     net::awaitable<void> move(Evacuation order);
+    net::awaitable<void> give(Evacuation order, TimePoint plannedAt);
+    // Gives the orders, several at a time, and returns once all have their outcome.
+    net::awaitable<void> giveOrders(PlannerOrders orders, TimePoint plannedAt);
     void noteNeeds();
     void noteOutcome(const char *event, const Evacuation &order, MachineOutcome outcome);
     bool mayOrder(TimePoint plannedAt) const;
@@ -231,6 +237,44 @@
     this->planner->onMoved(order, outcome == MachineOutcome::Done, outcome == MachineOutcome::Unknown, bootNow());
 }
 
+net::awaitable<void> PlanningDuty::Private::give(Evacuation order, TimePoint plannedAt)
+{
+    const bool isMaintenance = order.purpose == EvacuationPurpose::Maintenance;
+    const bool isAllowed = this->mayOrder(plannedAt);
+    if (isAllowed && isMaintenance) {
+        co_await this->maintain(order);
+    } else if (isAllowed) {
+        co_await this->move(order);
+    } else if (isMaintenance) {
+        this->planner->onMaintained(order, false, false, bootNow());
+    } else {
+        this->planner->onMoved(order, false, false, bootNow());
+    }
+}
+
+net::awaitable<void> PlanningDuty::Private::giveOrders(PlannerOrders orders, TimePoint plannedAt)
+{
+    std::vector<Evacuation> all = std::move(orders.maintain);
+    all.insert(all.end(), std::make_move_iterator(orders.move.begin()), std::make_move_iterator(orders.move.end()));
+    std::size_t next = 0;
+    std::size_t lanes = std::min(orderLanes, all.size());
+    Event isDone(this->context);
+    const auto lane = [this, &all, &next, &lanes, &isDone, plannedAt]() -> net::awaitable<void> {
+        while (next < all.size()) {
+            const std::size_t own = next++;
+            co_await this->give(all[own], plannedAt);
+        }
+        --lanes;
+        isDone.notify();
+    };
+    for (std::size_t count = lanes; count > 0; --count) {
+        net::co_spawn(this->context, lane, net::detached);
+    }
+    while (lanes > 0) {
+        co_await isDone.waitFor(orderPatience);
+    }
+}
+
 net::awaitable<void> PlanningDuty::Private::step()
 {
     const Result<void> read = co_await this->reports->follow(reportWait);
@@ -239,7 +283,8 @@
         co_return;
     }
     co_await this->readMachines();
-    if (this->feed.config()) {
+    if (this->feed.config() && this->feed.config()->revision != this->plannedRevision) {
+        this->plannedRevision = this->feed.config()->revision;
         this->planner->setConfig(*this->feed.config());
     }
     this->planner->setWaves(this->feed.waves(), wallNow());
@@ -251,20 +296,7 @@
         co_return;
     }
     co_await this->tellOperator();
-    for (const Evacuation &order : orders.maintain) {
-        if (this->mayOrder(plannedAt)) {
-            co_await this->maintain(order);
-        } else {
-            this->planner->onMaintained(order, false, false, bootNow());
-        }
-    }
-    for (const Evacuation &order : orders.move) {
-        if (this->mayOrder(plannedAt)) {
-            co_await this->move(order);
-        } else {
-            this->planner->onMoved(order, false, false, bootNow());
-        }
-    }
+    co_await this->giveOrders(orders, plannedAt);
     co_await sleepFor(this->context, planPause);
 }
 
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -67,6 +67,9 @@
                                          this->gateway->setConfig(config);
                                          this->ownership.setConfig(config);
                                      },
+                  [this](const MaintenanceWave &wave) {
+                      this->ownership.addWave(wave);
+                  },
                   [this](bool isReachable) {
                       this->gateway->noteStore(isReachable);
                   }})
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -26,6 +26,7 @@
     raw->setConfig(*this->config);
     raw->setEarlierExecutors(this->recorded);
     raw->setEvacuations(this->evacuations, bootNow());
+    raw->setDueMachines(this->due);
     raw->setExecutors(this->executors, bootNow());
     this->pools.emplace(service, std::move(*pool));
     return raw;
@@ -189,6 +190,14 @@
     this->d->planWanted.notify();
 }
 
+void ShardOwner::setDueMachines(const std::map<MachineId, WallTime> &due)
+{
+    this->d->due = due;
+    for (auto &[service, pool] : this->d->pools) {
+        pool->setDueMachines(due);
+    }
+}
+
 bool ShardOwner::isSuperseded() const
 {
     return this->d->isFenced;
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -46,6 +46,7 @@
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors);
     void setEvacuations(const EvacuationList &list);
+    void setDueMachines(const std::map<MachineId, WallTime> &due);
 
     // Returns true once a successor was noticed.
     bool isSuperseded() const;
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -36,6 +36,7 @@
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
     EvacuationList evacuations;
+    std::map<MachineId, WallTime> due;
     // Executor lives whose use is durable.
     std::map<ExecutorKey, ExecutorPlace> recorded;
     std::map<ServiceId, std::unique_ptr<PoolScheduler>> pools;
