Weak owners leave, unread ends hold inherited work up, submissions of final jobs are deleted (code)

Change: chooseOwnerMove and Ownership::review, PoolScheduler::Private::isClear, ShardOwner::Loops::deleteSubmissions.

--- a/src/include/mangocourse/ownerchoice.h
+++ b/src/include/mangocourse/ownerchoice.h
@@ -11,14 +11,18 @@
 struct OwnerView {
     std::int32_t ownShare = 0;
     bool isMember = false;
+    // It has been an owner, left, and found that too few stronger ones remained.
+    bool hasReturned = false;
     // The other processes that own something.
     std::vector<std::int32_t> otherShares;
-    // For how long nobody else has been seen to own anything.
-    std::chrono::milliseconds vacantFor{};
-    // How long this process leaves a vacancy to stronger ones.
-    std::chrono::milliseconds vacancyDelay{};
+    // For how long this process has seen too few stronger owners, and how long it leaves the matter to them.
+    std::chrono::milliseconds neededFor{};
+    std::chrono::milliseconds delay{};
 };
 
+// Returns true where so few stronger processes own pools that this one should.
+bool isOwnerNeeded(const OwnerView &view);
+
 enum class OwnerMove {
     Join,
     Stay,
@@ -27,7 +31,9 @@
 };
 
 // Answers the load of a queue's burst, which one owner carries: starts on a machine with a small share would wait for its processor. A
-// process stands by while enough owners have at least twice its share, and takes part as soon as they are too few.
+// process stands by while enough owners have at least twice its share, and takes part once they have been too few for a while. After a
+// loss of all processes a strong one may see only weak owners and the other way round, so an owner leaves as soon as one is stronger: only
+// then does the store deal the pools to the strong ones. It does so once; where few strong ones remain, it stays after its return.
 OwnerMove chooseOwnerMove(const OwnerView &view);
 
 }
--- a/src/libmangocourse/ownerchoice.cpp
+++ b/src/libmangocourse/ownerchoice.cpp
@@ -14,19 +14,30 @@
 
 }
 
-OwnerMove chooseOwnerMove(const OwnerView &view)
+namespace {
+
+std::ptrdiff_t strongerOwners(const OwnerView &view)
 {
-    if (view.otherShares.empty() && !view.isMember) {
-        return view.vacantFor < view.vacancyDelay ? OwnerMove::StandBy : OwnerMove::Join;
-    }
-    const auto stronger = std::count_if(view.otherShares.begin(), view.otherShares.end(), [&view](std::int32_t share) {
+    return std::count_if(view.otherShares.begin(), view.otherShares.end(), [&view](std::int32_t share) {
         return share > 0 && view.ownShare > 0 && share >= strongerFactor * view.ownShare;
     });
-    const bool isNeeded = stronger < enoughOwners;
+}
+
+}
+
+bool isOwnerNeeded(const OwnerView &view)
+{
+    return strongerOwners(view) < enoughOwners;
+}
+
+OwnerMove chooseOwnerMove(const OwnerView &view)
+{
+    const bool isNeeded = isOwnerNeeded(view);
     if (view.isMember) {
-        return isNeeded ? OwnerMove::Stay : OwnerMove::Leave;
+        const bool isOutdone = strongerOwners(view) > 0 && !view.hasReturned;
+        return isNeeded && !isOutdone ? OwnerMove::Stay : OwnerMove::Leave;
     }
-    return isNeeded ? OwnerMove::Join : OwnerMove::StandBy;
+    return isNeeded && view.neededFor >= view.delay ? OwnerMove::Join : OwnerMove::StandBy;
 }
 
 }
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -36,15 +36,15 @@
 
 bool PoolScheduler::Private::isClear(TimePoint now) const
 {
-    if (now >= this->clearAt) {
-        return true;
-    }
+    const bool isPastLeases = now >= this->clearAt;
     for (const auto &[key, executor] : this->executors) {
-        if (executor.isListed && !executor.isContacted) {
+        // Even past all leases an executor that was not asked yet may hold the end of an item that is done.
+        const bool isAsked = executor.isContacted || (isPastLeases && executor.failingSince != TimePoint{});
+        if (executor.isListed && !isAsked) {
             return false;
         }
     }
-    return std::all_of(this->earlier.begin(), this->earlier.end(), [this](const auto &entry) {
+    return isPastLeases || std::all_of(this->earlier.begin(), this->earlier.end(), [this](const auto &entry) {
         const auto found = this->executors.find(entry.first);
         return found != this->executors.end() && found->second.isContacted;
     });
--- a/src/scheduler/nodesettings.h
+++ b/src/scheduler/nodesettings.h
@@ -38,7 +38,7 @@
     std::chrono::milliseconds dutyDelay() const
     {
         constexpr std::int32_t ample = 500;
-        constexpr std::chrono::milliseconds longest{700};
+        constexpr std::chrono::milliseconds longest{1000};
         return longest * (ample - std::clamp(this->processorShare, 0, ample)) / ample;
     }
 
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -3,8 +3,6 @@
 
 #include <algorithm>
 
-#include <mangocourse/ownerchoice.h>
-
 #include "clocks.h"
 
 namespace MangoCourse {
@@ -105,25 +103,37 @@
         co_await sleepFor(this->owner.context, this->isMember ? memberInterval : vacancyInterval);
         co_return;
     }
-    OwnerView view{settings.processorShare, this->isMember, {}, {}, settings.dutyDelay()};
-    for (const GroupHolder &holder : *holders) {
-        if (holder.process != settings.name.value) {
-            view.otherShares.push_back(holder.processorShare);
-        }
-    }
-    this->vacantSince = view.otherShares.empty() ? std::optional(this->vacantSince.value_or(bootNow())) : std::nullopt;
-    view.vacantFor = this->vacantSince ? std::chrono::duration_cast<milliseconds>(bootNow() - *this->vacantSince) : milliseconds::zero();
-    const OwnerMove move = chooseOwnerMove(view);
+    const OwnerMove move = chooseOwnerMove(this->view(*holders));
     if (this->isRetired) {
         co_return;
     }
     if (move == OwnerMove::Join) {
         this->join();
     } else if (move == OwnerMove::Leave) {
+        this->hasResigned = true;
         co_await this->resign();
     }
-    const bool isVacant = view.otherShares.empty() && !this->isMember;
-    co_await sleepFor(this->owner.context, this->isMember ? memberInterval : (isVacant ? vacancyInterval : standByInterval));
+    const bool isWaiting = !this->isMember && this->neededSince;
+    co_await sleepFor(this->owner.context, this->isMember ? memberInterval : (isWaiting ? vacancyInterval : standByInterval));
+}
+
+OwnerView Ownership::view(const std::vector<GroupHolder> &holders)
+{
+    const NodeSettings &settings = this->owner.settings;
+    OwnerView view{settings.processorShare, this->isMember, this->isMember && this->hasResigned, {}, {}, settings.dutyDelay()};
+    for (const GroupHolder &holder : holders) {
+        if (holder.process != settings.name.value) {
+            view.otherShares.push_back(holder.processorShare);
+        }
+    }
+    if (isOwnerNeeded(view)) {
+        this->neededSince = this->neededSince.value_or(bootNow());
+        view.neededFor = std::chrono::duration_cast<milliseconds>(bootNow() - *this->neededSince);
+    } else {
+        this->neededSince.reset();
+        this->hasResigned = false;
+    }
+    return view;
 }
 
 void Ownership::join()
@@ -152,6 +162,7 @@
     }
     this->owned.clear();
     co_await this->member.leave();
+    this->neededSince.reset();
 }
 
 net::awaitable<void> Ownership::retire()
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <optional>
 
+#include <mangocourse/ownerchoice.h>
+
 #include "event.h"
 #include "groupmember.h"
 #include "shardowner.h"
@@ -38,6 +40,7 @@
     void apply(const MembershipConfirmation &confirmation);
     // Joins or leaves the owners where that is better for the pools.
     net::awaitable<void> review();
+    OwnerView view(const std::vector<GroupHolder> &holders);
     void join();
     // Hands over what is owned and leaves the group.
     net::awaitable<void> resign();
@@ -56,8 +59,10 @@
     bool isRetired = false;
     // The membership is being kept.
     bool isMember = false;
-    // Since when no other process has been seen to own anything.
-    std::optional<TimePoint> vacantSince;
+    // Since when too few stronger processes have been seen to own pools.
+    std::optional<TimePoint> neededSince;
+    // It left the owners to stronger processes, and has not seen enough of them since.
+    bool hasResigned = false;
     Event memberStopped;
     std::function<void(bool isReachable)> contact;
 };
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -54,6 +54,9 @@
     }
     const auto known = this->progress.find(job.id);
     pool->addJob(job, known == this->progress.end() ? nullptr : &known->second, bootNow(), wallNow());
+    if (known != this->progress.end() && isFinal(known->second.state)) {
+        this->finished.emplace_back(bootNow(), job.id);
+    }
     if (this->cancelled.contains(job.id)) {
         pool->cancelJob(job.id, bootNow(), wallNow());
     }
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -1,6 +1,7 @@
 // The state behind ShardOwner and the coroutines that work on it.
 #pragma once
 
+#include <deque>
 #include <map>
 
 #include "clocks.h"
@@ -43,6 +44,8 @@
     std::map<JobId, AcceptedJob> unplaced;
     std::map<JobId, JobProgress> progress;
     std::set<JobId> cancelled;
+    // Jobs whose final state is durable and whose submissions are still stored, with when that became known.
+    std::deque<std::pair<TimePoint, JobId>> finished;
     std::map<ExecutorKey, std::shared_ptr<Event>> renewing;
     std::vector<StoredRecord> extraRecords;
     bool isPersisting = false;
@@ -79,8 +82,9 @@
     net::awaitable<void> tail(std::shared_ptr<StreamReader> reader);
     net::awaitable<void> plan();
     net::awaitable<void> persist();
-    // Deletes jobs whose final state nobody can ask for any more.
+    // Deletes the submissions of jobs that are final, and later their states, when nobody can ask for them any more.
     net::awaitable<void> expireJobs();
+    net::awaitable<void> deleteSubmissions(std::vector<JobId> ids);
     net::awaitable<bool> persistOnce();
     net::awaitable<void> renew(PoolScheduler *pool, ExecutorKey key, std::shared_ptr<Event> wanted);
     net::awaitable<void> send(PoolScheduler *pool, StartOrder order);
--- a/src/scheduler/shardownerloops.cpp
+++ b/src/scheduler/shardownerloops.cpp
@@ -28,7 +28,9 @@
 constexpr milliseconds idleCheck{3000};
 // What an earlier owner may have started beyond its horizon through slow clocks and rounding.
 constexpr milliseconds clearMargin{350};
-constexpr milliseconds expiryInterval{5000};
+constexpr milliseconds expiryInterval{2500};
+// A gateway looks into the states first and into the submissions then: within this time it has done both.
+constexpr milliseconds submissionMemory{5000};
 // Submissions may be repeated, or carried out late by the store, for this long after the state is asked for no more.
 constexpr milliseconds expiryMargin{60'000};
 // Run numbers of one owner stay within this span.
@@ -380,10 +382,12 @@
             newlyRecorded.emplace(key.executor, *place);
         }
     }
+    std::vector<JobId> final;
     for (auto &[service, pool] : this->state.pools) {
         for (const JobProgress &progress : pool->takeChanged()) {
             records.push_back(StoredRecord{progress.id.value, encodeProgress(progress), -1});
             if (isFinal(progress.state)) {
+                final.push_back(progress.id);
                 this->state.owner.log.emit("job_ended",
                     {{"job", progress.id.value}, {"queue", progress.queue.value}, {"state", toString(progress.state)}, {"token", this->state.token}});
             }
@@ -398,6 +402,9 @@
         for (const auto &[key, place] : newlyRecorded) {
             this->state.recorded[key] = place;
         }
+        for (JobId &id : final) {
+            this->state.finished.emplace_back(bootNow(), std::move(id));
+        }
         for (auto &[service, pool] : this->state.pools) {
             pool->markPersisted();
             for (const auto &[key, place] : newlyRecorded) {
@@ -411,32 +418,49 @@
     co_return isDurable;
 }
 
+net::awaitable<void> ShardOwner::Loops::deleteSubmissions(std::vector<JobId> ids)
+{
+    std::vector<StoredRecord> deleted;
+    for (const JobId &id : ids) {
+        deleted.push_back(StoredRecord{id.value, {}, -1});
+        deleted.push_back(StoredRecord{cancellationKey(id), {}, -1});
+    }
+    bool isDeleted = deleted.empty();
+    while (!isDeleted && !this->isOver()) {
+        const Result<void> appended = co_await this->state.owner.store.append(Stream::Jobs, this->state.partition, deleted, std::nullopt, appendLimit);
+        isDeleted = appended.has_value();
+        if (!isDeleted) {
+            this->state.owner.log.emit("deletion_delayed", {{"partition", std::int64_t(this->state.partition)}, {"reason", describe(appended.error())}});
+            co_await sleepFor(this->state.owner.context, retryPause);
+        }
+    }
+}
+
 net::awaitable<void> ShardOwner::Loops::expireJobs()
 {
     while (!this->isOver()) {
         co_await sleepFor(this->state.owner.context, expiryInterval);
+        std::vector<JobId> final;
+        const TimePoint before = bootNow() - submissionMemory;
+        while (!this->state.finished.empty() && this->state.finished.front().first < before) {
+            final.push_back(std::move(this->state.finished.front().second));
+            this->state.finished.pop_front();
+        }
         const WallTime bound = wallNow() - this->state.owner.settings.statusRetention - expiryMargin;
-        std::vector<StoredRecord> jobs;
-        std::vector<StoredRecord> states;
+        std::vector<JobId> expired;
         for (auto &[service, pool] : this->state.pools) {
-            for (const JobId &id : pool->forgetJobsBefore(bound)) {
-                jobs.push_back(StoredRecord{id.value, {}, -1});
-                jobs.push_back(StoredRecord{cancellationKey(id), {}, -1});
-                states.push_back(StoredRecord{id.value, {}, -1});
-                this->state.progress.erase(id);
-                this->state.cancelled.erase(id);
-            }
+            const std::vector<JobId> ids = pool->forgetJobsBefore(bound);
+            expired.insert(expired.end(), ids.begin(), ids.end());
         }
+        // Those that expire again: a repeat of the submission may have been stored since.
+        final.insert(final.end(), expired.begin(), expired.end());
+        co_await this->deleteSubmissions(std::move(final));
         // The state goes last: without the submission it can do no harm, the other way round the job would run again.
-        bool isDeleted = jobs.empty();
-        while (!isDeleted && !this->isOver()) {
-            const Result<void> appended = co_await this->state.owner.store.append(Stream::Jobs, this->state.partition, jobs, std::nullopt, appendLimit);
-            isDeleted = appended.has_value();
-            if (!isDeleted) {
-                co_await sleepFor(this->state.owner.context, retryPause);
-            }
+        for (const JobId &id : expired) {
+            this->state.extraRecords.push_back(StoredRecord{id.value, {}, -1});
+            this->state.progress.erase(id);
+            this->state.cancelled.erase(id);
         }
-        this->state.extraRecords.insert(this->state.extraRecords.end(), states.begin(), states.end());
     }
 }
 
