--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace MangoCourse {
 namespace {
 
@@ -258,5 +260,57 @@
     EXPECT_GE(toShop, 4U);
 }
 
+// Load: a wave over machines that hold long-running work. It moves item by item, so it has to begin at once, and few machines at a time.
+TEST_F(FleetPlannerTest, AWaveBeginsWithMachinesThatHoldLongRunningWork)
+{
+    std::vector<std::string> names;
+    for (int index = 0; index < 12; ++index) {
+        names.push_back("d" + std::to_string(index));
+        this->machine(names.back(), "desk");
+    }
+    this->list();
+    PoolReport report = this->report("desk", names);
+    for (const std::size_t holder : {7U, 8U, 9U, 10U}) {
+        report.executors[holder].runs = 2;
+        report.executors[holder].longRunning = 2;
+    }
+    report.spread = 4;
+    this->tell(report);
+    this->wave(names, 12);
+    this->plan();
+    std::set<std::string> first;
+    for (const Evacuation &evacuation : this->planner->state().evacuations) {
+        first.insert(evacuation.machine.value);
+    }
+    EXPECT_TRUE(first.contains("d7"));
+    EXPECT_TRUE(first.contains("d8"));
+    EXPECT_FALSE(first.contains("d9"));
+    EXPECT_FALSE(first.contains("d10"));
+}
+
+// Load: a wave that allows many machines at once meets a burst. It takes no machine that the burst needs while there is time.
+TEST_F(FleetPlannerTest, AWaveWithTimeLeftTakesNoMachineThatABurstNeeds)
+{
+    std::vector<std::string> names;
+    for (int index = 0; index < 10; ++index) {
+        names.push_back("d" + std::to_string(index));
+        this->machine(names.back(), "desk");
+    }
+    this->list();
+    PoolReport report = this->report("desk", names);
+    report.inflow = 10 * 64'000;
+    this->tell(report);
+    this->wave(names, 10);
+    this->plan();
+    EXPECT_TRUE(this->planner->state().evacuations.empty());
+    this->advance(25s);
+    report = this->report("desk", names);
+    report.inflow = 10 * 64'000;
+    this->tell(report);
+    this->list();
+    this->plan();
+    EXPECT_FALSE(this->planner->state().evacuations.empty());
+}
+
 }
 }
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -303,5 +303,38 @@
     EXPECT_TRUE(this->plan().stops.empty());
 }
 
+// Load: a wave over half of the pool. An item that goes to a machine of the wave has to move twice.
+TEST_F(PoolSchedulerTest, LongRunningItemsKeepAwayFromMachinesWhoseMaintenanceIsToCome)
+{
+    StepSpec step;
+    step.count = 2;
+    step.room = Room{4000, gigabyte, 0};
+    step.isLongRunning = true;
+    const auto bornNow = std::chrono::duration_cast<std::chrono::milliseconds>(this->wall.time_since_epoch()).count();
+    this->list({executor("due"), executor("free"), executor("renewed", bornNow + 1)});
+    this->report("due");
+    this->report("free");
+    this->report("renewed", {}, {}, bornNow + 1);
+    this->scheduler->setDueMachines({{MachineId{"machine-due"}, this->wall}, {MachineId{"machine-renewed"}, this->wall}});
+    this->add(this->job("a", step));
+    this->add(this->job("b", step));
+    this->add(this->job("c", step));
+    for (const StartOrder &order : this->planAndConfirm().starts) {
+        EXPECT_NE(order.executor.id.value, "due");
+    }
+}
+
+TEST_F(PoolSchedulerTest, LongRunningItemsTakeAMachineWhoseMaintenanceIsToComeWhereNoOtherIs)
+{
+    StepSpec step;
+    step.room = Room{4000, gigabyte, 0};
+    step.isLongRunning = true;
+    this->list({executor("due")});
+    this->report("due");
+    this->scheduler->setDueMachines({{MachineId{"machine-due"}, this->wall}});
+    this->add(this->job("a", step));
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 }
 }
--- a/src/libmangocourse/pooltakeover_test.cpp
+++ b/src/libmangocourse/pooltakeover_test.cpp
@@ -25,6 +25,9 @@
     this->report("two");
     this->addBegun("a");
     EXPECT_TRUE(this->plan().starts.empty());
+    // The silent executor's call times out.
+    this->scheduler->onReport(ExecutorKey{ExecutorId{"one"}, 100}, ExecutorReport{}, this->now, this->now, this->wall);
+    EXPECT_TRUE(this->plan().starts.empty());
     this->advance(5s);
     EXPECT_TRUE(this->plan().starts.empty());
     this->advance(1100ms);
@@ -225,5 +228,30 @@
     EXPECT_EQ(this->plan().stops.size(), 1U);
 }
 
+// A slow takeover outlasts all leases; the ends of finished runs wait on their executors all the same.
+TEST_F(PoolSchedulerTest, PastAllLeasesAnExecutorThatWasNotAskedYetHoldsInheritedWorkUp)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now);
+    this->list({executor("one"), executor("two")});
+    this->report("two");
+    this->addBegun("a");
+    this->advance(1s);
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->report("one", {}, {ReportedEnd{1, ItemId{JobId{"a"}, 0, 0, 0}, 1, RunEnd::Done, {}}});
+    EXPECT_TRUE(this->plan().starts.empty());
+    EXPECT_EQ(this->saved.at(JobId{"a"}).state, JobState::Completed);
+}
+
+TEST_F(PoolSchedulerTest, PastAllLeasesAnExecutorThatDoesNotAnswerIsNotWaitedFor)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now);
+    this->list({executor("one"), executor("two")});
+    this->report("two");
+    this->addBegun("a");
+    this->advance(1s);
+    this->scheduler->onReport(ExecutorKey{ExecutorId{"one"}, 100}, ExecutorReport{}, this->now, this->now, this->wall);
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 }
 }
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -531,6 +531,36 @@
     owner->stop();
 }
 
+// A takeover reads all submissions that are stored, so those of final jobs go soon; their states stay for callers.
+TEST_F(SchedulerTest, SubmissionsOfFinalJobsAreDeletedAndTheirStatesStay)
+{
+    const auto owner = this->own(1);
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->runUntil([this] {
+        const auto &jobs = this->store.partitions[{Stream::Jobs, 0}].records;
+        return jobs.size() == 3 && jobs[1].value.empty() && jobs[2].value.empty();
+    });
+    EXPECT_EQ(this->call(CallerAction::Read, this->job).state, JobState::Completed);
+    // A repeat that arrives now starts nothing, at this owner or at the next.
+    this->gateway = std::move(*JobGateway::create(this->context, this->store, *this->log, this->metrics, this->settings));
+    this->gateway->setConfig(this->config);
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    const auto second = this->own(2);
+    this->runUntil([&second] {
+        return second->isActive();
+    });
+    const auto settled = std::chrono::steady_clock::now() + 200ms;
+    this->runUntil([settled] {
+        return std::chrono::steady_clock::now() > settled;
+    });
+    for (const auto &[item, starts] : this->executors.starts) {
+        EXPECT_EQ(starts, 1);
+    }
+    EXPECT_EQ(this->call(CallerAction::Read, this->job).state, JobState::Completed);
+    owner->stop();
+    second->stop();
+}
+
 TEST(RecordCodec, RecordsAreReadBack)
 {
     StepSpec step;
