--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -380,6 +380,14 @@
     }
 }
 
+void PoolScheduler::Private::endLife(Executor &executor, TimePoint overAt, const char *reason)
+{
+    this->dropExecutor(executor, overAt, reason);
+    executor.isOver = true;
+    executor.isListed = false;
+    executor.orphans.clear();
+}
+
 void PoolScheduler::Private::dropExecutor(Executor &executor, TimePoint overAt, const char *reason)
 {
     while (!executor.runs.empty()) {
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -214,7 +214,8 @@
 std::optional<RenewalPlan> PoolScheduler::renewal(const ExecutorKey &key, TimePoint now, TimePoint horizon) const
 {
     Executor *executor = this->d->find(key);
-    if (executor == nullptr) {
+    if (executor == nullptr || executor->isOver) {
+        // An acknowledgement would reach the next life at that address, which would forget ends of its own.
         return std::nullopt;
     }
     const bool hasWork = !executor->runs.empty() || !executor->orphans.empty();
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -70,7 +70,7 @@
             this->d->index.remove(executor);
         }
         executor.info = info;
-        executor.isListed = true;
+        executor.isListed = !executor.isOver;
         // In use again: a deletion that nobody has taken yet would leave it without a record.
         std::erase(this->d->forgotten, key);
     }
@@ -83,7 +83,7 @@
             return info.born > executor.info.born && (info.id == executor.info.id || (!info.machine.isEmpty() && info.machine == executor.info.machine));
         });
         if (isSucceeded) {
-            this->d->dropExecutor(executor, now, "the machine has started anew");
+            this->d->endLife(executor, now, "the machine has started anew");
         }
     }
     std::erase_if(this->d->earlier, [this, &executors](const auto &entry) {
@@ -141,8 +141,7 @@
     this->d->evacuations = list;
     for (auto &[key, executor] : this->d->executors) {
         if (includesLife(list.ended, key.id, key.born)) {
-            this->d->dropExecutor(executor, now, "its machine was ordered away");
-            executor.isListed = false;
+            this->d->endLife(executor, now, "its machine was ordered away");
         }
     }
     std::erase_if(this->d->earlier, [this, &list](const auto &entry) {
@@ -250,14 +249,12 @@
             executor->failingSince = now;
         }
         if (report.outcome == OrderOutcome::OtherBoot) {
-            this->d->dropExecutor(*executor, now, "another boot answers at its address");
-            executor->isListed = false;
+            this->d->endLife(*executor, now, "another boot answers at its address");
         }
         return;
     }
     if (report.born != 0 && report.born != key.born) {
-        this->d->dropExecutor(*executor, now, "the executor has started anew");
-        executor->isListed = false;
+        this->d->endLife(*executor, now, "the executor has started anew");
         return;
     }
     executor->failingSince = TimePoint{};
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -49,6 +49,8 @@
 struct Executor {
     ExecutorInfo info;
     bool isListed = true;
+    // The life has ended for certain; at its address another one may answer.
+    bool isOver = false;
     // This owner's token has been accepted there.
     bool isContacted = false;
     std::optional<std::chrono::milliseconds> clock;
@@ -269,6 +271,8 @@
     void noteDecided(const JobEntry &entry, TimePoint now) const;
     void noteBegun(JobEntry &entry, TimePoint now);
     void checkCompleted(JobEntry &entry, TimePoint now, WallTime wallNow);
+    // Notes that the life has ended for certain, at `overAt` at the latest.
+    void endLife(Executor &executor, TimePoint overAt, const char *reason);
     // Gives up the runs of a life that was over at `overAt` at the latest.
     void dropExecutor(Executor &executor, TimePoint overAt, const char *reason);
     void stopOthers(const ItemId &id, const Executor &except, const char *reason);
--- a/src/libmangocourse/pooltakeover_test.cpp
+++ b/src/libmangocourse/pooltakeover_test.cpp
@@ -253,5 +253,35 @@
     EXPECT_EQ(this->plan().starts.size(), 1U);
 }
 
+// Found by the fault soak: the next life under the same id took the acknowledgement for its own ends and forgot them; their items ran again.
+TEST_F(PoolSchedulerTest, ALifeThatIsOverIsNotRenewedAtTheAddressOfTheNext)
+{
+    this->list({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    this->report("one", {}, {ReportedEnd{1, first.starts[0].run.item, first.starts[0].run.run, RunEnd::Done, {}}});
+    this->plan();
+    EXPECT_TRUE(this->renewal("one"));
+    this->list({executor("one", 200)});
+    EXPECT_FALSE(this->renewal("one"));
+}
+
+TEST_F(PoolSchedulerTest, AReportOfAnotherLifeEndsTheRenewals)
+{
+    this->list({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->planAndConfirm();
+    this->report("one", {}, {ReportedEnd{1, first.starts[0].run.item, first.starts[0].run.run, RunEnd::Done, {}}});
+    this->plan();
+    ExecutorReport other;
+    other.outcome = OrderOutcome::Done;
+    other.born = 200;
+    this->scheduler->onReport(ExecutorKey{ExecutorId{"one"}, 100}, other, this->now, this->now, this->wall);
+    EXPECT_FALSE(this->renewal("one"));
+}
+
 }
 }
