Fewer readers of the plan, sooner answers while the store is slow, and a wave's pipeline kept full

Change: a process without pools reads the plan every 400 ms; what may be stored is settled within 1.2 s; four machines a pool.

--- a/src/bench/poolbench.cpp
+++ b/src/bench/poolbench.cpp
@@ -172,8 +172,7 @@
     for ([[maybe_unused]] auto round : state) {
         pool.step();
     }
-    state.counters["per_item"]
-        = benchmark::Counter(static_cast<double>(pool.started - before), benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+    state.counters["per_item"] = benchmark::Counter(static_cast<double>(pool.started - before), benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
 }
 
 void planWithNothingToDo(benchmark::State &state)
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -17,8 +17,9 @@
 // A wave is hurried when less than this many times the time it needs, and the slack, is left.
 constexpr double hurry = 1.3;
 constexpr milliseconds hurrySlack{3000};
-// Machines of one pool whose long-running work is moved away at a time. The steps' budgets let few items go at once, so more would only wait.
-constexpr std::int32_t mostEmptying = 2;
+// Machines of one pool whose long-running work is moved away at a time. The steps' budgets let few items go at once, so more would only wait;
+// with fewer the budgets would go unused while the planner and the owner tell each other about the next machine.
+constexpr std::int32_t mostEmptying = 4;
 // An evacuation for a move is given up after this: the need has passed.
 constexpr milliseconds movePatience{3000};
 // An order without an answer keeps its machine untouched this long.
--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -270,7 +270,7 @@
     }
     this->list();
     PoolReport report = this->report("desk", names);
-    for (const std::size_t holder : {7U, 8U, 9U, 10U}) {
+    for (const std::size_t holder : {6U, 7U, 8U, 9U, 10U}) {
         report.executors[holder].runs = 2;
         report.executors[holder].longRunning = 2;
     }
@@ -282,9 +282,9 @@
     for (const Evacuation &evacuation : this->planner->state().evacuations) {
         first.insert(evacuation.machine.value);
     }
-    EXPECT_TRUE(first.contains("d7"));
-    EXPECT_TRUE(first.contains("d8"));
-    EXPECT_FALSE(first.contains("d9"));
+    for (const char *holder : {"d6", "d7", "d8", "d9"}) {
+        EXPECT_TRUE(first.contains(holder)) << holder;
+    }
     EXPECT_FALSE(first.contains("d10"));
 }
 
--- a/src/scheduler/batchappender.cpp
+++ b/src/scheduler/batchappender.cpp
@@ -13,7 +13,8 @@
 // How long a record that the store refuses is tried again before its caller is told to come back.
 constexpr milliseconds refusalPatience{500};
 // How long a record that may be stored is tried again; the caller can settle it at another gateway as well.
-constexpr milliseconds unsettledPatience{1600};
+// Less than half of a caller's usual limit of 3 s.
+constexpr milliseconds unsettledPatience{1200};
 // A store that has taken nothing for this long is taken as away.
 constexpr milliseconds awayAfter{500};
 // One append carries at most this much, well under the store's limit.
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -37,6 +37,8 @@
 constexpr milliseconds surplusPatience{1000};
 // Changes of the plan that come together are read together.
 constexpr milliseconds planPause{25};
+// A process without pools only remembers the planner's orders, for the case that it becomes the planner.
+constexpr milliseconds idlePlanPause{400};
 // Pools are looked at this often, and reported at least every reportRepeat.
 constexpr milliseconds reportInterval{120};
 constexpr milliseconds reportRepeat{1500};
@@ -268,7 +270,7 @@
         if (read) {
             this->ownership.notePlanKnown();
             this->planKnownSince = this->planKnownSince.value_or(bootNow());
-            co_await sleepFor(this->context, planPause);
+            co_await sleepFor(this->context, this->ownership.ownsPools() ? planPause : idlePlanPause);
         } else {
             co_await sleepFor(this->context, idleInterval);
         }
