--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 DEPLOYMENT ?= kocka-znova
 SECONDS ?= 40
 HISTORIES ?= 20000
+SEEDS ?= 1-50
 export CCACHE_SLOPPINESS = pch_defines,time_macros
 
 all: build
@@ -13,6 +14,7 @@
 	@echo "make demo       DEPLOYMENT=kocka-znova|port-louis SECONDS=40: a deployment under load, judged from outside"
 	@echo "make bench      throughput and latency through the gate against the upstream alone, and micro benchmarks"
 	@echo "make soak       HISTORIES=20000 random histories on each of five seeds"
+	@echo "make faultsoak  SEEDS=1-50 SECONDS=20: real scheduler processes under faults from outside, judged from outside"
 	@echo "make sanitize   the unit, property and scenario tests under ASan/UBSan and TSan"
 	@echo "make slopes     the figures of docs/CAPACITY.md"
 	@echo "make lint       formatter and linter"
@@ -52,10 +54,14 @@
 	cmake --build $(BUILD)-tsan --target mangocourse_test gate_test
 	cd $(BUILD)-tsan && ctest --output-on-failure -R 'mangocourse_test|gate_test'
 
+faultsoak: build
+	mkdir -p $(BUILD)/faultsoak
+	python3 -W ignore src/standin_fleet/faultsoak.py --binaries $(BUILD)/bin --seeds $(SEEDS) --seconds $(SECONDS) --logs $(BUILD)/faultsoak
+
 lint: build
 	bash .ci/lint $(BUILD)
 
 update: build
 	cmake --build $(BUILD) --target update-references > /dev/null
 
-.PHONY: all help packages build test demo bench slopes soak sanitize lint update
+.PHONY: all help packages build test demo bench slopes soak faultsoak sanitize lint update
