--- a/src/libmangocourse/job.cpp
+++ b/src/libmangocourse/job.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::int32_t mostSteps = 256;
+// Of one occurrence: each takes some 150 bytes in its owner.
 constexpr std::int32_t mostItems = 100'000;
 constexpr std::int32_t mostOccurrences = 10'000;
 
@@ -41,10 +42,15 @@
     if (spec.recurrence.count < 0 || spec.recurrence.count > mostOccurrences) {
         return makeError(ErrorCode::InvalidArgument, "must be 0 to 10000", "recurrence.count");
     }
+    std::int64_t items = 0;
     for (std::size_t number = 0; number < spec.steps.size(); ++number) {
         if (Result<void> checked = validateStep(spec, number); !checked) {
             return checked;
         }
+        items += spec.steps[number].count;
+    }
+    if (items > mostItems) {
+        return makeError(ErrorCode::InvalidArgument, "must hold 100000 work items at most", "steps");
     }
     return {};
 }
