One constant for an ample processor share

Cause: the share from which a process need not wait for stronger ones stood in NodeSettings::dutyDelay and again in ownership.cpp. Change: NodeSettings::ampleShare and hasAmpleShare(); no change of behaviour. Conclusion: one place to change it.

--- a/src/scheduler/nodesettings.h
+++ b/src/scheduler/nodesettings.h
@@ -12,6 +12,9 @@
 namespace MangoCourse {
 
 struct NodeSettings {
+    // Share of a core, in thousandths, that is enough for any duty.
+    static constexpr std::int32_t ampleShare = 500;
+
     ProcessId name;
     DataCentreId dataCentre;
     // Where callers connect, where readiness is asked, and where metrics and state are served.
@@ -37,9 +40,14 @@
     // Processes with little processor time wait this much longer before they take a duty that nobody has: a stronger one may be about to.
     std::chrono::milliseconds dutyDelay() const
     {
-        constexpr std::int32_t ample = 500;
         constexpr std::chrono::milliseconds longest{1000};
-        return longest * (ample - std::clamp(this->processorShare, 0, ample)) / ample;
+        return longest * (ampleShare - std::clamp(this->processorShare, 0, ampleShare)) / ampleShare;
+    }
+
+    // Such a process need not look whether others are stronger.
+    bool hasAmpleShare() const
+    {
+        return this->processorShare >= ampleShare;
     }
 
     // A member of a group that is silent for this long is replaced.
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds standByInterval{800};
 constexpr milliseconds vacancyInterval{150};
 constexpr milliseconds memberInterval{2000};
-// A machine with this share of a core, in thousandths, need not look whether others are stronger.
-constexpr std::int32_t ampleShare = 500;
 // The join under way when a membership ends is waited for, so that it cannot come after the leaving.
 constexpr milliseconds lastJoinWait{1000};
 
@@ -92,7 +90,7 @@
 net::awaitable<void> Ownership::review()
 {
     const NodeSettings &settings = this->owner.settings;
-    if (this->isMember && settings.processorShare >= ampleShare) {
+    if (this->isMember && settings.hasAmpleShare()) {
         co_await sleepFor(this->owner.context, memberInterval);
         co_return;
     }
