--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -24,6 +24,7 @@
 QUEUES = {"/counter/": "desk", "/shop/": "shop"}
 BOUNDS = {"max_hold_ms": 6000, "stop_ms": 200, "grace_s": 4, "status_s": 120, "lease_ms": 3000}
 ATTEMPTS = 3
+FRONT_PORT, READY_PORT, METRICS_PORT = 8001, 8002, 8003
 # A cancelled job's work may start this long after the confirmation: the bound of the users' pages, the longest outage and a takeover.
 CANCEL_S = 14.0
 # Once the faults are over, accepted work has this long to finish.
@@ -137,14 +138,16 @@
     def __init__(self, number, arguments, store, folder):
         self.name = "front-%d" % number
         self.proxy = Proxy(store.address)
-        self.port = free_port()
+        # An address of its own: between the choice of a free port of 127.0.0.1 and its use an outgoing connection may take the port.
+        self.host = own_address(number)
         self.program = os.path.join(arguments.binaries, "mangocourse-scheduler")
         self.settings = os.path.join(folder, self.name + ".json")
         self.log = open(os.path.join(folder, self.name + ".log"), "ab")
         share = 0.5 if number < 4 else 0.12
         with open(self.settings, "w") as file:
-            json.dump({"node": self.name, "zone": "z", "ip": "127.0.0.1", "listen": {"front": "127.0.0.1:%d" % self.port, "ready": "127.0.0.1:%d" % free_port()},
-                       "port_range": [free_port(), 0], "limits": {"cpu_share": share, "cores": 1}, "bounds": BOUNDS,
+            json.dump({"node": self.name, "zone": "z", "ip": self.host,
+                       "listen": {"front": "%s:%d" % (self.host, FRONT_PORT), "ready": "%s:%d" % (self.host, READY_PORT)},
+                       "port_range": [METRICS_PORT, METRICS_PORT], "limits": {"cpu_share": share, "cores": 1}, "bounds": BOUNDS,
                        "platform": {"address": self.proxy.address, "parts": PARTS, "min_ttl_ms": 1000}}, file)
         self.exits = []
         self.start()
@@ -176,9 +179,9 @@
         self.log.close()
 
 
-def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return probe.getsockname()[1]
+def own_address(number):
+    """Returns a loopback address that no other soak on this machine uses: the process id tells them apart."""
+    return "127.%d.%d.%d" % (20 + (os.getpid() >> 8) % 200, os.getpid() % 256, 1 + number)
 
 
 class Caller(threading.Thread):
@@ -196,12 +199,12 @@
     def call(self, method, path, body=None, limit=2.0):
         """Returns the status and the body; None where the answer was lost."""
         process = self.random.choice(self.processes)
-        connection = self.connections.pop(process.port, None) or http.client.HTTPConnection("127.0.0.1", process.port, timeout=limit)
+        connection = self.connections.pop(process.host, None) or http.client.HTTPConnection(process.host, FRONT_PORT, timeout=limit)
         try:
             connection.request(method, path, body, {"Content-Type": "application/json", "X-Deadline-Ms": str(int(limit * 1000)), "Host": "soak"})
             response = connection.getresponse()
             content = response.read()
-            self.connections[process.port] = connection
+            self.connections[process.host] = connection
             return response.status, content
         except (OSError, http.client.HTTPException):
             # The process was killed, paused or is not there: the caller tries another.
