run_start tells how old the owner's view was and how long the order waited

Cause: the logs could not tell the hypotheses of the incident apart: an old view after a takeover, a starved reader, or an order that waited. Change: a stream reader knows up to when it is current (currentAsOf(), the time at which its last complete read was sent); a plan gets that time and each start carries it. run_start logs view_age_ms and order_wait_ms. No decision depends on it yet. Conclusion: a late start now shows whether the view or the order was late.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -75,6 +75,9 @@
 struct StartOrder {
     ExecutorInfo executor;
     StartRun run;
+    // When the start was decided, and the time up to which the callers' requests were known then.
+    TimePoint decidedAt{};
+    TimePoint callersReadAt{};
 };
 
 struct StopOrder {
@@ -170,8 +173,9 @@
     void onStopped(const ExecutorKey &executor, const StopRun &order, const OrderReply &reply, TimePoint now);
     void onPolicy(const ItemId &step, const PolicyAnswer &answer, TimePoint now);
 
-    // Plans what to do now, within the term. Work whose lease ran out restarts only if nobody else can have renewed it.
-    SchedulerOrders plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term);
+    // Plans what to do now, within the term. Work whose lease ran out restarts only if nobody else can have renewed it. Submissions and
+    // cancellations that were stored before `callersReadAt` have been passed on.
+    SchedulerOrders plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term, TimePoint callersReadAt);
 
     // Returns the renewal that the executor needs, or nothing while none is needed.
     std::optional<RenewalPlan> renewal(const ExecutorKey &executor, TimePoint now, TimePoint horizon) const;
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -192,13 +192,13 @@
     return this->bestOf(this->index.slots(spec.requiredLabel), entry, id, item, siblingRack).executor;
 }
 
-void PoolScheduler::Private::startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, TimePoint now, TimePoint horizon)
+void PoolScheduler::Private::startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, const PlacementRound &round)
 {
     const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
-    Run &run = this->adopt(executor, id, number, now);
+    Run &run = this->adopt(executor, id, number, round.now);
     run.phase = RunPhase::Starting;
     run.startedAt = TimePoint{};
-    StartRun order{id, number, this->token, this->leaseUntil(executor, now, horizon), entry.job.spec.payload, {}, {}};
+    StartRun order{id, number, this->token, this->leaseUntil(executor, round.now, round.horizon), entry.job.spec.payload, {}, {}};
     if (spec.isCheckpointing) {
         order.checkpoint = item.checkpoint;
     }
@@ -206,14 +206,13 @@
         const StepState &state = entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
         order.pass = state.passes.at(executor.info.id);
     }
-    this->extendLease(executor, order.until, now);
+    this->extendLease(executor, order.until, round.now);
     this->reindex(executor);
-    this->orders.starts.push_back(StartOrder{executor.info, std::move(order)});
+    this->orders.starts.push_back(StartOrder{executor.info, std::move(order), round.now, round.callersReadAt});
 }
 
 bool PoolScheduler::Private::placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round)
 {
-    const TimePoint now = round.now;
     StepState &state = entry.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)];
     std::int64_t number = 0;
     std::string checkpoint;
@@ -248,7 +247,7 @@
             return false;
         }
         item.checkpoint = checkpoint;
-        this->startOn(*executor, entry, id, item, number + 1, now, round.horizon);
+        this->startOn(*executor, entry, id, item, number + 1, round);
     }
     return true;
 }
@@ -311,7 +310,7 @@
             this->announce(entry);
             break;
         }
-        this->startOn(*executor, entry, id, item, item.lastRun + 1, round.now, round.horizon);
+        this->startOn(*executor, entry, id, item, item.lastRun + 1, round);
     }
     return isLeft;
 }
@@ -399,7 +398,7 @@
     return rank;
 }
 
-SchedulerOrders PoolScheduler::plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term)
+SchedulerOrders PoolScheduler::plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term, TimePoint callersReadAt)
 {
     Private &state = *this->d;
     const TimePoint horizon = term.horizon;
@@ -420,7 +419,7 @@
         return std::move(state.orders);
     }
     state.refreshIndex(now);
-    const PlacementRound round{now, wallNow, horizon, term.confirmedAt, state.isClear(now), state.checkOverload(now)};
+    const PlacementRound round{now, wallNow, horizon, term.confirmedAt, callersReadAt, state.isClear(now), state.checkOverload(now)};
     std::vector<std::pair<PlacementRank, JobEntry *>> order;
     order.reserve(state.placeable.size());
     for (JobEntry *entry : state.placeable) {
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -169,6 +169,8 @@
     TimePoint horizon{};
     // The latest time at which the owner is known to have been the only one.
     TimePoint confirmedAt{};
+    // What callers had stored by then is known.
+    TimePoint callersReadAt{};
     // Nothing of an earlier owner can run unseen.
     bool isClear = true;
     bool isOverloaded = false;
@@ -312,7 +314,7 @@
     bool place(JobEntry &entry, const PlacementRound &round);
     bool placeStep(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
     bool placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
-    void startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, TimePoint now, TimePoint horizon);
+    void startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, const PlacementRound &round);
     std::chrono::milliseconds leaseUntil(const Executor &executor, TimePoint now, TimePoint horizon) const;
     void extendLease(Executor &executor, std::chrono::milliseconds until, TimePoint now) const;
     // Returns true where nothing of an earlier owner can run unseen.
--- a/src/libmangocourse/poolscheduler_test.h
+++ b/src/libmangocourse/poolscheduler_test.h
@@ -96,7 +96,8 @@
 
     SchedulerOrders planOnce()
     {
-        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->now + 6s});
+        return this->scheduler->plan(
+            this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->now + 6s}, this->callersReadAt.value_or(this->now));
     }
 
     // Plans, makes what was announced durable, and plans again.
@@ -144,6 +145,8 @@
     std::map<JobId, JobProgress> saved;
     // The last confirmation of the ownership; now, where none is set.
     std::optional<TimePoint> confirmedAt;
+    // The time up to which the callers' requests are known; now, where none is set.
+    std::optional<TimePoint> callersReadAt;
     TimePoint now{100s};
     WallTime wall{1'000'000s};
 };
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -48,6 +48,8 @@
     std::deque<std::pair<TimePoint, JobId>> finished;
     std::map<ExecutorKey, std::shared_ptr<Event>> renewing;
     std::vector<StoredRecord> extraRecords;
+    // The callers' submissions and cancellations.
+    std::unique_ptr<StreamReader> callers;
     bool isPersisting = false;
     Event planWanted;
     Event persistWanted;
@@ -79,7 +81,7 @@
 
     net::awaitable<bool> load();
     net::awaitable<void> run();
-    net::awaitable<void> tail(std::shared_ptr<StreamReader> reader);
+    net::awaitable<void> tail();
     net::awaitable<void> plan();
     net::awaitable<void> persist();
     // Deletes the submissions of jobs that are final, and later their states, when nobody can ask for them any more.
--- a/src/scheduler/shardownerloops.cpp
+++ b/src/scheduler/shardownerloops.cpp
@@ -36,6 +36,11 @@
 // Run numbers of one owner stay within this span.
 constexpr std::int64_t runSpan = 100'000;
 
+std::int64_t age(TimePoint since, TimePoint now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - since).count();
+}
+
 }
 
 net::awaitable<bool> ShardOwner::Loops::appendUntilDurable(std::vector<StoredRecord> records)
@@ -124,14 +129,14 @@
         co_await sleepFor(this->state.owner.context, retryPause);
     }
     Private *state = &this->state;
-    const auto reader = std::make_shared<StreamReader>(this->state.owner.context, this->state.owner.store, Stream::Jobs, this->state.partition,
+    state->callers = std::make_unique<StreamReader>(this->state.owner.context, this->state.owner.store, Stream::Jobs, this->state.partition,
         StreamReader::Handlers{[] {
                                },
             [state](const StoredRecord &record) {
                 state->applyJobRecord(record);
             }});
     while (!this->isOver()) {
-        const Result<void> read = co_await reader->follow(milliseconds::zero());
+        const Result<void> read = co_await state->callers->follow(milliseconds::zero());
         if (read) {
             break;
         }
@@ -153,9 +158,9 @@
         EventWeight::Essential);
     const auto self = this->self;
     Private &owned = this->state;
-    this->spawn([self, &owned, reader]() -> net::awaitable<void> {
+    this->spawn([self, &owned]() -> net::awaitable<void> {
         Loops loops{self, owned};
-        co_await loops.tail(reader);
+        co_await loops.tail();
     });
     this->spawn([self, &owned]() -> net::awaitable<void> {
         Loops loops{self, owned};
@@ -168,10 +173,10 @@
     co_await this->plan();
 }
 
-net::awaitable<void> ShardOwner::Loops::tail(std::shared_ptr<StreamReader> reader)
+net::awaitable<void> ShardOwner::Loops::tail()
 {
     while (!this->isOver()) {
-        const Result<void> read = co_await reader->follow(tailWait);
+        const Result<void> read = co_await this->state.callers->follow(tailWait);
         if (!read) {
             co_await sleepFor(this->state.owner.context, retryPause);
         }
@@ -244,7 +249,7 @@
             if (pool->takeExecutorSetChanged()) {
                 this->watchExecutors(pool.get());
             }
-            this->dispatch(pool.get(), pool->plan(now, wallNow(), this->state.term));
+            this->dispatch(pool.get(), pool->plan(now, wallNow(), this->state.term, this->state.callers->currentAsOf()));
             wakeup = std::min(wakeup, pool->nextWakeup(now, wallNow()));
             this->askPolicies(pool.get(), now);
         }
@@ -286,7 +291,7 @@
     this->state.owner.log.emit("run_start",
         {{"job", order.run.item.job.value}, {"occurrence", std::int64_t(order.run.item.occurrence)}, {"step", std::int64_t(order.run.item.step)},
             {"index", std::int64_t(order.run.item.index)}, {"run", order.run.run}, {"executor", order.executor.id.value}, {"token", order.run.token},
-            {"outcome", toString(reply.outcome)}});
+            {"outcome", toString(reply.outcome)}, {"view_age_ms", age(order.callersReadAt, order.decidedAt)}, {"order_wait_ms", age(order.decidedAt, sentAt)}});
     pool->onStarted(key, order.run, reply, sentAt, bootNow());
     if (reply.outcome != OrderOutcome::Done) {
         this->state.planWanted.notify();
--- a/src/scheduler/streamreader.cpp
+++ b/src/scheduler/streamreader.cpp
@@ -1,6 +1,8 @@
 // Following of streams.
 #include "streamreader.h"
 
+#include "clocks.h"
+
 namespace MangoCourse {
 
 StreamReader::StreamReader(net::io_context &context, RecordStore &store, Stream stream, std::int32_t partition, Handlers handlers)
@@ -18,8 +20,14 @@
     return this->next >= 0;
 }
 
+TimePoint StreamReader::currentAsOf() const
+{
+    return this->asOf;
+}
+
 net::awaitable<Result<void>> StreamReader::load()
 {
+    const TimePoint sentAt = bootNow();
     Result<StreamBatch> batch = co_await this->store.newest(this->stream, this->partition);
     if (!batch) {
         co_return tl::unexpected(batch.error());
@@ -29,12 +37,14 @@
         this->handlers.apply(record);
     }
     this->next = batch->next;
+    this->asOf = sentAt;
     co_return Result<void>{};
 }
 
 net::awaitable<Result<void>> StreamReader::readOn(std::chrono::milliseconds wait)
 {
     while (true) {
+        const TimePoint sentAt = bootNow();
         Result<StreamBatch> batch = co_await this->store.read(this->stream, this->partition, this->next, wait);
         if (!batch && batch.error().code == ErrorCode::Gap) {
             Result<void> loaded = co_await this->load();
@@ -48,6 +58,7 @@
         }
         this->next = batch->next;
         if (batch->next >= batch->end || batch->records.empty()) {
+            this->asOf = sentAt;
             co_return Result<void>{};
         }
         wait = std::chrono::milliseconds::zero();
--- a/src/scheduler/streamreader.h
+++ b/src/scheduler/streamreader.h
@@ -29,6 +29,10 @@
 
     bool isLoaded() const;
 
+    // Everything that was stored before this has been delivered; the clock's start where nothing was read yet. Time that the machine was
+    // suspended counts.
+    TimePoint currentAsOf() const;
+
 private:
     net::awaitable<Result<void>> load();
     net::awaitable<Result<void>> readOn(std::chrono::milliseconds wait);
@@ -39,6 +43,7 @@
     std::int32_t partition;
     Handlers handlers;
     std::int64_t next = -1;
+    TimePoint asOf{};
     // The number of the read under way and of the last one that ended, and its result.
     std::uint64_t started = 0;
     std::uint64_t ended = 0;
