Nothing starts on a view older than the bounds of cancelling and draining

Cause: an owner starts by what it has read of the callers' requests, and nothing bounded how old that was. A successor that read the partition before the cancellation, or a process whose reader lagged, started work from a view of any age. The same held for the executors' reports, which tell that one drains, and for orders that waited in the process between decision and sending. Ruled out: paging of the newest records (reading goes on from the least end of all pages); deleted cancellations (the final state stays). Change: plan() gets the times up to which callers' requests and executors' reports are known, and starts nothing where the older of them leaves less than half a second of the bound (cancelBound, drainBound of the settings). confirmStart() looks again right before an order is sent: not for a job that has ended, not for a run that is to be stopped, not on an old view, and not by an owner that has been stopped. The owner's long poll waits 1 s in place of 2, and reads without waiting after a takeover and a failure. starts_held, starts_resumed and start_withheld tell so in the log. Why it works: what was confirmed before the view's time is known, so a start follows a cancellation by the view's age and the order's way at most. Time that the machine was suspended counts into the age. Conclusion: the bound holds by construction wherever the view comes from.

--- a/src/bench/poolbench.cpp
+++ b/src/bench/poolbench.cpp
@@ -82,7 +82,7 @@
             this->report(key, ended);
             this->ended += static_cast<std::int64_t>(ended.size());
         }
-        const SchedulerOrders orders = this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->now, this->now + 6s}, this->now);
+        const SchedulerOrders orders = this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->now, this->now + 6s}, PoolView{this->now, this->now});
         for (const StartOrder &order : orders.starts) {
             const ExecutorKey key{order.executor.id, order.executor.born};
             this->scheduler->onStarted(key, order.run, OrderReply{OrderOutcome::Done, std::nullopt}, this->now, this->now);
@@ -99,7 +99,7 @@
 
     SchedulerOrders plan()
     {
-        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->now, this->now + 6s}, this->now);
+        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->now, this->now + 6s}, PoolView{this->now, this->now});
     }
 
     std::int64_t started = 0;
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -25,6 +25,10 @@
     std::chrono::milliseconds stopTime{1000};
     // Executors' clocks may run this much slower than true time.
     double clockDrift = 0.02;
+    // No start follows the confirmation of its job's cancellation by more than this.
+    std::chrono::milliseconds cancelBound{3000};
+    // No start follows its executor's report that it drains by more than this.
+    std::chrono::milliseconds drainBound{2000};
 };
 
 // What an owner has to know of an item that ended at least once.
@@ -72,12 +76,20 @@
     bool operator==(const ExecutorPlace &) const = default;
 };
 
+// The times up to which the owner knows what others have stored.
+struct PoolView {
+    // Submissions and cancellations.
+    TimePoint callersAsOf{};
+    // Executors' reports of themselves.
+    TimePoint executorsAsOf{};
+};
+
 struct StartOrder {
     ExecutorInfo executor;
     StartRun run;
-    // When the start was decided, and the time up to which the callers' requests were known then.
+    // When the start was decided, and what was known then.
     TimePoint decidedAt{};
-    TimePoint callersReadAt{};
+    PoolView view;
 };
 
 struct StopOrder {
@@ -173,9 +185,11 @@
     void onStopped(const ExecutorKey &executor, const StopRun &order, const OrderReply &reply, TimePoint now);
     void onPolicy(const ItemId &step, const PolicyAnswer &answer, TimePoint now);
 
-    // Plans what to do now, within the term. Work whose lease ran out restarts only if nobody else can have renewed it. Submissions and
-    // cancellations that were stored before `callersReadAt` have been passed on.
-    SchedulerOrders plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term, TimePoint callersReadAt);
+    // Plans what to do now, within the term. Work whose lease ran out restarts only if nobody else can have renewed it. Nothing starts while
+    // the view is so old that the job may have been cancelled, or the executor may drain, for longer than the bounds allow.
+    SchedulerOrders plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term, const PoolView &view);
+    // Decides right before the order is sent whether it still may be; if not, the run counts as never started.
+    bool confirmStart(const StartOrder &order, const PoolView &view, TimePoint now);
 
     // Returns the renewal that the executor needs, or nothing while none is needed.
     std::optional<RenewalPlan> renewal(const ExecutorKey &executor, TimePoint now, TimePoint horizon) const;
--- a/src/libmangocourse/poolhistory_test.cpp
+++ b/src/libmangocourse/poolhistory_test.cpp
@@ -414,7 +414,7 @@
         this->persist(owner, isCurrent);
         const TimePoint confirmedAt = TimePoint(100s) + owner->confirmedAt;
         const OwnershipTerm term{confirmedAt, confirmedAt + longestLease};
-        SchedulerOrders orders = scheduler.plan(this->time(), this->wall(), term, this->time());
+        SchedulerOrders orders = scheduler.plan(this->time(), this->wall(), term, PoolView{this->time(), this->time()});
         for (const StopOrder &stop : orders.stops) {
             const ExecutorKey key{stop.executor.id, stop.executor.born};
             this->call(
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -11,6 +11,8 @@
 
 // A start that would hold its lease for less than this is not worth sending.
 constexpr milliseconds shortestLease{400};
+// An order reaches its executor within this time unless the way there is disturbed.
+constexpr milliseconds orderTime{500};
 // A speculative item gets a second run once its executor has been silent for this long, or once it takes this many times as long as expected.
 constexpr milliseconds copyAfterSilence{200};
 constexpr double copyFactor = 2.0;
@@ -56,6 +58,26 @@
         && executor.failingSince == TimePoint{} && !this->isEvacuated(executor);
 }
 
+bool PoolScheduler::Private::isCurrent(const PoolView &view, TimePoint now) const
+{
+    const auto oldest = [](milliseconds bound) {
+        return std::max(bound - orderTime, bound / 2);
+    };
+    return now - view.callersAsOf <= oldest(this->settings.cancelBound) && now - view.executorsAsOf <= oldest(this->settings.drainBound);
+}
+
+bool PoolScheduler::Private::checkView(const PoolView &view, TimePoint now)
+{
+    const bool isCurrent = this->isCurrent(view, now);
+    if (this->isHeld == isCurrent && this->observer) {
+        const std::string ages = "requests known up to " + std::to_string(span(view.callersAsOf, now).count()) + " ms ago, executors up to "
+            + std::to_string(span(view.executorsAsOf, now).count()) + " ms ago";
+        this->observer(SchedulerEvent{isCurrent ? "starts_resumed" : "starts_held", ItemId{}, {}, 0, ages});
+    }
+    this->isHeld = !isCurrent;
+    return isCurrent;
+}
+
 bool PoolScheduler::Private::isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const
 {
     const std::vector<StepSpec> &specs = entry.job.spec.steps;
@@ -208,7 +230,7 @@
     }
     this->extendLease(executor, order.until, round.now);
     this->reindex(executor);
-    this->orders.starts.push_back(StartOrder{executor.info, std::move(order), round.now, round.callersReadAt});
+    this->orders.starts.push_back(StartOrder{executor.info, std::move(order), round.now, round.view});
 }
 
 bool PoolScheduler::Private::placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round)
@@ -398,7 +420,7 @@
     return rank;
 }
 
-SchedulerOrders PoolScheduler::plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term, TimePoint callersReadAt)
+SchedulerOrders PoolScheduler::plan(TimePoint now, WallTime wallNow, const OwnershipTerm &term, const PoolView &view)
 {
     Private &state = *this->d;
     const TimePoint horizon = term.horizon;
@@ -415,11 +437,11 @@
         state.stopOrphans(executor, now);
         state.paceFillers(executor, now);
     }
-    if (state.placeable.empty() || span(now, horizon) < shortestLease) {
+    if (state.placeable.empty() || span(now, horizon) < shortestLease || !state.checkView(view, now)) {
         return std::move(state.orders);
     }
     state.refreshIndex(now);
-    const PlacementRound round{now, wallNow, horizon, term.confirmedAt, callersReadAt, state.isClear(now), state.checkOverload(now)};
+    const PlacementRound round{now, wallNow, horizon, term.confirmedAt, view, state.isClear(now), state.checkOverload(now)};
     std::vector<std::pair<PlacementRank, JobEntry *>> order;
     order.reserve(state.placeable.size());
     for (JobEntry *entry : state.placeable) {
@@ -437,6 +459,29 @@
     return std::move(state.orders);
 }
 
+bool PoolScheduler::confirmStart(const StartOrder &order, const PoolView &view, TimePoint now)
+{
+    Executor *executor = this->d->find(ExecutorKey{order.executor.id, order.executor.born});
+    if (executor == nullptr) {
+        return false;
+    }
+    const auto run = executor->runs.find(order.run.item);
+    if (run == executor->runs.end() || run->second.number != order.run.run || run->second.isListed) {
+        return false;
+    }
+    const JobEntry *entry = this->d->findJob(order.run.item.job);
+    const bool isOpen = entry != nullptr && entry->isOpen();
+    // A member that stays away would leave the rest of its gang waiting.
+    const bool isGang = isOpen && this->d->stepOf(order.run.item).isGang;
+    const bool isWanted = isOpen && (isGang || run->second.phase == RunPhase::Starting);
+    if (isWanted && (isGang || this->d->isCurrent(view, now))) {
+        return true;
+    }
+    this->d->note("start_withheld", order.run.item, *executor, order.run.run, isWanted ? "the view has become too old" : "no longer wanted");
+    this->d->release(*executor, run);
+    return false;
+}
+
 std::vector<PolicyQuestion> PoolScheduler::policyQuestions(TimePoint now) const
 {
     std::vector<PolicyQuestion> questions;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -169,8 +169,7 @@
     TimePoint horizon{};
     // The latest time at which the owner is known to have been the only one.
     TimePoint confirmedAt{};
-    // What callers had stored by then is known.
-    TimePoint callersReadAt{};
+    PoolView view;
     // Nothing of an earlier owner can run unseen.
     bool isClear = true;
     bool isOverloaded = false;
@@ -219,6 +218,8 @@
     SchedulerSettings settings;
     std::int64_t token = 0;
     std::int64_t runBase = 0;
+    // Something could start, but the view is too old.
+    bool isHeld = false;
     TimePoint clearAt{};
     std::function<void(const SchedulerEvent &)> observer;
     std::map<QueueId, QueueConfig> queues;
@@ -293,6 +294,10 @@
     bool isEvacuated(const Executor &executor) const;
     bool isDue(const Executor &executor) const;
     bool isUsable(const Executor &executor, TimePoint now) const;
+    // Returns true where what others have stored is known late enough for a start now.
+    bool isCurrent(const PoolView &view, TimePoint now) const;
+    // The same, and tells the observer when starts are held up and when they go on.
+    bool checkView(const PoolView &view, TimePoint now);
     bool isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const;
     std::chrono::milliseconds remainingChain(const JobEntry &entry) const;
     // Brings the index of usable executors up to date.
--- a/src/libmangocourse/poolscheduler_test.h
+++ b/src/libmangocourse/poolscheduler_test.h
@@ -94,10 +94,14 @@
         this->add(this->job(name), &begun);
     }
 
+    PoolView view() const
+    {
+        return PoolView{this->callersAsOf.value_or(this->now), this->executorsAsOf.value_or(this->now)};
+    }
+
     SchedulerOrders planOnce()
     {
-        return this->scheduler->plan(
-            this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->now + 6s}, this->callersReadAt.value_or(this->now));
+        return this->scheduler->plan(this->now, this->wall, OwnershipTerm{this->confirmedAt.value_or(this->now), this->now + 6s}, this->view());
     }
 
     // Plans, makes what was announced durable, and plans again.
@@ -145,8 +149,9 @@
     std::map<JobId, JobProgress> saved;
     // The last confirmation of the ownership; now, where none is set.
     std::optional<TimePoint> confirmedAt;
-    // The time up to which the callers' requests are known; now, where none is set.
-    std::optional<TimePoint> callersReadAt;
+    // The times up to which callers' requests and executors' reports are known; now, where none is set.
+    std::optional<TimePoint> callersAsOf;
+    std::optional<TimePoint> executorsAsOf;
     TimePoint now{100s};
     WallTime wall{1'000'000s};
 };
--- a/src/scheduler/executordirectory.cpp
+++ b/src/scheduler/executordirectory.cpp
@@ -55,4 +55,9 @@
     return list;
 }
 
+TimePoint ExecutorDirectory::currentAsOf() const
+{
+    return this->reader.currentAsOf();
+}
+
 }
--- a/src/scheduler/executordirectory.h
+++ b/src/scheduler/executordirectory.h
@@ -22,6 +22,8 @@
     net::awaitable<Result<void>> refresh();
 
     std::vector<ExecutorInfo> executors() const;
+    // Reports that were stored before this are included.
+    TimePoint currentAsOf() const;
 
 private:
     void apply(const StoredRecord &record);
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -68,7 +68,7 @@
         const auto shard = ShardOwner::create(this->owner, partition, generation);
         this->owned.emplace(partition, shard);
         shard->setConfig(this->config);
-        shard->setExecutors(this->executors);
+        shard->setExecutors(this->executors, this->executorsAsOf);
         shard->setEvacuations(this->knownEvacuations);
         shard->setDueMachines(this->due);
         shard->start();
@@ -177,11 +177,12 @@
     }
 }
 
-void Ownership::setExecutors(const std::vector<ExecutorInfo> &executors)
+void Ownership::setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint asOf)
 {
     this->executors = executors;
+    this->executorsAsOf = asOf;
     for (auto &[partition, shard] : this->owned) {
-        shard->setExecutors(executors);
+        shard->setExecutors(executors, asOf);
     }
 }
 
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -25,7 +25,7 @@
     net::awaitable<void> retire();
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
-    void setExecutors(const std::vector<ExecutorInfo> &executors);
+    void setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint asOf);
     void setEvacuations(const EvacuationList &list);
     // Its machines get no long-running work that can go elsewhere until they have been maintained.
     void addWave(const MaintenanceWave &wave);
@@ -51,6 +51,7 @@
     std::map<std::int32_t, std::shared_ptr<ShardOwner>> owned;
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
+    TimePoint executorsAsOf{};
     EvacuationList knownEvacuations;
     // Machines of all waves, and when each was asked for.
     std::map<MachineId, WallTime> due;
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -188,7 +188,7 @@
         return this->executors.highestToken == 1;
     });
     EXPECT_EQ(this->executors.forgotten, 0);
-    owner->setExecutors({});
+    owner->setExecutors({}, BootClock().now());
     this->runUntil([this] {
         return this->executors.forgotten == 1;
     });
--- a/src/scheduler/scheduler_test.h
+++ b/src/scheduler/scheduler_test.h
@@ -240,6 +240,8 @@
     {
         this->settings.name = ProcessId{"node"};
         this->settings.partitions = 1;
+        // Executors are listed once.
+        this->settings.scheduler.drainBound = 60s;
         auto made = std::make_shared<FleetConfig>();
         made->revision = 1;
         QueueConfig queue;
@@ -272,7 +274,7 @@
         const auto shard = ShardOwner::create(owner, 0, token);
         const TimePoint now = BootClock().now();
         shard->setConfig(this->config);
-        shard->setExecutors({executor()});
+        shard->setExecutors({executor()}, now);
         shard->setTerm(OwnershipTerm{now, now + 60s});
         shard->start();
         return shard;
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -144,7 +144,7 @@
         }
         const Result<void> read = co_await this->directory.refresh();
         if (read) {
-            this->ownership.setExecutors(this->directory.executors());
+            this->ownership.setExecutors(this->directory.executors(), this->directory.currentAsOf());
         }
         co_await sleepFor(this->context, this->ownership.evacuations().emptying.empty() ? directoryInterval : busyDirectoryInterval);
     }
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -5,6 +5,11 @@
 
 namespace MangoCourse {
 
+PoolView ShardOwner::Private::view() const
+{
+    return PoolView{this->callers->currentAsOf(), this->executorsAsOf};
+}
+
 PoolScheduler *ShardOwner::Private::poolOf(const ServiceId &service)
 {
     const auto found = this->pools.find(service);
@@ -175,9 +180,10 @@
     this->d->planWanted.notify();
 }
 
-void ShardOwner::setExecutors(const std::vector<ExecutorInfo> &executors)
+void ShardOwner::setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint asOf)
 {
     this->d->executors = executors;
+    this->d->executorsAsOf = asOf;
     for (auto &[service, pool] : this->d->pools) {
         pool->setExecutors(executors, bootNow());
     }
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -44,7 +44,8 @@
     // Moves on with each confirmation of the ownership.
     void setTerm(const OwnershipTerm &term);
     void setConfig(std::shared_ptr<const FleetConfig> config);
-    void setExecutors(const std::vector<ExecutorInfo> &executors);
+    // All executors that had reported themselves by `asOf`.
+    void setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint asOf);
     void setEvacuations(const EvacuationList &list);
     void setDueMachines(const std::map<MachineId, WallTime> &due);
 
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -36,6 +36,7 @@
     TimePoint clearAt{};
     std::shared_ptr<const FleetConfig> config;
     std::vector<ExecutorInfo> executors;
+    TimePoint executorsAsOf{};
     EvacuationList evacuations;
     std::map<MachineId, WallTime> due;
     // Executor lives whose use is durable.
@@ -54,6 +55,7 @@
     Event planWanted;
     Event persistWanted;
 
+    PoolView view() const;
     PoolScheduler *poolOf(const ServiceId &service);
     void addJob(const AcceptedJob &job);
     void applyJobRecord(const StoredRecord &record);
--- a/src/scheduler/shardownerloops.cpp
+++ b/src/scheduler/shardownerloops.cpp
@@ -15,7 +15,8 @@
 // Progress that nobody waits for gathers this long.
 constexpr milliseconds persistInterval{30};
 constexpr milliseconds persistTurn{5};
-constexpr milliseconds tailWait{2000};
+// Well under the age of the view at which starts are held up.
+constexpr milliseconds tailWait{1000};
 // Events that come together are planned for together.
 constexpr milliseconds planPause{2};
 // After a plan the owner rests this many times as long as it took, up to the bound.
@@ -175,8 +176,11 @@
 
 net::awaitable<void> ShardOwner::Loops::tail()
 {
+    // What was stored during the takeover, or while the store was away, is asked for without waiting for more.
+    milliseconds wait{};
     while (!this->isOver()) {
-        const Result<void> read = co_await this->state.callers->follow(tailWait);
+        const Result<void> read = co_await this->state.callers->follow(wait);
+        wait = read ? tailWait : milliseconds::zero();
         if (!read) {
             co_await sleepFor(this->state.owner.context, retryPause);
         }
@@ -249,7 +253,7 @@
             if (pool->takeExecutorSetChanged()) {
                 this->watchExecutors(pool.get());
             }
-            this->dispatch(pool.get(), pool->plan(now, wallNow(), this->state.term, this->state.callers->currentAsOf()));
+            this->dispatch(pool.get(), pool->plan(now, wallNow(), this->state.term, this->state.view()));
             wakeup = std::min(wakeup, pool->nextWakeup(now, wallNow()));
             this->askPolicies(pool.get(), now);
         }
@@ -284,6 +288,14 @@
 {
     const ExecutorKey key{order.executor.id, order.executor.born};
     const TimePoint sentAt = bootNow();
+    // The order may have waited for its turn on the processor.
+    if (this->isOver()) {
+        co_return;
+    }
+    if (!pool->confirmStart(order, this->state.view(), sentAt)) {
+        this->state.planWanted.notify();
+        co_return;
+    }
     const OrderReply reply = co_await this->state.owner.executors.start(order.executor, order.run);
     if (reply.outcome == OrderOutcome::Fenced) {
         this->state.fence("executor");
@@ -291,7 +303,8 @@
     this->state.owner.log.emit("run_start",
         {{"job", order.run.item.job.value}, {"occurrence", std::int64_t(order.run.item.occurrence)}, {"step", std::int64_t(order.run.item.step)},
             {"index", std::int64_t(order.run.item.index)}, {"run", order.run.run}, {"executor", order.executor.id.value}, {"token", order.run.token},
-            {"outcome", toString(reply.outcome)}, {"view_age_ms", age(order.callersReadAt, order.decidedAt)}, {"order_wait_ms", age(order.decidedAt, sentAt)}});
+            {"outcome", toString(reply.outcome)}, {"view_age_ms", age(order.view.callersAsOf, order.decidedAt)},
+            {"order_wait_ms", age(order.decidedAt, sentAt)}});
     pool->onStarted(key, order.run, reply, sentAt, bootNow());
     if (reply.outcome != OrderOutcome::Done) {
         this->state.planWanted.notify();
--- a/src/scheduler/staleview_test.cpp
+++ b/src/scheduler/staleview_test.cpp
@@ -10,7 +10,7 @@
 TEST_F(SchedulerTest, ACancelledJobIsNotStartedWhileItsCancellationIsUnread)
 {
     const auto owner = this->own(1);
-    owner->setExecutors({});
+    owner->setExecutors({}, BootClock().now());
     ASSERT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
     this->runUntil([this] {
         return !this->store.partitions[{Stream::Progress, 0}].records.empty()
@@ -19,7 +19,7 @@
     this->store.unansweredReads = Stream::Jobs;
     ASSERT_EQ(this->call(CallerAction::Cancel, this->job).outcome, CallerOutcome::Cancelled);
     this->runFor(cancelBound);
-    owner->setExecutors({executor()});
+    owner->setExecutors({executor()}, BootClock().now());
     this->runFor(500ms);
     EXPECT_TRUE(this->executors.starts.empty());
     this->store.unansweredReads.reset();
