Large answers are read in few turns of the loop, not 512 bytes a turn

Cause: Beast reads into the free room of the connection's buffer, or 512 bytes where there is none, and the buffers had none. Each piece costs a turn of the event loop. On a machine of 0.12 core under load a turn is about 23 ms, so 104 kB of callers' requests took 4.6 s; meanwhile more gathered, so the next read was longer still. Ruled out: a takeover (none after the start-up of the fleet), orders that waited, the link (104 kB are 83 ms), a limit of the store (nothing left). Change: readMessage() reads the header, makes room for the body that it announces, up to 64 KiB, and reads on. Client, server and the gate use it.

--- a/src/gate/forward.cpp
+++ b/src/gate/forward.cpp
@@ -1,6 +1,8 @@
 // Upstream side of the gate.
 #include "forward.h"
 
+#include "readmessage.h"
+
 namespace MangoCourse {
 
 namespace {
@@ -73,7 +75,7 @@
 {
     http::response_parser<http::string_body> parser;
     parser.body_limit(limit);
-    co_await http::async_read(connection.stream, connection.buffer, parser, into(error));
+    co_await readMessage(connection.stream, connection.buffer, parser, error);
     if (error) {
         co_return makeError(ErrorCode::Unavailable, error.message());
     }
--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 
 #include "controltraffic.h"
+#include "readmessage.h"
 
 namespace MangoCourse {
 
@@ -121,7 +122,7 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(responseLimit);
-    controlTraffic().received += co_await http::async_read(connection.stream, connection.buffer, parser, into(error));
+    controlTraffic().received += co_await readMessage(connection.stream, connection.buffer, parser, error);
     if (error) {
         co_return Stage::MaybeSent;
     }
--- a/src/libservice/httpclient.cpp
+++ b/src/libservice/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "controltraffic.h"
+#include "readmessage.h"
 
 namespace MangoCourse {
 
@@ -58,7 +59,7 @@
     if (!error) {
         http::response_parser<http::string_body> parser;
         parser.body_limit(unlimitedBody);
-        controlTraffic().received += co_await http::async_read(*this->stream, this->buffer, parser, into(error));
+        controlTraffic().received += co_await readMessage(*this->stream, this->buffer, parser, error);
         if (!error) {
             response = parser.release();
         }
--- a/src/libservice/httpserver.cpp
+++ b/src/libservice/httpserver.cpp
@@ -9,6 +9,7 @@
 #include <spdlog/spdlog.h>
 
 #include "controltraffic.h"
+#include "readmessage.h"
 
 namespace MangoCourse {
 
@@ -118,7 +119,7 @@
         http::request_parser<http::string_body> parser;
         parser.body_limit(HttpServer::bodyLimit);
         stream.expires_after(HttpServer::idleTimeout);
-        controlTraffic().received += co_await http::async_read(stream, buffer, parser, into(error));
+        controlTraffic().received += co_await readMessage(stream, buffer, parser, error);
         if (error) {
             break;
         }
