Failing tests: a gateway answers by a configuration of any age

A gateway accepts submissions and denies queues by the configuration that it last read, however long ago that was. Seen (a whole process whose operator's reads get no answer for 2 s): a job is accepted on a dropped queue and the process stays ready; an added queue is denied.

--- /dev/null
+++ b/src/scheduler/staleconfig_test.cpp
@@ -0,0 +1,208 @@
+// What callers are told by a process that knows the operator's configuration only up to some time ago.
+#include "scheduler_test.h"
+
+#include "schedulerprocess.h"
+
+namespace MangoCourse {
+
+// There is no settings file.
+Result<NodeSettings> readNodeSettings()
+{
+    return NodeSettings{};
+}
+
+namespace {
+
+// No request is handled by a configuration that was replaced longer ago than this before it was sent.
+constexpr std::chrono::milliseconds configBound{2000};
+
+class IdleCallers : public CallerSide
+{
+public:
+    void start() override
+    {
+    }
+    void discourage() override
+    {
+    }
+    std::size_t activeRequests() const override
+    {
+        return 0;
+    }
+    void stop() override
+    {
+    }
+};
+
+// Hands the process the fixture's store, and the test the process's callers.
+class TestPlatform : public PlatformAdapter
+{
+public:
+    TestPlatform(MemoryStore &memory, QuickExecutors &quick, const NodeSettings &node, std::map<std::string, FleetConfig> &configs, CallerService *&service)
+        : memory(memory)
+        , quick(quick)
+        , node(node)
+        , configs(configs)
+        , service(service)
+    {
+    }
+
+    const NodeSettings &settings() const override
+    {
+        return this->node;
+    }
+    RecordStore &store() override
+    {
+        return this->memory;
+    }
+    ExecutorPort &executors() override
+    {
+        return this->quick;
+    }
+    MachinePort *machines() override
+    {
+        return nullptr;
+    }
+    PolicyPort *policy() override
+    {
+        return nullptr;
+    }
+    Result<std::unique_ptr<CallerSide>> openCallers(CallerService &opened) override
+    {
+        this->service = &opened;
+        return std::unique_ptr<CallerSide>(std::make_unique<IdleCallers>());
+    }
+    Result<OperatorRecord> decodeOperatorRecord(const std::string &, const std::string &value) const override
+    {
+        return OperatorRecord(this->configs.at(value));
+    }
+    Result<ExecutorInfo> decodeExecutor(const std::string &, const std::string &) const override
+    {
+        return makeError(ErrorCode::Decode, "there is none");
+    }
+    StoredRecord encodeWaveStatus(const WaveId &, bool) const override
+    {
+        return StoredRecord{};
+    }
+
+private:
+    MemoryStore &memory;
+    QuickExecutors &quick;
+    NodeSettings node;
+    std::map<std::string, FleetConfig> &configs;
+    CallerService *&service;
+};
+
+class StaleConfigTest : public SchedulerTest
+{
+protected:
+    void SetUp() override
+    {
+        this->configs["1"] = *this->config;
+        this->publish("1");
+        auto platform = std::make_unique<TestPlatform>(this->store, this->executors, this->settings, this->configs, this->service);
+        auto made = SchedulerProcess::create(this->context, this->metrics, std::move(platform));
+        ASSERT_TRUE(made);
+        this->process = std::move(*made);
+        this->process->start();
+        this->runUntil([this] {
+            return this->service->isReady();
+        });
+    }
+
+    void publish(const std::string &revision)
+    {
+        std::vector<StoredRecord> &records = this->store.partitions[{Stream::Operator, 0}].records;
+        records.push_back(StoredRecord{"config", revision, static_cast<std::int64_t>(records.size())});
+    }
+
+    CallerReply ask(CallerAction action, const std::string &path)
+    {
+        CallerRequest request;
+        request.action = action;
+        request.host = "host";
+        request.path = path;
+        request.limit = 500ms;
+        request.decodeJob = [] {
+            StepSpec step;
+            step.count = 1;
+            step.room = Room{1000, 10, 0};
+            return Result<JobSpec>(JobSpec{"work", {step}, {}});
+        };
+        std::optional<CallerReply> reply;
+        net::co_spawn(
+            this->context,
+            [this, &reply, request]() -> net::awaitable<void> {
+                reply = co_await this->service->handle(request);
+            },
+            net::detached);
+        this->runUntil([&reply] {
+            return reply.has_value();
+        });
+        return reply.value_or(CallerReply{});
+    }
+
+    const std::string unknownQueue = "/other/00000000000000aa";
+    std::map<std::string, FleetConfig> configs;
+    CallerService *service = nullptr;
+    std::unique_ptr<SchedulerProcess> process;
+};
+
+TEST_F(StaleConfigTest, ADroppedQueueTakesNoJobsWhileTheConfigurationIsUnread)
+{
+    this->store.unansweredReads = Stream::Operator;
+    this->configs["2"] = *this->config;
+    this->configs["2"].revision = 2;
+    this->configs["2"].queues.clear();
+    this->publish("2");
+    this->runFor(configBound);
+    EXPECT_EQ(this->ask(CallerAction::Submit, this->job).outcome, CallerOutcome::NotAccepted);
+    EXPECT_TRUE(this->store.partitions[(std::pair{Stream::Jobs, 0})].records.empty());
+    EXPECT_EQ(this->ask(CallerAction::Read, "/counter/").outcome, CallerOutcome::Unavailable);
+    EXPECT_FALSE(this->service->isReady());
+    this->store.unansweredReads.reset();
+    this->runUntil([this] {
+        return this->service->isReady();
+    });
+    EXPECT_EQ(this->ask(CallerAction::Submit, this->job).outcome, CallerOutcome::NoSuchQueue);
+}
+
+TEST_F(StaleConfigTest, AnAddedQueueIsNotDeniedWhileTheConfigurationIsUnread)
+{
+    this->store.unansweredReads = Stream::Operator;
+    this->configs["2"] = *this->config;
+    this->configs["2"].revision = 2;
+    this->configs["2"].queues.push_back(this->config->queues.front());
+    this->configs["2"].queues.back().id = QueueId{"other"};
+    this->configs["2"].queues.back().pathPrefix = "/other/";
+    this->publish("2");
+    this->runFor(configBound);
+    EXPECT_EQ(this->ask(CallerAction::Submit, this->unknownQueue).outcome, CallerOutcome::NotAccepted);
+    EXPECT_EQ(this->ask(CallerAction::Read, this->unknownQueue).outcome, CallerOutcome::Unavailable);
+    this->store.unansweredReads.reset();
+    this->runUntil([this] {
+        return this->service->isReady();
+    });
+    EXPECT_EQ(this->ask(CallerAction::Submit, this->unknownQueue).outcome, CallerOutcome::Accepted);
+}
+
+TEST_F(StaleConfigTest, JobsAreShownAndCancelledWhileTheConfigurationIsUnread)
+{
+    ASSERT_EQ(this->ask(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->store.unansweredReads = Stream::Operator;
+    this->runFor(configBound);
+    EXPECT_EQ(this->ask(CallerAction::Read, this->job).state, JobState::Queued);
+    EXPECT_EQ(this->ask(CallerAction::Cancel, this->job).outcome, CallerOutcome::Cancelled);
+}
+
+TEST_F(StaleConfigTest, AQuietOperatorKeepsNoCallersAway)
+{
+    const auto over = std::chrono::steady_clock::now() + 2 * configBound;
+    while (std::chrono::steady_clock::now() < over) {
+        this->runFor(50ms);
+        ASSERT_TRUE(this->service->isReady());
+    }
+}
+
+}
+}
