The view's age stays well under its limit; draining executors get no late order

While nothing comes the view is up to two long polls old, 2 s and two answers against a limit of 2.5 s where 3 s are allowed for cancellations; a page of records that cannot be read made a reader current before its stream's end; an order that waited was sent to an executor that had reported to drain meanwhile. Change: the owner's poll waits 0.5 s; a reader is current only at the stream's end; confirmStart() looks at draining and evacuation. Tests: AReaderIsNotCurrentBehindAPageWithoutReadableRecords, AnOrderThatWaitedUntilItsExecutorDrainedIsNotSent. Left: members of a gang are sent on a view of any age, since one that stays away leaves the others waiting; the order's own time limit of 1 s is longer than the half second that the bounds leave for it.

--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -473,7 +473,8 @@
     const bool isOpen = entry != nullptr && entry->isOpen();
     // A member that stays away would leave the rest of its gang waiting.
     const bool isGang = isOpen && this->d->stepOf(order.run.item).isGang;
-    const bool isWanted = isOpen && (isGang || run->second.phase == RunPhase::Starting);
+    const bool isLeaving = executor->info.isDraining || this->d->isEvacuated(*executor);
+    const bool isWanted = isOpen && (isGang || (run->second.phase == RunPhase::Starting && !isLeaving));
     if (isWanted && (isGang || this->d->isCurrent(view, now))) {
         return true;
     }
--- a/src/libmangocourse/poolview_test.cpp
+++ b/src/libmangocourse/poolview_test.cpp
@@ -44,6 +44,20 @@
     EXPECT_TRUE(this->plan().stops.empty());
 }
 
+TEST_F(PoolSchedulerTest, AnOrderThatWaitedUntilItsExecutorDrainedIsNotSent)
+{
+    this->list({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    ExecutorInfo leaving = executor("one");
+    leaving.isDraining = true;
+    this->list({leaving});
+    EXPECT_FALSE(this->scheduler->confirmStart(orders.starts[0], this->view(), this->now));
+    EXPECT_EQ(this->scheduler->summary().runs, 0U);
+}
+
 TEST_F(PoolSchedulerTest, AnOrderThatWaitedUntilTheViewWasOldIsPlacedAnew)
 {
     this->list({executor("one")});
--- a/src/scheduler/shardownerloops.cpp
+++ b/src/scheduler/shardownerloops.cpp
@@ -15,8 +15,8 @@
 // Progress that nobody waits for gathers this long.
 constexpr milliseconds persistInterval{30};
 constexpr milliseconds persistTurn{5};
-// Well under the age of the view at which starts are held up.
-constexpr milliseconds tailWait{1000};
+// While nothing comes the view is up to two waits old, which has to stay well under the age at which starts are held up.
+constexpr milliseconds tailWait{500};
 // Events that come together are planned for together.
 constexpr milliseconds planPause{2};
 // After a plan the owner rests this many times as long as it took, up to the bound.
--- a/src/scheduler/staleview_test.cpp
+++ b/src/scheduler/staleview_test.cpp
@@ -7,6 +7,54 @@
 // An owner starts work of a cancelled job at most this long after the cancellation was confirmed.
 constexpr std::chrono::milliseconds cancelBound{3000};
 
+// A stream whose records of the first page cannot be read.
+class UnreadablePage : public MemoryStore
+{
+public:
+    using MemoryStore::MemoryStore;
+
+    int reads = 0;
+
+    net::awaitable<Result<StreamBatch>> read(Stream, std::int32_t, std::int64_t from, std::chrono::milliseconds) override
+    {
+        co_await sleepFor(this->context, 20ms);
+        ++this->reads;
+        StreamBatch batch;
+        batch.next = from + 1;
+        batch.end = 2;
+        if (this->reads > 1) {
+            batch.records.push_back(StoredRecord{"key", "value", from});
+        }
+        co_return batch;
+    }
+};
+
+TEST_F(SchedulerTest, AReaderIsNotCurrentBehindAPageWithoutReadableRecords)
+{
+    UnreadablePage paged(this->context);
+    int applied = 0;
+    StreamReader reader(this->context, paged, Stream::Jobs, 0,
+        StreamReader::Handlers{[] {
+                               },
+            [&applied](const StoredRecord &) {
+                ++applied;
+            }});
+    bool isRead = false;
+    net::co_spawn(
+        this->context,
+        [&reader, &isRead]() -> net::awaitable<void> {
+            co_await reader.follow(0ms);
+            co_await reader.follow(0ms);
+            isRead = true;
+        },
+        net::detached);
+    this->runUntil([&isRead] {
+        return isRead;
+    });
+    EXPECT_EQ(paged.reads, 2);
+    EXPECT_EQ(applied, 1);
+}
+
 TEST_F(SchedulerTest, ACancelledJobIsNotStartedWhileItsCancellationIsUnread)
 {
     const auto owner = this->own(1);
--- a/src/scheduler/streamreader.cpp
+++ b/src/scheduler/streamreader.cpp
@@ -56,9 +56,12 @@
         for (const StoredRecord &record : batch->records) {
             this->handlers.apply(record);
         }
-        this->next = batch->next;
-        if (batch->next >= batch->end || batch->records.empty()) {
+        const bool hasMoved = batch->next > std::exchange(this->next, batch->next);
+        const bool isAtEnd = batch->next >= batch->end;
+        if (isAtEnd) {
             this->asOf = sentAt;
+        }
+        if (isAtEnd || !hasMoved) {
             co_return Result<void>{};
         }
         wait = std::chrono::milliseconds::zero();
