--- a/src/libmangocourse/fleetneeds.cpp
+++ b/src/libmangocourse/fleetneeds.cpp
@@ -123,11 +123,6 @@
 void FleetPlanner::Private::rememberNeeds(std::map<ServiceId, PoolView> &pools, TimePoint now)
 {
     for (auto &[service, pool] : pools) {
-        pool.neededLately = pool.needed;
-        if (pool.report == nullptr) {
-            // A pool that is not heard of is left as it is, which says nothing about what it needed.
-            continue;
-        }
         auto &recent = this->recentNeeds[service];
         while (!recent.empty() && recent.back().second <= pool.needed) {
             recent.pop_back();
