A small message with a body is read in one turn again

Cause (review): reading the header by itself leaves a body that came with it to a second operation, one more turn of the loop for each order, renewal and append. Change: readMessage() parses eagerly and goes on only where something is missing.

--- a/src/libservice/readmessage.h
+++ b/src/libservice/readmessage.h
@@ -14,8 +14,16 @@
 {
     // Bytes taken from the socket at once, at most.
     constexpr std::uint64_t largestRead = 64 * 1024;
-    std::size_t bytes = co_await http::async_read_header(stream, buffer, parser, into(error));
-    if (error || parser.is_done()) {
+    std::size_t bytes = 0;
+    // A body that comes with the header is taken in the same turn.
+    parser.eager(true);
+    while (!parser.is_header_done()) {
+        bytes += co_await http::async_read_some(stream, buffer, parser, into(error));
+        if (error) {
+            co_return bytes;
+        }
+    }
+    if (parser.is_done()) {
         co_return bytes;
     }
     const std::uint64_t announced = parser.content_length() ? *parser.content_length() : largestRead;
