A list of executors that the store does not give out holds no starts up

Change: a refresh that fails within the time limit of a read counts like one without news; one that fails later does not, since then this process may have been the slow one. The time of a slow read counts into the interval. A stream that tells of more and gives none is an error with a pause, not a success (review). Test: AListOfExecutorsThatTheStoreDoesNotGiveOutStaysCurrent. Cancelling keeps the strict bound.

--- a/src/scheduler/executordirectory.cpp
+++ b/src/scheduler/executordirectory.cpp
@@ -1,6 +1,8 @@
 // Folding of executors' reports.
 #include "executordirectory.h"
 
+#include <algorithm>
+
 namespace MangoCourse {
 
 ExecutorDirectory::ExecutorDirectory(net::io_context &context, RecordStore &store, EventLog &log, ExecutorDecoder decode)
@@ -55,9 +57,14 @@
     return list;
 }
 
+bool ExecutorDirectory::isLoaded() const
+{
+    return this->reader.isLoaded();
+}
+
 TimePoint ExecutorDirectory::currentAsOf() const
 {
-    return this->reader.currentAsOf();
+    return std::max(this->reader.currentAsOf(), this->reader.unreachableAsOf());
 }
 
 }
--- a/src/scheduler/executordirectory.h
+++ b/src/scheduler/executordirectory.h
@@ -21,8 +21,11 @@
     // Brings the list up to date. A list that came before stays when the store cannot be read.
     net::awaitable<Result<void>> refresh();
 
+    // Returns true once the list has been read.
+    bool isLoaded() const;
     std::vector<ExecutorInfo> executors() const;
-    // Reports that were stored before this are included.
+    // Reports that were stored before this are included. While the store does not give them out executors cannot report anything new to it
+    // either, so that a failed refresh counts like one without news.
     TimePoint currentAsOf() const;
 
 private:
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -91,6 +91,9 @@
 class RecordStore
 {
 public:
+    // Reads that get no answer are given up after this, beyond what they were to wait for news. Answers take milliseconds.
+    static constexpr std::chrono::milliseconds answerLimit{1500};
+
     virtual ~RecordStore() = default;
 
     // Appends all records or none. Conflict: fenced by a higher epoch, or out of sequence. An empty list only sets the epoch.
--- a/src/scheduler/scheduler_test.h
+++ b/src/scheduler/scheduler_test.h
@@ -34,9 +34,6 @@
     {
     }
 
-    // A read is given up when it got no answer for this long beyond its wait.
-    static constexpr std::chrono::milliseconds answerLimit{1500};
-
     struct Partition {
         std::vector<StoredRecord> records;
         std::map<std::string, std::pair<std::int64_t, std::int64_t>> producers;
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -25,6 +25,7 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds directoryInterval{500};
+constexpr milliseconds directoryPause{100};
 // While machines are on their way, so that they get work soon after they have come.
 constexpr milliseconds busyDirectoryInterval{200};
 constexpr milliseconds idleInterval{250};
@@ -142,11 +143,16 @@
             co_await sleepFor(this->context, idleInterval);
             continue;
         }
-        const Result<void> read = co_await this->directory.refresh();
-        if (read) {
+        const TimePoint startedAt = bootNow();
+        // A list that could not be read stays as it was.
+        (void)co_await this->directory.refresh();
+        if (this->directory.isLoaded()) {
             this->ownership.setExecutors(this->directory.executors(), this->directory.currentAsOf());
         }
-        co_await sleepFor(this->context, this->ownership.evacuations().emptying.empty() ? directoryInterval : busyDirectoryInterval);
+        // Owners start nothing on an old list, so the time of a slow read and of a failed one counts into the interval.
+        const milliseconds interval = this->ownership.evacuations().emptying.empty() ? directoryInterval : busyDirectoryInterval;
+        const auto taken = std::chrono::duration_cast<milliseconds>(bootNow() - startedAt);
+        co_await sleepFor(this->context, std::max(interval - taken, directoryPause));
     }
 }
 
--- a/src/scheduler/staleview_test.cpp
+++ b/src/scheduler/staleview_test.cpp
@@ -1,6 +1,9 @@
 // What an owner may do while it knows the callers' requests only up to some time ago.
 #include "scheduler_test.h"
 
+#include "clocks.h"
+#include "executordirectory.h"
+
 namespace MangoCourse {
 namespace {
 
@@ -55,6 +58,37 @@
     EXPECT_EQ(applied, 1);
 }
 
+TEST_F(SchedulerTest, AListOfExecutorsThatTheStoreDoesNotGiveOutStaysCurrent)
+{
+    ExecutorDirectory directory(this->context, this->store, *this->log, [](const std::string &, const std::string &) {
+        return Result<ExecutorInfo>(executor());
+    });
+    const auto refresh = [this, &directory] {
+        const TimePoint startedAt = bootNow();
+        bool isRead = false;
+        net::co_spawn(
+            this->context,
+            [&directory, &isRead]() -> net::awaitable<void> {
+                (void)co_await directory.refresh();
+                isRead = true;
+            },
+            net::detached);
+        this->runUntil([&isRead] {
+            return isRead;
+        });
+        return startedAt;
+    };
+    EXPECT_EQ(directory.currentAsOf(), TimePoint{});
+    const TimePoint readAt = refresh();
+    EXPECT_GE(directory.currentAsOf(), readAt);
+    this->store.unansweredReads = Stream::Executors;
+    const TimePoint unansweredAt = refresh();
+    EXPECT_GT(directory.currentAsOf(), unansweredAt);
+    this->store.mood = StoreMood::Refusing;
+    const TimePoint refusedAt = refresh();
+    EXPECT_GE(directory.currentAsOf(), refusedAt);
+}
+
 TEST_F(SchedulerTest, ACancelledJobIsNotStartedWhileItsCancellationIsUnread)
 {
     const auto owner = this->own(1);
--- a/src/scheduler/streamreader.cpp
+++ b/src/scheduler/streamreader.cpp
@@ -5,6 +5,13 @@
 
 namespace MangoCourse {
 
+namespace {
+
+// Timers of a process that has its share of the processor fire at most this late.
+constexpr std::chrono::milliseconds timerSlack{100};
+
+}
+
 StreamReader::StreamReader(net::io_context &context, RecordStore &store, Stream stream, std::int32_t partition, Handlers handlers)
     : context(context)
     , store(store)
@@ -25,6 +32,11 @@
     return this->asOf;
 }
 
+TimePoint StreamReader::unreachableAsOf() const
+{
+    return this->failedAt;
+}
+
 net::awaitable<Result<void>> StreamReader::load()
 {
     const TimePoint sentAt = bootNow();
@@ -60,10 +72,11 @@
         const bool isAtEnd = batch->next >= batch->end;
         if (isAtEnd) {
             this->asOf = sentAt;
-        }
-        if (isAtEnd || !hasMoved) {
             co_return Result<void>{};
         }
+        if (!hasMoved) {
+            co_return makeError(ErrorCode::Decode, "there is more, but the answer holds none of it", "stream");
+        }
         wait = std::chrono::milliseconds::zero();
     }
 }
@@ -91,12 +104,16 @@
             continue;
         }
         ++this->started;
+        const TimePoint startedAt = bootNow();
         Result<void> result;
         if (this->isLoaded()) {
             result = co_await this->readOn(std::chrono::milliseconds::zero());
         } else {
             result = co_await this->load();
         }
+        if (!result && bootNow() - startedAt <= RecordStore::answerLimit + timerSlack) {
+            this->failedAt = bootNow();
+        }
         this->lastResult = result;
         this->ended = this->started;
         this->done->cancel();
--- a/src/scheduler/streamreader.h
+++ b/src/scheduler/streamreader.h
@@ -32,6 +32,8 @@
     // Everything that was stored before this has been delivered; the clock's start where nothing was read yet. Time that the machine was
     // suspended counts.
     TimePoint currentAsOf() const;
+    // When catchUp() last failed in time. Later than the limit of a read it may have been this process that was slow, not the store.
+    TimePoint unreachableAsOf() const;
 
 private:
     net::awaitable<Result<void>> load();
@@ -44,6 +46,7 @@
     Handlers handlers;
     std::int64_t next = -1;
     TimePoint asOf{};
+    TimePoint failedAt{};
     // The number of the read under way and of the last one that ended, and its result.
     std::uint64_t started = 0;
     std::uint64_t ended = 0;
