The supervisor's test waits until the duties that it stops have begun

Seen: Supervisor.RestartsAFailingDutyAndStopsInReverse failed once on a loaded machine, `ends` was {"second"}. Cause: stop() can come before the thread of the first duty has had its first turn; the supervisor then rightly does not run it, and it cannot end. The test took for granted that it runs. Change: the test waits for both duties to have begun. The order of their ends, the restarts and the refusal are checked as before.

--- a/src/libmangocourse/settings_test.cpp
+++ b/src/libmangocourse/settings_test.cpp
@@ -82,9 +82,11 @@
 {
     auto supervisor = Supervisor::create("test");
     std::atomic<int> runs{0};
+    std::atomic<int> begun{0};
     std::vector<std::string> ends;
-    const auto waiting = [&ends](const std::string &name) {
-        return [&ends, name](const std::stop_token &stop) -> Result<void> {
+    const auto waiting = [&ends, &begun](const std::string &name) {
+        return [&ends, &begun, name](const std::stop_token &stop) -> Result<void> {
+            ++begun;
             while (!stop.stop_requested()) {
                 std::this_thread::yield();
             }
@@ -100,7 +102,7 @@
                               }
                               return {};
                           }});
-    while (runs < 3) {
+    while (runs < 3 || begun < 2) {
         std::this_thread::yield();
     }
     (*supervisor)->stop();
