Say why accepted work waits: work_waiting, run_unlisted, executor_unreachable, takeover_delayed

Change: a review every half second, apart from plan(), names the reason of items that wait for more than 1 s and the runs that their executors have not listed for more than 2.5 s; at most 3 lines of each kind per review and pool, 16 items examined. Executors that become unreachable or reachable again, and takeovers that take longer than 2 s, have events of their own. /metrics and /state have the waiting jobs by reason and the executors by usability. No decision changes: isUsable() and the constraints return the same answers, with their reason.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include <mangocourse/execution.h>
 #include <mangocourse/fleetconfig.h>
 #include <mangocourse/fleetplanner.h>
+#include <mangocourse/poolwaiting.h>
 
 namespace MangoCourse {
 
@@ -146,6 +148,8 @@
     ExecutorId executor;
     std::int64_t run = 0;
     std::string outcome;
+    // How long the state that has ended lasted, for events that end one.
+    std::optional<std::chrono::milliseconds> lasted{};
 };
 
 // Schedules one pool for one owner. Not thread-safe.
@@ -224,6 +228,12 @@
     TimePoint nextWakeup(TimePoint now, WallTime wallNow) const;
     PoolSummary summary() const;
 
+    // Returns the lines to log now about ready items without a run and about runs that their executors don't list. Call it
+    // every half second; a call soon after the last review returns nothing. It changes no decision.
+    WaitingReview reviewWaiting(TimePoint now, WallTime wallNow);
+    // Returns the numbers of waiting jobs of the last review, and the usability of the executors now.
+    PoolWaiting waiting(TimePoint now) const;
+
 private:
     class Private;
     explicit PoolScheduler(std::unique_ptr<Private> impl);
--- /dev/null
+++ b/src/include/mangocourse/poolwaiting.h
@@ -0,0 +1,149 @@
+// Why accepted work waits: types for logs, metrics and state dumps.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <mangocourse/job.h>
+
+namespace MangoCourse {
+
+// Why a ready item has no run.
+enum class WaitReason {
+    // The job has waited too briefly, or too many others wait, to tell.
+    Unexamined,
+    // plan() has not been called for longer than the first report takes.
+    NoPlan,
+    // The ownership term is too short for a lease.
+    ShortTerm,
+    // Cancellations or draining executors may be unread.
+    OldWatermarks,
+    // No service in the configuration takes the job.
+    Unassigned,
+    // The job is not among those that plan() looks at.
+    NotPlaceable,
+    // The start intent is not durable.
+    IntentNotDurable,
+    // Executors that may hold a run of a previous owner have not been asked yet.
+    PreviousRuns,
+    // The last run was lost, and the ownership has not been confirmed since it can have been active.
+    PossiblyActive,
+    // Other members of the gang still run.
+    GangIncomplete,
+    // The placement policy has not answered.
+    PolicyUnanswered,
+    // Discovery lists no executor of the pool.
+    NoExecutor,
+    // Executors are listed, but none is usable.
+    NoUsableExecutor,
+    // No usable executor has room; of a gang, not for all members.
+    NoRoom,
+    // Usable executors have room, but not the label, or have as many items of the step as they may.
+    Constraint,
+    // Usable executors have room, but no pass of the placement policy.
+    NoPass,
+    // A usable executor has room and nothing hinders the item.
+    NotTried,
+    // A start order is in flight, or the executor lists neither the run nor its end.
+    RunUnlisted,
+};
+inline constexpr std::size_t waitReasonCount = static_cast<std::size_t>(WaitReason::RunUnlisted) + 1;
+std::string_view toString(WaitReason reason);
+
+// Whether an executor can get work, and otherwise why not: the first reason that applies.
+enum class ExecutorUsability {
+    Usable,
+    // Discovery no longer lists the incarnation.
+    Unlisted,
+    Draining,
+    // No renewal has succeeded so far.
+    NeverContacted,
+    // Renewals fail since the last success.
+    Failing,
+    // The use of the executor is not durable yet.
+    NotRecorded,
+    NoClock,
+    // It is passed over for a while after failures or refused orders.
+    Avoided,
+    Evacuated,
+};
+inline constexpr std::size_t executorUsabilityCount = static_cast<std::size_t>(ExecutorUsability::Evacuated) + 1;
+std::string_view toString(ExecutorUsability usability);
+
+// Numbers of executors by usability.
+using UsabilityCounts = std::array<std::int32_t, executorUsabilityCount>;
+
+// What keeps an item from an executor.
+enum class PlacementObstacle {
+    None,
+    Cpu,
+    Memory,
+    Accelerators,
+    Label,
+    // A run of the item is there already.
+    RunsHere,
+    PerExecutorLimit,
+    Pass,
+};
+inline constexpr std::size_t placementObstacleCount = static_cast<std::size_t>(PlacementObstacle::Pass) + 1;
+std::string_view toString(PlacementObstacle obstacle);
+
+// Numbers of usable executors by what keeps an item from them.
+using ObstacleCounts = std::array<std::int32_t, placementObstacleCount>;
+
+// A ready item that waits, and what the owner knows about the cause.
+struct WaitingItem {
+    ItemId item;
+    WaitReason reason = WaitReason::Unexamined;
+    // Since it became ready, accurate to the interval of the reviews.
+    std::chrono::milliseconds age{};
+    // Since the job was accepted.
+    std::chrono::milliseconds sinceAccepted{};
+    UsabilityCounts executors{};
+    ObstacleCounts obstacles{};
+    // Longest time for which renewals of a listed executor have been failing.
+    std::chrono::milliseconds failingFor{};
+    // Executors that list neither a run nor its end.
+    std::int32_t unlistedRuns = 0;
+    // Longest time between two plans since the previous review, or since the last plan.
+    std::chrono::milliseconds planGap{};
+    // Ages of what the last plan was based on.
+    std::chrono::milliseconds requestsAge{};
+    std::chrono::milliseconds executorsAge{};
+    std::chrono::milliseconds confirmedAge{};
+    // Remaining ownership term.
+    std::chrono::milliseconds termLeft{};
+    // The executors that the item waits for, if the reason names some.
+    std::string waitsFor;
+};
+
+// A run that its executor has listed neither as running nor as ended.
+struct UnlistedRun {
+    ItemId item;
+    ExecutorId executor;
+    std::int64_t run = 0;
+    std::string_view phase;
+    // Since the order, or since the executor last listed the run.
+    std::chrono::milliseconds age{};
+    // Since the last report of the executor; negative if there was none.
+    std::chrono::milliseconds reportAge{};
+};
+
+// Lines to log.
+struct WaitingReview {
+    std::vector<WaitingItem> items;
+    std::vector<UnlistedRun> runs;
+};
+
+// Totals for state dumps and metrics.
+struct PoolWaiting {
+    // Numbers of jobs by the reason for which they wait, as of the last review.
+    std::array<std::size_t, waitReasonCount> jobs{};
+    UsabilityCounts executors{};
+};
+
+}
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -139,6 +139,7 @@
     run.phase = RunPhase::Running;
     run.startedAt = now;
     run.orderResolvedAt = now;
+    run.seenAt = now;
     run.resources = spec.resources;
     if (spec.isBestEffort) {
         run.resources.cpu = 0;
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -9,8 +9,6 @@
 
 using std::chrono::milliseconds;
 
-// Nothing starts with a lease shorter than this.
-constexpr milliseconds minStartLease{400};
 // Longest delivery time of an order on an undisturbed network.
 constexpr milliseconds orderDeliveryTime{500};
 // A speculative item gets a second run once its executor has failed to answer for this long, or once its run time without the slack exceeds
@@ -56,8 +54,7 @@
 
 bool PoolScheduler::Private::isUsable(const Executor &executor, TimePoint now) const
 {
-    return executor.isListed && executor.isContacted && executor.isRecorded && executor.clock && !executor.info.isDraining && executor.avoidedUntil <= now
-        && executor.failingSince == TimePoint{} && !this->isEvacuated(executor);
+    return this->usabilityOf(executor, now) == ExecutorUsability::Usable;
 }
 
 bool PoolScheduler::Private::areWatermarksFresh(const PoolWatermarks &watermarks, TimePoint now) const
@@ -107,13 +104,13 @@
     return longest;
 }
 
-bool PoolScheduler::Private::satisfiesConstraints(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const
+PlacementObstacle PoolScheduler::Private::findConstraint(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const
 {
     if (!spec.requiredLabel.empty() && !hasLabel(executor.info, spec.requiredLabel)) {
-        return false;
+        return PlacementObstacle::Label;
     }
     if (executor.runs.contains(id)) {
-        return false;
+        return PlacementObstacle::RunsHere;
     }
     if (spec.perExecutorLimit > 0) {
         std::int32_t itemsHere = 0;
@@ -123,14 +120,14 @@
             ++itemsHere;
         }
         if (itemsHere >= spec.perExecutorLimit) {
-            return false;
+            return PlacementObstacle::PerExecutorLimit;
         }
     }
     if (entry.hasPolicy) {
         const StepState &state = entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
-        return state.passes.contains(executor.info.id);
+        return state.passes.contains(executor.info.id) ? PlacementObstacle::None : PlacementObstacle::Pass;
     }
-    return true;
+    return PlacementObstacle::None;
 }
 
 void PoolScheduler::Private::refreshIndex(TimePoint now)
@@ -171,7 +168,7 @@
     }
     Candidate best;
     const auto consider = [&](Executor &executor) {
-        if (!executor.free().covers(demand) || !this->satisfiesConstraints(executor, entry, id, spec)) {
+        if (!executor.free().covers(demand) || this->findConstraint(executor, entry, id, spec) != PlacementObstacle::None) {
             return false;
         }
         const bool isOffRack
@@ -427,6 +424,7 @@
 {
     Private &state = *this->d;
     const TimePoint expiresAt = term.expiresAt;
+    state.notePlan(now, term, watermarks);
     state.orders = SchedulerOrders{};
     state.expireLeases(now, term.confirmedAt);
     state.stopEvacuatedRuns(now);
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -249,6 +249,7 @@
     if (report.outcome != OrderOutcome::Done) {
         if (executor->failingSince == TimePoint{}) {
             executor->failingSince = now;
+            this->d->noteUnreachable(*executor, report.outcome, now);
         }
         if (report.outcome == OrderOutcome::OtherBoot) {
             this->d->endIncarnation(*executor, now, "another incarnation answers at its address");
@@ -259,6 +260,7 @@
         this->d->endIncarnation(*executor, now, "the executor has restarted");
         return;
     }
+    this->d->noteReachable(*executor, now);
     executor->failingSince = TimePoint{};
     if (!executor->isContacted) {
         executor->isContacted = true;
@@ -293,6 +295,7 @@
         }
         run.number = std::max(run.number, reported.run);
         run.isListed = true;
+        run.seenAt = now;
         run.percent = reported.percent;
         run.load = reported.load;
         if (run.phase == RunPhase::Starting || run.phase == RunPhase::Unacknowledged) {
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -9,9 +9,13 @@
 #include <mangocourse/poolscheduler.h>
 
 #include "capacityindex_pvt.h"
+#include "poolwaiting_pvt.h"
 
 namespace MangoCourse {
 
+// Nothing starts with a lease shorter than this.
+inline constexpr std::chrono::milliseconds minStartLease{400};
+
 enum class RunPhase {
     // The start order is in flight.
     Starting,
@@ -35,6 +39,8 @@
     bool isStopConfirmed = false;
     // The last report of the executor listed the run as running.
     bool isListed = false;
+    // Time at which the executor last listed the run, or else at which the run was created.
+    TimePoint seenAt{};
     std::int32_t percent = 0;
     // Speed that the owner set last.
     std::int32_t pacePercent = 100;
@@ -62,6 +68,8 @@
     TimePoint avoidedUntil{};
     // Time of the first failed renewal since the last success.
     TimePoint failingSince{};
+    // Time of the last successful renewal.
+    TimePoint reportedAt{};
     std::map<ItemId, Run> runs;
     // Run numbers that belong to no known item, and the time of their last stop order.
     std::map<ItemId, std::pair<std::int64_t, TimePoint>> orphans;
@@ -260,6 +268,14 @@
     // Recently submitted finite work, in core-ms.
     std::deque<std::pair<TimePoint, std::int64_t>> arrivals;
     SchedulerOrders orders;
+    WaitingWatch waiting;
+
+    // Review of waiting work; see poolwaiting.cpp.
+    class Reviewer;
+    void notePlan(TimePoint now, const OwnershipTerm &term, const PoolWatermarks &watermarks);
+    void noteUnreachable(Executor &executor, OrderOutcome outcome, TimePoint now);
+    void noteReachable(Executor &executor, TimePoint now);
+    ExecutorUsability usabilityOf(const Executor &executor, TimePoint now) const;
 
     // Events
     Executor *find(const ExecutorKey &key);
@@ -322,7 +338,7 @@
     Candidate findBestExecutor(
         const CapacityIndex::Slots &slots, const JobEntry &entry, const ItemId &id, const Item &item, const std::string &siblingRack) const;
     Executor *chooseExecutor(const JobEntry &entry, const ItemId &id, const Item &item);
-    bool satisfiesConstraints(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const;
+    PlacementObstacle findConstraint(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const;
     // Returns the ratio of actual to estimated run time in the job's queue, at least 1.
     static double durationFactor(const JobEntry &entry);
     // Returns true if a speculative second run is expected to end sooner than the only active run.
--- a/src/libservice/metrics.cpp
+++ b/src/libservice/metrics.cpp
@@ -76,12 +76,18 @@
     family.series[labels] += amount;
 }
 
-void Metrics::set(const std::string &name, const std::string &help, double value)
+void Metrics::set(const std::string &name, const std::string &help, double value, const std::string &labels)
 {
     const std::scoped_lock lock(this->d->mutex);
     Family<double> &family = this->d->gauges[name];
     family.help = help;
-    family.series[{}] = value;
+    family.series[labels] = value;
+}
+
+void Metrics::removeGauge(const std::string &name)
+{
+    const std::scoped_lock lock(this->d->mutex);
+    this->d->gauges.erase(name);
 }
 
 void Metrics::observe(const std::string &name, const std::string &help, const std::string &labels, std::chrono::microseconds duration)
--- a/src/libservice/metrics.h
+++ b/src/libservice/metrics.h
@@ -18,8 +18,10 @@
     // Adds to a counter. `help` is the description in the export. `labels` is empty or in Prometheus syntax, such as `class="counter"`.
     void add(const std::string &name, const std::string &help, const std::string &labels = {}, std::uint64_t amount = 1);
 
-    // Sets a gauge.
-    void set(const std::string &name, const std::string &help, double value);
+    // Sets a gauge; see add() for the labels.
+    void set(const std::string &name, const std::string &help, double value, const std::string &labels = {});
+    // Removes the gauge with all its labels.
+    void removeGauge(const std::string &name);
 
     // Records one duration in a histogram, which is exported in seconds.
     void observe(const std::string &name, const std::string &help, const std::string &labels, std::chrono::microseconds duration);
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -16,6 +16,7 @@
 #include "ownership.h"
 #include "planningduty.h"
 #include "recordcodec.h"
+#include "waitinglog.h"
 
 namespace MangoCourse {
 
@@ -135,6 +136,8 @@
 
     net::awaitable<void> followDirectory();
     nlohmann::json stateAsJson() const;
+    // Sets the gauges of the pools that this process owns now.
+    void updateGauges();
 };
 
 net::awaitable<void> SchedulerProcess::Private::followDirectory()
@@ -337,15 +340,34 @@
 nlohmann::json SchedulerProcess::Private::stateAsJson() const
 {
     nlohmann::json pools = nlohmann::json::array();
+    std::size_t unassigned = 0;
     for (const auto &[partition, shard] : this->ownership.shards()) {
+        const std::vector<PoolWaiting> waiting = shard->waiting();
+        auto poolWaiting = waiting.begin();
         for (const auto &[service, summary] : shard->summaries()) {
-            pools.push_back(
-                {{"service", service.value}, {"partition", partition}, {"token", shard->token()}, {"active", shard->isActive()}, {"jobs", summary.jobs},
-                    {"runs", summary.runs}, {"executors", summary.executors}, {"cpu", summary.capacity.cpu}, {"cpu_used", summary.used.cpu}});
+            pools.push_back({{"service", service.value}, {"partition", partition}, {"token", shard->token()}, {"active", shard->isActive()},
+                {"jobs", summary.jobs}, {"runs", summary.runs}, {"executors", summary.executors}, {"cpu", summary.capacity.cpu}, {"cpu_used", summary.used.cpu},
+                {"waiting", asJson(*poolWaiting++)}});
         }
+        unassigned += shard->unassignedJobs();
     }
     return {{"process", this->platform->settings().name.value}, {"ready", this->gateway->isReady()},
-        {"revision", this->feed.config() ? this->feed.config()->revision : 0}, {"planning", this->planningToken}, {"pools", pools}};
+        {"revision", this->feed.config() ? this->feed.config()->revision : 0}, {"planning", this->planningToken}, {"unassigned", unassigned}, {"pools", pools}};
+}
+
+void SchedulerProcess::Private::updateGauges()
+{
+    clearGauges(this->metrics);
+    std::size_t unassigned = 0;
+    for (const auto &[partition, shard] : this->ownership.shards()) {
+        const std::vector<PoolWaiting> waiting = shard->waiting();
+        auto poolWaiting = waiting.begin();
+        for (const auto &[service, summary] : shard->summaries()) {
+            setGauges(this->metrics, service, *poolWaiting++);
+        }
+        unassigned += shard->unassignedJobs();
+    }
+    this->metrics.set("mangocourse_unassigned_jobs", "Jobs whose service is not in the configuration.", static_cast<double>(unassigned));
 }
 
 SchedulerProcess::SchedulerProcess(std::unique_ptr<Private> impl)
@@ -379,6 +401,7 @@
         impl->admin->route(http::verb::get, "/metrics", [raw](const HttpRequest &) -> net::awaitable<HttpResponse> {
             HttpResponse response(http::status::ok, 11);
             response.set(http::field::content_type, "text/plain; version=0.0.4");
+            raw->updateGauges();
             response.body() = raw->metrics.toText();
             co_return response;
         });
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "waitinglog.h"
+
 namespace MangoCourse {
 
 PoolWatermarks ShardOwner::Private::watermarks() const
@@ -40,6 +42,10 @@
 
 void ShardOwner::Private::logSchedulerEvent(const SchedulerEvent &event)
 {
+    if (event.item.job.isEmpty() && !event.executor.isEmpty()) {
+        logExecutorEvent(this->owner.log, this->token, event);
+        return;
+    }
     this->owner.log.emit(event.event,
         {{"job", event.item.job.value}, {"occurrence", std::int64_t(event.item.occurrence)}, {"step", std::int64_t(event.item.step)},
             {"index", std::int64_t(event.item.index)}, {"run", event.run}, {"executor", event.executor.value}, {"token", this->token},
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -60,6 +60,10 @@
     std::vector<PoolReport> reports() const;
     // Returns the pools by service, for state dumps.
     std::vector<std::pair<ServiceId, PoolSummary>> summaries() const;
+    // Returns what waits in each pool, in the order of summaries().
+    std::vector<PoolWaiting> waiting() const;
+    // Returns the number of jobs whose service is not in the configuration.
+    std::size_t unassignedJobs() const;
 
 private:
     class Private;
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -52,6 +52,8 @@
     // Reads the callers' submissions and cancellations.
     std::unique_ptr<StreamReader> jobsReader;
     bool isPersisting = false;
+    // What the takeover waits for.
+    const char *awaited = "the fence is not set";
     Event planRequested;
     Event persistRequested;
 
@@ -63,8 +65,13 @@
     void markFenced(const char *source);
     void logSchedulerEvent(const SchedulerEvent &event);
     bool hasChanges() const;
+    // Returns true if the job has no service and may have to run.
+    bool isUnassigned(const JobId &job) const;
 };
 
+// When the next line about a job without a service is due, and the number of lines so far.
+using UnassignedWatch = std::map<JobId, std::pair<TimePoint, int>>;
+
 // Coroutines of one owner. Each keeps the owner alive and ends soon after the owner is stopped or fenced off.
 struct ShardOwner::Tasks {
     std::shared_ptr<ShardOwner> self;
@@ -85,6 +92,9 @@
     net::awaitable<void> run();
     net::awaitable<void> followJobs();
     net::awaitable<void> plan();
+    // Logs what waits, until the owner ends. It is independent of plan(), so that it tells when that is late.
+    net::awaitable<void> reviewWaiting();
+    void reviewUnassignedJobs(UnassignedWatch &watch);
     net::awaitable<void> persist();
     // Deletes the submissions of final jobs and later, once callers can no longer ask for them, their states.
     net::awaitable<void> expireJobs();
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -83,6 +83,7 @@
     if (!isFenceSet) {
         co_return false;
     }
+    this->state.awaited = "the progress is not read";
     Result<StreamBatch> batch = co_await this->state.owner.store.readSnapshot(Stream::Progress, this->state.partition);
     if (!batch) {
         co_return false;
@@ -113,6 +114,7 @@
     }
     this->state.runNumberBase = takeovers * maxRunsPerOwner;
     this->state.previousLeasesExpireAt = takeovers == 0 ? TimePoint{} : bootNow() + this->state.owner.settings.scheduler.maxLeaseLength + previousLeasesMargin;
+    this->state.awaited = "the owner's record is not durable";
     std::vector<StoredRecord> ownerRecord{StoredRecord{ownerKey, std::to_string(takeovers + 1), -1}};
     const bool isRecorded = co_await this->appendUntilDurable(std::move(ownerRecord));
     co_return isRecorded;
@@ -122,6 +124,10 @@
 {
     this->state.owner.log.emit(
         "takeover_started", {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}}, EventPriority::Essential);
+    this->spawn([self = this->self, &sharedState = this->state]() -> net::awaitable<void> {
+        Tasks tasks{self, sharedState};
+        co_await tasks.reviewWaiting();
+    });
     while (!this->isEnded()) {
         const bool isLoaded = co_await this->load();
         if (isLoaded) {
@@ -129,9 +135,11 @@
         }
         co_await sleepFor(this->state.owner.context, retryDelay);
     }
+    this->state.awaited = "there is no configuration";
     while (!this->isEnded() && !this->state.config) {
         co_await sleepFor(this->state.owner.context, retryDelay);
     }
+    this->state.awaited = "the jobs are not read";
     Private *state = &this->state;
     state->jobsReader = std::make_unique<StreamReader>(this->state.owner.context, this->state.owner.store, Stream::Jobs, this->state.partition,
         StreamReader::Handlers{[] {
