--- /dev/null
+++ b/src/libmangocourse/poolhistoryworld_test.h
@@ -0,0 +1,769 @@
+// A random history of pool schedulers, executors and a store on a virtual clock.
+#pragma once
+
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "poolhistory_test.h"
+#include "poolprogress_test.h"
+
+namespace MangoCourse {
+
+inline constexpr milliseconds tick{10};
+inline constexpr milliseconds callTimeout{1000};
+inline constexpr milliseconds maxStopDuration{400};
+inline constexpr int executorCount = 4;
+// In the wide world, faults begin only in the first part of each period.
+inline constexpr milliseconds faultPeriod{20'000};
+inline constexpr milliseconds faultyPart{5000};
+// Time for all work that is left once the last fault is over and nothing new comes.
+inline constexpr milliseconds settlingTime{20'000};
+inline constexpr milliseconds lookInterval{100};
+// A lasting item is in full operation this long after its start.
+inline constexpr milliseconds warmUpTime{500};
+inline constexpr int maxLastingJobs = 2;
+
+// A simulated owner: its scheduler, its calls in flight, and its ownership.
+struct FakeOwner {
+    std::unique_ptr<PoolScheduler> scheduler;
+    std::int64_t token = 0;
+    milliseconds confirmedAt{};
+    milliseconds readsRecordsUntil{};
+    milliseconds pausedUntil{};
+    bool isStopped = false;
+    bool isPersisting = false;
+    std::set<ExecutorKey> activeRenewals;
+    std::map<ExecutorKey, ExecutorLocation> recorded;
+};
+
+enum class World {
+    // Four equal executors, small finite items, and faults at any time.
+    Plain,
+    // Executors and items of many kinds, lasting items, and calm times between the faults.
+    Wide,
+};
+
+class History
+{
+public:
+    explicit History(std::uint32_t seed, World world = World::Plain)
+        : world(world)
+        , random(seed)
+    {
+        QueueConfig queue;
+        queue.id = QueueId{"counter"};
+        queue.service = ServiceId{"desk"};
+        queue.attempts = attempts;
+        queue.slackFactor = 2;
+        this->config.revision = 1;
+        this->config.queues.push_back(queue);
+        this->config.services.emplace(ServiceId{"desk"}, ServiceConfig{ServiceId{"desk"}, {}, 64, true, false});
+        const int size = world == World::Plain ? executorCount : 6 + this->randomBelow(5);
+        for (int number = 0; number < size; ++number) {
+            FakeExecutor executor;
+            executor.number = number;
+            executor.info.id = ExecutorId{"e" + std::to_string(number)};
+            executor.info.machine = MachineId{"m" + std::to_string(number)};
+            executor.info.service = ServiceId{"desk"};
+            executor.info.incarnation = 1;
+            executor.info.capacity = Resources{16000, 64000, 0};
+            executor.info.labels = {"a", "rack-" + std::to_string(number / 2)};
+            executor.clockRate = this->randomChance(50) ? 1.0 : 0.98;
+            if (world == World::Wide && number % 2 == 0) {
+                executor.info.labels.emplace_back("ssd");
+            }
+            this->executors.push_back(std::move(executor));
+        }
+        this->takeOver();
+    }
+
+    void run(milliseconds length)
+    {
+        for (; this->now < length && this->checker.violations.empty() && this->progressChecker.violations.empty(); this->now += tick) {
+            this->injectFault();
+            while (!this->calls.empty() && this->calls.top().at <= this->now) {
+                const auto action = this->calls.top().action;
+                this->calls.pop();
+                action();
+            }
+            this->advanceExecutors();
+            for (const auto &owner : this->owners) {
+                this->step(owner);
+            }
+            this->look();
+        }
+    }
+    // Ends all faults and arrivals, waits until all work can have ended, and checks that it has.
+    void settle()
+    {
+        this->isSettling = true;
+        for (milliseconds lastFaultEnd{-1}; lastFaultEnd != this->calmSince;) {
+            lastFaultEnd = this->calmSince;
+            this->run(std::max(this->now, this->calmSince) + settlingTime);
+        }
+        if (this->checker.violations.empty() && this->progressChecker.violations.empty()) {
+            this->progressChecker.checkEverythingRan(this->executors, this->view(), this->now);
+        }
+    }
+
+    InvariantChecker checker;
+    ProgressChecker progressChecker;
+    std::map<JobId, JobSpec> specs;
+    int completed = 0;
+    int takeovers = 0;
+
+private:
+    struct Call {
+        milliseconds at{};
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const Call &other) const
+        {
+            return std::pair(this->at, this->order) > std::pair(other.at, other.order);
+        }
+    };
+
+    int randomBelow(int below)
+    {
+        return static_cast<int>(this->random() % static_cast<std::uint32_t>(below));
+    }
+    bool randomChance(int percent)
+    {
+        return this->randomBelow(100) < percent;
+    }
+    void schedule(milliseconds wait, std::function<void()> action)
+    {
+        this->calls.push(Call{this->now + wait, ++this->order, std::move(action)});
+    }
+    TimePoint time() const
+    {
+        return TimePoint(100s) + this->now;
+    }
+    WallTime wall() const
+    {
+        return WallTime(1'000'000s) + this->now;
+    }
+    milliseconds randomNetworkDelay()
+    {
+        return milliseconds(1 + this->randomBelow(30));
+    }
+
+    std::vector<ExecutorInfo> discoveredExecutors() const
+    {
+        std::vector<ExecutorInfo> infos;
+        for (const FakeExecutor &executor : this->executors) {
+            const bool isUnresponsive = (!executor.isUp || executor.partitionedUntil > this->now) && this->now - executor.lastListedAt > 3000ms;
+            if (!isUnresponsive && executor.unlistedUntil <= this->now) {
+                infos.push_back(executor.info);
+            }
+        }
+        return infos;
+    }
+
+    void takeOver()
+    {
+        const auto owner = std::make_shared<FakeOwner>();
+        owner->token = ++this->tokens;
+        owner->confirmedAt = this->now;
+        owner->readsRecordsUntil = milliseconds::max();
+        owner->recorded = this->recorded;
+        const TimePoint previousLeasesExpireAt = this->takeovers == 0 ? TimePoint{} : this->time() + maxLeaseLength + 350ms;
+        SchedulerSettings settings;
+        settings.maxLeaseLength = maxLeaseLength;
+        settings.maxStopDuration = maxStopDuration;
+        owner->scheduler = std::move(*PoolScheduler::create(ServiceId{"desk"}, settings, owner->token, this->takeovers * 100'000, previousLeasesExpireAt));
+        ++this->takeovers;
+        owner->scheduler->setConfig(this->config);
+        owner->scheduler->setEvacuations(this->evacuations, this->time());
+        owner->scheduler->setPreviousExecutors(this->recorded);
+        owner->scheduler->setExecutors(this->discoveredExecutors(), this->time());
+        for (const AcceptedJob &job : this->jobs) {
+            this->deliverJob(*owner, job);
+        }
+        this->owners.push_back(owner);
+    }
+
+    void deliverJob(FakeOwner &owner, const AcceptedJob &job)
+    {
+        const auto known = this->progress.find(job.id);
+        owner.scheduler->addJob(job, known == this->progress.end() ? nullptr : &known->second, this->time(), this->wall());
+        if (this->cancelled.contains(job.id)) {
+            owner.scheduler->cancelJob(job.id, this->time(), this->wall());
+        }
+    }
+
+    void addJob()
+    {
+        AcceptedJob job;
+        job.id = JobId{"j" + std::to_string(this->jobs.size())};
+        job.queue = QueueId{"counter"};
+        job.service = ServiceId{"desk"};
+        job.acceptedAt = this->wall();
+        StepSpec step;
+        step.count = 1 + this->randomBelow(4);
+        step.resources = Resources{4000, 1000, 0};
+        step.estimate = milliseconds(300 + this->randomBelow(1500));
+        step.isSpeculative = this->randomChance(15);
+        job.spec.steps.push_back(step);
+        if (this->randomChance(40)) {
+            step.dependsOn = {0};
+            step.count = 1 + this->randomBelow(3);
+            job.spec.steps.push_back(step);
+        }
+        this->accept(job);
+    }
+
+    void accept(const AcceptedJob &job)
+    {
+        this->specs.emplace(job.id, job.spec);
+        this->jobs.push_back(job);
+        for (const auto &owner : this->owners) {
+            if (owner->readsRecordsUntil > this->now) {
+                this->deliverJob(*owner, job);
+            }
+        }
+    }
+
+    void cancel()
+    {
+        const JobId job = this->jobs[static_cast<std::size_t>(this->randomBelow(static_cast<int>(this->jobs.size())))].id;
+        this->cancelled.insert(job);
+        for (const auto &owner : this->owners) {
+            if (owner->readsRecordsUntil > this->now) {
+                owner->scheduler->cancelJob(job, this->time(), this->wall());
+            }
+        }
+    }
+
+    JobView view() const
+    {
+        return JobView{this->jobs, this->cancelled, this->progress};
+    }
+
+    // Notes the faults that are active, and judges what runs.
+    void look()
+    {
+        const FakeOwner &owner = *this->owners.back();
+        const bool hasOwner = !owner.isStopped && owner.pausedUntil <= this->now && owner.readsRecordsUntil > this->now;
+        bool isCalm = hasOwner && this->storeDownUntil <= this->now && this->messagesLateUntil <= this->now;
+        for (FakeExecutor &executor : this->executors) {
+            const bool isEvacuated = includesIncarnation(this->evacuations.evacuating, executor.info.id, executor.info.incarnation)
+                || includesIncarnation(this->evacuations.ended, executor.info.id, executor.info.incarnation);
+            if (executor.isDisturbed(this->now) || executor.info.isDraining || isEvacuated) {
+                executor.disturbedAt = this->now;
+            }
+            isCalm = isCalm && !executor.isDisturbed(this->now);
+        }
+        if (!isCalm) {
+            this->calmSince = this->now;
+        }
+        if (this->now % lookInterval == milliseconds::zero()) {
+            this->progressChecker.look(this->executors, this->view(), this->calmSince, this->now);
+        }
+    }
+
+    bool canLoseMessages() const
+    {
+        return !this->isSettling && (this->world == World::Plain || this->now % faultPeriod < faultyPart);
+    }
+
+    // Returns true in some percent of the cases while messages can get lost, or late by up to `lateness`.
+    bool loseMessage(int percent, milliseconds lateness)
+    {
+        const bool isLost = this->canLoseMessages() && this->randomChance(percent);
+        if (isLost) {
+            this->messagesLateUntil = std::max(this->messagesLateUntil, this->now + lateness);
+        }
+        return isLost;
+    }
+
+    FakeExecutor &randomExecutor()
+    {
+        return this->executors[static_cast<std::size_t>(this->randomBelow(static_cast<int>(this->executors.size())))];
+    }
+    milliseconds randomTime(int shortest, int longest)
+    {
+        return milliseconds(shortest + this->randomBelow(longest - shortest));
+    }
+
+    void addWideJob()
+    {
+        AcceptedJob job;
+        job.id = JobId{"j" + std::to_string(this->jobs.size())};
+        job.queue = QueueId{"counter"};
+        job.service = ServiceId{"desk"};
+        job.acceptedAt = this->wall();
+        StepSpec step;
+        const int kind = this->randomBelow(100);
+        step.count = 1 + this->randomBelow(4);
+        step.estimate = this->randomTime(300, 1800);
+        step.isCheckpointing = this->randomChance(20);
+        step.perExecutorLimit = this->randomChance(20) ? 1 + this->randomBelow(2) : 0;
+        const auto lastingJobs = std::count_if(this->jobs.begin(), this->jobs.end(), [](const AcceptedJob &known) {
+            return known.spec.steps.front().isLongRunning;
+        });
+        if (kind < 15 && lastingJobs < maxLastingJobs) {
+            step.isLongRunning = true;
+            step.count = 2 + this->randomBelow(3);
+            step.estimate = milliseconds::zero();
+            step.resources = Resources{2000, 6000, 0};
+            step.perExecutorLimit = this->randomBelow(2);
+            step.disruptionBudget = 1;
+            job.spec.steps.push_back(step);
+            this->accept(job);
+            return;
+        }
+        if (kind < 40) {
+            step.resources = Resources{9000 + this->randomBelow(5000), 20000 + this->randomBelow(30000), 0};
+            step.count = 1 + this->randomBelow(3);
+        } else {
+            step.resources = Resources{1000 + this->randomBelow(5000), 500 + this->randomBelow(16000), 0};
+            step.requiredLabel = kind < 50 ? "ssd" : "";
+            step.isSpeculative = kind >= 90;
+        }
+        job.spec.steps.push_back(step);
+        if (this->randomChance(40)) {
+            step.dependsOn = {0};
+            step.count = 1 + this->randomBelow(3);
+            job.spec.steps.push_back(step);
+        }
+        this->accept(job);
+    }
+
+    void injectWideFault()
+    {
+        const int fault = this->randomBelow(1500);
+        if (fault < 12) {
+            this->addWideJob();
+        } else if (fault < 13 && !this->jobs.empty()) {
+            this->cancel();
+        }
+        if (fault < 13 || !this->canLoseMessages()) {
+            return;
+        }
+        FakeExecutor &executor = this->randomExecutor();
+        if (fault < 16) {
+            executor.partitionedUntil = this->now + this->randomTime(300, 8000);
+        } else if (fault < 18 && executor.isUp) {
+            this->stopExecutor(executor);
+        } else if (fault < 20) {
+            this->changeOwner();
+        } else if (fault < 21) {
+            this->storeDownUntil = this->now + this->randomTime(300, 5000);
+        } else if (fault < 23) {
+            this->owners.back()->pausedUntil = this->now + this->randomTime(300, 4000);
+        } else if (fault < 29) {
+            executor.unhealthyUntil = this->now + this->randomTime(200, 3000);
+        } else if (fault < 35) {
+            executor.answersLostUntil = this->now + this->randomTime(300, 4000);
+        } else if (fault < 38 && executor.running.empty()) {
+            executor.partitionedUntil = this->now + this->randomTime(300, 3000);
+        } else if (fault >= 38 && fault < 41) {
+            executor.unlistedUntil = this->now + this->randomTime(200, 3000);
+        } else if (fault >= 41 && fault < 45) {
+            executor.renewalsLostUntil = this->now + this->randomTime(50, 1200);
+        } else if (fault >= 45 && fault < 48) {
+            this->evacuate(executor);
+        }
+    }
+
+    void stopExecutor(FakeExecutor &executor)
+    {
+        this->checker.onIncarnationEnded(executor.number, executor.info.incarnation);
+        executor.isUp = false;
+        executor.running.clear();
+        executor.restartAt = this->now + this->randomTime(200, 5200);
+    }
+
+    // Empties an executor for a while, or orders the end of its incarnation.
+    void evacuate(FakeExecutor &executor)
+    {
+        ++this->evacuations.number;
+        const ExecutorId id = executor.info.id;
+        if (executor.isUp && this->randomChance(30)) {
+            this->evacuations.ended[id] = executor.info.incarnation;
+            this->stopExecutor(executor);
+        } else {
+            this->evacuations.evacuating[id] = this->randomChance(50) ? executor.info.incarnation : 0;
+            this->schedule(this->randomTime(500, 8000), [this, id] {
+                ++this->evacuations.number;
+                this->evacuations.evacuating.erase(id);
+                this->sendEvacuations();
+            });
+        }
+        this->sendEvacuations();
+    }
+    void sendEvacuations()
+    {
+        for (const auto &owner : this->owners) {
+            if (owner->readsRecordsUntil > this->now) {
+                owner->scheduler->setEvacuations(this->evacuations, this->time());
+            }
+        }
+    }
+
+    void injectFault()
+    {
+        if (this->isSettling) {
+            return;
+        }
+        if (this->world == World::Wide) {
+            this->injectWideFault();
+            return;
+        }
+        const int fault = this->randomBelow(1500);
+        FakeExecutor &executor = this->randomExecutor();
+        if (fault < 12) {
+            this->addJob();
+        } else if (fault < 13 && !this->jobs.empty()) {
+            this->cancel();
+        } else if (fault < 15) {
+            executor.partitionedUntil = this->now + milliseconds(500 + this->randomBelow(9000));
+        } else if (fault < 17 && executor.isUp) {
+            this->checker.onIncarnationEnded(executor.number, executor.info.incarnation);
+            executor.isUp = false;
+            executor.running.clear();
+            executor.restartAt = this->now + milliseconds(200 + this->randomBelow(5000));
+        } else if (fault < 20) {
+            this->changeOwner();
+        } else if (fault < 21) {
+            this->storeDownUntil = this->now + milliseconds(300 + this->randomBelow(5000));
+        } else if (fault < 23) {
+            this->owners.back()->pausedUntil = this->now + milliseconds(300 + this->randomBelow(4000));
+        }
+    }
+
+    void changeOwner()
+    {
+        FakeOwner &last = *this->owners.back();
+        if (this->now < this->storeDownUntil) {
+            return;
+        }
+        // The owner is killed at once, or continues without knowledge of its successor until its ownership expires.
+        last.isStopped = this->randomChance(40);
+        last.readsRecordsUntil = this->now;
+        if (this->randomChance(50)) {
+            this->takeOver();
+        } else {
+            this->schedule(milliseconds(50 + this->randomBelow(1500)), [this, before = this->owners.size()] {
+                if (this->owners.size() == before) {
+                    this->takeOver();
+                }
+            });
+        }
+    }
+
+    void advanceExecutors()
+    {
+        for (FakeExecutor &executor : this->executors) {
+            if (!executor.isUp && executor.restartAt <= this->now) {
+                const ExecutorInfo info = executor.info;
+                const double clockRate = executor.clockRate;
+                const int number = executor.number;
+                executor = FakeExecutor{};
+                executor.info = info;
+                executor.info.incarnation = this->now.count() + 2;
+                executor.number = number;
+                executor.clockRate = clockRate;
+                executor.bootedAt = this->now;
+            }
+            if (executor.isUp && executor.partitionedUntil <= this->now) {
+                executor.lastListedAt = this->now;
+            }
+            std::vector<std::pair<ItemId, RunEnd>> ends;
+            for (const auto &[item, active] : executor.running) {
+                const bool isLeaseExpired = executor.leaseEnd < executor.clock(this->now);
+                if (isLeaseExpired || active.endsAt <= this->now) {
+                    ends.emplace_back(item, isLeaseExpired ? RunEnd::Lapsed : active.end);
+                }
+            }
+            for (const auto &[item, end] : ends) {
+                executor.finish(item, end, this->checker);
+            }
+            if (executor.leaseEnd < executor.clock(this->now)) {
+                this->checker.onLeaseExpired(executor.number, executor.info.incarnation);
+            }
+        }
+    }
+
+    FakeExecutor::ActiveRun makeRun(std::int64_t run, const StepSpec &step)
+    {
+        if (step.isLongRunning) {
+            const milliseconds endsAt = this->randomChance(30) ? this->now + this->randomTime(200, 8000) : milliseconds::max();
+            return FakeExecutor::ActiveRun{run, this->now, endsAt, this->randomChance(50) ? RunEnd::Failed : RunEnd::Broken, step.resources};
+        }
+        const auto length = milliseconds(step.estimate.count() / 2 + this->randomBelow(static_cast<int>(step.estimate.count())));
+        return FakeExecutor::ActiveRun{run, this->now, this->now + length, this->randomChance(12) ? RunEnd::Failed : RunEnd::Done, step.resources};
+    }
+
+    OrderReply execute(FakeExecutor &executor, const StartRun &order)
+    {
+        const milliseconds clock = executor.clock(this->now);
+        if (order.token < executor.token) {
+            return OrderReply{OrderOutcome::Fenced, clock};
+        }
+        executor.token = order.token;
+        const auto known = executor.running.find(order.item);
+        if (known != executor.running.end() && known->second.run == order.run) {
+            executor.extendLease(order.until, this->now);
+            return OrderReply{OrderOutcome::Done, clock};
+        }
+        if (known != executor.running.end() || order.run <= executor.highestRun[order.item]) {
+            executor.extendLease(order.until, this->now);
+            return OrderReply{OrderOutcome::Stale, clock};
+        }
+        if (order.until <= clock) {
+            return OrderReply{OrderOutcome::Late, clock};
+        }
+        const StepSpec &step = this->specs.at(order.item.job).steps[static_cast<std::size_t>(order.item.step)];
+        if (!executor.free().covers(step.resources)) {
+            executor.extendLease(order.until, this->now);
+            return OrderReply{OrderOutcome::NoRoom, clock};
+        }
+        executor.extendLease(order.until, this->now);
+        executor.running[order.item] = this->makeRun(order.run, step);
+        this->checker.onStart(order.item, executor.number, executor.info.incarnation, this->specs.at(order.item.job), this->now);
+        return OrderReply{OrderOutcome::Done, clock};
+    }
+
+    OrderReply execute(FakeExecutor &executor, const StopRun &order)
+    {
+        const milliseconds clock = executor.clock(this->now);
+        if (order.token < executor.token) {
+            return OrderReply{OrderOutcome::Fenced, clock};
+        }
+        executor.token = order.token;
+        executor.highestRun[order.item] = std::max(executor.highestRun[order.item], order.run);
+        const auto known = executor.running.find(order.item);
+        if (known != executor.running.end() && known->second.run <= order.run) {
+            known->second.endsAt = std::min(known->second.endsAt, this->now + milliseconds(this->randomBelow(static_cast<int>(maxStopDuration.count()))));
+            known->second.end = RunEnd::Stopped;
+        }
+        return OrderReply{OrderOutcome::Done, clock};
+    }
+
+    ExecutorReport execute(FakeExecutor &executor, const LeaseRenewal &renewal)
+    {
+        ExecutorReport report;
+        report.clock = executor.clock(this->now);
+        if (renewal.token < executor.token) {
+            report.outcome = OrderOutcome::Fenced;
+            return report;
+        }
+        executor.token = renewal.token;
+        if (renewal.until) {
+            executor.extendLease(*renewal.until, this->now);
+        }
+        std::erase_if(executor.ended, [this, &renewal](const ReportedEnd &end) {
+            if (end.number <= renewal.acknowledgedEnd) {
+                this->checker.onAcknowledged(end, this->now);
+            }
+            return end.number <= renewal.acknowledgedEnd;
+        });
+        report.outcome = OrderOutcome::Done;
+        report.incarnation = executor.info.incarnation;
+        for (const auto &[item, active] : executor.running) {
+            const bool isWarm = active.endsAt != milliseconds::max() || this->now - active.startedAt >= warmUpTime;
+            report.running.push_back(ReportedRun{item, active.run, {}, isWarm ? 100 : 0, 0});
+        }
+        report.ended = executor.ended;
+        return report;
+    }
+
+    // Simulates a call to an executor. The request or the reply may be lost, and an order may be executed late.
+    template<typename Order, typename Answer>
+    void call(const std::shared_ptr<FakeOwner> &owner, const ExecutorInfo &to, Order order, Answer answer, bool canBeDelayed)
+    {
+        const auto target = std::find_if(this->executors.begin(), this->executors.end(), [&to](const FakeExecutor &executor) {
+            return executor.info.id == to.id;
+        });
+        FakeExecutor *executor = &*target;
+        using Reply = decltype(this->execute(*executor, order));
+        const auto isReached = [this, executor, incarnation = to.incarnation] {
+            return executor->isUp && executor->partitionedUntil <= this->now && executor->info.incarnation == incarnation;
+        };
+        const auto replyWithTimeout = [this, owner, answer] {
+            this->schedule(callTimeout, [owner, answer] {
+                if (!owner->isStopped) {
+                    answer(Reply{});
+                }
+            });
+        };
+        if (canBeDelayed && this->loseMessage(2, 5500ms)) {
+            replyWithTimeout();
+            this->schedule(milliseconds(500 + this->randomBelow(5000)), [this, executor, isReached, order] {
+                if (isReached()) {
+                    this->execute(*executor, order);
+                }
+            });
+            return;
+        }
+        this->schedule(this->randomNetworkDelay(), [this, owner, executor, isReached, order, answer, replyWithTimeout] {
+            if (!isReached()) {
+                replyWithTimeout();
+                return;
+            }
+            if (std::is_same_v<Order, LeaseRenewal> && executor->renewalsLostUntil > this->now) {
+                replyWithTimeout();
+                return;
+            }
+            Reply reply;
+            reply.outcome = OrderOutcome::Unhealthy;
+            if (executor->unhealthyUntil <= this->now) {
+                reply = this->execute(*executor, order);
+            }
+            if (executor->answersLostUntil > this->now || this->loseMessage(2, callTimeout)) {
+                replyWithTimeout();
+                return;
+            }
+            this->schedule(this->randomNetworkDelay(), [owner, answer, reply] {
+                if (!owner->isStopped) {
+                    answer(reply);
+                }
+            });
+        });
+    }
+
+    void step(const std::shared_ptr<FakeOwner> &owner)
+    {
+        if (owner->isStopped || owner->pausedUntil > this->now) {
+            return;
+        }
+        const bool isCurrentOwner = owner == this->owners.back() && owner->readsRecordsUntil > this->now;
+        if (isCurrentOwner && this->now >= this->storeDownUntil && this->now - owner->confirmedAt > 200ms) {
+            owner->confirmedAt = this->now;
+        }
+        PoolScheduler &scheduler = *owner->scheduler;
+        if (this->now.count() % 200 == 0) {
+            scheduler.setExecutors(this->discoveredExecutors(), this->time());
+        }
+        this->persist(owner, isCurrentOwner);
+        const TimePoint confirmedAt = TimePoint(100s) + owner->confirmedAt;
+        const OwnershipTerm term{confirmedAt, confirmedAt + maxLeaseLength};
+        SchedulerOrders orders = scheduler.plan(this->time(), this->wall(), term, PoolWatermarks{this->time(), this->time()});
+        for (const StopOrder &stop : orders.stops) {
+            const ExecutorKey key{stop.executor.id, stop.executor.incarnation};
+            this->call(
+                owner, stop.executor, stop.run,
+                [this, owner, key, run = stop.run](const OrderReply &reply) {
+                    this->stopIfFenced(*owner, reply.outcome);
+                    owner->scheduler->onStopped(key, run, reply, this->time());
+                },
+                true);
+        }
+        for (const StartOrder &start : orders.starts) {
+            const ExecutorKey key{start.executor.id, start.executor.incarnation};
+            this->call(
+                owner, start.executor, start.run,
+                [this, owner, key, run = start.run, sentAt = this->time()](const OrderReply &reply) {
+                    this->stopIfFenced(*owner, reply.outcome);
+                    owner->scheduler->onStarted(key, run, reply, sentAt, this->time());
+                },
+                true);
+        }
+        this->renew(owner, term);
+    }
+
+    void stopIfFenced(FakeOwner &owner, OrderOutcome outcome)
+    {
+        owner.isStopped = owner.isStopped || outcome == OrderOutcome::Fenced;
+    }
+
+    void renew(const std::shared_ptr<FakeOwner> &owner, const OwnershipTerm &term)
+    {
+        for (const ExecutorKey &key : owner->scheduler->executors()) {
+            if (owner->activeRenewals.contains(key)) {
+                continue;
+            }
+            const std::optional<RenewalPlan> plan = owner->scheduler->renewal(key, this->time(), term.expiresAt);
+            if (!plan) {
+                continue;
+            }
+            owner->activeRenewals.insert(key);
+            this->call(
+                owner, plan->executor, plan->renewal,
+                [this, owner, key, sentAt = this->time()](const ExecutorReport &report) {
+                    this->stopIfFenced(*owner, report.outcome);
+                    if (!owner->isStopped) {
+                        owner->scheduler->onReport(key, report, sentAt, this->time(), this->wall());
+                        this->schedule(report.outcome == OrderOutcome::Done ? 60ms : 150ms, [owner, key] {
+                            owner->activeRenewals.erase(key);
+                        });
+                    }
+                },
+                false);
+        }
+    }
+
+    void persist(const std::shared_ptr<FakeOwner> &owner, bool isCurrentOwner)
+    {
+        if (owner->isPersisting) {
+            return;
+        }
+        const std::vector<ExecutorKey> used = owner->scheduler->takeUnrecordedExecutors();
+        const std::vector<ExecutorKey> ended = owner->scheduler->takeEndedExecutors();
+        std::vector<JobProgress> changed = owner->scheduler->takeChangedJobs();
+        if (used.empty() && ended.empty() && changed.empty()) {
+            return;
+        }
+        owner->isPersisting = true;
+        const milliseconds wait = std::max(this->randomNetworkDelay(), this->storeDownUntil - this->now);
+        this->schedule(wait, [this, owner, isCurrentOwner, used, ended, changed = std::move(changed)] {
+            owner->isPersisting = false;
+            if (owner->isStopped || owner->token != this->tokens || !isCurrentOwner) {
+                // The store fences the append by the epoch of a newer owner.
+                owner->isStopped = true;
+                return;
+            }
+            for (const JobProgress &progress : changed) {
+                this->completed += progress.state == JobState::Completed && this->progress[progress.id].state != JobState::Completed ? 1 : 0;
+                this->progress[progress.id] = progress;
+            }
+            for (const ExecutorKey &key : used) {
+                this->recorded[key] = ExecutorLocation{MachineId{"m" + key.id.value.substr(1)}, ServiceId{"desk"}};
+            }
+            for (const ExecutorKey &key : ended) {
+                this->recorded.erase(key);
+            }
+            owner->scheduler->markPersisted();
+            for (const ExecutorKey &key : used) {
+                owner->scheduler->markRecorded(key);
+            }
+        });
+    }
+
+    World world;
+    std::mt19937 random;
+    milliseconds now{};
+    // Messages that got lost or late are answered or carried out by then.
+    milliseconds messagesLateUntil{};
+    // Last time at which a fault was active.
+    milliseconds calmSince{};
+    // Nothing new comes any more, neither faults nor jobs.
+    bool isSettling = false;
+    EvacuationList evacuations;
+    std::uint64_t order = 0;
+    std::priority_queue<Call> calls;
+    FleetConfig config;
+    std::vector<FakeExecutor> executors;
+    std::vector<std::shared_ptr<FakeOwner>> owners;
+    std::int64_t tokens = 0;
+    milliseconds storeDownUntil{};
+    std::vector<AcceptedJob> jobs;
+    std::set<JobId> cancelled;
+    std::map<JobId, JobProgress> progress;
+    std::map<ExecutorKey, ExecutorLocation> recorded;
+};
+
+// Returns a number from the environment: HISTORIES sets the number of histories, SEED the first seed.
+inline std::uint32_t environmentValue(const char *name, std::uint32_t defaultValue)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? defaultValue : static_cast<std::uint32_t>(std::strtoul(text, nullptr, 10));
+}
+
+}
