--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -1,5 +1,6 @@
-// Random histories of pools, checked for work that could run and doesn't.
+// Random histories of pools, checked for work that could run and doesn't, and the single cases that they led to.
 #include "poolhistoryworld_test.h"
+#include "poolscheduler_test.h"
 
 #include <gtest/gtest.h>
 
@@ -15,6 +16,79 @@
     return all.empty() ? std::string() : all.front();
 }
 
+class PoolProgressTest : public PoolSchedulerTest
+{
+protected:
+    // Answers renewals for `span`, plans in between, and returns the start orders. Every order is confirmed.
+    std::vector<StartOrder> runFor(milliseconds span, const std::vector<std::string> &names)
+    {
+        std::vector<StartOrder> starts;
+        for (milliseconds passed{}; passed < span; passed += planInterval) {
+            this->advance(planInterval);
+            for (const std::string &name : names) {
+                if (this->renewal(name)) {
+                    this->report(name, this->running[name]);
+                }
+            }
+            for (const StartOrder &order : this->planAndConfirm().starts) {
+                this->running[order.executor.id.value].push_back(ReportedRun{order.run.item, order.run.run, {}, 100, 0});
+                starts.push_back(order);
+            }
+        }
+        return starts;
+    }
+    void failRenewal(const std::string &name, OrderOutcome outcome)
+    {
+        ExecutorReport failed;
+        failed.outcome = outcome;
+        this->scheduler->onReport(ExecutorKey{ExecutorId{name}, 100}, failed, this->now, this->now, this->wall);
+    }
+
+    static constexpr milliseconds planInterval{100};
+    std::map<std::string, std::vector<ReportedRun>> running;
+};
+
+TEST_F(PoolProgressTest, ExecutorThatLostItsRunsAfterAFailedRenewalIsUsedAgain)
+{
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    ASSERT_EQ(this->planAndConfirm().starts.size(), 1U);
+    this->failRenewal("one", OrderOutcome::Unknown);
+    // The lease ends, and with it the run.
+    this->advance(7s);
+    this->planOnce();
+    EXPECT_EQ(this->runFor(longestWait, {"one"}).size(), 1U);
+}
+
+TEST_F(PoolProgressTest, ExecutorThatRefusedItsOnlyStartAsUnhealthyIsUsedAgain)
+{
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    this->failRenewal("one", OrderOutcome::Unhealthy);
+    this->answer(orders.starts[0], OrderOutcome::Unhealthy);
+    EXPECT_EQ(this->runFor(longestWait, {"one"}).size(), 1U);
+}
+
+TEST_F(PoolProgressTest, ExecutorOnWhichJobsFailedIsUsedIfNoOtherHasRoom)
+{
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    std::int64_t ends = 0;
+    for (const char *name : {"a", "b"}) {
+        this->add(this->job(name));
+        const SchedulerOrders orders = this->planAndConfirm();
+        ASSERT_EQ(orders.starts.size(), 1U);
+        this->report("one", {}, {ReportedEnd{++ends, orders.starts[0].run.item, orders.starts[0].run.run, RunEnd::Failed, {}}});
+        this->scheduler->cancelJob(JobId{name}, this->now, this->wall);
+    }
+    this->add(this->job("c"));
+    EXPECT_EQ(this->runFor(longestWait, {"one"}).size(), 1U);
+}
+
 TEST(PoolHistory, WaitingWorkRunsWhereThereIsRoom)
 {
     const std::uint32_t first = environmentValue("SEED", 1);
