Ask executors again that did not answer, also when they hold no work

Cause: an owner uses no executor whose last renewal failed, until a renewal succeeds; and it renews no executor without work. An executor that lost its runs with the lease, or refused its only start, while it did not answer was never asked again, so the verdict stood until it started anew or the owner changed. The planner counted it as unreachable and could not end its evacuation either. Change: an executor without work whose renewals fail is probed every 0.5 s; the plan of a renewal says how long to wait after a failure. Why it works: any answer clears the verdict, and the probe carries no lease.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -124,6 +124,8 @@
 struct RenewalPlan {
     ExecutorInfo executor;
     LeaseRenewal renewal;
+    // Delay before the next renewal if this one fails.
+    std::chrono::milliseconds retryDelay{};
 };
 
 // A request to the placement policy: which of the executors may run the step.
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -18,6 +18,9 @@
 // Long-poll timeouts of a renewal: normally, and while a run is expected to change its state.
 constexpr milliseconds maxRenewalWait{1200};
 constexpr milliseconds watchedRenewalWait{300};
+// Delay between a failed renewal and the next one: normally, and for an executor that holds no work.
+constexpr milliseconds renewalRetryDelay{150};
+constexpr milliseconds probeInterval{500};
 // Runs of finite items younger than this are not stopped by an evacuation.
 constexpr milliseconds evacuationGrace{2500};
 // A run has stalled once it takes longer than the factor times its estimate plus the slack. It is then stopped and restarted elsewhere, at
@@ -221,11 +224,16 @@
     }
     const bool hasWork = !executor->runs.empty() || !executor->orphans.empty();
     const bool hasEnds = executor->acknowledgedEnd < executor->persistedEnd;
-    if (executor->isContacted && !hasWork && !hasEnds) {
+    // Nothing is placed on an executor that does not answer, so without this probe an idle one would stay unused after it has recovered.
+    const bool needsProbe = executor->failingSince != TimePoint{};
+    if (executor->isContacted && !hasWork && !hasEnds && !needsProbe) {
         return std::nullopt;
     }
     executor->sentEnd = executor->persistedEnd;
-    RenewalPlan plan{executor->info, LeaseRenewal{this->d->token, executor->persistedEnd, std::nullopt, milliseconds::zero()}};
+    RenewalPlan plan{executor->info, LeaseRenewal{this->d->token, executor->persistedEnd, std::nullopt, milliseconds::zero()}, renewalRetryDelay};
+    if (executor->isContacted && !hasWork && !hasEnds) {
+        plan.retryDelay = probeInterval;
+    }
     if (!hasWork || !executor->clock) {
         return plan;
     }
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -25,7 +25,6 @@
 constexpr milliseconds renewalDelay{10};
 // Maximum time to wait for reported ends to become durable before the executor is asked again.
 constexpr milliseconds maxUnpersistedEndsWait{400};
-constexpr milliseconds renewalRetryDelay{150};
 constexpr milliseconds idleRenewalInterval{3000};
 // Runs of an earlier owner may outlast the lease limit by this much because of slow clocks and rounding.
 constexpr milliseconds previousLeasesMargin{350};
@@ -380,7 +379,7 @@
         }
         pool->onReport(key, report, sentAt, bootNow(), wallNow());
         this->state.planRequested.notify();
-        co_await sleepFor(this->state.owner.context, report.outcome == OrderOutcome::Done ? renewalDelay : renewalRetryDelay);
+        co_await sleepFor(this->state.owner.context, report.outcome == OrderOutcome::Done ? renewalDelay : plan->retryDelay);
         const TimePoint deadline = bootNow() + maxUnpersistedEndsWait;
         while (!this->isEnded() && pool->hasUnpersistedEnds(key) && bootNow() < deadline) {
             co_await renewalRequested->waitFor(maxUnpersistedEndsWait);
