Pools: a job gets its queue's configuration when that arrives later

Change: setConfig() applies the queue to the open jobs that have had none so far. Jobs that have one keep it, as before.

--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -47,6 +47,13 @@
     for (const QueueConfig &queue : config.queues) {
         this->d->queues.emplace(queue.id, queue);
     }
+    for (const JobId &id : this->d->openJobs) {
+        JobEntry &entry = *this->d->findJob(id);
+        if (entry.durationRatio == nullptr) {
+            // The job arrived before the configuration of its queue.
+            this->d->applyQueueConfig(entry);
+        }
+    }
 }
 
 void PoolScheduler::setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint now)
