Test: steps whose passes no usable executor has

Cause: takePolicyRequests() asks once for each validity of the passes, for the first 100 usable executors by id, also when there are none. Until the passes expire a step waits if its executors are gone, if the policy allows only executors that were not asked about, if the question was empty (first plan after a takeover), or if an executor rejects its pass because it is in another life under the same id. Seen: no second request within 60 s of validity in each case.

--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -20,5 +20,77 @@
     EXPECT_TRUE(this->plan().starts.empty());
 }
 
+TEST_F(PoolSchedulerTest, PolicyIsAskedAgainWhenNoneOfTheExecutorsWithAPassIsLeft)
+{
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    std::vector<PolicyRequest> requests = this->scheduler->takePolicyRequests(this->now);
+    ASSERT_EQ(requests.size(), 1U);
+    this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{{PlacementPass{ExecutorId{"one"}, "pass"}}, 60s}, this->now);
+    this->setDiscovered({executor("two")});
+    this->report("two");
+    this->plan();
+    requests = this->scheduler->takePolicyRequests(this->now);
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].executors, std::vector<ExecutorId>{ExecutorId{"two"}});
+}
+
+TEST_F(PoolSchedulerTest, PolicyIsNotAskedBeforeAnExecutorIsUsable)
+{
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    this->setDiscovered({executor("one")});
+    this->add(this->job("a"));
+    EXPECT_TRUE(this->scheduler->takePolicyRequests(this->now).empty());
+    this->report("one");
+    EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
+}
+
+TEST_F(PoolSchedulerTest, PolicyIsAskedForEveryExecutorOfALargePoolInTurn)
+{
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    std::vector<ExecutorInfo> infos;
+    for (int number = 100; number < 250; ++number) {
+        infos.push_back(executor("x" + std::to_string(number)));
+    }
+    this->setDiscovered(infos);
+    for (const ExecutorInfo &info : infos) {
+        this->report(info.id.value);
+    }
+    this->add(this->job("a"));
+    std::set<ExecutorId> asked;
+    for (int round = 0; round < 2; ++round) {
+        for (const PolicyRequest &request : this->scheduler->takePolicyRequests(this->now)) {
+            EXPECT_LE(request.executors.size(), 100U);
+            asked.insert(request.executors.begin(), request.executors.end());
+            this->scheduler->onPolicyAnswer(request.step, PolicyAnswer{{}, 60s}, this->now);
+        }
+    }
+    EXPECT_EQ(asked.size(), infos.size());
+    EXPECT_TRUE(this->scheduler->takePolicyRequests(this->now).empty());
+}
+
+TEST_F(PoolSchedulerTest, PolicyIsAskedAgainAfterAnExecutorRejectedItsPass)
+{
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    const std::vector<PolicyRequest> requests = this->scheduler->takePolicyRequests(this->now);
+    ASSERT_EQ(requests.size(), 1U);
+    this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{{PlacementPass{ExecutorId{"one"}, "old"}}, 60s}, this->now);
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    this->answer(orders.starts[0], OrderOutcome::NoPass);
+    this->advance(1s);
+    this->plan();
+    EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
+}
+
 }
 }
