Pools: ask the policy again when no usable executor has a pass

Change: a step remembers which executors it asked about. It asks again, about usable executors not asked about so far that have its label, as long as no usable executor with a pass has room for an item; it asks nothing without such an executor. Answers add to passes that are still valid; all expire with the first. A pass that its executor rejects is dropped, so that the policy is asked about that executor again. Ruled out: asking each time for all executors; the policy takes time for each executor named.

--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -207,6 +207,16 @@
     }
 }
 
+void PoolScheduler::Private::dropPass(const ItemId &id, const ExecutorId &executor)
+{
+    if (this->findItem(id) == nullptr) {
+        return;
+    }
+    StepState &step = this->findJob(id.job)->occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
+    step.passes.erase(executor);
+    step.askedExecutors.erase(executor);
+}
+
 void PoolScheduler::Private::updateDurationRatios(Executor &executor, const Run &run, TimePoint now)
 {
     if (run.isLongRunning || run.expectedDuration.count() <= 0 || run.startedAt == TimePoint{}) {
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -25,6 +25,8 @@
 // Overload lasts for seconds and stalls are detected late anyway, so neither is checked in each plan.
 constexpr milliseconds overloadCheckInterval{50};
 constexpr milliseconds stallCheckInterval{200};
+// The policy is asked about this many executors at a time.
+constexpr std::size_t maxExecutorsPerRequest = 100;
 // Executors slower than others by this factor are avoided if there is a choice.
 constexpr double slownessThreshold = 2.0;
 
@@ -33,12 +35,27 @@
     return std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
 }
 
+bool hasRequiredLabel(const ExecutorInfo &info, const StepSpec &spec)
+{
+    return spec.requiredLabel.empty() || hasLabel(info, spec.requiredLabel);
+}
+
 // Returns the rack, which by convention is the second label.
 std::string rackOf(const ExecutorInfo &info)
 {
     return info.labels.size() > 1 ? info.labels[1] : std::string();
 }
 
+// Returns the resources that an item of the step reserves.
+Resources demandOf(const StepSpec &spec)
+{
+    Resources demand = spec.resources;
+    if (spec.isBestEffort) {
+        demand.cpu = 0;
+    }
+    return demand;
+}
+
 // Ranks an executor for a long-running item. Such items are packed onto few machines, so that the others can move to other pools, but one
 // machine gets few items of the same step.
 int longRunningRank(const Executor &executor, const ItemId &id)
@@ -109,7 +126,7 @@
 
 bool PoolScheduler::Private::satisfiesConstraints(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const
 {
-    if (!spec.requiredLabel.empty() && !hasLabel(executor.info, spec.requiredLabel)) {
+    if (!hasRequiredLabel(executor.info, spec)) {
         return false;
     }
     if (executor.runs.contains(id)) {
@@ -165,10 +182,7 @@
     const CapacityIndex::Slots &slots, const JobEntry &entry, const ItemId &id, const Item &item, const std::string &siblingRack) const
 {
     const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
-    Resources demand = spec.resources;
-    if (spec.isBestEffort) {
-        demand.cpu = 0;
-    }
+    const Resources demand = demandOf(spec);
     Candidate best;
     const auto consider = [&](Executor &executor) {
         if (!executor.free().covers(demand) || !this->satisfiesConstraints(executor, entry, id, spec)) {
@@ -487,6 +501,15 @@
     return false;
 }
 
+bool PoolScheduler::Private::hasUsablePass(const StepState &state, const StepSpec &spec, TimePoint now) const
+{
+    const Resources demand = demandOf(spec);
+    return std::any_of(this->executors.begin(), this->executors.end(), [&](const auto &entry) {
+        const Executor &executor = entry.second;
+        return state.passes.contains(executor.info.id) && this->isUsable(executor, now) && executor.free().covers(demand);
+    });
+}
+
 std::vector<PolicyRequest> PoolScheduler::takePolicyRequests(TimePoint now) const
 {
     std::vector<PolicyRequest> questions;
@@ -500,16 +523,27 @@
             OccurrenceState &occurrence = entry.occurrences[number];
             for (std::size_t step = 0; occurrence.isOpen && step < occurrence.steps.size(); ++step) {
                 StepState &state = occurrence.steps[step];
-                const bool isNeeded = state.done < entry.job.spec.steps[step].count && state.passesExpireAt <= now && !state.isPolicyRequested;
-                if (!isNeeded || !this->d->isStepReady(entry, occurrence, step)) {
+                const StepSpec &spec = entry.job.spec.steps[step];
+                if (state.done >= spec.count || state.isPolicyRequested || !this->d->isStepReady(entry, occurrence, step)) {
+                    continue;
+                }
+                if (state.passesExpireAt <= now) {
+                    state.passes.clear();
+                    state.askedExecutors.clear();
+                } else if (this->d->hasUsablePass(state, spec, now)) {
                     continue;
                 }
                 PolicyRequest question{ItemId{id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), 0}, {}};
                 for (const auto &[key, executor] : this->d->executors) {
-                    if (this->d->isUsable(executor, now) && question.executors.size() < 100) {
+                    const bool isNew = question.executors.size() < maxExecutorsPerRequest && !state.askedExecutors.contains(executor.info.id);
+                    if (isNew && this->d->isUsable(executor, now) && hasRequiredLabel(executor.info, spec)) {
                         question.executors.push_back(executor.info.id);
                     }
                 }
+                if (question.executors.empty()) {
+                    continue;
+                }
+                state.askedExecutors.insert(question.executors.begin(), question.executors.end());
                 state.isPolicyRequested = true;
                 questions.push_back(std::move(question));
             }
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -374,6 +374,10 @@
     }
     const milliseconds pause = reply.outcome == OrderOutcome::Unhealthy || reply.outcome == OrderOutcome::NotSent ? milliseconds(1000) : milliseconds(100);
     executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, pause));
+    if (reply.outcome == OrderOutcome::NoPass) {
+        // The pass may be of an earlier life of the executor.
+        this->d->dropPass(order.item, key.id);
+    }
     this->d->emitEvent("start_refused", order.item, *executor, order.run, std::string(toString(reply.outcome)));
     this->d->removeRun(*executor, executor->runs.find(order.item));
 }
@@ -399,11 +403,16 @@
     }
     StepState &state = occurrence.steps[static_cast<std::size_t>(step.step)];
     state.isPolicyRequested = false;
-    state.passes.clear();
+    const TimePoint expiresAt = after(now, answer.validity);
+    // Passes of an earlier answer that are still valid remain, and all expire with the first.
+    const bool hasValidPasses = state.passesExpireAt > now && !state.passes.empty();
+    state.passesExpireAt = hasValidPasses ? std::min(state.passesExpireAt, expiresAt) : expiresAt;
+    if (!hasValidPasses) {
+        state.passes.clear();
+    }
     for (const PlacementPass &pass : answer.passes) {
         state.passes[pass.executor] = pass.pass;
     }
-    state.passesExpireAt = after(now, answer.validity);
     this->d->markPlaceable(*entry);
 }
 
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -133,6 +133,8 @@
     std::map<ExecutorId, std::string> passes;
     TimePoint passesExpireAt{};
     bool isPolicyRequested = false;
+    // Executors that the policy was asked about since the passes last expired.
+    std::set<ExecutorId> askedExecutors;
 };
 
 struct OccurrenceState {
@@ -291,6 +293,8 @@
     void dropRuns(Executor &executor, TimePoint endedBy, const char *reason);
     void stopOtherCopies(const ItemId &id, const Executor &except, const char *reason);
     void requestStop(Executor &executor, Run &run, const char *reason);
+    // Makes the policy be asked about the executor again.
+    void dropPass(const ItemId &id, const ExecutorId &executor);
     void updateDurationRatios(Executor &executor, const Run &run, TimePoint now);
 
     // Planning
@@ -327,6 +331,8 @@
     static double durationFactor(const JobEntry &entry);
     // Returns true if a speculative second run is expected to end sooner than the only active run.
     bool needsSecondRun(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
+    // Returns true if a usable executor with a pass has room for an item of the step.
+    bool hasUsablePass(const StepState &state, const StepSpec &spec, TimePoint now) const;
     // Return true if items remain that may be placed later.
     bool placeJob(JobEntry &entry, const PlacementRound &round);
     bool placeStep(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
