Test: a second copy without a place and the items after it

Cause: placeStep() ends at the first item without an executor, as the others of the step need the same. A second copy may not run beside the first, so it may lack a place where a waiting item has one. Seen: the waiting item does not start beside the slow first copy.

--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -92,5 +92,27 @@
     EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
 }
 
+TEST_F(PoolSchedulerTest, SecondCopyWithoutAPlaceDoesNotHoldUpTheLaterItemsOfItsStep)
+{
+    StepSpec step;
+    step.count = 2;
+    step.resources = Resources{40000, gigabyte, 0};
+    step.estimate = 1000ms;
+    step.isSpeculative = true;
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a", step));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    ExecutorInfo larger = executor("one");
+    larger.capacity.cpu = 128000;
+    this->advance(3s);
+    this->setDiscovered({larger});
+    this->report("one", {ReportedRun{first.starts[0].run.item, first.starts[0].run.run, {}, 100, 0}});
+    const SchedulerOrders second = this->plan();
+    ASSERT_EQ(second.starts.size(), 1U);
+    EXPECT_EQ(second.starts[0].run.item.index, 1);
+}
+
 }
 }
