--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -342,6 +342,10 @@
             continue;
         }
         Executor *executor = this->chooseExecutor(entry, id, item);
+        if (executor == nullptr && canSpeculate) {
+            // Unlike the items after it, a second copy has no place beside the first.
+            continue;
+        }
         if (executor == nullptr) {
             break;
         }
