Test: a run that its executor no longer knows

Cause: onReport() ends a run that is not listed only if its start got no answer or its stop was confirmed. A run that was listed or answered and is in the reports neither as running nor as ended stays Running, and its lease is renewed. Its end can be forgotten before it was reported: an executor that starts again under its id takes a renewal that arrives late, with the acknowledgement for its former life. A finite run is found by the check for stalls after four times its estimate; a lasting one never.

--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -114,5 +114,27 @@
     EXPECT_EQ(second.starts[0].run.item.index, 1);
 }
 
+TEST_F(PoolSchedulerTest, LastingRunThatItsExecutorNoLongerKnowsIsRestarted)
+{
+    StepSpec step;
+    step.resources = Resources{4000, gigabyte, 0};
+    step.isLongRunning = true;
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a", step));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    this->advance(100ms);
+    this->report("one", {ReportedRun{first.starts[0].run.item, first.starts[0].run.run, {}, 100, 0}});
+    std::size_t restarts = 0;
+    for (int round = 0; round < 10; ++round) {
+        this->advance(1s);
+        this->renewal("one");
+        this->report("one");
+        restarts += this->plan().starts.size();
+    }
+    EXPECT_GT(restarts, 0U);
+}
+
 }
 }
