--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -322,6 +322,8 @@
         orphan.second = before != executor->orphans.end() ? before->second.second : TimePoint{};
     }
     executor->orphans = std::move(orphans);
+    // Not all ends may fit into one report.
+    const bool listsEverything = report.isComplete && report.ended.empty();
     for (auto run = executor->runs.begin(); run != executor->runs.end();) {
         const auto current = run++;
         Run &state = current->second;
@@ -334,6 +336,9 @@
         } else if (state.phase == RunPhase::Stopping && state.isStopConfirmed) {
             this->d->emitEvent("run_lost", state.item, *executor, state.number, "it never started");
             this->d->removeRun(*executor, current);
+        } else if (state.phase == RunPhase::Running && listsEverything) {
+            this->d->emitEvent("run_lost", state.item, *executor, state.number, "its executor no longer knows it");
+            this->d->removeRun(*executor, current);
         }
     }
 }
