Test: inherited work while new executors keep arriving

Cause: arePreviousRunsKnown() wants an answer, or a failed renewal, of each listed executor. One that joined the pool after the takeover holds nothing of a previous owner, but work that a previous owner may have started waits for it: each arrival stops it anew until its first answer, for the whole life of the owner, since a job stays inherited. Seen: no start within 20 s.

--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -136,5 +136,27 @@
     EXPECT_GT(restarts, 0U);
 }
 
+TEST_F(PoolSchedulerTest, NewExecutorsThatKeepArrivingDoNotHoldUpInheritedWork)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->scheduler->setPreviousExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, location("one")}});
+    std::vector<ExecutorInfo> infos{executor("one")};
+    this->setDiscovered(infos);
+    this->report("one");
+    this->addStartedJob("a");
+    std::size_t starts = 0;
+    for (int round = 0; round < 40; ++round) {
+        // Each arrival answers only after the next one is listed.
+        infos.push_back(executor("new" + std::to_string(round)));
+        this->setDiscovered(infos);
+        if (round > 0) {
+            this->report("new" + std::to_string(round - 1));
+        }
+        starts += this->plan().starts.size();
+        this->advance(500ms);
+    }
+    EXPECT_GT(starts, 0U);
+}
+
 }
 }
