Test: an unanswered start whose stop is never carried out

Cause: a start without an answer is stopped, and its item waits until an executor has confirmed the stop. Where an executor answers renewals but refuses stops, the order is sent again without end. The start itself can take effect only until the lease that it carries has expired. Seen: no restart within 12 s, though reports without the run arrive each 0.3 s.

--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -158,5 +158,28 @@
     EXPECT_GT(starts, 0U);
 }
 
+TEST_F(PoolSchedulerTest, UnansweredStartWhoseStopIsNeverCarriedOutEndsWithItsLease)
+{
+    this->setDiscovered({executor("one"), executor("two")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->plan();
+    ASSERT_EQ(first.starts.size(), 1U);
+    this->answer(first.starts[0], OrderOutcome::Unknown);
+    std::size_t restarts = 0;
+    for (int round = 0; round < 40; ++round) {
+        this->advance(300ms);
+        ASSERT_TRUE(this->renewal("one") || restarts > 0);
+        this->report("one");
+        this->report("two");
+        const SchedulerOrders orders = this->plan();
+        restarts += orders.starts.size();
+        for (const StopOrder &order : orders.stops) {
+            this->scheduler->onStopped(ExecutorKey{ExecutorId{"one"}, 100}, order.run, OrderReply{OrderOutcome::Unhealthy, {}}, this->now);
+        }
+    }
+    EXPECT_EQ(restarts, 1U);
+}
+
 }
 }
