--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -246,6 +246,7 @@
         order.pass = state.passes.at(executor.info.id);
     }
     this->extendLease(executor, order.until, round.now);
+    run.startableUntil = executor.leaseEnd;
     this->updateIndex(executor);
     this->orders.starts.push_back(StartOrder{executor.info, std::move(order), round.now, round.watermarks});
 }
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -31,6 +31,8 @@
     TimePoint adoptedAt{};
     // Time at which the last order for this run was answered or timed out. Renewals sent earlier don't reflect that order.
     TimePoint orderResolvedAt{};
+    // Latest time at which the executor can still carry out the start order; it rejects the order once the lease in it has expired.
+    TimePoint startableUntil{};
     TimePoint stopSentAt{};
     bool isStopConfirmed = false;
     // The last report of the executor listed the run as running.
