Test: callers that share a read of a stream

Cause: StreamReader::catchUp() lets callers wait on one timer, and each sets its expiry anew, which cancels the waits of the others. Two or more callers beside the one that reads wake each other without end while the read lasts: the process has no processor time for anything else when the store is slow. Seen: 154430 iterations of the event loop in a read of 0.1 s with four callers.

--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -237,5 +237,41 @@
     second->stop();
 }
 
+// A process with a small processor share runs few event loop iterations in the time of one read, and all its duties need them.
+TEST_F(SchedulerTest, CallersThatShareAReadDoNotWakeEachOtherWhileItLasts)
+{
+    class SlowStore : public MemoryStore
+    {
+    public:
+        using MemoryStore::MemoryStore;
+
+        net::awaitable<Result<StreamBatch>> readSnapshot(Stream, std::int32_t) override
+        {
+            co_await sleepFor(this->context, 100ms);
+            co_return StreamBatch{};
+        }
+    };
+    constexpr int callers = 4;
+    constexpr int maxLoopIterations = 100;
+    SlowStore slowStore(this->context);
+    StreamReader reader(this->context, slowStore, Stream::Progress, 0, StreamReader::Handlers{[] {}, [](const StoredRecord &) {}});
+    int returned = 0;
+    for (int caller = 0; caller < callers; ++caller) {
+        net::co_spawn(
+            this->context,
+            [&reader, &returned]() -> net::awaitable<void> {
+                (void)co_await reader.catchUp();
+                ++returned;
+            },
+            net::detached);
+    }
+    int loopIterations = 0;
+    while (returned < callers && this->context.run_one_for(10s) > 0) {
+        ++loopIterations;
+    }
+    EXPECT_EQ(returned, callers);
+    EXPECT_LE(loopIterations, maxLoopIterations);
+}
+
 }
 }
