--- a/src/scheduler/streamreader.cpp
+++ b/src/scheduler/streamreader.cpp
@@ -99,11 +99,12 @@
         if (this->readsStarted > this->readsEnded) {
             const std::shared_ptr<net::steady_timer> readTimer = this->readDone;
             SystemErrorCode ignored;
-            readTimer->expires_after(std::chrono::seconds(10));
             co_await readTimer->async_wait(captureError(ignored));
             continue;
         }
         ++this->readsStarted;
+        // Set here only, as setting it wakes all that wait.
+        this->readDone->expires_at(std::chrono::steady_clock::time_point::max());
         const TimePoint startedAt = bootNow();
         Result<void> result;
         if (this->isLoaded()) {
