Test: calls that wait for a connection

Cause: ConnectionPool::call() lets calls without a connection wait on one timer, and each sets its expiry to its own deadline, which cancels the waits of the others. Two or more waiting calls wake each other without end until a connection is free: the process has no processor time for anything else, and the calls that hold the connections time out too. Seen: 276593 iterations of the event loop in 0.2 s with four calls and one connection.

--- a/src/libservice/connectionpool_test.cpp
+++ b/src/libservice/connectionpool_test.cpp
@@ -83,5 +83,36 @@
     EXPECT_EQ((*outcome.response)->body(), std::string(bodySize, 'x'));
 }
 
+// A server that accepts connections and answers nothing; each call has to end with its own timeout.
+TEST(ConnectionPool, CallsThatWaitForAConnectionDoNotWakeEachOther)
+{
+    constexpr int calls = 4;
+    constexpr int maxLoopIterations = 200;
+    net::io_context serverContext;
+    tcp::acceptor acceptor(serverContext, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+    net::io_context context;
+    const auto pool = ConnectionPool::create(context, Endpoint{"127.0.0.1", acceptor.local_endpoint().port()}, 1);
+    int ended = 0;
+    for (int number = 0; number < calls; ++number) {
+        net::co_spawn(
+            context,
+            [&pool, &ended]() -> net::awaitable<void> {
+                HttpCall call;
+                call.target = "/";
+                call.timeout = 200ms;
+                const auto response = co_await (*pool)->call(std::move(call));
+                EXPECT_FALSE(response);
+                ++ended;
+            },
+            net::detached);
+    }
+    int loopIterations = 0;
+    while (ended < calls && context.run_one_for(10s) > 0) {
+        ++loopIterations;
+    }
+    EXPECT_EQ(ended, calls);
+    EXPECT_LE(loopIterations, maxLoopIterations);
+}
+
 }
 }
