Calls: calls that wait for a connection do not wake each other

Change: each waiting call has a timer of its own; a connection that becomes free wakes the call that has waited longest.

--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -47,7 +47,6 @@
         : context(context)
         , endpoint(std::move(endpoint))
         , maxConnections(maxConnections)
-        , connectionFreed(context)
     {
     }
 
@@ -57,11 +56,12 @@
     std::size_t maxConnections;
     std::size_t openCount = 0;
     std::deque<std::unique_ptr<Connection>> idle;
-    // Calls without a connection wait on this timer, which is cancelled when a connection becomes free.
-    net::steady_timer connectionFreed;
+    // The timers of the calls that wait for a connection, in order of arrival. The first is cancelled when one becomes free.
+    std::deque<std::shared_ptr<net::steady_timer>> waitingCalls;
 
     std::unique_ptr<Connection> takeIdleConnection();
     void returnConnection(std::unique_ptr<Connection> connection);
+    void wakeWaitingCall();
     net::awaitable<bool> waitForConnection(std::chrono::steady_clock::time_point deadline);
     net::awaitable<ExchangeResult> exchange(
         Connection &connection, const HttpRequest &request, HttpResponse &response, std::chrono::steady_clock::time_point deadline);
@@ -87,7 +87,15 @@
     connection->lastUsedAt = std::chrono::steady_clock::now();
     connection->isReused = true;
     this->idle.push_back(std::move(connection));
-    this->connectionFreed.cancel_one();
+    this->wakeWaitingCall();
+}
+
+void ConnectionPool::Private::wakeWaitingCall()
+{
+    if (!this->waitingCalls.empty()) {
+        this->waitingCalls.front()->cancel();
+        this->waitingCalls.pop_front();
+    }
 }
 
 net::awaitable<bool> ConnectionPool::Private::waitForConnection(std::chrono::steady_clock::time_point deadline)
@@ -97,8 +105,10 @@
             co_return false;
         }
         SystemErrorCode ignored;
-        this->connectionFreed.expires_at(deadline);
-        co_await this->connectionFreed.async_wait(captureError(ignored));
+        const auto connectionFreed = std::make_shared<net::steady_timer>(this->context, deadline);
+        this->waitingCalls.push_back(connectionFreed);
+        co_await connectionFreed->async_wait(captureError(ignored));
+        std::erase(this->waitingCalls, connectionFreed);
     }
     co_return true;
 }
@@ -184,7 +194,7 @@
     } else {
         connection.reset();
         --self->openCount;
-        self->connectionFreed.cancel_one();
+        self->wakeWaitingCall();
     }
     switch (result) {
     case ExchangeResult::NotSent:
