Test: instances whose incarnation was unknown when their evacuation began

Cause: evacuate() takes the incarnation from the pool's report; without one (standby, or no recent report after a takeover) it stores 0, which stands for every incarnation. After the order the list of ended incarnations keeps that 0 for 15 s: where an executor comes back under its id, owners drop its runs and give it no work for that long. Seen: incarnation 8 is listed as ended after the maintenance of incarnation 7, and a standby instance in the pool that it moved to.

--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -312,5 +312,40 @@
     EXPECT_FALSE(this->planner->state().evacuations.empty());
 }
 
+// Owners give no work to the incarnations that are listed as ended.
+TEST_F(FleetPlannerTest, LaterIncarnationIsNotListedAsEndedIfTheEarlierOneWasUnknownWhenItsEvacuationBegan)
+{
+    this->addMachine("one", "desk");
+    this->addMachine("two", "desk");
+    this->updateListing();
+    this->setWave({"one"}, 1);
+    this->advance(29s);
+    EXPECT_TRUE(this->plan().maintain.empty());
+    ASSERT_EQ(this->planner->state().evacuations.size(), 1U);
+    this->sendReport(this->makeReport("desk", {"one", "two"}));
+    const PlannerOrders orders = this->plan();
+    ASSERT_EQ(orders.maintain.size(), 1U);
+    this->planner->onMaintenanceOutcome(orders.maintain[0], true, false, this->now);
+    const EvacuationList list = this->planner->state().evacuationList();
+    EXPECT_TRUE(includesIncarnation(list.ended, ExecutorId{"x-one"}, 7));
+    EXPECT_FALSE(includesIncarnation(list.ended, ExecutorId{"x-one"}, 8));
+}
+
+TEST_F(FleetPlannerTest, StandbyInstanceIsNotListedAsEndedInThePoolThatItMovesTo)
+{
+    this->addMachine("one", "desk");
+    this->addMachine("two", "desk");
+    this->addMachine("spare", "parked");
+    this->updateListing();
+    PoolReport report = this->makeReport("desk", {"one", "two"});
+    report.inflow = 150'000;
+    this->sendReport(report);
+    this->plan();
+    const PlannerOrders orders = this->plan();
+    ASSERT_EQ(orders.move.size(), 1U);
+    this->planner->onMoveOutcome(orders.move[0], true, false, this->now);
+    EXPECT_FALSE(includesIncarnation(this->planner->state().evacuationList().ended, ExecutorId{"x-spare"}, 7));
+}
+
 }
 }
