Planner: only a known incarnation is listed as ended

Change: confirmOrder() takes an unknown incarnation from the pool's report, which an order waits for where the pool is not on standby, and lists none that stays unknown.

--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -97,8 +97,12 @@
             continue;
         }
         evacuation.isOrderConfirmed = true;
-        if (!evacuation.executor.isEmpty()) {
-            this->state.ended[evacuation.executor] = PlannerState::EndedIncarnation{evacuation.incarnation, this->wallNow};
+        const auto info = this->machines.find(machine);
+        const ExecutorUsage *usage = info == this->machines.end() ? nullptr : this->findUsage(info->second, now);
+        const std::int64_t incarnation = evacuation.incarnation == 0 && usage != nullptr ? usage->incarnation : evacuation.incarnation;
+        // An unknown incarnation is not listed: the entry would hold for the next one too. The evacuation keeps work away until the instance is back.
+        if (!evacuation.executor.isEmpty() && incarnation != 0) {
+            this->state.ended[evacuation.executor] = PlannerState::EndedIncarnation{incarnation, this->wallNow};
             ++this->state.number;
         }
     }
