Test: more changes than one append may hold

Cause: persistOnce() puts all that changed into one append, and appendUntilDurable() repeats an append that the store refuses for its size as if the store were unavailable. After that no start intent of the partition becomes durable, no ended run is acknowledged and no executor is recorded. What gathers while the store is down, or at the first takeover of a large pool, is not bounded. Seen: no start within 20 s with 2.4 MB of records and a limit of 2 MB, which the store of the tests now has.

--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -273,5 +273,23 @@
     EXPECT_LE(loopIterations, maxLoopIterations);
 }
 
+TEST_F(SchedulerTest, MoreChangesThanOneAppendMayHoldDoNotBlockAPartition)
+{
+    const auto owner = this->startOwner(1);
+    std::vector<ExecutorInfo> infos{executor()};
+    for (int number = 0; number < 40; ++number) {
+        ExecutorInfo info = executor();
+        info.id = ExecutorId{"x" + std::to_string(number)};
+        info.machine = MachineId{std::to_string(number) + std::string(60'000, 'm')};
+        infos.push_back(info);
+    }
+    owner->setExecutors(infos, BootClock().now());
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->runUntil([this] {
+        return this->executors.starts.size() == 3U;
+    });
+    owner->stop();
+}
+
 }
 }
--- a/src/scheduler/scheduler_test.h
+++ b/src/scheduler/scheduler_test.h
@@ -42,6 +42,8 @@
     net::io_context &context;
     std::map<std::pair<Stream, std::int32_t>, Partition> partitions;
     StoreBehaviour behaviour = StoreBehaviour::Normal;
+    // Limit of the records of one append together.
+    std::size_t maxAppendBytes = 2 * 1024 * 1024;
     int concurrentAppends = 0;
     int maxConcurrentAppends = 0;
     int repeatedAppends = 0;
@@ -57,6 +59,13 @@
         if (this->behaviour == StoreBehaviour::Refusing) {
             co_return makeError(ErrorCode::Unavailable, "refused");
         }
+        std::size_t bytes = 0;
+        for (const StoredRecord &record : records) {
+            bytes += record.key.size() + record.value.size();
+        }
+        if (bytes > this->maxAppendBytes) {
+            co_return makeError(ErrorCode::Refused, "too large");
+        }
         Partition &partition = this->partitions[{stream, partitionNumber}];
         if (stamp) {
             auto producer = partition.producers.try_emplace(stamp->producer, std::pair(stamp->epoch, std::int64_t(-1))).first;
