Owners: large changes are stored in several appends

Change: persistOnce() splits its records into appends of about 1 MB, as the appender of submissions does, and marks them durable after the last.

--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -15,6 +15,8 @@
 // Changes without an urgent reader are collected for this long before they are persisted.
 constexpr milliseconds persistBatchDelay{30};
 constexpr milliseconds persistPollInterval{5};
+// No further record is added to an append of this size, which is well below the store's limit.
+constexpr std::size_t maxAppendBytes = 1024 * 1024;
 // Without new records the watermark is up to two poll timeouts old. This has to stay well below the age at which starts are withheld.
 constexpr milliseconds jobsPollTimeout{500};
 // Events that arrive within this time are handled by one plan.
@@ -43,6 +45,21 @@
     return std::chrono::duration_cast<milliseconds>(now - since).count();
 }
 
+std::vector<std::vector<StoredRecord>> splitIntoAppends(std::vector<StoredRecord> records)
+{
+    std::vector<std::vector<StoredRecord>> appends;
+    std::size_t bytes = maxAppendBytes;
+    for (StoredRecord &record : records) {
+        if (bytes >= maxAppendBytes) {
+            appends.emplace_back();
+            bytes = 0;
+        }
+        bytes += record.key.size() + record.value.size();
+        appends.back().push_back(std::move(record));
+    }
+    return appends;
+}
+
 }
 
 net::awaitable<bool> ShardOwner::Tasks::appendUntilDurable(std::vector<StoredRecord> records)
@@ -418,7 +435,13 @@
         this->state.isPersisting = false;
         co_return true;
     }
-    const bool isDurable = co_await this->appendUntilDurable(std::move(records));
+    bool isDurable = true;
+    for (std::vector<StoredRecord> &append : splitIntoAppends(std::move(records))) {
+        isDurable = co_await this->appendUntilDurable(std::move(append));
+        if (!isDurable) {
+            break;
+        }
+    }
     if (isDurable) {
         for (const auto &[key, location] : newlyRecorded) {
             this->state.recordedExecutors[key] = location;
