Test: a wave in a pool that is full of lasting work

Cause: canEvacuate() lets an instance with lasting work go as long as so many instances are left as a step needs apart from each other, whether the others have room for its work or not. The owner then stops an item that finds no place; an evacuated instance takes no work, so the item waits beside the room that it left, and as long as it waits no other item of its step may be interrupted: the evacuation does not end. Seen: two of three full instances are evacuated at once without a spare one.

--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -347,5 +347,29 @@
     EXPECT_FALSE(includesIncarnation(this->planner->state().evacuationList().ended, ExecutorId{"x-spare"}, 7));
 }
 
+// An instance that is evacuated takes no work, so an item that lasts and that its owner stops there would wait for ever.
+TEST_F(FleetPlannerTest, WaveTakesNoInstanceWhoseLastingWorkHasNoOtherPlace)
+{
+    const std::vector<std::string> names{"one", "two", "three"};
+    for (const std::string &name : names) {
+        this->addMachine(name, "desk");
+    }
+    this->updateListing();
+    this->setWave(names, 3);
+    PoolReport report = this->makeReport("desk", names);
+    report.longRunningCpu = 3 * 64'000;
+    for (ExecutorUsage &usage : report.executors) {
+        usage.runs = 2;
+        usage.longRunning = 2;
+    }
+    this->sendReport(report);
+    this->plan();
+    EXPECT_TRUE(this->planner->state().evacuations.empty());
+    this->addMachine("spare", "parked");
+    this->updateListing();
+    this->plan();
+    EXPECT_EQ(this->planner->state().evacuations.size(), 2U) << "one instance of the wave and its replacement";
+}
+
 }
 }
