Planner: a wave leaves a place for the lasting work of its pool

Change: an instance with lasting work is evacuated only if the pool's other instances and those that other pools can give are enough for the CPU of the pool's lasting work.

--- a/src/libmangocourse/fleetneeds.cpp
+++ b/src/libmangocourse/fleetneeds.cpp
@@ -94,6 +94,7 @@
         const double late = static_cast<double>(pool.report->lateBacklog) / lateBacklogSeconds;
         const double cores = static_cast<double>(pool.report->longRunningCpu) + (finite + late) / packingEfficiency;
         const auto machines = static_cast<std::int32_t>(std::ceil(cores / static_cast<double>(pool.cpuPerMachine)));
+        pool.longRunningMachines = static_cast<std::int32_t>((pool.report->longRunningCpu + pool.cpuPerMachine - 1) / pool.cpuPerMachine);
         pool.minSize = std::max(pool.report->spread + spareMachines, 2);
         pool.needed = std::max(machines, pool.minSize);
     }
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -203,7 +203,7 @@
                 break;
             }
             PlannedPool &pool = pools[next.machine->pool];
-            if (!this->canEvacuate(pool, next.longRunning, isUrgent)) {
+            if (!this->canEvacuate(pool, pools, next.longRunning, isUrgent)) {
                 continue;
             }
             std::erase(pool.up, next.machine->id);
@@ -231,7 +231,25 @@
     return sorted;
 }
 
-bool FleetPlanner::Private::canEvacuate(const PlannedPool &pool, std::int32_t longRunning, bool isUrgent) const
+std::int32_t FleetPlanner::Private::countSpareElsewhere(const PlannedPool &pool, const std::map<ServiceId, PlannedPool> &pools)
+{
+    std::int32_t spare = 0;
+    for (const auto &[service, other] : pools) {
+        if (&other == &pool) {
+            continue;
+        }
+        if (other.isStandby) {
+            spare += static_cast<std::int32_t>(other.up.size());
+        } else if (other.report != nullptr) {
+            // A pool that lacks instances takes from the same spare ones.
+            spare += other.size() - std::max(other.needed, other.recentPeak);
+        }
+    }
+    return std::max(0, spare);
+}
+
+bool FleetPlanner::Private::canEvacuate(
+    const PlannedPool &pool, const std::map<ServiceId, PlannedPool> &pools, std::int32_t longRunning, bool isUrgent) const
 {
     if (pool.isStandby) {
         return true;
@@ -239,7 +257,9 @@
     const auto afterwards = static_cast<std::int32_t>(pool.up.size()) - 1;
     const std::int32_t spread = std::max(1, pool.report != nullptr ? pool.report->spread : 1);
     if (longRunning > 0) {
-        return pool.longRunningEvacuations < maxLongRunningEvacuations && afterwards >= spread;
+        // Long-running work that finds no place elsewhere would wait for the end of the evacuation, and the evacuation for the work.
+        const bool hasRoom = afterwards + pool.arriving + countSpareElsewhere(pool, pools) >= pool.longRunningMachines;
+        return hasRoom && pool.longRunningEvacuations < maxLongRunningEvacuations && afterwards >= spread;
     }
     return afterwards >= (isUrgent ? spread : pool.needed);
 }
--- a/src/libmangocourse/fleetplanner_pvt.h
+++ b/src/libmangocourse/fleetplanner_pvt.h
@@ -40,6 +40,8 @@
     std::int32_t needed = 0;
     // Peak of `needed` over the last moments.
     std::int32_t recentPeak = 0;
+    // Instances that the long-running work needs by its CPU.
+    std::int32_t longRunningMachines = 0;
     // Size that the pool keeps when instances are scarce.
     std::int32_t minSize = 0;
     const PoolReport *report = nullptr;
@@ -99,7 +101,9 @@
     // Returns the waiting instances in the order in which they are evacuated.
     std::vector<MaintenanceCandidate> sortByEvacuationTime(const std::vector<const MachineInfo *> &waiting, TimePoint now) const;
     // Returns true when the pool can spare one more instance, which holds `longRunning` long-running items.
-    bool canEvacuate(const PlannedPool &pool, std::int32_t longRunning, bool isUrgent) const;
+    bool canEvacuate(const PlannedPool &pool, const std::map<ServiceId, PlannedPool> &pools, std::int32_t longRunning, bool isUrgent) const;
+    // Returns how many instances the other pools can give to the pool.
+    static std::int32_t countSpareElsewhere(const PlannedPool &pool, const std::map<ServiceId, PlannedPool> &pools);
     void planMoves(std::map<ServiceId, PlannedPool> &pools, TimePoint now);
     void growPool(PlannedPool &pool, std::map<ServiceId, PlannedPool> &pools, TimePoint now);
     // Returns true when the pool has an instance that it can give away.
