--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -47,6 +47,13 @@
     for (const QueueConfig &queue : config.queues) {
         this->d->queues.emplace(queue.id, queue);
     }
+    for (const JobId &id : this->d->openJobs) {
+        JobEntry &entry = *this->d->findJob(id);
+        if (entry.durationRatio == nullptr) {
+            // The job arrived before the configuration of its queue.
+            this->d->applyQueueConfig(entry);
+        }
+    }
 }
 
 void PoolScheduler::setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint now)
@@ -318,6 +325,8 @@
         orphan.second = before != executor->orphans.end() ? before->second.second : TimePoint{};
     }
     executor->orphans = std::move(orphans);
+    // Not all ends may fit into one report.
+    const bool listsEverything = report.isComplete && report.ended.empty();
     for (auto run = executor->runs.begin(); run != executor->runs.end();) {
         const auto current = run++;
         Run &state = current->second;
@@ -327,9 +336,12 @@
         // The run is neither running nor ended, so the order that got no reply has not been carried out so far.
         if (state.phase == RunPhase::Unacknowledged) {
             this->d->requestStop(*executor, state, "the start order got no reply");
-        } else if (state.phase == RunPhase::Stopping && state.isStopConfirmed) {
+        } else if (state.phase == RunPhase::Stopping && (state.isStopConfirmed || (listsEverything && sentAt > state.startableUntil))) {
             this->d->emitEvent("run_lost", state.item, *executor, state.number, "it never started");
             this->d->removeRun(*executor, current);
+        } else if (state.phase == RunPhase::Running && listsEverything) {
+            this->d->emitEvent("run_lost", state.item, *executor, state.number, "its executor no longer knows it");
+            this->d->removeRun(*executor, current);
         }
     }
 }
@@ -370,6 +382,10 @@
     }
     const milliseconds pause = reply.outcome == OrderOutcome::Unhealthy || reply.outcome == OrderOutcome::NotSent ? milliseconds(1000) : milliseconds(100);
     executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, pause));
+    if (reply.outcome == OrderOutcome::NoPass) {
+        // The pass may be of an earlier life of the executor.
+        this->d->dropPass(order.item, key.id);
+    }
     this->d->emitEvent("start_refused", order.item, *executor, order.run, std::string(toString(reply.outcome)));
     this->d->removeRun(*executor, executor->runs.find(order.item));
 }
@@ -395,11 +411,16 @@
     }
     StepState &state = occurrence.steps[static_cast<std::size_t>(step.step)];
     state.isPolicyRequested = false;
-    state.passes.clear();
+    const TimePoint expiresAt = after(now, answer.validity);
+    // Passes of an earlier answer that are still valid remain, and all expire with the first.
+    const bool hasValidPasses = state.passesExpireAt > now && !state.passes.empty();
+    state.passesExpireAt = hasValidPasses ? std::min(state.passesExpireAt, expiresAt) : expiresAt;
+    if (!hasValidPasses) {
+        state.passes.clear();
+    }
     for (const PlacementPass &pass : answer.passes) {
         state.passes[pass.executor] = pass.pass;
     }
-    state.passesExpireAt = after(now, answer.validity);
     this->d->markPlaceable(*entry);
 }
 
--- /dev/null
+++ b/src/libmangocourse/poolstarvation_test.cpp
@@ -0,0 +1,185 @@
+// Tests that accepted work does not wait although there is room for it.
+#include "poolscheduler_test.h"
+
+namespace MangoCourse {
+namespace {
+
+TEST_F(PoolSchedulerTest, JobThatArrivesBeforeItsQueuesConfigurationGetsThePassesOfItsQueue)
+{
+    QueueConfig guarded = this->config.queues.front();
+    guarded.id = QueueId{"guarded"};
+    guarded.policy.emplace();
+    AcceptedJob early = this->job("a");
+    early.queue = guarded.id;
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(early);
+    this->config.queues.push_back(guarded);
+    this->scheduler->setConfig(this->config);
+    EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
+    EXPECT_TRUE(this->plan().starts.empty());
+}
+
+TEST_F(PoolSchedulerTest, PolicyIsAskedAgainWhenNoneOfTheExecutorsWithAPassIsLeft)
+{
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    std::vector<PolicyRequest> requests = this->scheduler->takePolicyRequests(this->now);
+    ASSERT_EQ(requests.size(), 1U);
+    this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{{PlacementPass{ExecutorId{"one"}, "pass"}}, 60s}, this->now);
+    this->setDiscovered({executor("two")});
+    this->report("two");
+    this->plan();
+    requests = this->scheduler->takePolicyRequests(this->now);
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].executors, std::vector<ExecutorId>{ExecutorId{"two"}});
+}
+
+TEST_F(PoolSchedulerTest, PolicyIsNotAskedBeforeAnExecutorIsUsable)
+{
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    this->setDiscovered({executor("one")});
+    this->add(this->job("a"));
+    EXPECT_TRUE(this->scheduler->takePolicyRequests(this->now).empty());
+    this->report("one");
+    EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
+}
+
+TEST_F(PoolSchedulerTest, PolicyIsAskedForEveryExecutorOfALargePoolInTurn)
+{
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    std::vector<ExecutorInfo> infos;
+    for (int number = 100; number < 250; ++number) {
+        infos.push_back(executor("x" + std::to_string(number)));
+    }
+    this->setDiscovered(infos);
+    for (const ExecutorInfo &info : infos) {
+        this->report(info.id.value);
+    }
+    this->add(this->job("a"));
+    std::set<ExecutorId> asked;
+    for (int round = 0; round < 2; ++round) {
+        for (const PolicyRequest &request : this->scheduler->takePolicyRequests(this->now)) {
+            EXPECT_LE(request.executors.size(), 100U);
+            asked.insert(request.executors.begin(), request.executors.end());
+            this->scheduler->onPolicyAnswer(request.step, PolicyAnswer{{}, 60s}, this->now);
+        }
+    }
+    EXPECT_EQ(asked.size(), infos.size());
+    EXPECT_TRUE(this->scheduler->takePolicyRequests(this->now).empty());
+}
+
+TEST_F(PoolSchedulerTest, PolicyIsAskedAgainAfterAnExecutorRejectedItsPass)
+{
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a"));
+    const std::vector<PolicyRequest> requests = this->scheduler->takePolicyRequests(this->now);
+    ASSERT_EQ(requests.size(), 1U);
+    this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{{PlacementPass{ExecutorId{"one"}, "old"}}, 60s}, this->now);
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    this->answer(orders.starts[0], OrderOutcome::NoPass);
+    this->advance(1s);
+    this->plan();
+    EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
+}
+
+TEST_F(PoolSchedulerTest, SecondCopyWithoutAPlaceDoesNotHoldUpTheLaterItemsOfItsStep)
+{
+    StepSpec step;
+    step.count = 2;
+    step.resources = Resources{40000, gigabyte, 0};
+    step.estimate = 1000ms;
+    step.isSpeculative = true;
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a", step));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    ExecutorInfo larger = executor("one");
+    larger.capacity.cpu = 128000;
+    this->advance(3s);
+    this->setDiscovered({larger});
+    this->report("one", {ReportedRun{first.starts[0].run.item, first.starts[0].run.run, {}, 100, 0}});
+    const SchedulerOrders second = this->plan();
+    ASSERT_EQ(second.starts.size(), 1U);
+    EXPECT_EQ(second.starts[0].run.item.index, 1);
+}
+
+TEST_F(PoolSchedulerTest, LastingRunThatItsExecutorNoLongerKnowsIsRestarted)
+{
+    StepSpec step;
+    step.resources = Resources{4000, gigabyte, 0};
+    step.isLongRunning = true;
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("a", step));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    this->advance(100ms);
+    this->report("one", {ReportedRun{first.starts[0].run.item, first.starts[0].run.run, {}, 100, 0}});
+    std::size_t restarts = 0;
+    for (int round = 0; round < 10; ++round) {
+        this->advance(1s);
+        this->renewal("one");
+        this->report("one");
+        restarts += this->plan().starts.size();
+    }
+    EXPECT_GT(restarts, 0U);
+}
+
+TEST_F(PoolSchedulerTest, NewExecutorsThatKeepArrivingDoNotHoldUpInheritedWork)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->scheduler->setPreviousExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, location("one")}});
+    std::vector<ExecutorInfo> infos{executor("one")};
+    this->setDiscovered(infos);
+    this->report("one");
+    this->addStartedJob("a");
+    std::size_t starts = 0;
+    for (int round = 0; round < 40; ++round) {
+        // Each arrival answers only after the next one is listed.
+        infos.push_back(executor("new" + std::to_string(round)));
+        this->setDiscovered(infos);
+        if (round > 0) {
+            this->report("new" + std::to_string(round - 1));
+        }
+        starts += this->plan().starts.size();
+        this->advance(500ms);
+    }
+    EXPECT_GT(starts, 0U);
+}
+
+TEST_F(PoolSchedulerTest, UnansweredStartWhoseStopIsNeverCarriedOutEndsWithItsLease)
+{
+    this->setDiscovered({executor("one"), executor("two")});
+    this->report("one");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->plan();
+    ASSERT_EQ(first.starts.size(), 1U);
+    this->answer(first.starts[0], OrderOutcome::Unknown);
+    std::size_t restarts = 0;
+    for (int round = 0; round < 40; ++round) {
+        this->advance(300ms);
+        ASSERT_TRUE(this->renewal("one") || restarts > 0);
+        this->report("one");
+        this->report("two");
+        const SchedulerOrders orders = this->plan();
+        restarts += orders.starts.size();
+        for (const StopOrder &order : orders.stops) {
+            this->scheduler->onStopped(ExecutorKey{ExecutorId{"one"}, 100}, order.run, OrderReply{OrderOutcome::Unhealthy, {}}, this->now);
+        }
+    }
+    EXPECT_EQ(restarts, 1U);
+}
+
+}
+}
