--- a/src/libmangocourse/poolwaiting.cpp
+++ b/src/libmangocourse/poolwaiting.cpp
@@ -278,7 +278,10 @@
 TimePoint PoolScheduler::Private::Reviewer::readySince(const JobEntry &entry, const ItemId &id) const
 {
     const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
-    if (entry.isInherited || entry.hasStarted || !spec.dependsOn.empty()) {
+    const OccurrenceState &occurrence = entry.occurrences[static_cast<std::size_t>(id.occurrence)];
+    const bool hasRun
+        = occurrence.isOpen && occurrence.steps[static_cast<std::size_t>(id.step)].items[static_cast<std::size_t>(id.index)].lastRun > this->pool.runNumberBase;
+    if (entry.isInherited || hasRun || !spec.dependsOn.empty()) {
         return this->now;
     }
     if (entry.job.spec.recurrence.count == 0) {
