--- a/src/libmangocourse/poolwaiting.cpp
+++ b/src/libmangocourse/poolwaiting.cpp
@@ -214,10 +214,16 @@
 
 bool PoolScheduler::Private::Reviewer::isLineDue(const Executor &executor, const Run &run)
 {
-    UnlistedWatch &known = this->pool.waiting.runs[{run.item, executor.info.id}];
+    auto &watches = this->pool.waiting.runs;
+    const bool isFull = this->result.runs.size() >= maxLines;
+    const auto watch = isFull ? watches.find({run.item, executor.info.id}) : watches.try_emplace({run.item, executor.info.id}).first;
+    if (watch == watches.end()) {
+        return false;
+    }
+    UnlistedWatch &known = watch->second;
     known = known.run == run.number ? known : UnlistedWatch{run.number, {}, 0, 0};
     known.review = this->pool.waiting.review;
-    if (known.nextLineAt > this->now || this->result.runs.size() >= maxLines) {
+    if (known.nextLineAt > this->now || isFull) {
         return false;
     }
     known.nextLineAt = nextLine(this->now, known.lines++);
--- a/src/scheduler/waitingjobs_test.cpp
+++ b/src/scheduler/waitingjobs_test.cpp
@@ -94,6 +94,22 @@
     owner->stop();
 }
 
+TEST_F(WaitingJobsTest, RunThatItsExecutorDoesNotListIsTold)
+{
+    this->executors.endsRuns = false;
+    const auto owner = this->startOwner(1);
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->runUntil([this] {
+        return this->executors.running.size() == 3;
+    });
+    this->executors.running.resize(2);
+    const std::vector<std::string> lines = this->collectLines("run_unlisted", 3500ms);
+    EXPECT_EQ(lines.size(), 1U);
+    EXPECT_TRUE(has(lines, "\"phase\":\"running\""));
+    EXPECT_TRUE(has(lines, "\"job\":\"00000000000000aa\""));
+    owner->stop();
+}
+
 TEST_F(WaitingJobsTest, TakeoverThatCannotReadTheStoreIsTold)
 {
     this->store.behaviour = StoreBehaviour::Refusing;
