--- a/src/libmangocourse/poolhistory_test.h
+++ b/src/libmangocourse/poolhistory_test.h
@@ -197,6 +197,8 @@
     milliseconds leaseEnd{};
     std::int64_t token = 0;
     std::int64_t lastEnd = 0;
+    // Number of starts and ends of runs so far.
+    std::uint64_t changes = 0;
     std::map<ItemId, ActiveRun> running;
     std::map<ItemId, std::int64_t> highestRun;
     std::vector<ReportedEnd> ended;
@@ -221,6 +223,7 @@
     }
     void finish(const ItemId &item, RunEnd end, InvariantChecker &checker)
     {
+        ++this->changes;
         const ActiveRun active = this->running.at(item);
         this->running.erase(item);
         this->highestRun[item] = std::max(this->highestRun[item], active.run);
--- a/src/libmangocourse/poolhistoryworld_test.h
+++ b/src/libmangocourse/poolhistoryworld_test.h
@@ -30,6 +30,8 @@
 // Items report checkpoints after this time.
 inline constexpr milliseconds checkpointInterval{400};
 inline constexpr milliseconds policyRetryDelay{300};
+// An owner that has nothing to ask of an executor looks again after this time.
+inline constexpr milliseconds idleRenewalInterval{3000};
 // Items that start on a slow executor take longer by this factor.
 inline constexpr int slowFactor = 8;
 inline constexpr const char *guidedQueue = "guided";
@@ -48,6 +50,7 @@
     bool isStopped = false;
     bool isPersisting = false;
     std::set<ExecutorKey> activeRenewals;
+    std::map<ExecutorKey, milliseconds> idleUntil;
     std::map<ExecutorKey, ExecutorLocation> recorded;
 };
 
@@ -532,7 +535,7 @@
         std::map<std::tuple<JobId, std::int32_t, std::int32_t, std::int64_t>, std::vector<std::pair<ItemId, FakeExecutor::ActiveRun *>>> gangs;
         for (FakeExecutor &executor : this->executors) {
             for (auto &[item, active] : executor.running) {
-                if (active.gangSize > 0) {
+                if (active.gangSize > 0 && executor.leaseEnd >= executor.clock(this->now)) {
                     gangs[{item.job, item.occurrence, item.step, active.run}].emplace_back(item, &active);
                 }
             }
@@ -550,7 +553,7 @@
                     active->isWaitingForGang = false;
                     active->endsAt = outcome.endsAt;
                     active->end = outcome.end == RunEnd::Failed && item != members.front().first ? RunEnd::Broken : outcome.end;
-                } else if (!isComplete && !active->isWaitingForGang && active->endsAt > this->now) {
+                } else if (!isComplete && !active->isWaitingForGang) {
                     active->endsAt = this->now;
                     active->end = RunEnd::Broken;
                 } else if (active->isWaitingForGang && active->end != RunEnd::Stopped && this->now - active->startedAt > maxGangWait) {
@@ -643,6 +646,7 @@
             return OrderReply{OrderOutcome::NoRoom, clock};
         }
         executor.extendLease(order.until, this->now);
+        ++executor.changes;
         FakeExecutor::ActiveRun &active = executor.running[order.item];
         if (step.isGang) {
             active = FakeExecutor::ActiveRun{order.run, this->now, milliseconds::max(), RunEnd::Alone, step.resources, true, step.count};
@@ -757,13 +761,25 @@
         const auto isReached = [this, executor, incarnation = to.incarnation] {
             return executor != nullptr && executor->isUp && executor->partitionedUntil <= this->now && executor->info.incarnation == incarnation;
         };
-        const auto replyWithTimeout = [this, owner, answer] {
-            this->schedule(callTimeout, [owner, answer] {
+        const milliseconds timeout = callTimeout + this->waitOf(order);
+        const auto replyWithTimeout = [this, owner, answer, timeout] {
+            this->schedule(timeout, [owner, answer] {
                 if (!owner->isStopped) {
                     answer(Reply{});
                 }
             });
         };
+        const auto deliver = [this, owner, executor, answer, replyWithTimeout](const Reply &reply) {
+            if (executor->answersLostUntil > this->now || this->loseMessage(2, callTimeout)) {
+                replyWithTimeout();
+                return;
+            }
+            this->schedule(this->randomNetworkDelay(), [owner, answer, reply] {
+                if (!owner->isStopped) {
+                    answer(reply);
+                }
+            });
+        };
         if (canBeDelayed && this->loseMessage(2, 5500ms)) {
             replyWithTimeout();
             this->schedule(milliseconds(500 + this->randomBelow(5000)), [this, executor, isReached, order] {
@@ -773,7 +789,7 @@
             });
             return;
         }
-        this->schedule(this->randomNetworkDelay(), [this, owner, executor, isReached, order, answer, replyWithTimeout] {
+        this->schedule(this->randomNetworkDelay(), [this, executor, isReached, order, deliver, replyWithTimeout] {
             if (!isReached()) {
                 replyWithTimeout();
                 return;
@@ -787,15 +803,37 @@
             if (executor->refusesUntil <= this->now) {
                 reply = this->execute(*executor, order);
             }
-            if (executor->answersLostUntil > this->now || this->loseMessage(2, callTimeout)) {
+            if (reply.outcome == OrderOutcome::Done && this->waitOf(order) > milliseconds::zero()) {
+                this->answerOnChange(*executor, order, isReached, deliver, replyWithTimeout, this->now + this->waitOf(order), executor->changes);
+            } else {
+                deliver(reply);
+            }
+        });
+    }
+
+    template<typename Order>
+    milliseconds waitOf(const Order &order) const
+    {
+        if constexpr (std::is_same_v<Order, LeaseRenewal>) {
+            return this->world == World::Plain ? milliseconds::zero() : order.wait;
+        } else {
+            return milliseconds::zero();
+        }
+    }
+
+    // Holds the answer back until a run starts or ends, at most `until`.
+    template<typename Order, typename IsReached, typename Deliver, typename TimeOut>
+    void answerOnChange(
+        FakeExecutor &executor, Order order, IsReached isReached, Deliver deliver, TimeOut replyWithTimeout, milliseconds until, std::uint64_t changes)
+    {
+        this->schedule(tick, [=, this, &executor] {
+            if (!isReached()) {
                 replyWithTimeout();
-                return;
+            } else if (executor.changes != changes || this->now >= until) {
+                deliver(this->execute(executor, order));
+            } else {
+                this->answerOnChange(executor, order, isReached, deliver, replyWithTimeout, until, changes);
             }
-            this->schedule(this->randomNetworkDelay(), [owner, answer, reply] {
-                if (!owner->isStopped) {
-                    answer(reply);
-                }
-            });
         });
     }
 
@@ -872,12 +910,17 @@
 
     void renew(const std::shared_ptr<FakeOwner> &owner, const OwnershipTerm &term)
     {
+        for (const ExecutorKey &key : owner->scheduler->takePendingRenewals()) {
+            owner->idleUntil.erase(key);
+        }
         for (const ExecutorKey &key : owner->scheduler->executors()) {
-            if (owner->activeRenewals.contains(key)) {
+            const auto idle = owner->idleUntil.find(key);
+            if (owner->activeRenewals.contains(key) || (idle != owner->idleUntil.end() && idle->second > this->now)) {
                 continue;
             }
             const std::optional<RenewalPlan> plan = owner->scheduler->renewal(key, this->time(), term.expiresAt);
             if (!plan) {
+                owner->idleUntil[key] = this->world == World::Plain ? this->now : this->now + idleRenewalInterval;
                 continue;
             }
             owner->activeRenewals.insert(key);
