Count ends of timed work that are reported before the first plan

Cause: the occurrences of such a job were opened by the first plan, unless they had stored progress. An end or a run that an executor reported before found no item: the end was dropped and acknowledged, the run stopped as unknown. Change: the due occurrences of an inherited job are open as soon as it is known. Why it works: an occurrence that is not due has no run.

--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -194,6 +194,10 @@
         this->d->markChanged(entry);
         return;
     }
+    // Executors may report runs of these occurrences before the first plan.
+    for (std::size_t occurrence = 0; occurrence < entry.occurrences.size() && dueTime(job.spec, occurrence) <= wallNow; ++occurrence) {
+        this->d->openOccurrence(entry, occurrence);
+    }
     entry.state = progress->state;
     entry.hasStarted = progress->state != JobState::Queued;
     entry.isInherited = progress->mayHaveStarted;
