Try an executor on which work failed with one run at a time

Cause: an executor on which items of two jobs had failed in a row got nothing for 5 s, and after one more failure for another 5 s, whatever else had room. Hopeless jobs in series did that to whole pools of sound executors. Ruled out: a mere rank. Executors that fail all they start would take item after item in a full pool; and a shorter pause that ends with as many starts as fit. Change: such an executor pauses for 0.5 s after a failure and then gets one run at a time until one is done, or lasts longer than 0.8 s. Why it works: one run shows whether it works again; a bad executor costs about two attempts a second instead of all that fit at the end of each pause.

--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -11,9 +11,8 @@
 
 // Weight of a new observation in exponentially smoothed ratios.
 constexpr double smoothingWeight = 0.2;
-// An executor on which items of this many distinct jobs fail in a row is avoided for the cooldown.
-constexpr std::size_t failuresBeforeCooldown = 2;
-constexpr milliseconds failureCooldown{5000};
+// An executor that has failed repeatedly is avoided for this long, well below the time within which waiting work has to start.
+constexpr milliseconds failureCooldown{500};
 
 }
 
@@ -336,7 +335,7 @@
 void PoolScheduler::Private::recordItemFailure(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow)
 {
     executor.failedJobs.insert(end.item.job);
-    if (executor.failedJobs.size() >= failuresBeforeCooldown) {
+    if (executor.hasFailedRepeatedly()) {
         executor.avoidedUntil = after(now, failureCooldown);
         this->emitEvent("executor_avoided", end.item, executor, end.run, "items of several jobs failed in a row");
     }
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds stallCheckInterval{200};
 // The policy is asked about this many executors at a time.
 constexpr std::size_t maxExecutorsPerRequest = 100;
+// An executor that has failed repeatedly gets one run at a time; a run that lasts this long counts as no failure.
+constexpr milliseconds trialTime{800};
 // Executors slower than others by this factor are avoided if there is a choice.
 constexpr double slownessThreshold = 2.0;
 
@@ -121,6 +123,13 @@
     return longest;
 }
 
+bool PoolScheduler::Private::isOnTrial(const Executor &executor, TimePoint now)
+{
+    return executor.hasFailedRepeatedly() && std::any_of(executor.runs.begin(), executor.runs.end(), [now](const auto &entry) {
+        return entry.second.startedAt == TimePoint{} || now - entry.second.startedAt < trialTime;
+    });
+}
+
 PlacementObstacle PoolScheduler::Private::findConstraint(const Executor &executor, const JobEntry &entry, const ItemId &id, const StepSpec &spec) const
 {
     if (!hasRequiredLabel(executor.info, spec)) {
@@ -150,7 +159,7 @@
 void PoolScheduler::Private::refreshIndex(TimePoint now)
 {
     for (auto &[key, executor] : this->executors) {
-        if (this->isUsable(executor, now)) {
+        if (this->isUsable(executor, now) && !isOnTrial(executor, now)) {
             this->index.put(executor);
         } else {
             this->index.remove(executor);
@@ -160,7 +169,9 @@
 
 void PoolScheduler::Private::updateIndex(Executor &executor)
 {
-    if (executor.isIndexed) {
+    if (executor.hasFailedRepeatedly()) {
+        this->index.remove(executor);
+    } else if (executor.isIndexed) {
         this->index.put(executor);
     }
 }
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -55,6 +55,9 @@
     std::chrono::milliseconds expectedDuration{};
 };
 
+// An executor on which items of this many distinct jobs failed in a row has failed repeatedly.
+inline constexpr std::size_t maxFailedJobs = 2;
+
 struct Executor {
     ExecutorInfo info;
     // Discovery lists the incarnation.
@@ -104,6 +107,10 @@
     {
         return ExecutorKey{this->info.id, this->info.incarnation};
     }
+    bool hasFailedRepeatedly() const
+    {
+        return this->failedJobs.size() >= maxFailedJobs;
+    }
     Resources free() const
     {
         Resources resources = this->info.capacity;
@@ -333,6 +340,8 @@
     bool checkWatermarks(const PoolWatermarks &watermarks, TimePoint now);
     bool isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const;
     std::chrono::milliseconds computeCriticalPath(const JobEntry &entry) const;
+    // Returns true if the executor has failed repeatedly and holds a run that may still show whether it works again.
+    static bool isOnTrial(const Executor &executor, TimePoint now);
     // Adds usable executors to the index and removes the others.
     void refreshIndex(TimePoint now);
     void updateIndex(Executor &executor);
