Test: an executor that changes its pool within a partition

Cause: renewalEvents holds one lease renewal for each executor of the partition, whichever pool it is for. While the renewal of the former pool lasts, the new pool starts none, and afterwards nothing makes it start one: the new pool never asks the executor, gives it no work, and holds its inherited work back for it. The platform gives a moved instance another incarnation, so that the users' platform does not show this. Seen: no start within 20 s.

--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -291,5 +291,30 @@
     owner->stop();
 }
 
+// Each pool that lists an executor has to ask it, also if another pool of the partition listed it before.
+TEST_F(SchedulerTest, ExecutorThatChangesItsPoolIsAskedByTheNewPool)
+{
+    auto twoServices = std::make_shared<FleetConfig>(*this->config);
+    twoServices->revision = 2;
+    twoServices->queues.front().service = ServiceId{"shop"};
+    twoServices->services.emplace(ServiceId{"shop"}, ServiceConfig{ServiceId{"shop"}, {}, 64, true, false});
+    this->config = twoServices;
+    this->gateway->setConfig(this->config);
+    const auto owner = this->startOwner(1);
+    this->runUntil([this] {
+        return this->executors.highestToken == 1;
+    });
+    ExecutorInfo moved = executor();
+    moved.service = ServiceId{"shop"};
+    owner->setExecutors({moved}, BootClock().now());
+    this->runFor(100ms);
+    owner->setExecutors({moved}, BootClock().now());
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->runUntil([this] {
+        return this->executors.starts.size() == 3U;
+    });
+    owner->stop();
+}
+
 }
 }
