--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -211,11 +211,11 @@
 void ShardOwner::Tasks::startRenewals(PoolScheduler *pool)
 {
     for (const ExecutorKey &key : pool->executors()) {
-        if (this->state.renewalEvents.contains(key)) {
+        if (this->state.renewalEvents.contains(std::pair(pool, key))) {
             continue;
         }
         const auto renewalRequested = std::make_shared<Event>(this->state.owner.context);
-        this->state.renewalEvents.emplace(key, renewalRequested);
+        this->state.renewalEvents.emplace(std::pair(pool, key), renewalRequested);
         this->spawn([self = this->self, &sharedState = this->state, pool, key, renewalRequested]() -> net::awaitable<void> {
             Tasks tasks{self, sharedState};
             co_await tasks.renewLeases(pool, key, renewalRequested);
@@ -227,7 +227,7 @@
 {
     for (auto &[service, pool] : this->state.pools) {
         for (const ExecutorKey &key : pool->takePendingRenewals()) {
-            const auto found = this->state.renewalEvents.find(key);
+            const auto found = this->state.renewalEvents.find(std::pair(pool.get(), key));
             if (found != this->state.renewalEvents.end()) {
                 found->second->notify();
             }
@@ -398,7 +398,7 @@
     if (lastExecutor) {
         this->state.owner.executors.closeConnections(*lastExecutor);
     }
-    this->state.renewalEvents.erase(key);
+    this->state.renewalEvents.erase(std::pair(pool, key));
 }
 
 net::awaitable<bool> ShardOwner::Tasks::persistOnce()
