Test: ends of runs that change no job

Cause: markPersisted() is called only after an append. An end that changes no job, such as that of a stopped run or of an unknown job, is acknowledged only when something else of the partition is stored. Until then the renewal of its executor waits 0.4 s after each report, so that the other ends there are seen late and what they make room for waits.

--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -316,5 +316,25 @@
     owner->stop();
 }
 
+// While reported ends are not durable, the executor is asked only every 0.4 s.
+TEST_F(SchedulerTest, EndsThatChangeNoJobAreAcknowledged)
+{
+    const auto owner = this->startOwner(1);
+    this->runUntil([this] {
+        return this->executors.highestToken == 1;
+    });
+    this->runFor(200ms);
+    const std::int64_t lastEnd = 7;
+    this->executors.ended.push_back(ReportedEnd{lastEnd, ItemId{JobId{"00000000000000bb"}, 0, 0, 0}, 1, RunEnd::Stopped, {}});
+    this->executors.running.push_back(ReportedRun{ItemId{JobId{"00000000000000cc"}, 0, 0, 0}, 1, {}, 100, 0});
+    ExecutorInfo next = executor();
+    next.incarnation = 6;
+    owner->setExecutors({next}, BootClock().now());
+    this->runUntil([this] {
+        return this->executors.ended.empty();
+    });
+    owner->stop();
+}
+
 }
 }
