Owners: ends that change no job are acknowledged

Change: persistOnce() marks what was collected as durable also when there is nothing to store, unless the ownership has ended.

--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -432,6 +432,13 @@
         }
     }
     if (records.empty()) {
+        // Ends that change no job need no record. All earlier changes are durable, as an append is repeated until it is or the ownership ends.
+        if (!this->isEnded()) {
+            for (auto &[service, pool] : this->state.pools) {
+                pool->markPersisted();
+            }
+            this->wakeRenewals();
+        }
         this->state.isPersisting = false;
         co_return true;
     }
