--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -248,8 +248,7 @@
     return std::max(0, spare);
 }
 
-bool FleetPlanner::Private::canEvacuate(
-    const PlannedPool &pool, const std::map<ServiceId, PlannedPool> &pools, std::int32_t longRunning, bool isUrgent) const
+bool FleetPlanner::Private::canEvacuate(const PlannedPool &pool, const std::map<ServiceId, PlannedPool> &pools, std::int32_t longRunning, bool isUrgent) const
 {
     if (pool.isStandby) {
         return true;
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -254,7 +254,11 @@
     constexpr int callers = 4;
     constexpr int maxLoopIterations = 100;
     SlowStore slowStore(this->context);
-    StreamReader reader(this->context, slowStore, Stream::Progress, 0, StreamReader::Handlers{[] {}, [](const StoredRecord &) {}});
+    StreamReader reader(this->context, slowStore, Stream::Progress, 0,
+        StreamReader::Handlers{[] {
+                               },
+            [](const StoredRecord &) {
+            }});
     int returned = 0;
     for (int caller = 0; caller < callers; ++caller) {
         net::co_spawn(
@@ -266,7 +270,7 @@
             net::detached);
     }
     int loopIterations = 0;
-    while (returned < callers && this->context.run_one_for(10s) > 0) {
+    while (returned != callers && this->context.run_one_for(10s) > 0) {
         ++loopIterations;
     }
     EXPECT_EQ(returned, callers);
