Pools: only a lasting run is given up because its executor no longer knows it

Cause: gives up any run in phase Running that a complete report does not list. Change: a finite run is left to the check for stalls, as before; a lasting one restarts however it ended. Conclusion: stands for lasting runs.

--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -136,6 +136,24 @@
     EXPECT_GT(restarts, 0U);
 }
 
+// Its end may have been done and acknowledged; see docs/incidents/0004-acknowledged-by-the-next-life.md.
+TEST_F(PoolSchedulerTest, FiniteRunThatItsExecutorNoLongerKnowsIsNotRestartedAtOnce)
+{
+    this->setDiscovered({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    const std::string holder = first.starts[0].executor.id.value;
+    this->advance(100ms);
+    this->report(holder, {ReportedRun{first.starts[0].run.item, first.starts[0].run.run, {}, 100, 0}});
+    this->advance(1s);
+    this->renewal(holder);
+    this->report(holder);
+    EXPECT_TRUE(this->plan().starts.empty());
+}
+
 TEST_F(PoolSchedulerTest, NewExecutorsThatKeepArrivingDoNotHoldUpInheritedWork)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -336,7 +336,8 @@
         } else if (state.phase == RunPhase::Stopping && (state.isStopConfirmed || (listsEverything && sentAt > state.startableUntil))) {
             this->d->emitEvent("run_lost", state.item, *executor, state.number, "it never started");
             this->d->removeRun(*executor, current);
-        } else if (state.phase == RunPhase::Running && listsEverything) {
+        } else if (state.phase == RunPhase::Running && state.isLongRunning && listsEverything) {
+            // A run that lasts restarts however it ended. A finite one may have ended done, so it is left to the check for stalls.
             this->d->emitEvent("run_lost", state.item, *executor, state.number, "its executor no longer knows it");
             this->d->removeRun(*executor, current);
         }
