Test: a planner that was fenced off and holds the plan again

Cause: a planning duty whose append or order is fenced off ends. Its process starts another only if it had lost the plan or had a gap in its membership. If the plan went to another candidate and back between two renewals (two candidates after a stop; reassignment without a request), the duty ends while the process stays the planner: nobody plans, evacuations do not end and the evacuated executors, whatever room they have, get no work. Owners are replaced in this case (isSuperseded()). Ruled out: a gap (handlePlannersContact()), which starts anew. Seen: planning_superseded, and no planning_gained within 20 s. TestPlatform moves to schedulerprocess_test.h.

--- /dev/null
+++ b/src/scheduler/planningduty_test.cpp
@@ -0,0 +1,109 @@
+// Tests of the planning duty in a scheduler process.
+#include "schedulerprocess_test.h"
+
+#include "planningduty.h"
+
+namespace MangoCourse {
+namespace {
+
+class OneMachine : public MachinePort
+{
+public:
+    explicit OneMachine(net::io_context &context)
+        : context(context)
+    {
+    }
+
+    net::awaitable<Result<std::vector<MachineInfo>>> list() override
+    {
+        co_await sleepFor(this->context, 1ms);
+        ++this->listings;
+        MachineInfo machine;
+        machine.id = MachineId{"m"};
+        machine.pool = ServiceId{"desk"};
+        machine.state = MachineState::Up;
+        machine.capacity = Resources{64000, 64000, 0};
+        std::vector<MachineInfo> machines;
+        machines.push_back(std::move(machine));
+        co_return machines;
+    }
+    net::awaitable<MachineOutcome> move(const MachineId &, const ServiceId &, std::int64_t) override
+    {
+        co_return MachineOutcome::Done;
+    }
+    net::awaitable<MachineOutcome> maintain(const MachineId &, const WaveId &, std::int64_t) override
+    {
+        co_return MachineOutcome::Done;
+    }
+
+    net::io_context &context;
+    int listings = 0;
+};
+
+class PlatformWithMachines : public TestPlatform
+{
+public:
+    PlatformWithMachines(OneMachine &machinePort, MemoryStore &recordStore, FakeExecutors &executorPort, const NodeSettings &nodeSettings,
+        std::map<std::string, FleetConfig> &configs, CallerService *&service)
+        : TestPlatform(recordStore, executorPort, nodeSettings, configs, service)
+        , machinePort(machinePort)
+    {
+    }
+
+    MachinePort *machines() override
+    {
+        return &this->machinePort;
+    }
+    Result<OperatorRecord> decodeOperatorRecord(const std::string &key, const std::string &value) const override
+    {
+        if (key == "wave") {
+            return OperatorRecord(MaintenanceWave{WaveId{value}, {MachineId{"gone"}}, 30s, 1});
+        }
+        return TestPlatform::decodeOperatorRecord(key, value);
+    }
+    StoredRecord encodeWaveStatus(const WaveId &wave, bool) const override
+    {
+        return StoredRecord{wave.value, "status", -1};
+    }
+
+private:
+    OneMachine &machinePort;
+};
+
+// Another candidate was the planner between two renewals of the membership, and has left the group.
+TEST_F(SchedulerTest, PlannerThatWasFencedOffAndHoldsThePlanAgainPlansAgain)
+{
+    OneMachine machinePort(this->context);
+    CallerService *service = nullptr;
+    std::map<std::string, FleetConfig> configs{{"1", *this->config}};
+    std::vector<StoredRecord> &operatorRecords = this->store.partitions[{Stream::Operator, 0}].records;
+    operatorRecords.push_back(StoredRecord{"config", "1", 0});
+    this->store.membership = Membership{5, {OwnedPartition{Stream::Plan, plannerPartition}}};
+    auto process = std::move(*SchedulerProcess::create(
+        this->context, this->metrics, std::make_unique<PlatformWithMachines>(machinePort, this->store, this->executors, this->settings, configs, service)));
+    process->start();
+    this->runUntil([&machinePort] {
+        return machinePort.listings > 0;
+    });
+    bool isFenced = false;
+    net::co_spawn(
+        this->context,
+        [this, &isFenced]() -> net::awaitable<void> {
+            std::vector<StoredRecord> noRecords;
+            const ProducerStamp other{"planner", 6, 0};
+            (void)co_await this->store.append(Stream::Plan, plannerPartition, noRecords, other, 1s);
+            isFenced = true;
+        },
+        net::detached);
+    this->runUntil([&isFenced] {
+        return isFenced;
+    });
+    this->store.membership.generation = 7;
+    operatorRecords.push_back(StoredRecord{"wave", "1", 1});
+    this->runUntil([this] {
+        return !this->store.partitions[{Stream::Status, 0}].records.empty();
+    });
+}
+
+}
+}
--- a/src/scheduler/staleconfig_test.cpp
+++ b/src/scheduler/staleconfig_test.cpp
@@ -1,7 +1,5 @@
 // Tests of what callers are told by a process whose operator configuration is outdated.
-#include "scheduler_test.h"
-
-#include "schedulerprocess.h"
+#include "schedulerprocess_test.h"
 
 namespace MangoCourse {
 
@@ -16,84 +14,6 @@
 // Maximum time for which requests may be handled by a configuration that has been replaced.
 constexpr std::chrono::milliseconds configBound{2000};
 
-class IdleCallerFrontend : public CallerFrontend
-{
-public:
-    void start() override
-    {
-    }
-    void disableKeepAlive() override
-    {
-    }
-    std::size_t activeRequests() const override
-    {
-        return 0;
-    }
-    void stop() override
-    {
-    }
-};
-
-// Provides the fixture's store to the process and the process's caller service to the test.
-class TestPlatform : public PlatformAdapter
-{
-public:
-    TestPlatform(MemoryStore &recordStore, FakeExecutors &executorPort, const NodeSettings &nodeSettings, std::map<std::string, FleetConfig> &configs,
-        CallerService *&service)
-        : recordStore(recordStore)
-        , executorPort(executorPort)
-        , nodeSettings(nodeSettings)
-        , configs(configs)
-        , service(service)
-    {
-    }
-
-    const NodeSettings &settings() const override
-    {
-        return this->nodeSettings;
-    }
-    RecordStore &store() override
-    {
-        return this->recordStore;
-    }
-    ExecutorPort &executors() override
-    {
-        return this->executorPort;
-    }
-    MachinePort *machines() override
-    {
-        return nullptr;
-    }
-    PolicyPort *policy() override
-    {
-        return nullptr;
-    }
-    Result<std::unique_ptr<CallerFrontend>> openCallerFrontend(CallerService &callerService) override
-    {
-        this->service = &callerService;
-        return std::unique_ptr<CallerFrontend>(std::make_unique<IdleCallerFrontend>());
-    }
-    Result<OperatorRecord> decodeOperatorRecord(const std::string &, const std::string &value) const override
-    {
-        return OperatorRecord(this->configs.at(value));
-    }
-    Result<ExecutorInfo> decodeExecutor(const std::string &, const std::string &) const override
-    {
-        return makeError(ErrorCode::Decode, "there is none");
-    }
-    StoredRecord encodeWaveStatus(const WaveId &, bool) const override
-    {
-        return StoredRecord{};
-    }
-
-private:
-    MemoryStore &recordStore;
-    FakeExecutors &executorPort;
-    NodeSettings nodeSettings;
-    std::map<std::string, FleetConfig> &configs;
-    CallerService *&service;
-};
-
 class StaleConfigTest : public SchedulerTest
 {
 protected:
