--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -254,7 +254,11 @@
     constexpr int callers = 4;
     constexpr int maxLoopIterations = 100;
     SlowStore slowStore(this->context);
-    StreamReader reader(this->context, slowStore, Stream::Progress, 0, StreamReader::Handlers{[] {}, [](const StoredRecord &) {}});
+    StreamReader reader(this->context, slowStore, Stream::Progress, 0,
+        StreamReader::Handlers{[] {
+                               },
+            [](const StoredRecord &) {
+            }});
     int returned = 0;
     for (int caller = 0; caller < callers; ++caller) {
         net::co_spawn(
@@ -266,7 +270,7 @@
             net::detached);
     }
     int loopIterations = 0;
-    while (returned < callers && this->context.run_one_for(10s) > 0) {
+    while (returned != callers && this->context.run_one_for(10s) > 0) {
         ++loopIterations;
     }
     EXPECT_EQ(returned, callers);
@@ -291,5 +295,50 @@
     owner->stop();
 }
 
+// Each pool that lists an executor has to ask it, also if another pool of the partition listed it before.
+TEST_F(SchedulerTest, ExecutorThatChangesItsPoolIsAskedByTheNewPool)
+{
+    auto twoServices = std::make_shared<FleetConfig>(*this->config);
+    twoServices->revision = 2;
+    twoServices->queues.front().service = ServiceId{"shop"};
+    twoServices->services.emplace(ServiceId{"shop"}, ServiceConfig{ServiceId{"shop"}, {}, 64, true, false});
+    this->config = twoServices;
+    this->gateway->setConfig(this->config);
+    const auto owner = this->startOwner(1);
+    this->runUntil([this] {
+        return this->executors.highestToken == 1;
+    });
+    ExecutorInfo moved = executor();
+    moved.service = ServiceId{"shop"};
+    owner->setExecutors({moved}, BootClock().now());
+    this->runFor(100ms);
+    owner->setExecutors({moved}, BootClock().now());
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->runUntil([this] {
+        return this->executors.starts.size() == 3U;
+    });
+    owner->stop();
+}
+
+// While reported ends are not durable, the executor is asked only every 0.4 s.
+TEST_F(SchedulerTest, EndsThatChangeNoJobAreAcknowledged)
+{
+    const auto owner = this->startOwner(1);
+    this->runUntil([this] {
+        return this->executors.highestToken == 1;
+    });
+    this->runFor(200ms);
+    const std::int64_t lastEnd = 7;
+    this->executors.ended.push_back(ReportedEnd{lastEnd, ItemId{JobId{"00000000000000bb"}, 0, 0, 0}, 1, RunEnd::Stopped, {}});
+    this->executors.running.push_back(ReportedRun{ItemId{JobId{"00000000000000cc"}, 0, 0, 0}, 1, {}, 100, 0});
+    ExecutorInfo next = executor();
+    next.incarnation = 6;
+    owner->setExecutors({next}, BootClock().now());
+    this->runUntil([this] {
+        return this->executors.ended.empty();
+    });
+    owner->stop();
+}
+
 }
 }
