--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -476,6 +476,13 @@
             proxy.mode = generator.choice(["silent", "one-way"])
             return lambda: set_mode(proxy, "pass")
 
+        def cut_off_pool():
+            pool = [proxy for target, proxy in zip(self.executors, self.executor_proxies) if target.service == executor.service]
+            mode = generator.choice(["silent", "one-way"])
+            for proxy in pool:
+                proxy.mode = mode
+            return lambda: [set_mode(proxy, "pass") for proxy in pool]
+
         def set_health(statuses):
             executor.unhealthy_statuses = statuses
 
@@ -494,6 +501,7 @@
 
         return {
             "idle executor cut off": cut_off_idle,
+            "pool cut off": cut_off_pool,
             "executor unhealthy": lambda: (set_health(generator.choice([[429], [503], [429, 503]])), lambda: set_health([]))[1],
             "executor unlisted": lambda: (executor.unlist(), executor.list_again)[1],
             "answers to orders lost": lambda: (set_order_fault("lose-answers"), lambda: set_order_fault("none"))[1],
