--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -562,7 +562,8 @@
                    [self.further_random, self.find_further_kinds, LONGEST_FURTHER_FAULT_S, started_at + 4.0]]
         length_s = 4.0 + self.further_random.uniform(*SERIES_S)
         while remaining_s > 0:
-            length_s = min(length_s, remaining_s)
+            # A rest too short for a series of its own belongs to this one.
+            length_s = length_s if remaining_s - length_s > SERIES_S[0] else remaining_s
             ended_at = time.monotonic() + length_s
             self.inject_series(ended_at, sources)
             self.pause_faults()
