--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -131,12 +131,18 @@
 
 
 class WaitingWorkCheck(threading.Thread):
-    """Looks a few times a second, and reports work that could run in a calm stretch and doesn't."""
+    """Looks a few times a second, and reports work that could run in a calm stretch and doesn't.
+
+    It could run if for MAX_WAIT_S there is room for it twice over that nothing else uses meanwhile, or, as the users' rules have it, at each look any such
+    room while less than half of the service's capacity is in use.
+    """
 
     def __init__(self, soak):
         super().__init__(daemon=True)
         self.soak = soak
         self.waiting_since = {}
+        # For each service, the looks of the last MAX_WAIT_S: (time, free capacity of each sound executor).
+        self.looks = {service: [] for service in SERVICE_BY_PREFIX.values()}
         self.reported = set()
         self.judged_s = 0.0
         self.longest_wait_s = 0.0
@@ -149,35 +155,49 @@
             calm_s = self.soak.measure_calm(now)
             if calm_s < CALM_S:
                 self.waiting_since.clear()
+                self.looks = {service: [] for service in self.looks}
             else:
                 self.judged_s += now - previous_look_at if calm_s > CALM_S + MAX_WAIT_S else 0.0
                 self.look(now)
             previous_look_at = now
 
-    def count_places(self, service, step, taken):
-        """Returns how many items of the step fit on sound executors beside what runs there."""
+    @staticmethod
+    def count_places(room, step, taken):
+        """Returns how many items of the step fit into the room beside what runs there."""
         places = 0
-        for executor, free in self.soak.measure_room(service):
+        for executor, free in room.items():
             fitting = min(free[name] // step[name] for name in CAPACITY)
             allowed = step.get("anti_affinity", fitting + taken.count(executor)) - taken.count(executor)
             places += max(0, min(fitting, allowed))
         return places
 
+    def count_usable_places(self, service, step, taken):
+        """Returns for how many items of the step there has been room for MAX_WAIT_S."""
+        rooms = [room for _, room in self.looks[service]]
+        always_sound = set.intersection(*(set(room) for room in rooms))
+        unused = {executor: {name: min(room[executor][name] for room in rooms) for name in CAPACITY} for executor in always_sound}
+        places = self.count_places(unused, step, taken)
+        is_half_free = all(2 * sum(free[name] for free in room.values()) > self.soak.count_executors(service) * CAPACITY[name]
+                           for room in rooms for name in CAPACITY)
+        return max(places, min(self.count_places(room, step, taken) for room in rooms)) if is_half_free else places
+
     def look(self, now):
         checker = self.soak.checker
         with checker.lock:
             waiting = checker.find_waiting_items(now)
-        still_waiting = {}
+        for service, looks in self.looks.items():
+            looks.append((now, self.soak.measure_room(service)))
+            self.looks[service] = [look for look in looks if now - look[0] <= MAX_WAIT_S]
+        self.waiting_since = {item: self.waiting_since.get(item, now) for item, _, _ in waiting if item not in self.reported}
         for item, step, taken in waiting:
-            record = checker.jobs[item.split(".")[0]]
-            places = self.count_places(SERVICE_BY_PREFIX[record["prefix"]], step, taken)
-            if places < 2 or item in self.reported:
-                continue
-            since = still_waiting[item] = self.waiting_since.get(item, now)
+            since = self.waiting_since.get(item, now)
             self.longest_wait_s = max(self.longest_wait_s, now - since)
-            if now - since > MAX_WAIT_S:
+            if now - since <= MAX_WAIT_S:
+                continue
+            record = checker.jobs[item.split(".")[0]]
+            places = self.count_usable_places(SERVICE_BY_PREFIX[record["prefix"]], step, taken)
+            if places >= 2:
                 self.report(item, record, step, places, since)
-        self.waiting_since = still_waiting
 
     def report(self, item, record, step, places, since):
         """Reports the item as lost, unless callers see that its job has ended: not all ends that executors forgot in a crash are known here."""
@@ -435,9 +455,12 @@
         return now - self.disturbed_at
 
     def measure_room(self, service):
-        """Returns the name and the free capacity of each executor that callers of the service could count on."""
-        return [(executor.name, executor.compute_free()) for executor, proxy in zip(self.executors, self.executor_proxies)
-                if executor.service == service and executor.is_sound() and proxy.mode == "pass"]
+        """Returns the free capacity of each sound executor of the service, by its name."""
+        return {executor.name: executor.compute_free() for executor, proxy in zip(self.executors, self.executor_proxies)
+                if executor.service == service and executor.is_sound() and proxy.mode == "pass"}
+
+    def count_executors(self, service):
+        return sum(1 for executor in self.executors if executor.service == service)
 
     def restart_processes(self):
         if any([process.restart_if_exited() for process in self.processes]):
