--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -415,8 +415,10 @@
 class Soak:
     def __init__(self, arguments, seed, directory):
         self.random = random.Random(seed)
-        # The newer kinds of faults and the pauses are drawn by themselves, so that the other faults of a seed stay as they were.
-        self.further_random = random.Random(seed + 1000000)
+        # Lengths, and the faults of each source, are drawn by themselves, so that a run that is slower does not shift the others.
+        self.length_random = random.Random("lengths %d" % seed)
+        self.further_random = random.Random("further faults %d" % seed)
+        self.executor_random = random.Random("executor faults %d" % seed)
         random.seed(seed)
         self.checker = InvariantChecker()
         self.store = Store(PARTITION_COUNT)
@@ -502,8 +504,9 @@
 
     def find_further_kinds(self, generator, process, executor, executor_proxy):
         def cut_off_idle():
-            idle = [proxy for target, proxy in zip(self.executors, self.executor_proxies) if not target.running] or [executor_proxy]
-            proxy = generator.choice(idle)
+            order = generator.sample(range(len(self.executors)), len(self.executors))
+            idle = [self.executor_proxies[number] for number in order if not self.executors[number].running]
+            proxy = idle[0] if idle else executor_proxy
             proxy.mode = generator.choice(["silent", "one-way"])
             return lambda: set_mode(proxy, "pass")
 
@@ -565,13 +568,13 @@
                     recover = start()
                     self.recoveries.append((time.monotonic() + generator.uniform(0.3, longest_s), recover))
                     self.faults.append("%.2f s: %s, until %.2f s" % (time.monotonic() - START_TIME, name, self.recoveries[-1][0] - START_TIME))
-                    source[3] = time.monotonic() + generator.uniform(0.2, 2.5)
+                    source[3] += generator.uniform(0.2, 2.5)
             self.end_faults()
             time.sleep(0.05)
 
     def pause_faults(self):
         """Lets the active faults end and waits for some seconds more without a fault."""
-        until = time.monotonic() + self.further_random.uniform(*PAUSE_S)
+        until = time.monotonic() + self.length_random.uniform(*PAUSE_S)
         while self.recoveries or time.monotonic() < max(until, self.disturbed_at + JUDGED_PAUSE_S):
             self.restart_processes()
             self.end_faults()
@@ -583,20 +586,20 @@
         started_at = time.monotonic()
         sources = [[self.random, self.find_kinds, LONGEST_FAULT_S, started_at + 4.0],
                    [self.further_random, self.find_further_kinds, LONGEST_FURTHER_FAULT_S, started_at + 4.0]]
-        length_s = 4.0 + self.further_random.uniform(*SERIES_S)
+        length_s = 4.0 + self.length_random.uniform(*SERIES_S)
         while remaining_s > 0:
             # A rest too short for a series of its own belongs to this one.
             length_s = length_s if remaining_s - length_s > SERIES_S[0] else remaining_s
             ended_at = time.monotonic() + length_s
             self.inject_series(ended_at, sources)
             self.pause_faults()
-            self.inject_series(time.monotonic() + self.further_random.uniform(*SERIES_S),
-                               [[self.further_random, self.find_executor_kinds, LONGEST_FURTHER_FAULT_S, time.monotonic()]])
+            self.inject_series(time.monotonic() + self.length_random.uniform(*SERIES_S),
+                               [[self.executor_random, self.find_executor_kinds, LONGEST_FURTHER_FAULT_S, time.monotonic()]])
             self.pause_faults()
             for source in sources:
                 source[3] += time.monotonic() - ended_at
             remaining_s -= length_s
-            length_s = self.further_random.uniform(*SERIES_S)
+            length_s = self.length_random.uniform(*SERIES_S)
 
     def run(self):
         callers = [Caller(number, self.random.randrange(10 ** 6), self.processes, self.checker, self.stop) for number in range(4)]
@@ -696,15 +699,18 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--binaries", required=True, help="directory of the mangocourse-scheduler program")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", help="range of seeds such as 1-50; overrides --seed")
+    parser.add_argument("--seeds", help="seeds such as 1-50 or 1,5-7; overrides --seed")
     parser.add_argument("--seconds", type=float, default=20, help="duration of the fault injection, in seconds")
     parser.add_argument("--processes", type=int, default=5)
     parser.add_argument("--executors", type=int, default=8)
     parser.add_argument("--logs", help="directory for the logs of failed seeds")
     arguments = parser.parse_args()
-    first, last = (int(part) for part in arguments.seeds.split("-")) if arguments.seeds else (arguments.seed, arguments.seed)
-    failed = [seed for seed in range(first, last + 1) if run_seed(arguments, seed)]
-    print("%d seeds, %d failed%s" % (last - first + 1, len(failed), ": " + ", ".join(map(str, failed)) if failed else ""))
+    seeds = []
+    for part in (arguments.seeds or str(arguments.seed)).split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    failed = [seed for seed in seeds if run_seed(arguments, seed)]
+    print("%d seeds, %d failed%s" % (len(seeds), len(failed), ": " + ", ".join(map(str, failed)) if failed else ""))
     return 1 if failed else 0
 
 
