Planner: a pool is not parked while its late work still waits

Cause: late work counts with a twelfth of its rate in a pool's need, so that it withholds nothing from bursts; parking looked at the same need. Evidence: FleetPlannerTest.PoolWhoseLateWorkStillWaitsIsNotParked, red before (evacuations began after 4.5 s with 400 core-seconds of late work open). Change: an instance is parked only if the pool is larger than all its open work keeps busy. Moves to other pools are as before.

--- a/src/libmangocourse/fleetneeds.cpp
+++ b/src/libmangocourse/fleetneeds.cpp
@@ -97,6 +97,9 @@
         pool.longRunningMachines = static_cast<std::int32_t>((pool.report->longRunningCpu + pool.cpuPerMachine - 1) / pool.cpuPerMachine);
         pool.minSize = std::max(pool.report->spread + spareMachines, 2);
         pool.needed = std::max(machines, pool.minSize);
+        const double all = static_cast<double>(pool.report->backlog + pool.report->lateBacklog) / targetBacklogSeconds;
+        const double busyCores = static_cast<double>(pool.report->longRunningCpu) + all / packingEfficiency;
+        pool.busySize = static_cast<std::int32_t>(std::ceil(busyCores / static_cast<double>(pool.cpuPerMachine)));
     }
     scaleNeedsToSupply(pools);
     return pools;
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -326,7 +326,8 @@
         return;
     }
     for (auto &[service, pool] : pools) {
-        const bool hasSurplus = !pool.isStandby && pool.report != nullptr && pool.size() > pool.needed;
+        const std::int32_t usedSize = std::max(pool.needed, pool.busySize);
+        const bool hasSurplus = !pool.isStandby && pool.report != nullptr && pool.size() > usedSize;
         if (!hasSurplus) {
             this->surplusSince.erase(service);
             continue;
@@ -335,7 +336,7 @@
         if (now - since < this->settings.parkDelay) {
             continue;
         }
-        while (pool.size() > pool.needed && this->hasDonorMachine(pool, now)) {
+        while (pool.size() > usedSize && this->hasDonorMachine(pool, now)) {
             const MachineId machine = this->takeDonorMachine(pool);
             this->evacuate(machine, EvacuationPurpose::Move, {}, standby->service, now);
         }
--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -260,6 +260,29 @@
     EXPECT_GE(toShop, 4U);
 }
 
+TEST_F(FleetPlannerTest, PoolWhoseLateWorkStillWaitsIsNotParked)
+{
+    const std::vector<std::string> names{"d0", "d1", "d2", "d3", "d4", "d5"};
+    for (const std::string &name : names) {
+        this->addMachine(name, "desk");
+    }
+    this->updateListing();
+    for (int round = 0; round < 20; ++round) {
+        PoolReport late = this->makeReport("desk", names);
+        late.lateBacklog = 400'000;
+        this->sendReport(late);
+        this->plan();
+        this->advance(500ms);
+    }
+    EXPECT_TRUE(this->planner->state().evacuations.empty());
+    this->sendReport(this->makeReport("desk", names));
+    this->plan();
+    this->advance(5s);
+    this->sendReport(this->makeReport("desk", names));
+    this->plan();
+    EXPECT_EQ(this->planner->state().evacuations.size(), 4U);
+}
+
 // Long-running work moves item by item and takes longest, so a wave has to evacuate the instances that hold it first, at most four at a time.
 TEST_F(FleetPlannerTest, WaveStartsWithInstancesThatHoldLongRunningWork)
 {
