New executors that keep arriving do not hold up inherited work

What callers saw: nothing yet; found by reading, red in PoolSchedulerTest. Cause: a job that an earlier owner may have begun waited until each listed executor had answered, also those that started after the takeover. Ruled out: counting recorded executors only. Change: an executor that appears later and has no record of a previous owner holds none of its runs, since executors are recorded before their first run.

--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -38,13 +38,18 @@
 
 }
 
+bool PoolScheduler::Private::mayHoldUnknownRuns(const Executor &executor, TimePoint now) const
+{
+    // Even after all leases expired, an executor that was not queried yet may hold the unreported end of a finished item.
+    const bool isAsked = executor.isContacted || (now >= this->previousLeasesExpireAt && executor.failingSince != TimePoint{});
+    return executor.isListed && executor.mayHoldPreviousRuns && !isAsked;
+}
+
 bool PoolScheduler::Private::arePreviousRunsKnown(TimePoint now) const
 {
     const bool isPastLeases = now >= this->previousLeasesExpireAt;
     for (const auto &[key, executor] : this->executors) {
-        // Even after all leases expired, an executor that was not queried yet may hold the unreported end of a finished item.
-        const bool isAsked = executor.isContacted || (isPastLeases && executor.failingSince != TimePoint{});
-        if (executor.isListed && !isAsked) {
+        if (this->mayHoldUnknownRuns(executor, now)) {
             return false;
         }
     }
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -71,6 +71,8 @@
         Executor &executor = known->second;
         if (isNew) {
             executor.ordinal = ++this->d->lastOrdinal;
+            // An executor is recorded before its first run, so one that appears later without a record holds none of a previous owner.
+            executor.mayHoldPreviousRuns = !this->d->hasExecutorList || this->d->executorsOfPreviousOwners.contains(key);
             this->d->isExecutorSetChanged = true;
             this->d->pendingRenewals.insert(key);
         }
@@ -82,6 +84,7 @@
         // The executor is in use again, so its stored record must not be deleted.
         std::erase(this->d->endedExecutors, key);
     }
+    this->d->hasExecutorList = this->d->hasExecutorList || !executors.empty();
     // A machine runs one incarnation at a time, so a newer one proves that the older one has ended.
     for (auto &[key, executor] : this->d->executors) {
         if (executor.isListed) {
@@ -141,6 +144,7 @@
     for (const auto &[key, location] : used) {
         if (location.service == this->d->service) {
             this->d->previousExecutors.emplace(key, location.machine);
+            this->d->executorsOfPreviousOwners.insert(key);
         }
     }
 }
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -66,6 +66,8 @@
     bool hasEnded = false;
     // The executor has accepted the fencing token of this owner.
     bool isContacted = false;
+    // A previous owner may have used the executor.
+    bool mayHoldPreviousRuns = false;
     std::optional<std::chrono::milliseconds> clock;
     TimePoint clockReadAt{};
     // Latest time at which the lease can expire.
@@ -255,6 +257,9 @@
     std::map<QueueId, QueueConfig> queues;
     std::map<ExecutorKey, Executor> executors;
     std::map<ExecutorKey, MachineId> previousExecutors;
+    // All executors that previous owners recorded, also those whose leases are over.
+    std::set<ExecutorKey> executorsOfPreviousOwners;
+    bool hasExecutorList = false;
     EvacuationList evacuations;
     std::map<MachineId, WallTime> upcomingMaintenance;
     std::unordered_map<JobId, JobEntry> jobs;
@@ -367,6 +372,8 @@
     void startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, const PlacementRound &round);
     std::chrono::milliseconds computeLeaseExpiry(const Executor &executor, TimePoint now, TimePoint expiresAt) const;
     void extendLease(Executor &executor, std::chrono::milliseconds until, TimePoint now) const;
+    // Returns true if the executor may hold runs or ends of a previous owner that this owner does not know.
+    bool mayHoldUnknownRuns(const Executor &executor, TimePoint now) const;
     // Returns true if every run that a previous owner started and that may be active is known.
     bool arePreviousRunsKnown(TimePoint now) const;
     void recordStartIntent(JobEntry &entry);
--- a/src/libmangocourse/poolwaiting.cpp
+++ b/src/libmangocourse/poolwaiting.cpp
@@ -492,8 +492,7 @@
     std::vector<std::string> names;
     const bool isPastLeases = this->now >= this->pool.previousLeasesExpireAt;
     for (const auto &[key, executor] : this->pool.executors) {
-        const bool isAsked = executor.isContacted || (isPastLeases && executor.failingSince != TimePoint{});
-        if (executor.isListed && !isAsked) {
+        if (this->pool.mayHoldUnknownRuns(executor, this->now)) {
             names.push_back(key.id.value);
         }
     }
