Look for usable passes of the policy four times a second at most

Cause: the search of 'ask the policy again when no usable executor has a pass' went over all executors for each waiting step in each plan, which an owner with a small share of a core cannot afford in a full pool (found by reading). Change: a step whose passes were of no use is looked at again after 250 ms.

--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -23,6 +23,8 @@
 // Overload lasts for seconds and stalls are detected late anyway, so neither is checked in each plan.
 constexpr milliseconds overloadCheckInterval{50};
 constexpr milliseconds stallCheckInterval{200};
+// Looking for a usable pass costs a pass over the executors, so each step is looked at this often only.
+constexpr milliseconds passCheckInterval{250};
 // The policy is asked about this many executors at a time.
 constexpr std::size_t maxExecutorsPerRequest = 100;
 // An executor that has failed repeatedly gets one run at a time; a run that lasts this long counts as no failure.
@@ -544,7 +546,7 @@
                 if (state.passesExpireAt <= now) {
                     state.passes.clear();
                     state.askedExecutors.clear();
-                } else if (this->d->hasUsablePass(state, spec, now)) {
+                } else if (now - state.passesCheckedAt < passCheckInterval || this->d->hasUsablePass(state, spec, now)) {
                     continue;
                 }
                 PolicyRequest question{ItemId{id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), 0}, {}};
@@ -555,6 +557,7 @@
                     }
                 }
                 if (question.executors.empty()) {
+                    state.passesCheckedAt = now;
                     continue;
                 }
                 state.askedExecutors.insert(question.executors.begin(), question.executors.end());
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -151,6 +151,8 @@
     // Passes of the placement policy by executor, and their expiry.
     std::map<ExecutorId, std::string> passes;
     TimePoint passesExpireAt{};
+    // Time at which no usable executor had a pass and the policy had been asked about all of them.
+    TimePoint passesCheckedAt{};
     bool isPolicyRequested = false;
     // Executors that the policy was asked about since the passes last expired.
     std::set<ExecutorId> askedExecutors;
