Planner: one that was fenced off and holds the plan again starts anew

Change: a renewal of the membership under a higher generation starts a new planning duty where the present one has ended; under the same generation the process leaves the group and joins again, which gives a higher token.

--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -353,6 +353,11 @@
     this->d->isStopped = true;
 }
 
+bool PlanningDuty::hasEnded() const
+{
+    return this->d->isEnded();
+}
+
 void PlanningDuty::setOrderDeadline(TimePoint orderDeadline)
 {
     this->d->orderDeadline = orderDeadline;
--- a/src/scheduler/planningduty.h
+++ b/src/scheduler/planningduty.h
@@ -41,6 +41,8 @@
 
     void start();
     void stop();
+    // Returns true after stop(), or after a planner with a higher token has fenced this one off.
+    bool hasEnded() const;
     // Sets the boot time after which no order is given. The boot clock includes the time for which the machine is suspended.
     void setOrderDeadline(TimePoint orderDeadline);
 
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -176,10 +176,15 @@
 {
     const auto &parts = confirmation.membership.owned;
     const bool isPlanner = std::find(parts.begin(), parts.end(), OwnedPartition{Stream::Plan, plannerPartition}) != parts.end();
-    if (isPlanner && (this->planningToken == 0 || confirmation.isPossiblyReassigned)) {
+    const bool isSuperseded = this->planningDuty && this->planningDuty->hasEnded();
+    const bool hasHigherToken = confirmation.membership.generation > this->planningToken;
+    if (isPlanner && (this->planningToken == 0 || confirmation.isPossiblyReassigned || (isSuperseded && hasHigherToken))) {
         this->setPlanningToken(confirmation.membership.generation);
     } else if (!isPlanner && this->planningToken != 0) {
         this->setPlanningToken(0);
+    } else if (isSuperseded) {
+        // Only a new membership gives a higher token.
+        this->plannerMember.stop();
     }
     this->notPlanningSince = isPlanner ? std::nullopt : std::optional(this->notPlanningSince.value_or(bootNow()));
     if (this->notPlanningSince && bootNow() - *this->notPlanningSince > surplusMemberGrace) {
