--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -364,10 +364,10 @@
             step = {"count": self.random.randint(1, 4), "cpu": 2000, "mem_mb": 100, "estimate_ms": 500}
             steps = [step] if self.random.random() < 0.6 else [step, dict(step, depends_on=[0])]
             kind = self.random.random()
-            if kind < 0.08:
-                large = self.random.choice([{"cpu": 12000}, {"mem_mb": 40000}])
+            if kind < 0.12:
+                large = self.random.choice([{"cpu": 7500}, {"cpu": 12000}, {"mem_mb": 30000}, {"mem_mb": 40000}])
                 steps = [dict(earlier, count=self.random.randint(1, 2), **large) for earlier in steps]
-            elif kind < 0.16:
+            elif kind < 0.2:
                 limits = self.random.choice([{}, {"may_miss": 1}, {"anti_affinity": 1}, {"may_miss": 1, "anti_affinity": 2}])
                 steps = [dict(step, count=self.random.randint(1, 3), cpu=500, mem_mb=500, long_running=True, **limits)]
                 self.lasting_jobs.append((prefix, job))
