--- a/src/libmangocourse/poolhistory_test.h
+++ b/src/libmangocourse/poolhistory_test.h
@@ -188,6 +188,8 @@
     milliseconds answersLostUntil{};
     milliseconds renewalsLostUntil{};
     milliseconds unlistedUntil{};
+    // Discovery goes on listing the executor though it can't be reached.
+    bool isListedWhileSilent = false;
     milliseconds slowUntil{};
     milliseconds leavesAt{milliseconds::max()};
     // Last time at which the executor was down, out of reach, faulty, not listed, draining or to be evacuated.
