--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -125,6 +125,17 @@
     return longest;
 }
 
+void PoolScheduler::Private::endTrial(Executor &executor, TimePoint now)
+{
+    const bool hasWorked = executor.hasFailedRepeatedly() && std::any_of(executor.runs.begin(), executor.runs.end(), [&executor, now](const auto &entry) {
+        const Run &run = entry.second;
+        return run.isLongRunning && run.phase == RunPhase::Running && run.startedAt >= executor.avoidedUntil && now - run.startedAt >= trialTime;
+    });
+    if (hasWorked) {
+        executor.failedJobs.clear();
+    }
+}
+
 bool PoolScheduler::Private::isOnTrial(const Executor &executor, TimePoint now)
 {
     return executor.hasFailedRepeatedly() && std::any_of(executor.runs.begin(), executor.runs.end(), [now](const auto &entry) {
@@ -161,6 +172,7 @@
 void PoolScheduler::Private::refreshIndex(TimePoint now)
 {
     for (auto &[key, executor] : this->executors) {
+        endTrial(executor, now);
         if (this->isUsable(executor, now) && !isOnTrial(executor, now)) {
             this->index.put(executor);
         } else {
@@ -171,9 +183,7 @@
 
 void PoolScheduler::Private::updateIndex(Executor &executor)
 {
-    if (executor.hasFailedRepeatedly()) {
-        this->index.remove(executor);
-    } else if (executor.isIndexed) {
+    if (executor.isIndexed) {
         this->index.put(executor);
     }
 }
@@ -257,7 +267,11 @@
     }
     this->extendLease(executor, order.until, round.now);
     run.startableUntil = executor.leaseEnd;
-    this->updateIndex(executor);
+    if (executor.hasFailedRepeatedly() && !spec.isGang) {
+        this->index.remove(executor);
+    } else {
+        this->updateIndex(executor);
+    }
     this->orders.starts.push_back(StartOrder{executor.info, std::move(order), round.now, round.watermarks});
 }
 
@@ -299,6 +313,12 @@
         item.checkpoint = checkpoint;
         this->startOn(*executor, entry, id, item, number + 1, round);
     }
+    for (const Item &item : state.items) {
+        Executor &holder = *this->find(item.runningOn.front());
+        if (holder.hasFailedRepeatedly()) {
+            this->index.remove(holder);
+        }
+    }
     return true;
 }
 
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -347,6 +347,8 @@
     bool checkWatermarks(const PoolWatermarks &watermarks, TimePoint now);
     bool isStepReady(const JobEntry &entry, const OccurrenceState &occurrence, std::size_t step) const;
     std::chrono::milliseconds computeCriticalPath(const JobEntry &entry) const;
+    // Forgets the failures of an executor on which a long-running item has started and goes on since.
+    static void endTrial(Executor &executor, TimePoint now);
     // Returns true if the executor has failed repeatedly and holds a run that may still show whether it works again.
     static bool isOnTrial(const Executor &executor, TimePoint now);
     // Adds usable executors to the index and removes the others.
