--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -122,5 +122,80 @@
     std::printf("%u histories, %d jobs completed, %d takeovers\n", count, completed, takeovers);
 }
 
+// Tests with two executors on which hopeless jobs have failed.
+class PoolTrialTest : public PoolProgressTest
+{
+protected:
+    void SetUp() override
+    {
+        PoolProgressTest::SetUp();
+        std::vector<ExecutorInfo> infos;
+        for (const std::string &name : this->names) {
+            infos.push_back(executor(name));
+            infos.back().labels.push_back(name);
+        }
+        this->setDiscovered(infos);
+        for (const std::string &name : this->names) {
+            this->report(name);
+            this->failTwoJobs(name);
+        }
+        this->advance(5s);
+    }
+
+    void failTwoJobs(const std::string &name)
+    {
+        for (std::int64_t number = 1; number <= 2; ++number) {
+            AcceptedJob hopeless = this->job(name + std::to_string(number));
+            hopeless.spec.steps[0].requiredLabel = name;
+            this->add(hopeless);
+            const SchedulerOrders orders = this->planAndConfirm();
+            ASSERT_EQ(orders.starts.size(), 1U);
+            this->report(name, {}, {ReportedEnd{number, orders.starts[0].run.item, orders.starts[0].run.run, RunEnd::Failed, {}}});
+            this->scheduler->cancelJob(hopeless.id, this->now, this->wall);
+            this->advance(600ms);
+        }
+        this->report(name);
+    }
+
+    static StepSpec step(std::int32_t count)
+    {
+        StepSpec step;
+        step.count = count;
+        step.resources = Resources{4000, gigabyte, 0};
+        step.estimate = 1000ms;
+        return step;
+    }
+
+    const std::vector<std::string> names{"one", "two"};
+};
+
+TEST_F(PoolTrialTest, GangStartsOnExecutorsOnWhichHopelessJobsFailed)
+{
+    StepSpec gang = step(4);
+    gang.isGang = true;
+    this->add(this->job("gang", gang));
+    EXPECT_EQ(this->runFor(longestWait, this->names).size(), 4U);
+}
+
+TEST_F(PoolTrialTest, LastingItemsStartSoonOnExecutorsOnWhichHopelessJobsFailed)
+{
+    StepSpec lasting = step(14);
+    lasting.isLongRunning = true;
+    lasting.estimate = 0ms;
+    this->add(this->job("lasting", lasting));
+    EXPECT_EQ(this->runFor(longestWait, this->names).size(), 14U);
+}
+
+TEST_F(PoolTrialTest, GangThatFitsNowhereLeavesTheExecutorsToOtherJobs)
+{
+    StepSpec gang = step(40);
+    gang.isGang = true;
+    gang.estimate = 100ms;
+    this->add(this->job("gang", gang));
+    this->runFor(4s, {});
+    this->add(this->job("small"));
+    EXPECT_EQ(this->runFor(longestWait, this->names).size(), 1U);
+}
+
 }
 }
