Open an occurrence that an executor reports; ask the policy past the limits

What callers would have seen: an item with times ran again after it was done, or twice, if an earlier owner's clock was ahead. Cause: 'count ends of timed work' opened the occurrences that are due by this owner's clock only. Change: an occurrence is open once an executor reports a run or an end of it, which covers the due ones too. A step of a queue with a policy waited for the passes to expire, though others were allowed, if those with a pass were at their limit for the step. Cause: the search for a usable pass looked at the room only. Change: it applies all constraints. Test: PolicyIsAskedAboutOthersWhenThoseWithAPassAreAtTheirLimit.

--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -64,6 +64,16 @@
     return static_cast<std::size_t>(id.index) < items.size() ? &items[static_cast<std::size_t>(id.index)] : nullptr;
 }
 
+Item *PoolScheduler::Private::findReportedItem(const ItemId &id)
+{
+    JobEntry *entry = this->findJob(id.job);
+    const bool isInherited = entry != nullptr && entry->isOpen() && entry->isInherited;
+    if (isInherited && id.occurrence >= 0 && static_cast<std::size_t>(id.occurrence) < entry->occurrences.size()) {
+        this->openOccurrence(*entry, static_cast<std::size_t>(id.occurrence));
+    }
+    return this->findItem(id);
+}
+
 const StepSpec &PoolScheduler::Private::stepOf(const ItemId &id)
 {
     return this->jobs.at(id.job).job.spec.steps[static_cast<std::size_t>(id.step)];
@@ -366,7 +376,7 @@
 
 void PoolScheduler::Private::handleRunEnd(Executor &executor, const ReportedEnd &end, TimePoint now, WallTime wallNow)
 {
-    Item *item = this->findItem(end.item);
+    Item *item = this->findReportedItem(end.item);
     if (item == nullptr) {
         return;
     }
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -537,12 +537,22 @@
     return false;
 }
 
-bool PoolScheduler::Private::hasUsablePass(const StepState &state, const StepSpec &spec, TimePoint now) const
+bool PoolScheduler::Private::hasUsablePass(const JobEntry &entry, ItemId id, TimePoint now) const
 {
+    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
+    const StepState &state = entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
+    const auto waiting = std::find_if(state.items.begin(), state.items.end(), [](const Item &item) {
+        return item.phase == ItemPhase::Waiting;
+    });
+    if (waiting == state.items.end()) {
+        return true;
+    }
+    id.index = static_cast<std::int32_t>(waiting - state.items.begin());
     const Resources demand = demandOf(spec);
-    return std::any_of(this->executors.begin(), this->executors.end(), [&](const auto &entry) {
-        const Executor &executor = entry.second;
-        return state.passes.contains(executor.info.id) && this->isUsable(executor, now) && executor.free().covers(demand);
+    return std::any_of(this->executors.begin(), this->executors.end(), [&](const auto &known) {
+        const Executor &executor = known.second;
+        return state.passes.contains(executor.info.id) && this->isUsable(executor, now) && executor.free().covers(demand)
+            && this->findConstraint(executor, entry, id, spec) == PlacementObstacle::None;
     });
 }
 
@@ -560,16 +570,17 @@
             for (std::size_t step = 0; occurrence.isOpen && step < occurrence.steps.size(); ++step) {
                 StepState &state = occurrence.steps[step];
                 const StepSpec &spec = entry.job.spec.steps[step];
+                const ItemId firstItem{id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), 0};
                 if (state.done >= spec.count || state.isPolicyRequested || !this->d->isStepReady(entry, occurrence, step)) {
                     continue;
                 }
                 if (state.passesExpireAt <= now) {
                     state.passes.clear();
                     state.askedExecutors.clear();
-                } else if (now - state.passesCheckedAt < passCheckInterval || this->d->hasUsablePass(state, spec, now)) {
+                } else if (now - state.passesCheckedAt < passCheckInterval || this->d->hasUsablePass(entry, firstItem, now)) {
                     continue;
                 }
-                PolicyRequest question{ItemId{id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), 0}, {}};
+                PolicyRequest question{firstItem, {}};
                 for (const auto &[key, executor] : this->d->executors) {
                     const bool isNew = question.executors.size() < maxExecutorsPerRequest && !state.askedExecutors.contains(executor.info.id);
                     if (isNew && this->d->isUsable(executor, now) && hasRequiredLabel(executor.info, spec)) {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -198,10 +198,6 @@
         this->d->markChanged(entry);
         return;
     }
-    // Executors may report runs of these occurrences before the first plan.
-    for (std::size_t occurrence = 0; occurrence < entry.occurrences.size() && dueTime(job.spec, occurrence) <= wallNow; ++occurrence) {
-        this->d->openOccurrence(entry, occurrence);
-    }
     entry.state = progress->state;
     entry.hasStarted = progress->state != JobState::Queued;
     entry.isInherited = progress->mayHaveStarted;
@@ -294,7 +290,7 @@
     }
     std::map<ItemId, std::pair<std::int64_t, TimePoint>> orphans;
     for (const ReportedRun &reported : report.running) {
-        Item *item = this->d->findItem(reported.item);
+        Item *item = this->d->findReportedItem(reported.item);
         if (item == nullptr) {
             orphans.try_emplace(reported.item, reported.run, TimePoint{});
             continue;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -301,6 +301,9 @@
     Run *resolveOrder(const ExecutorKey &key, const ItemId &item, std::int64_t number, const OrderReply &reply, TimePoint now);
     JobEntry *findJob(const JobId &id);
     Item *findItem(const ItemId &id);
+    // As findItem(), for a run or an end that an executor reports. A previous owner may have taken an occurrence for due that is not due by the
+    // clock of this one, so the occurrence is opened.
+    Item *findReportedItem(const ItemId &id);
     const StepSpec &stepOf(const ItemId &id);
     void markChanged(JobEntry &entry);
     void emitEvent(const char *event, const ItemId &item, const Executor &executor, std::int64_t run, std::string outcome);
@@ -367,8 +370,8 @@
     static double durationFactor(const JobEntry &entry);
     // Returns true if a speculative second run is expected to end sooner than the only active run.
     bool needsSecondRun(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
-    // Returns true if a usable executor with a pass has room for an item of the step.
-    bool hasUsablePass(const StepState &state, const StepSpec &spec, TimePoint now) const;
+    // Returns true if a waiting item of the step that `id` names could be placed on an executor with a pass.
+    bool hasUsablePass(const JobEntry &entry, ItemId id, TimePoint now) const;
     // Return true if items remain that may be placed later.
     bool placeJob(JobEntry &entry, const PlacementRound &round);
     bool placeStep(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
--- a/src/libmangocourse/poolstarvation_test.cpp
+++ b/src/libmangocourse/poolstarvation_test.cpp
@@ -199,5 +199,42 @@
     EXPECT_EQ(restarts, 1U);
 }
 
+TEST_F(PoolSchedulerTest, PolicyIsAskedAboutOthersWhenThoseWithAPassAreAtTheirLimit)
+{
+    const std::string near = "x100";
+    const std::string far = "x240";
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    std::vector<ExecutorInfo> infos;
+    for (int number = 100; number < 250; ++number) {
+        infos.push_back(executor("x" + std::to_string(number)));
+    }
+    this->setDiscovered(infos);
+    for (const ExecutorInfo &info : infos) {
+        this->report(info.id.value);
+    }
+    StepSpec step;
+    step.count = 2;
+    step.perExecutorLimit = 1;
+    step.isLongRunning = true;
+    step.resources = Resources{4000, gigabyte, 0};
+    this->add(this->job("a", step));
+    std::size_t starts = 0;
+    for (int round = 0; round < 30; ++round) {
+        starts += this->planAndConfirm().starts.size();
+        for (const PolicyRequest &request : this->scheduler->takePolicyRequests(this->now)) {
+            PolicyAnswer answer{{}, 60s};
+            for (const ExecutorId &id : request.executors) {
+                if (id.value == near || id.value == far) {
+                    answer.passes.push_back(PlacementPass{id, "pass"});
+                }
+            }
+            this->scheduler->onPolicyAnswer(request.step, answer, this->now);
+        }
+        this->advance(100ms);
+    }
+    EXPECT_EQ(starts, 2U);
+}
+
 }
 }
