One renewal loop for an executor that changes its pool

Change: the pool that lists the executor now starts its loop when that of the former pool has ended.

--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -47,8 +47,9 @@
     std::set<JobId> cancelled;
     // Jobs whose final state is durable but whose submissions are still stored, with the time at which the state became durable.
     std::deque<std::pair<TimePoint, JobId>> finalJobs;
-    // By pool, as an executor may be listed by one pool while the renewal for its former pool still ends.
-    std::map<std::pair<PoolScheduler *, ExecutorKey>, std::shared_ptr<Event>> renewalEvents;
+    // One renewal loop for each executor, also while it is listed by another pool than the one that it still renews for: the other pool would
+    // acknowledge ends of items that it doesn't know.
+    std::map<ExecutorKey, std::shared_ptr<Event>> renewalEvents;
     std::vector<StoredRecord> pendingRecords;
     // Reads the callers' submissions and cancellations.
     std::unique_ptr<StreamReader> jobsReader;
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -218,11 +218,11 @@
 void ShardOwner::Tasks::startRenewals(PoolScheduler *pool)
 {
     for (const ExecutorKey &key : pool->executors()) {
-        if (this->state.renewalEvents.contains(std::pair(pool, key))) {
+        if (this->state.renewalEvents.contains(key)) {
             continue;
         }
         const auto renewalRequested = std::make_shared<Event>(this->state.owner.context);
-        this->state.renewalEvents.emplace(std::pair(pool, key), renewalRequested);
+        this->state.renewalEvents.emplace(key, renewalRequested);
         this->spawn([self = this->self, &sharedState = this->state, pool, key, renewalRequested]() -> net::awaitable<void> {
             Tasks tasks{self, sharedState};
             co_await tasks.renewLeases(pool, key, renewalRequested);
@@ -234,7 +234,7 @@
 {
     for (auto &[service, pool] : this->state.pools) {
         for (const ExecutorKey &key : pool->takePendingRenewals()) {
-            const auto found = this->state.renewalEvents.find(std::pair(pool.get(), key));
+            const auto found = this->state.renewalEvents.find(key);
             if (found != this->state.renewalEvents.end()) {
                 found->second->notify();
             }
@@ -405,7 +405,12 @@
     if (lastExecutor) {
         this->state.owner.executors.closeConnections(*lastExecutor);
     }
-    this->state.renewalEvents.erase(std::pair(pool, key));
+    this->state.renewalEvents.erase(key);
+    for (auto &[service, other] : this->state.pools) {
+        if (!this->isEnded() && other.get() != pool && other->hasExecutor(key)) {
+            this->startRenewals(other.get());
+        }
+    }
 }
 
 net::awaitable<bool> ShardOwner::Tasks::persistOnce()
