Planner: late work keeps no more instances than its ready items occupy

Change: pools report the CPU of their ready items, at the end of the record; reports of earlier versions count as without any. Parking keeps no more than these occupy.

--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -39,6 +39,8 @@
     // Unfinished finite work in core-ms: jobs that can still meet their objective, and jobs that cannot.
     std::int64_t backlog = 0;
     std::int64_t lateBacklog = 0;
+    // CPU requested by the ready items of finite work, running or queued, in thousandths of a core.
+    std::int64_t readyCpu = 0;
     // Most instances that any one step needs because of its limit of items per executor.
     std::int32_t spread = 0;
     std::vector<ExecutorUsage> executors;
--- a/src/libmangocourse/fleetneeds.cpp
+++ b/src/libmangocourse/fleetneeds.cpp
@@ -98,7 +98,8 @@
         pool.minSize = std::max(pool.report->spread + spareMachines, 2);
         pool.needed = std::max(machines, pool.minSize);
         const double all = static_cast<double>(pool.report->backlog + pool.report->lateBacklog) / targetBacklogSeconds;
-        const double busyCores = static_cast<double>(pool.report->longRunningCpu) + all / packingEfficiency;
+        const double atOnce = std::min(all, static_cast<double>(pool.report->readyCpu));
+        const double busyCores = static_cast<double>(pool.report->longRunningCpu) + atOnce / packingEfficiency;
         pool.busySize = static_cast<std::int32_t>(std::ceil(busyCores / static_cast<double>(pool.cpuPerMachine)));
     }
     scaleNeedsToSupply(pools);
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -241,7 +241,7 @@
         if (other.isStandby) {
             spare += static_cast<std::int32_t>(other.up.size());
         } else if (other.report != nullptr) {
-            // A pool that lacks instances takes from the same spare ones.
+            // What another pool lacks is subtracted, as it takes it from the same spare instances.
             spare += other.size() - std::max(other.needed, other.recentPeak);
         }
     }
--- a/src/libmangocourse/fleetplanner_pvt.h
+++ b/src/libmangocourse/fleetplanner_pvt.h
@@ -40,7 +40,8 @@
     std::int32_t needed = 0;
     // Peak of `needed` over the last moments.
     std::int32_t recentPeak = 0;
-    // Instances that the open work keeps busy, including the work that has missed its objective. No instance below this size is parked.
+    // Instances that would finish all open work, late work too, in the target time, or that its ready items occupy, if those are fewer. The pool
+    // is not parked below this size.
     std::int32_t busySize = 0;
     // Instances that the long-running work needs by its CPU.
     std::int32_t longRunningMachines = 0;
--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -270,6 +270,7 @@
     for (int round = 0; round < 20; ++round) {
         PoolReport late = this->makeReport("desk", names);
         late.lateBacklog = 400'000;
+        late.readyCpu = 400'000;
         this->sendReport(late);
         this->plan();
         this->advance(500ms);
@@ -283,6 +284,24 @@
     EXPECT_EQ(this->planner->state().evacuations.size(), 4U);
 }
 
+TEST_F(FleetPlannerTest, LateWorkThatAFewInstancesHoldDoesNotKeepThePoolAtItsPeak)
+{
+    const std::vector<std::string> names{"d0", "d1", "d2", "d3", "d4", "d5"};
+    for (const std::string &name : names) {
+        this->addMachine(name, "desk");
+    }
+    this->updateListing();
+    for (int round = 0; round < 20; ++round) {
+        PoolReport late = this->makeReport("desk", names);
+        late.lateBacklog = 400'000;
+        late.readyCpu = 8'000;
+        this->sendReport(late);
+        this->plan();
+        this->advance(500ms);
+    }
+    EXPECT_EQ(this->planner->state().evacuations.size(), 4U);
+}
+
 // Long-running work moves item by item and takes longest, so a wave has to evacuate the instances that hold it first, at most four at a time.
 TEST_F(FleetPlannerTest, WaveStartsWithInstancesThatHoldLongRunningWork)
 {
--- a/src/libmangocourse/poolreport.cpp
+++ b/src/libmangocourse/poolreport.cpp
@@ -70,6 +70,7 @@
                     report.spread = std::max(report.spread, perExecutor > 0 ? (spec.count + perExecutor - 1) / perExecutor : 0);
                 } else {
                     backlog += workPerItem(spec) * remaining;
+                    report.readyCpu += spec.isBestEffort || !this->d->isStepReady(entry, occurrence, step) ? 0 : spec.resources.cpu * remaining;
                 }
             }
         }
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -225,7 +225,7 @@
         executors.push_back(Json::array({use.executor.value, use.incarnation, use.runs, use.longRunning, use.isReachable}));
     }
     return toBytes(Json::array({report.service.value, report.token, report.number, report.appliedEvacuationNumber, report.longRunningCpu, report.inflow,
-        report.backlog, report.lateBacklog, report.spread, std::move(executors)}));
+        report.backlog, report.lateBacklog, report.spread, std::move(executors), report.readyCpu}));
 }
 
 Result<PoolReport> decodePoolReport(std::string_view bytes)
@@ -246,6 +246,8 @@
             report.executors.push_back(ExecutorUsage{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int64_t>(), row.at(2).get<std::int32_t>(),
                 row.at(3).get<std::int32_t>(), row.at(4).get<bool>()});
         }
+        // Reports of earlier versions end here.
+        report.readyCpu = json.size() > 10 ? json.at(10).get<std::int64_t>() : 0;
         return report;
     } catch (const Json::exception &exception) {
         return makeError(ErrorCode::Decode, exception.what(), "pool report");
--- a/src/scheduler/recordcodec_test.cpp
+++ b/src/scheduler/recordcodec_test.cpp
@@ -37,6 +37,7 @@
     PoolReport report;
     report.service = ServiceId{"s"};
     report.lateBacklog = 5;
+    report.readyCpu = 12;
     report.executors.push_back(ExecutorUsage{ExecutorId{"x"}, 5, 1, 1, false});
     EXPECT_EQ(*decodePoolReport(encodePoolReport(report)), report);
     for (const char *bad : {"", "\xff", "\x80", "\x81\x01", "text"}) {
