A refused start does not end a run that its executor lists

What callers would have seen: an item running twice at once. Change: a run that a report has listed stays. Open: a first order that is carried out only after the refusal.

--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -329,7 +329,7 @@
         orphan.second = before != executor->orphans.end() ? before->second.second : TimePoint{};
     }
     executor->orphans = std::move(orphans);
-    // Not all ends may fit into one report.
+    // A report lists a limited number of ends, so only one without ends is known to be complete.
     const bool listsEverything = report.isComplete && report.ended.empty();
     for (auto run = executor->runs.begin(); run != executor->runs.end();) {
         const auto current = run++;
@@ -385,6 +385,10 @@
     case OrderOutcome::NotSent:
         break;
     }
+    if (run->isListed) {
+        // An order is sent again if its connection breaks. The executor has carried out the first and refuses the second.
+        return;
+    }
     const milliseconds pause = reply.outcome == OrderOutcome::Unhealthy || reply.outcome == OrderOutcome::NotSent ? milliseconds(1000) : milliseconds(100);
     executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, pause));
     if (reply.outcome == OrderOutcome::NoPass) {
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -57,6 +57,21 @@
     EXPECT_TRUE(this->plan().starts.empty());
 }
 
+TEST_F(PoolSchedulerTest, RefusalOfARepeatedOrderDoesNotRepeatARunThatItsExecutorLists)
+{
+    this->setDiscovered({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a"));
+    const SchedulerOrders orders = this->plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    const StartOrder &order = orders.starts[0];
+    this->advance(50ms);
+    this->report(order.executor.id.value, {ReportedRun{order.run.item, order.run.run, {}, 100, 0}});
+    this->answer(order, OrderOutcome::Unhealthy);
+    EXPECT_TRUE(this->plan().starts.empty());
+}
+
 TEST_F(PoolSchedulerTest, NothingStartsBeforeTheStartIntentIsDurable)
 {
     this->setDiscovered({executor("one")});
