A failed question to the policy keeps the passes of earlier answers

Cause: a failed question was taken for an answer without passes and validity, so that the passes before it expired at once (the review, by a test). Change: it changes nothing but that the executors are asked about again.

--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -27,7 +27,7 @@
 constexpr milliseconds passCheckInterval{250};
 // The policy is asked about this many executors at a time.
 constexpr std::size_t maxExecutorsPerRequest = 100;
-// An executor that has failed repeatedly gets one run at a time; a run that lasts this long counts as no failure.
+// An executor that has failed repeatedly gets one run at a time, and the next one when that has lasted this long.
 constexpr milliseconds trialTime{800};
 // Executors slower than others by this factor are avoided if there is a choice.
 constexpr double slownessThreshold = 2.0;
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -420,6 +420,11 @@
     }
     StepState &state = occurrence.steps[static_cast<std::size_t>(step.step)];
     state.isPolicyRequested = false;
+    if (answer.validity <= milliseconds::zero()) {
+        // The question failed. The passes of earlier answers stay, and the executors are asked about again.
+        state.askedExecutors.clear();
+        return;
+    }
     const TimePoint expiresAt = after(now, answer.validity);
     // Passes of an earlier answer that are still valid remain, and all expire with the first.
     const bool hasValidPasses = state.passesExpireAt > now && !state.passes.empty();
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -55,8 +55,8 @@
     std::chrono::milliseconds expectedDuration{};
 };
 
-// An executor on which items of this many distinct jobs failed in a row has failed repeatedly.
-inline constexpr std::size_t maxFailedJobs = 2;
+// Items of this many distinct jobs failed in a row on an executor that gets one run at a time.
+inline constexpr std::size_t failedJobsBeforeTrial = 2;
 
 struct Executor {
     ExecutorInfo info;
@@ -111,7 +111,7 @@
     }
     bool hasFailedRepeatedly() const
     {
-        return this->failedJobs.size() >= maxFailedJobs;
+        return this->failedJobs.size() >= failedJobsBeforeTrial;
     }
     Resources free() const
     {
@@ -151,7 +151,7 @@
     // Passes of the placement policy by executor, and their expiry.
     std::map<ExecutorId, std::string> passes;
     TimePoint passesExpireAt{};
-    // Time at which no usable executor had a pass and the policy had been asked about all of them.
+    // Last time at which no usable executor had a pass and the policy had been asked about all of them.
     TimePoint passesCheckedAt{};
     bool isPolicyRequested = false;
     // Executors that the policy was asked about since the passes last expired.
--- a/src/libmangocourse/poolstarvation_test.cpp
+++ b/src/libmangocourse/poolstarvation_test.cpp
@@ -199,6 +199,28 @@
     EXPECT_EQ(restarts, 1U);
 }
 
+TEST_F(PoolSchedulerTest, FailedQuestionToThePolicyKeepsValidPasses)
+{
+    this->config.queues.front().policy.emplace();
+    this->scheduler->setConfig(this->config);
+    this->setDiscovered({executor("one"), executor("two")});
+    this->report("one");
+    this->add(this->job("a"));
+    std::vector<PolicyRequest> requests = this->scheduler->takePolicyRequests(this->now);
+    ASSERT_EQ(requests.size(), 1U);
+    this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{{PlacementPass{ExecutorId{"one"}, "pass"}}, 60s}, this->now);
+    ExecutorReport failed;
+    failed.outcome = OrderOutcome::Unhealthy;
+    this->scheduler->onReport(ExecutorKey{ExecutorId{"one"}, 100}, failed, this->now, this->now, this->wall);
+    this->report("two");
+    requests = this->scheduler->takePolicyRequests(this->now);
+    ASSERT_EQ(requests.size(), 1U);
+    this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{}, this->now);
+    this->advance(100ms);
+    this->report("one");
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 TEST_F(PoolSchedulerTest, PolicyIsAskedAboutOthersWhenThoseWithAPassAreAtTheirLimit)
 {
     const std::string near = "x100";
