--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -90,6 +90,16 @@
     EXPECT_EQ(this->runFor(longestWait, {"one"}).size(), 1U);
 }
 
+TEST(PoolHistory, HopelessJobsInSeriesDoNotHoldUpOtherWork)
+{
+    for (const std::uint32_t seed : {1344U, 1419U}) {
+        History history(seed, World::Wide);
+        history.run(wideLength);
+        history.settle();
+        EXPECT_EQ(firstViolation(history), "") << "seed " << seed;
+    }
+}
+
 TEST(PoolHistory, AllWorkEndsAfterTheLastFault)
 {
     const std::uint32_t first = environmentValue("SEED", 1);
