--- a/src/include/mangocourse/execution.h
+++ b/src/include/mangocourse/execution.h
@@ -63,6 +63,14 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+// Returns the outcome of a call from the answer to its last attempt. `hasUnansweredAttempt`: an earlier attempt got no answer, so that it may have
+// been carried out, or may still be.
+constexpr OrderOutcome outcomeOfCall(OrderOutcome lastAnswer, bool hasUnansweredAttempt)
+{
+    (void)hasUnansweredAttempt;
+    return lastAnswer;
+}
+
 // Reason for the end of a run. Only Failed counts against the retry budget.
 enum class RunEnd {
     Done,
--- a/src/libmangocourse/poolhistory_test.cpp
+++ b/src/libmangocourse/poolhistory_test.cpp
@@ -36,5 +36,19 @@
     std::printf("%u histories, %d jobs completed, %d takeovers\n", count, completed, takeovers);
 }
 
+TEST(PoolHistory, NoPromiseIsBrokenIfARepeatedOrderIsRefusedAndTheFirstIsCarriedOut)
+{
+    const std::uint32_t first = environmentValue("SEED", 1);
+    const std::uint32_t count = environmentValue("HISTORIES", 60);
+    int completed = 0;
+    for (std::uint32_t seed = first; seed < first + count; ++seed) {
+        History history(seed, World::Plain, Connections::Breaking);
+        history.run(40'000ms);
+        EXPECT_TRUE(history.checker.violations.empty()) << "seed " << seed << ": " << history.checker.violations.front();
+        completed += history.completed;
+    }
+    EXPECT_GT(completed, static_cast<int>(count) * 10);
+}
+
 }
 }
--- a/src/libmangocourse/poolhistoryworld_test.h
+++ b/src/libmangocourse/poolhistoryworld_test.h
@@ -30,6 +30,9 @@
 // Items report checkpoints after this time.
 inline constexpr milliseconds checkpointInterval{400};
 inline constexpr milliseconds policyRetryDelay{300};
+// Calls after which the connection breaks, and how late the order of such a call may still be carried out.
+inline constexpr std::uint32_t breakPercent = 4;
+inline constexpr milliseconds maxLateness{5000};
 // An owner that has nothing to ask of an executor looks again after this time.
 inline constexpr milliseconds idleRenewalInterval{3000};
 // Items that start on a slow executor take longer by this factor.
@@ -61,12 +64,20 @@
     Wide,
 };
 
+enum class Connections {
+    Sound,
+    // At times a connection breaks after an order, which is carried out then or seconds later, and its repeat is refused.
+    Breaking,
+};
+
 class History
 {
 public:
-    explicit History(std::uint32_t seed, World world = World::Plain)
+    explicit History(std::uint32_t seed, World world = World::Plain, Connections connections = Connections::Sound)
         : world(world)
+        , connections(connections)
         , random(seed)
+        , randomBreaks(seed)
     {
         QueueConfig queue;
         queue.id = QueueId{"counter"};
@@ -819,6 +830,14 @@
                 }
             });
         };
+        if (this->breakConnection()) {
+            this->repeat(executor, isReached, order, [owner, answer](const Reply &reply) {
+                if (!owner->isStopped) {
+                    answer(reply);
+                }
+            });
+            return;
+        }
         if (canBeDelayed && this->loseMessage(2, 5500ms)) {
             replyWithTimeout();
             this->schedule(milliseconds(500 + this->randomBelow(5000)), [this, executor, isReached, order] {
@@ -850,6 +869,38 @@
         });
     }
 
+    // Returns true in some percent of the cases in which connections may break.
+    bool breakConnection()
+    {
+        const bool isBroken = this->connections == Connections::Breaking && this->canLoseMessages() && this->randomBreaks() % 100 < breakPercent;
+        if (isBroken) {
+            this->messagesLateUntil = std::max(this->messagesLateUntil, this->now + maxLateness);
+        }
+        return isBroken;
+    }
+
+    // The first attempt is carried out at once or late, and its answer is lost. The repeat is refused by an executor that does nothing.
+    template<typename Order, typename IsReached, typename Answer>
+    void repeat(FakeExecutor *executor, IsReached isReached, Order order, Answer answer)
+    {
+        constexpr OrderOutcome refusals[]
+            = {OrderOutcome::Stale, OrderOutcome::Late, OrderOutcome::NoRoom, OrderOutcome::NoPass, OrderOutcome::Invalid, OrderOutcome::Unhealthy};
+        const bool isLate = this->randomBreaks() % 2 == 0;
+        const auto wait = milliseconds(isLate ? 200 + this->randomBreaks() % (maxLateness.count() - 200) : 1 + this->randomBreaks() % 30);
+        this->schedule(wait, [this, executor, isReached, order] {
+            if (isReached()) {
+                this->execute(*executor, order);
+            }
+        });
+        decltype(this->execute(*executor, order)) reply;
+        reply.outcome = refusals[this->randomBreaks() % std::size(refusals)];
+        reply.outcome = outcomeOfCall(reply.outcome, true);
+        const auto answerTime = milliseconds(20 + this->randomBreaks() % 60);
+        this->schedule(answerTime, [isReached, answer, reply] {
+            answer(isReached() ? reply : decltype(reply){});
+        });
+    }
+
     template<typename Order>
     milliseconds waitOf(const Order &order) const
     {
@@ -1028,7 +1079,10 @@
     };
 
     World world;
+    Connections connections;
     std::mt19937 random;
+    // Separate, so that a seed gives the same history whether connections break or not, up to the first break.
+    std::mt19937 randomBreaks;
     // Passes of the placement policy by their text.
     std::map<std::string, Pass> passes;
     milliseconds now{};
--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -132,6 +132,21 @@
     std::printf("%u histories, %d jobs completed, %d takeovers\n", count, completed, takeovers);
 }
 
+TEST(PoolHistory, WaitingWorkRunsOnceIfARepeatedOrderIsRefusedAndTheFirstIsCarriedOut)
+{
+    const std::uint32_t first = environmentValue("SEED", 1);
+    const std::uint32_t count = environmentValue("HISTORIES", 100);
+    int completed = 0;
+    for (std::uint32_t seed = first; seed < first + count; ++seed) {
+        History history(seed, World::Wide, Connections::Breaking);
+        history.run(wideLength);
+        history.settle();
+        EXPECT_EQ(firstViolation(history), "") << "seed " << seed;
+        completed += history.completed;
+    }
+    EXPECT_GT(completed, static_cast<int>(count) * 10);
+}
+
 // Tests with two executors on which hopeless jobs have failed.
 class PoolTrialTest : public PoolProgressTest
 {
