--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -354,6 +354,48 @@
     EXPECT_FALSE(this->planner->state().evacuations.empty());
 }
 
+TEST_F(FleetPlannerTest, InstanceThatMayBeInMaintenanceKeepsItsSlotInTheWave)
+{
+    this->addMachine("one", "parked");
+    this->addMachine("two", "parked");
+    this->updateListing();
+    this->setWave({"one", "two"}, 1);
+    this->plan();
+    const PlannerOrders orders = this->plan();
+    ASSERT_EQ(orders.maintain.size(), 1U);
+    this->planner->onMaintenanceOutcome(orders.maintain[0], false, true, this->now);
+    for (int round = 0; round < 14; ++round) {
+        this->advance(200ms);
+        this->updateListing();
+        EXPECT_TRUE(this->plan().maintain.empty()) << "round " << round;
+    }
+    this->addMachine("one", "parked", MachineState::InMaintenance);
+    this->updateListing();
+    EXPECT_TRUE(this->plan().maintain.empty());
+    EXPECT_TRUE(this->planner->state().waves.at(WaveId{"1"}).startedMachines.contains(MachineId{"one"}));
+}
+
+TEST_F(FleetPlannerTest, InstanceThatMayBeMovingGetsNoWork)
+{
+    this->addMachine("one", "desk");
+    this->addMachine("two", "desk");
+    this->addMachine("spare", "parked");
+    this->updateListing();
+    PoolReport report = this->makeReport("desk", {"one", "two"});
+    report.inflow = 150'000;
+    this->sendReport(report);
+    this->plan();
+    const PlannerOrders orders = this->plan();
+    ASSERT_EQ(orders.move.size(), 1U);
+    this->planner->onMoveOutcome(orders.move[0], false, true, this->now);
+    for (int round = 0; round < 14; ++round) {
+        this->advance(200ms);
+        this->updateListing();
+        this->plan();
+        EXPECT_TRUE(includesIncarnation(this->planner->state().evacuationList().evacuating, ExecutorId{"x-spare"}, 7)) << "round " << round;
+    }
+}
+
 // Owners give no work to the incarnations that are listed as ended.
 TEST_F(FleetPlannerTest, LaterIncarnationIsNotListedAsEndedIfTheEarlierOneWasUnknownWhenItsEvacuationBegan)
 {
