--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -159,7 +159,7 @@
     return std::unique_ptr<ConnectionPool>(new ConnectionPool(std::move(impl)));
 }
 
-net::awaitable<Result<HttpResponse>> ConnectionPool::call(HttpCall call)
+net::awaitable<Result<HttpAnswer>> ConnectionPool::call(HttpCall call)
 {
     const std::shared_ptr<Private> self = this->d;
     const auto deadline = std::chrono::steady_clock::now() + call.timeout;
@@ -180,16 +180,17 @@
         connection = std::make_unique<Connection>(self->context);
         ++self->openCount;
     }
-    HttpResponse response;
+    HttpAnswer answer;
     const bool wasReused = connection->isReused;
-    ExchangeResult result = co_await self->exchange(*connection, request, response, deadline);
+    ExchangeResult result = co_await self->exchange(*connection, request, answer.response, deadline);
     if (result != ExchangeResult::Answered && wasReused && std::chrono::steady_clock::now() < deadline) {
         connection = std::make_unique<Connection>(self->context);
-        const ExchangeResult retryResult = co_await self->exchange(*connection, request, response, deadline);
+        answer.hasUnansweredAttempt = true;
+        const ExchangeResult retryResult = co_await self->exchange(*connection, request, answer.response, deadline);
         // The server may still carry out the first attempt.
         result = retryResult == ExchangeResult::Answered ? ExchangeResult::Answered : ExchangeResult::MaybeSent;
     }
-    if (result == ExchangeResult::Answered && response.keep_alive()) {
+    if (result == ExchangeResult::Answered && answer.response.keep_alive()) {
         self->returnConnection(std::move(connection));
     } else {
         connection.reset();
@@ -204,7 +205,7 @@
     case ExchangeResult::Answered:
         break;
     }
-    co_return response;
+    co_return answer;
 }
 
 }
--- a/src/libservice/connectionpool.h
+++ b/src/libservice/connectionpool.h
@@ -23,6 +23,13 @@
     std::chrono::milliseconds timeout{};
 };
 
+struct HttpAnswer {
+    HttpResponse response;
+    // The call was sent before, on a connection that broke without an answer. That attempt may have been carried out, or may still be, whatever this
+    // answer says.
+    bool hasUnansweredAttempt = false;
+};
+
 // Calls may run concurrently, each on its own connection. Runs on the io_context it was created with.
 class ConnectionPool
 {
@@ -30,9 +37,9 @@
     static Result<std::unique_ptr<ConnectionPool>> create(net::io_context &context, Endpoint endpoint, std::size_t maxConnections);
     ~ConnectionPool();
 
-    // Returns the response with any status. Errors: Unavailable if nothing was sent, Timeout if the call may have been carried out.
+    // Returns the answer with any status. Errors: Unavailable if nothing was sent, Timeout if the call may have been carried out.
     // After a failure on a reused connection the call is sent once more, so calls have to be idempotent.
-    net::awaitable<Result<HttpResponse>> call(HttpCall call);
+    net::awaitable<Result<HttpAnswer>> call(HttpCall call);
 
 private:
     class Private;
--- a/src/libservice/connectionpool_test.cpp
+++ b/src/libservice/connectionpool_test.cpp
@@ -25,7 +25,7 @@
 }
 
 struct CallOutcome {
-    std::optional<Result<HttpResponse>> response;
+    std::optional<Result<HttpAnswer>> answer;
     // Iterations of the caller's event loop.
     int loopIterations = 0;
 };
@@ -46,10 +46,10 @@
             HttpCall call;
             call.target = "/";
             call.timeout = 10s;
-            outcome.response = co_await (*pool)->call(std::move(call));
+            outcome.answer = co_await (*pool)->call(std::move(call));
         },
         net::detached);
-    while (!outcome.response && context.run_one_for(10s) > 0) {
+    while (!outcome.answer && context.run_one_for(10s) > 0) {
         ++outcome.loopIterations;
     }
     server.join();
@@ -63,24 +63,24 @@
     constexpr std::size_t bodySize = 100'000;
     constexpr int maxLoopIterations = 50;
     const CallOutcome outcome = callOnce(bodySize);
-    ASSERT_TRUE(outcome.response && *outcome.response);
-    EXPECT_EQ((*outcome.response)->body().size(), bodySize);
+    ASSERT_TRUE(outcome.answer && *outcome.answer);
+    EXPECT_EQ((*outcome.answer)->response.body().size(), bodySize);
     EXPECT_LE(outcome.loopIterations, maxLoopIterations);
 }
 
 TEST(ConnectionPool, ResponseWithoutBodyIsComplete)
 {
     const CallOutcome outcome = callOnce(0);
-    ASSERT_TRUE(outcome.response && *outcome.response);
-    EXPECT_TRUE((*outcome.response)->body().empty());
+    ASSERT_TRUE(outcome.answer && *outcome.answer);
+    EXPECT_TRUE((*outcome.answer)->response.body().empty());
 }
 
 TEST(ConnectionPool, ResponseLargerThanOneReadIsComplete)
 {
     constexpr std::size_t bodySize = 1'000'000;
     const CallOutcome outcome = callOnce(bodySize);
-    ASSERT_TRUE(outcome.response && *outcome.response);
-    EXPECT_EQ((*outcome.response)->body(), std::string(bodySize, 'x'));
+    ASSERT_TRUE(outcome.answer && *outcome.answer);
+    EXPECT_EQ((*outcome.answer)->response.body(), std::string(bodySize, 'x'));
 }
 
 // A server that accepts connections and answers nothing; each call has to end with its own timeout.
@@ -100,8 +100,8 @@
                 HttpCall call;
                 call.target = "/";
                 call.timeout = 200ms;
-                const auto response = co_await (*pool)->call(std::move(call));
-                EXPECT_FALSE(response);
+                const auto answer = co_await (*pool)->call(std::move(call));
+                EXPECT_FALSE(answer);
                 ++ended;
             },
             net::detached);
--- a/src/scheduler/batchappender.cpp
+++ b/src/scheduler/batchappender.cpp
@@ -1,6 +1,8 @@
 // Group commit of callers' records.
 #include "batchappender.h"
 
+#include "clocks.h"
+
 namespace MangoCourse {
 
 namespace {
@@ -33,7 +35,7 @@
 void BatchAppender::settle(Entry &entry, AppendOutcome outcome)
 {
     entry.isSettled = true;
-    entry.outcome = outcome;
+    entry.result.outcome = outcome;
     entry.settled.cancel();
 }
 
@@ -42,12 +44,26 @@
     return this->isRunning && this->failingSince && now - *this->failingSince > unavailableAfter;
 }
 
-net::awaitable<AppendOutcome> BatchAppender::append(StoredRecord record, steady_clock::time_point deadline)
+net::awaitable<AppendResult> BatchAppender::append(StoredRecord record, steady_clock::time_point deadline)
+{
+    const std::string key = record.key;
+    const bool hasEarlierAttempt = this->unsettledRecords.contains(key);
+    this->unsettledRecords.beginAppend(key);
+    AppendResult result = co_await this->queue(std::move(record), deadline);
+    if (result.outcome == AppendOutcome::Durable) {
+        this->unsettledRecords.markStored(key);
+    }
+    this->unsettledRecords.endAppend(key, result.outcome == AppendOutcome::Unknown, bootNow());
+    result.hasEarlierAttempt = hasEarlierAttempt;
+    co_return result;
+}
+
+net::awaitable<AppendResult> BatchAppender::queue(StoredRecord record, steady_clock::time_point deadline)
 {
     const auto now = steady_clock::now();
     if (this->isStoreUnavailable(now)) {
         // The records in progress probe the store. This record is not sent, so that its caller learns immediately that it is not stored.
-        co_return AppendOutcome::NotStored;
+        co_return AppendResult{AppendOutcome::NotStored, "not sent, as appends have failed for a while", 0, 0, false};
     }
     const auto entry = std::make_shared<Entry>(this->context);
     entry->record = std::move(record);
@@ -68,7 +84,7 @@
         entry->settled.expires_at(steady_clock::time_point::max());
         co_await entry->settled.async_wait(captureError(ignored));
     }
-    co_return entry->outcome;
+    co_return entry->result;
 }
 
 void BatchAppender::settleExpired()
@@ -76,9 +92,9 @@
     const auto now = steady_clock::now();
     const bool isUnavailable = this->isStoreUnavailable(now);
     std::erase_if(this->pendingEntries, [now, isUnavailable](const std::shared_ptr<Entry> &entry) {
-        const bool isExpired = entry->mayBeStored ? entry->unknownDeadline <= now : isUnavailable || entry->refusedDeadline <= now;
+        const bool isExpired = entry->mayBeStored() ? entry->unknownDeadline <= now : isUnavailable || entry->refusedDeadline <= now;
         if (isExpired) {
-            settle(*entry, entry->mayBeStored ? AppendOutcome::Unknown : AppendOutcome::NotStored);
+            settle(*entry, entry->mayBeStored() ? AppendOutcome::Unknown : AppendOutcome::NotStored);
         }
         return isExpired;
     });
@@ -103,6 +119,7 @@
         std::vector<StoredRecord> records;
         records.reserve(batch.size());
         for (const auto &entry : batch) {
+            ++entry->result.sends;
             records.push_back(entry->record);
         }
         const auto sentAt = steady_clock::now();
@@ -110,6 +127,7 @@
         if (appended) {
             this->failingSince.reset();
             for (const auto &entry : batch) {
+                entry->result.reason.clear();
                 settle(*entry, AppendOutcome::Durable);
             }
             continue;
@@ -117,7 +135,8 @@
         this->failingSince = this->failingSince.value_or(sentAt);
         const bool mayBeStored = appended.error().code == ErrorCode::Timeout;
         for (const auto &entry : batch) {
-            entry->mayBeStored = entry->mayBeStored || mayBeStored;
+            entry->result.reason = describe(appended.error());
+            entry->result.unansweredSends += mayBeStored ? 1 : 0;
         }
         this->pendingEntries.insert(this->pendingEntries.begin(), batch.begin(), batch.end());
         this->settleExpired();
--- a/src/scheduler/batchappender.h
+++ b/src/scheduler/batchappender.h
@@ -7,6 +7,7 @@
 
 #include "event.h"
 #include "ports.h"
+#include "unsettledrecords.h"
 
 namespace MangoCourse {
 
@@ -18,6 +19,17 @@
     Unknown,
 };
 
+struct AppendResult {
+    AppendOutcome outcome = AppendOutcome::NotStored;
+    // The last error of the store, or why the record was not sent. Empty if it is durable.
+    std::string reason;
+    int sends = 0;
+    // Sends after which the record may have been stored.
+    int unansweredSends = 0;
+    // Another append of the same key was in progress, or had ended without an answer.
+    bool hasEarlierAttempt = false;
+};
+
 // Sends one append at a time, with all records that were queued meanwhile. Appending a record twice must be harmless.
 class BatchAppender : public std::enable_shared_from_this<BatchAppender>
 {
@@ -25,7 +37,7 @@
     BatchAppender(net::io_context &context, RecordStore &store, Stream stream, std::int32_t partition);
 
     // Retries for a limited time, at most until the deadline. While the store is unavailable, records are rejected without being sent.
-    net::awaitable<AppendOutcome> append(StoredRecord record, std::chrono::steady_clock::time_point deadline);
+    net::awaitable<AppendResult> append(StoredRecord record, std::chrono::steady_clock::time_point deadline);
 
 private:
     struct Entry {
@@ -38,12 +50,17 @@
         // When to stop retrying: if the record cannot have been stored, and if it may have been stored.
         std::chrono::steady_clock::time_point refusedDeadline;
         std::chrono::steady_clock::time_point unknownDeadline;
-        bool mayBeStored = false;
         bool isSettled = false;
-        AppendOutcome outcome = AppendOutcome::NotStored;
+        AppendResult result;
         net::steady_timer settled;
+
+        bool mayBeStored() const
+        {
+            return this->result.unansweredSends > 0;
+        }
     };
 
+    net::awaitable<AppendResult> queue(StoredRecord record, std::chrono::steady_clock::time_point deadline);
     net::awaitable<void> run();
     bool isStoreUnavailable(std::chrono::steady_clock::time_point now) const;
     std::deque<std::shared_ptr<Entry>> takeBatch();
@@ -56,6 +73,7 @@
     Stream stream;
     std::int32_t partition;
     std::deque<std::shared_ptr<Entry>> pendingEntries;
+    UnsettledRecords unsettledRecords;
     bool isRunning = false;
     // Start of the first of the current series of failed appends.
     std::optional<std::chrono::steady_clock::time_point> failingSince;
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -92,6 +92,8 @@
     net::awaitable<PartitionView *> findJob(QueueConfig queue, JobId id, Result<void> &readResult);
     static std::optional<JobState> findState(const PartitionView &view, const JobId &id);
     void recordMovedQueues(const FleetConfig &next);
+    // Logs a submission that was not confirmed, with what tells its causes apart.
+    void logUnstored(std::string_view event, const JobId &id, const QueueConfig &queue, const char *reason, const AppendResult &appended);
 };
 
 std::unique_ptr<PartitionView> JobGateway::Private::makeView(std::int32_t partition)
@@ -211,8 +213,8 @@
     }
     AcceptedJob job{id, queue.id, queue.service, wallNow(), std::move(*spec)};
     StoredRecord record{id.value, encodeAcceptedJob(job), -1};
-    const AppendOutcome outcome = co_await view.appender->append(std::move(record), deadline);
-    switch (outcome) {
+    const AppendResult appended = co_await view.appender->append(std::move(record), deadline);
+    switch (appended.outcome) {
     case AppendOutcome::Durable:
         view.accepted.emplace(id, queue.id);
         this->log.emit("job_accepted",
@@ -220,16 +222,23 @@
                 {"steps", static_cast<std::int64_t>(job.spec.steps.size())}});
         co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
     case AppendOutcome::NotStored:
-        this->log.emit(
-            "job_refused", {{"job", id.value}, {"queue", queue.id.value}, {"reason", "the store does not accept records"}}, EventPriority::Essential);
+        this->logUnstored("job_refused", id, queue, "the store does not accept records", appended);
         co_return CallerReply{CallerOutcome::NotAccepted, {}, 0, "the store does not accept records", storeRetryAfter};
     case AppendOutcome::Unknown:
         break;
     }
-    this->log.emit("job_unsettled", {{"job", id.value}, {"queue", queue.id.value}, {"reason", "the store gave no answer"}}, EventPriority::Essential);
+    this->logUnstored("job_unsettled", id, queue, "the store gave no answer", appended);
     co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, "the store gave no answer", {}};
 }
 
+void JobGateway::Private::logUnstored(std::string_view event, const JobId &id, const QueueConfig &queue, const char *reason, const AppendResult &appended)
+{
+    this->log.emit(event,
+        {{"job", id.value}, {"queue", queue.id.value}, {"reason", reason}, {"error", appended.reason}, {"sends", std::int64_t(appended.sends)},
+            {"unanswered", std::int64_t(appended.unansweredSends)}, {"earlier_attempt", appended.hasEarlierAttempt}},
+        EventPriority::Essential);
+}
+
 net::awaitable<CallerReply> JobGateway::Private::cancel(QueueConfig queue, JobId id, steady_clock::time_point deadline)
 {
     Result<void> readResult;
@@ -241,14 +250,17 @@
         co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
     }
     StoredRecord record{cancellationKey(id), "1", -1};
-    const AppendOutcome outcome = co_await view->appender->append(std::move(record), deadline);
-    const bool isDurable = outcome == AppendOutcome::Durable;
-    this->log.emit("job_cancel", {{"job", id.value}, {"queue", queue.id.value}, {"durable", isDurable}}, EventPriority::Essential);
+    const AppendResult appended = co_await view->appender->append(std::move(record), deadline);
+    const bool isDurable = appended.outcome == AppendOutcome::Durable;
+    this->log.emit("job_cancel",
+        {{"job", id.value}, {"queue", queue.id.value}, {"durable", isDurable}, {"error", appended.reason}, {"sends", std::int64_t(appended.sends)},
+            {"unanswered", std::int64_t(appended.unansweredSends)}, {"earlier_attempt", appended.hasEarlierAttempt}},
+        EventPriority::Essential);
     if (isDurable) {
         view->cancelled.insert(id);
         co_return CallerReply{CallerOutcome::Cancelled, {}, 0, {}, {}};
     }
-    const bool isUnknown = outcome == AppendOutcome::Unknown;
+    const bool isUnknown = appended.outcome == AppendOutcome::Unknown;
     co_return CallerReply{
         isUnknown ? CallerOutcome::MayBeAccepted : CallerOutcome::Unavailable, {}, 0, "the store did not confirm the cancellation", storeRetryAfter};
 }
