--- a/src/include/mangocourse/execution.h
+++ b/src/include/mangocourse/execution.h
@@ -53,7 +53,7 @@
     Unhealthy,
     // The order did not reach the executor.
     NotSent,
-    // No reply: the order may still be carried out, even seconds later.
+    // An attempt got no reply: the order may have been carried out, or may still be, even seconds later.
     Unknown,
 };
 
@@ -63,12 +63,12 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
-// Returns the outcome of a call from the answer to its last attempt. `hasUnansweredAttempt`: an earlier attempt got no answer, so that it may have
-// been carried out, or may still be.
-constexpr OrderOutcome outcomeOfCall(OrderOutcome lastAnswer, bool hasUnansweredAttempt)
+// Returns what the answer to the last attempt of an order says about the order as a whole. `hasUnansweredAttempt`: an earlier attempt got no
+// answer. A refusal holds only for the attempt that it answers; the earlier one may have been carried out, or may still be.
+constexpr OrderOutcome outcomeOfOrder(OrderOutcome lastAnswer, bool hasUnansweredAttempt)
 {
-    (void)hasUnansweredAttempt;
-    return lastAnswer;
+    const bool coversAllAttempts = lastAnswer == OrderOutcome::Done || lastAnswer == OrderOutcome::Fenced || lastAnswer == OrderOutcome::OtherBoot;
+    return hasUnansweredAttempt && !coversAllAttempts ? OrderOutcome::Unknown : lastAnswer;
 }
 
 // Reason for the end of a run. Only Failed counts against the retry budget.
@@ -119,6 +119,8 @@
 struct OrderReply {
     OrderOutcome outcome = OrderOutcome::Unknown;
     std::optional<std::chrono::milliseconds> clock;
+    // Outcome of the last attempt if an earlier one got no answer, for the log.
+    std::optional<OrderOutcome> repeatOutcome{};
 };
 
 // Extends the lease of an executor, acknowledges ended runs and asks for a report.
--- a/src/libmangocourse/poolhistoryworld_test.h
+++ b/src/libmangocourse/poolhistoryworld_test.h
@@ -894,7 +894,7 @@
         });
         decltype(this->execute(*executor, order)) reply;
         reply.outcome = refusals[this->randomBreaks() % std::size(refusals)];
-        reply.outcome = outcomeOfCall(reply.outcome, true);
+        reply.outcome = outcomeOfOrder(reply.outcome, true);
         const auto answerTime = milliseconds(20 + this->randomBreaks() % 60);
         this->schedule(answerTime, [isReached, answer, reply] {
             answer(isReached() ? reply : decltype(reply){});
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -372,7 +372,7 @@
             run->phase = RunPhase::Unacknowledged;
         }
         executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, milliseconds(500)));
-        this->d->emitEvent("start_unanswered", order.item, *executor, order.run, "no reply, the item may run");
+        this->d->emitEvent("start_unanswered", order.item, *executor, order.run, "an attempt got no reply, the item may run");
         return;
     case OrderOutcome::Stale:
     case OrderOutcome::Late:
@@ -386,7 +386,7 @@
         break;
     }
     if (run->isListed) {
-        // An order is sent again if its connection breaks. The executor has carried out the first and refuses the second.
+        // The executor's own list outweighs its reply.
         return;
     }
     const milliseconds pause = reply.outcome == OrderOutcome::Unhealthy || reply.outcome == OrderOutcome::NotSent ? milliseconds(1000) : milliseconds(100);
