--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -151,6 +151,13 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+// As outcomeOfOrder(OrderOutcome, bool), for an order to a machine: one that has begun makes the machine busy, so that a repeat is refused.
+constexpr MachineOutcome outcomeOfOrder(MachineOutcome lastAnswer, bool hasUnansweredAttempt)
+{
+    const bool coversAllAttempts = lastAnswer == MachineOutcome::Done || lastAnswer == MachineOutcome::Fenced;
+    return hasUnansweredAttempt && !coversAllAttempts ? MachineOutcome::Unknown : lastAnswer;
+}
+
 // Calls to the platform's machine API. The platform uses the duty holder and the token to fence off superseded planners.
 class MachinePort
 {
