--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <vector>
 
 #include <mangocourse/clock.h>
@@ -122,6 +123,33 @@
     std::vector<Evacuation> move;
 };
 
+// Result of one order to move or maintain a machine.
+enum class MachineOutcome {
+    Done,
+    Fenced,
+    Busy,
+    NotInWave,
+    Invalid,
+    Throttled,
+    // The order did not reach the platform.
+    NotSent,
+    // An attempt got no reply: the order may have been carried out.
+    Unknown,
+};
+
+constexpr std::string_view toString(MachineOutcome outcome)
+{
+    constexpr std::string_view names[] = {"done", "fenced", "busy", "not-in-wave", "invalid", "throttled", "not-sent", "unknown"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+// As outcomeOfOrder(OrderOutcome, bool), for an order to a machine: one that has begun makes the machine busy, so that a repeat is refused.
+constexpr MachineOutcome outcomeOfOrder(MachineOutcome lastAnswer, bool hasUnansweredAttempt)
+{
+    const bool coversAllAttempts = lastAnswer == MachineOutcome::Done || lastAnswer == MachineOutcome::Fenced;
+    return hasUnansweredAttempt && !coversAllAttempts ? MachineOutcome::Unknown : lastAnswer;
+}
+
 // Timing parameters of the planner.
 struct PlannerSettings {
     // How long an instance is away for a move, and for maintenance.
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -10,6 +10,7 @@
 #include <mangocourse/clock.h>
 #include <mangocourse/execution.h>
 #include <mangocourse/fleetconfig.h>
+#include <mangocourse/fleetplanner.h>
 
 #include "asiotypes.h"
 
@@ -134,30 +135,6 @@
     virtual void closeConnections(const ExecutorInfo &executor) = 0;
 };
 
-enum class MachineOutcome {
-    Done,
-    Fenced,
-    Busy,
-    NotInWave,
-    Invalid,
-    Throttled,
-    NotSent,
-    Unknown,
-};
-
-constexpr std::string_view toString(MachineOutcome outcome)
-{
-    constexpr std::string_view names[] = {"done", "fenced", "busy", "not-in-wave", "invalid", "throttled", "not-sent", "unknown"};
-    return names[static_cast<std::size_t>(outcome)];
-}
-
-// As outcomeOfOrder(OrderOutcome, bool), for an order to a machine: one that has begun makes the machine busy, so that a repeat is refused.
-constexpr MachineOutcome outcomeOfOrder(MachineOutcome lastAnswer, bool hasUnansweredAttempt)
-{
-    const bool coversAllAttempts = lastAnswer == MachineOutcome::Done || lastAnswer == MachineOutcome::Fenced;
-    return hasUnansweredAttempt && !coversAllAttempts ? MachineOutcome::Unknown : lastAnswer;
-}
-
 // Calls to the platform's machine API. The platform uses the duty holder and the token to fence off superseded planners.
 class MachinePort
 {
