--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -374,12 +374,14 @@
         executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, milliseconds(500)));
         this->d->emitEvent("start_unanswered", order.item, *executor, order.run, "an attempt got no reply, the item may run");
         return;
+    case OrderOutcome::OtherBoot:
+        this->d->endIncarnation(*executor, now, "another incarnation answers at its address");
+        return;
     case OrderOutcome::Stale:
     case OrderOutcome::Late:
     case OrderOutcome::NoRoom:
     case OrderOutcome::NoPass:
     case OrderOutcome::Fenced:
-    case OrderOutcome::OtherBoot:
     case OrderOutcome::Invalid:
     case OrderOutcome::Unhealthy:
     case OrderOutcome::NotSent:
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -164,6 +164,23 @@
     EXPECT_EQ(this->plan().starts.size(), 1U);
 }
 
+TEST_F(PoolSchedulerTest, UnansweredStartOnAnEndedIncarnationRestartsOnlyOnceOwnershipIsConfirmed)
+{
+    this->setDiscovered({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->plan();
+    ASSERT_EQ(first.starts.size(), 1U);
+    // Another owner may have acknowledged the end of the run between the first attempt of the order and its repeat.
+    this->confirmedAt = this->now;
+    this->advance(1s);
+    this->answer(first.starts[0], OrderOutcome::OtherBoot);
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->confirmedAt = this->now;
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 TEST_F(PoolSchedulerTest, CancelledJobIsStoppedAndNeverStartsAgain)
 {
     this->setDiscovered({executor("one")});
