--- a/src/include/mangocourse/execution.h
+++ b/src/include/mangocourse/execution.h
@@ -112,7 +112,7 @@
     std::int64_t incarnation = 0;
     std::vector<ReportedRun> running;
     std::vector<ReportedEnd> ended;
-    // False if a part could not be read: what the report does not list may exist.
+    // False if a part could not be read or had no room: what the report does not list may exist.
     bool isComplete = true;
 };
 
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -340,7 +340,7 @@
         // The run is neither running nor ended, so the order that got no reply has not been carried out so far.
         if (state.phase == RunPhase::Unacknowledged) {
             this->d->requestStop(*executor, state, "the start order got no reply");
-        } else if (state.phase == RunPhase::Stopping && (state.isStopConfirmed || (listsEverything && sentAt > state.startableUntil))) {
+        } else if (state.phase == RunPhase::Stopping && ((state.isStopConfirmed && report.isComplete) || (listsEverything && sentAt > state.startableUntil))) {
             this->d->emitEvent("run_lost", state.item, *executor, state.number, "it never started");
             this->d->removeRun(*executor, current);
         } else if (state.phase == RunPhase::Running && state.isLongRunning && listsEverything) {
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -181,6 +181,32 @@
     EXPECT_EQ(this->plan().starts.size(), 1U);
 }
 
+TEST_F(PoolSchedulerTest, UnansweredStartIsNotGivenUpWhileItsEndMayBeUnlisted)
+{
+    this->setDiscovered({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("a"));
+    const SchedulerOrders first = this->plan();
+    ASSERT_EQ(first.starts.size(), 1U);
+    const ExecutorKey key{first.starts[0].executor.id, 100};
+    this->answer(first.starts[0], OrderOutcome::Unknown);
+    this->advance(10ms);
+    this->report(key.id.value);
+    const SchedulerOrders stopping = this->plan();
+    ASSERT_EQ(stopping.stops.size(), 1U);
+    this->scheduler->onStopped(key, stopping.stops[0].run, OrderReply{OrderOutcome::Done, {}}, this->now);
+    this->advance(10ms);
+    ExecutorReport partial;
+    partial.outcome = OrderOutcome::Done;
+    partial.isComplete = false;
+    this->scheduler->onReport(key, partial, this->now, this->now, this->wall);
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->report(key.id.value, {}, {ReportedEnd{1, first.starts[0].run.item, 1, RunEnd::Done, {}}});
+    EXPECT_TRUE(this->plan().starts.empty());
+    EXPECT_EQ(this->savedProgress.at(JobId{"a"}).state, JobState::Completed);
+}
+
 TEST_F(PoolSchedulerTest, CancelledJobIsStoppedAndNeverStartsAgain)
 {
     this->setDiscovered({executor("one")});
