--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -340,7 +340,7 @@
         // The run is neither running nor ended, so the order that got no reply has not been carried out so far.
         if (state.phase == RunPhase::Unacknowledged) {
             this->d->requestStop(*executor, state, "the start order got no reply");
-        } else if (state.phase == RunPhase::Stopping && (state.isStopConfirmed || (listsEverything && sentAt > state.startableUntil))) {
+        } else if (state.phase == RunPhase::Stopping && ((state.isStopConfirmed && report.isComplete) || (listsEverything && sentAt > state.startableUntil))) {
             this->d->emitEvent("run_lost", state.item, *executor, state.number, "it never started");
             this->d->removeRun(*executor, current);
         } else if (state.phase == RunPhase::Running && state.isLongRunning && listsEverything) {
@@ -372,21 +372,23 @@
             run->phase = RunPhase::Unacknowledged;
         }
         executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, milliseconds(500)));
-        this->d->emitEvent("start_unanswered", order.item, *executor, order.run, "no reply, the item may run");
+        this->d->emitEvent("start_unanswered", order.item, *executor, order.run, "an attempt got no reply, the item may run");
+        return;
+    case OrderOutcome::OtherBoot:
+        this->d->endIncarnation(*executor, now, "another incarnation answers at its address");
         return;
     case OrderOutcome::Stale:
     case OrderOutcome::Late:
     case OrderOutcome::NoRoom:
     case OrderOutcome::NoPass:
     case OrderOutcome::Fenced:
-    case OrderOutcome::OtherBoot:
     case OrderOutcome::Invalid:
     case OrderOutcome::Unhealthy:
     case OrderOutcome::NotSent:
         break;
     }
     if (run->isListed) {
-        // An order is sent again if its connection breaks. The executor has carried out the first and refuses the second.
+        // The executor's own list outweighs its reply.
         return;
     }
     const milliseconds pause = reply.outcome == OrderOutcome::Unhealthy || reply.outcome == OrderOutcome::NotSent ? milliseconds(1000) : milliseconds(100);
