--- a/src/libservice/connectionpool_test.cpp
+++ b/src/libservice/connectionpool_test.cpp
@@ -5,6 +5,8 @@
 
 #include <thread>
 
+#include "loopbackserver_test.h"
+
 namespace MangoCourse {
 namespace {
 
@@ -114,5 +116,72 @@
     EXPECT_LE(loopIterations, maxLoopIterations);
 }
 
+// Makes calls one after another and returns their answers.
+std::vector<Result<HttpAnswer>> callInTurn(LoopbackServer::Handler handler, int calls, std::chrono::milliseconds pause = 0ms)
+{
+    net::io_context context;
+    const LoopbackServer server(context, std::move(handler));
+    const auto pool = ConnectionPool::create(context, server.endpoint(), 1);
+    std::vector<Result<HttpAnswer>> answers;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            for (int number = 1; number <= calls; ++number) {
+                HttpCall call;
+                call.target = "/" + std::to_string(number);
+                call.timeout = 5s;
+                answers.push_back(co_await (*pool)->call(std::move(call)));
+                net::steady_timer timer(context, pause);
+                co_await timer.async_wait(net::use_awaitable);
+            }
+            context.stop();
+        },
+        net::detached);
+    context.run_for(10s);
+    return answers;
+}
+
+TEST(ConnectionPool, AnswerToARepeatSaysThatTheFirstAttemptGotNone)
+{
+    const auto answers = callInTurn(
+        [](const HttpRequest &request, int numberOnConnection) -> std::optional<LoopbackReply> {
+            return numberOnConnection == 2 ? std::nullopt : std::optional(loopbackReply(request.target() == "/1" ? 200 : 503));
+        },
+        2);
+    ASSERT_EQ(answers.size(), 2U);
+    ASSERT_TRUE(answers[0] && answers[1]);
+    EXPECT_FALSE(answers[0]->hasUnansweredAttempt);
+    EXPECT_EQ(answers[1]->response.result_int(), 503U);
+    EXPECT_TRUE(answers[1]->hasUnansweredAttempt);
+}
+
+TEST(ConnectionPool, ConnectionClosedWhileIdleIsNotAnUnansweredAttempt)
+{
+    const auto answers = callInTurn(
+        [](const HttpRequest &, int) -> std::optional<LoopbackReply> {
+            LoopbackReply reply = loopbackReply(200);
+            reply.closesAfter = 0ms;
+            return reply;
+        },
+        2, 50ms);
+    ASSERT_EQ(answers.size(), 2U);
+    ASSERT_TRUE(answers[1]);
+    EXPECT_FALSE(answers[1]->hasUnansweredAttempt);
+}
+
+TEST(ConnectionPool, UnsolicitedResponseIsNotTakenForTheNextAnswer)
+{
+    const auto answers = callInTurn(
+        [](const HttpRequest &request, int) -> std::optional<LoopbackReply> {
+            LoopbackReply reply = loopbackReply(200, std::string(request.target()));
+            reply.trailingBytes = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+            return reply;
+        },
+        2);
+    ASSERT_EQ(answers.size(), 2U);
+    ASSERT_TRUE(answers[1]);
+    EXPECT_EQ(answers[1]->response.body(), "/2");
+}
+
 }
 }
--- a/src/scheduler/scheduler_test.h
+++ b/src/scheduler/scheduler_test.h
@@ -21,8 +21,12 @@
 enum class StoreBehaviour {
     Normal,
     Refusing,
+    // Appends are refused, reads are answered.
+    RefusingAppends,
     // Appends are carried out, but their answers are lost.
     LosingAnswers,
+    // Appends get no answer and are carried out after `lateAppendDelay`.
+    AppendingLate,
 };
 
 // In-memory store that enforces the store's rules for producers.
@@ -47,6 +51,9 @@
     int concurrentAppends = 0;
     int maxConcurrentAppends = 0;
     int repeatedAppends = 0;
+    // The error of appends that are carried out without an answer.
+    ErrorCode lostAnswerError = ErrorCode::Timeout;
+    std::chrono::milliseconds lateAppendDelay{1500};
     // Stream whose reads time out.
     std::optional<Stream> unansweredReads;
 
@@ -56,7 +63,7 @@
         maxConcurrentAppends = std::max(maxConcurrentAppends, ++concurrentAppends);
         co_await sleepFor(this->context, 4ms);
         --concurrentAppends;
-        if (this->behaviour == StoreBehaviour::Refusing) {
+        if (this->behaviour == StoreBehaviour::Refusing || this->behaviour == StoreBehaviour::RefusingAppends) {
             co_return makeError(ErrorCode::Unavailable, "refused");
         }
         std::size_t bytes = 0;
@@ -66,6 +73,15 @@
         if (bytes > this->maxAppendBytes) {
             co_return makeError(ErrorCode::Refused, "too large");
         }
+        if (this->behaviour == StoreBehaviour::AppendingLate) {
+            const auto timer = std::make_shared<net::steady_timer>(this->context, this->lateAppendDelay);
+            timer->async_wait([this, timer, stream, partitionNumber, records](SystemErrorCode error) {
+                if (!error) {
+                    this->addRecords(this->partitions[{stream, partitionNumber}], records);
+                }
+            });
+            co_return makeError(this->lostAnswerError, "lost");
+        }
         Partition &partition = this->partitions[{stream, partitionNumber}];
         if (stamp) {
             auto producer = partition.producers.try_emplace(stamp->producer, std::pair(stamp->epoch, std::int64_t(-1))).first;
@@ -78,14 +94,19 @@
             }
             producer->second = std::pair(stamp->epoch, stamp->sequence);
         }
+        this->addRecords(partition, records);
+        if (this->behaviour == StoreBehaviour::LosingAnswers) {
+            co_return makeError(this->lostAnswerError, "lost");
+        }
+        co_return Result<void>{};
+    }
+
+    void addRecords(Partition &partition, std::vector<StoredRecord> records)
+    {
         for (StoredRecord &record : records) {
             record.offset = static_cast<std::int64_t>(partition.records.size());
             partition.records.push_back(std::move(record));
         }
-        if (this->behaviour == StoreBehaviour::LosingAnswers) {
-            co_return makeError(ErrorCode::Timeout, "lost");
-        }
-        co_return Result<void>{};
     }
 
     net::awaitable<Result<StreamBatch>> read(Stream stream, std::int32_t partitionNumber, std::int64_t from, std::chrono::milliseconds wait) override
