--- a/src/scheduler/batchappender.cpp
+++ b/src/scheduler/batchappender.cpp
@@ -133,7 +133,7 @@
             continue;
         }
         this->failingSince = this->failingSince.value_or(sentAt);
-        const bool mayBeStored = appended.error().code == ErrorCode::Timeout;
+        const bool mayBeStored = !provesNotDone(appended.error().code);
         for (const auto &entry : batch) {
             entry->result.reason = describe(appended.error());
             entry->result.unansweredSends += mayBeStored ? 1 : 0;
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <mangocourse/clock.h>
+#include <mangocourse/error.h>
 #include <mangocourse/execution.h>
 #include <mangocourse/fleetconfig.h>
 
@@ -88,8 +89,22 @@
     std::vector<OwnedPartition> owned;
 };
 
-// Access to the store. Errors of all ports: Unavailable and Refused mean that nothing was done, Timeout that the operation may have been carried
-// out.
+// Returns true if an operation that failed with the error was not carried out and will not be. After any other error, such as Timeout, it may have
+// been carried out, or may still be.
+constexpr bool provesNotDone(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::Unavailable:
+    case ErrorCode::Refused:
+    case ErrorCode::Conflict:
+    case ErrorCode::InvalidArgument:
+        return true;
+    default:
+        return false;
+    }
+}
+
+// Access to the store; for its errors see provesNotDone().
 class RecordStore
 {
 public:
