--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -190,7 +190,9 @@
         // The server may still carry out the first attempt.
         result = retryResult == ExchangeResult::Answered ? ExchangeResult::Answered : ExchangeResult::MaybeSent;
     }
-    if (result == ExchangeResult::Answered && answer.response.keep_alive()) {
+    // Bytes after the response would be read as the answer to the next call.
+    const bool hasLeftover = connection->buffer.size() > 0;
+    if (result == ExchangeResult::Answered && answer.response.keep_alive() && !hasLeftover) {
         self->returnConnection(std::move(connection));
     } else {
         connection.reset();
