--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -7,6 +7,7 @@
 
 #include "controltraffic.h"
 #include "readmessage.h"
+#include "reusablesocket.h"
 
 namespace MangoCourse {
 
@@ -74,12 +75,15 @@
         this->idle.pop_front();
         --this->openCount;
     }
-    if (this->idle.empty()) {
-        return nullptr;
+    while (!this->idle.empty()) {
+        std::unique_ptr<Connection> connection = std::move(this->idle.back());
+        this->idle.pop_back();
+        if (isReusable(connection->stream.socket())) {
+            return connection;
+        }
+        --this->openCount;
     }
-    std::unique_ptr<Connection> connection = std::move(this->idle.back());
-    this->idle.pop_back();
-    return connection;
+    return nullptr;
 }
 
 void ConnectionPool::Private::returnConnection(std::unique_ptr<Connection> connection)
