--- a/src/libmangocourse/fleetplanner_test.cpp
+++ b/src/libmangocourse/fleetplanner_test.cpp
@@ -185,6 +185,29 @@
     EXPECT_EQ(orders.move[0].machine, MachineId{"spare"});
 }
 
+// Reports are decoded with these limits.
+TEST_F(FleetPlannerTest, LargestReportsDoNotOverflowTheSizesOfThePools)
+{
+    for (const char *pool : {"desk", "shop"}) {
+        this->addMachine(std::string("one-") + pool, pool);
+        this->machines.back().capacity.cpu = 1;
+    }
+    this->addMachine("spare", "parked");
+    this->updateListing();
+    for (const char *pool : {"desk", "shop"}) {
+        PoolReport report = this->makeReport(pool, {std::string("one-") + pool});
+        report.inflow = report.backlog = report.lateBacklog = report.longRunningCpu = report.readyCpu = 1'000'000'000'000'000;
+        report.spread = 100'000;
+        this->sendReport(report);
+    }
+    this->plan();
+    for (const PoolNeed &need : this->planner->needs()) {
+        const bool isStandby = need.service == ServiceId{"parked"};
+        EXPECT_GE(need.needed, isStandby ? 0 : 100'000) << need.service.value;
+        EXPECT_LE(need.needed, 1'000'000) << need.service.value;
+    }
+}
+
 TEST_F(FleetPlannerTest, LaterEvacuationsDoNotDelayADrainedInstance)
 {
     for (const char *name : {"d1", "d2", "d3", "d4", "d5", "d6"}) {
--- a/src/libmangocourse/poolscheduler_test.cpp
+++ b/src/libmangocourse/poolscheduler_test.cpp
@@ -234,6 +234,29 @@
     EXPECT_EQ(this->savedProgress.at(JobId{"a"}).state, JobState::Failed);
 }
 
+TEST_F(PoolSchedulerTest, WorkOfTheLargestJobsDoesNotOverflowThePoolsReport)
+{
+    StepSpec step;
+    step.count = 50'000;
+    step.resources = Resources{1'000'000'000, 1, 0};
+    step.estimate = 24h * 366;
+    for (const char *name : {"a", "b"}) {
+        const AcceptedJob accepted = this->job(name, step);
+        ASSERT_TRUE(validate(accepted.spec));
+        this->add(accepted);
+    }
+    step.isLongRunning = true;
+    this->add(this->job("c", step));
+    const PoolReport report = this->scheduler->report(this->now);
+    EXPECT_EQ(report.backlog, 1'000'000'000'000'000);
+    EXPECT_EQ(report.inflow, 1'000'000'000'000'000);
+    EXPECT_EQ(report.longRunningCpu, 50'000'000'000'000);
+    EXPECT_EQ(report.readyCpu, 100'000'000'000'000);
+    this->setDiscovered({this->executor("one")});
+    this->report("one");
+    EXPECT_TRUE(this->planOnce().starts.empty());
+}
+
 TEST_F(PoolSchedulerTest, EndedRunsAreAcknowledgedOnlyOnceDurable)
 {
     this->setDiscovered({executor("one")});
