--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -3,7 +3,7 @@
 
 #include <charconv>
 
-#include <nlohmann/json.hpp>
+#include "boundedjson.h"
 
 namespace MangoCourse {
 
@@ -24,7 +24,7 @@
 
 Json fromBytes(std::string_view bytes)
 {
-    return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    return parseBoundedCbor(bytes);
 }
 
 // Flags of a step, stored as one number in the array that encodes the step.
