--- a/src/libservice/boundedjson.h
+++ b/src/libservice/boundedjson.h
@@ -2,11 +2,14 @@
 // of the JSON library, and reading CBOR, take a stack frame for each level.
 #pragma once
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
+#include <mangocourse/limits.h>
+
 namespace MangoCourse {
 
 // Far above that of any message.
@@ -189,4 +192,15 @@
     return nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
 }
 
+// Returns a whole number of the given range.
+inline std::optional<std::int64_t> wholeNumber(const nlohmann::json &value, std::int64_t minimum = -maxWholeNumber, std::int64_t maximum = maxWholeNumber)
+{
+    const bool isTooLarge = value.is_number_unsigned() && value.get<std::uint64_t>() > static_cast<std::uint64_t>(maxWholeNumber);
+    if (!value.is_number_integer() || isTooLarge) {
+        return std::nullopt;
+    }
+    const auto number = value.get<std::int64_t>();
+    return number >= minimum && number <= maximum ? std::optional(number) : std::nullopt;
+}
+
 }
