--- a/src/libmangocourse/processsettings.cpp
+++ b/src/libmangocourse/processsettings.cpp
@@ -1,6 +1,8 @@
 // Validates the settings files of gates and keepers.
 #include <mangocourse/processsettings.h>
 
+#include <arpa/inet.h>
+
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -13,6 +15,15 @@
 namespace {
 
 constexpr std::int64_t mebibyte = 1024 * 1024;
+// Bytes of an invalid text that an error repeats.
+constexpr std::size_t maxQuotedBytes = 100;
+
+bool isIpNumber(const std::string &host)
+{
+    in6_addr address;
+    const bool isNumber = inet_pton(AF_INET, host.c_str(), &address) == 1 || inet_pton(AF_INET6, host.c_str(), &address) == 1;
+    return isNumber && host.find('\0') == std::string::npos;
+}
 
 Endpoint readEndpoint(TableReader &reader, std::string_view key)
 {
@@ -107,10 +118,12 @@
     const char *end = text.data() + text.size();
     const bool hasPort = colon != std::string_view::npos && colon > 0;
     const auto parsed = hasPort ? std::from_chars(text.data() + colon + 1, end, port) : std::from_chars_result{text.data(), std::errc::invalid_argument};
-    if (parsed.ec != std::errc{} || parsed.ptr != end) {
-        return makeError(ErrorCode::InvalidArgument, "found \"" + std::string(text) + "\", allowed is an IP number, a colon and a port");
+    const std::string host(text.substr(0, hasPort ? colon : 0));
+    if (parsed.ec != std::errc{} || parsed.ptr != end || !isIpNumber(host)) {
+        const std::string found = std::string(text.substr(0, maxQuotedBytes)) + (text.size() > maxQuotedBytes ? "..." : "");
+        return makeError(ErrorCode::InvalidArgument, "found \"" + found + "\", allowed is an IP number, a colon and a port");
     }
-    return Endpoint{std::string(text.substr(0, colon)), port};
+    return Endpoint{host, port};
 }
 
 Result<ProcessSettings> parseProcessSettings(std::string_view text, const std::string &name, ProcessRole role)
