--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -142,6 +142,7 @@
 
 net::awaitable<void> SchedulerProcess::Private::followDirectory()
 {
+    bool wasRead = true;
     while (!this->isStopping) {
         if (!this->ownership.ownsPools()) {
             co_await sleepFor(this->context, idlePollInterval);
@@ -149,7 +150,12 @@
         }
         const TimePoint startedAt = bootNow();
         // The previous list is kept if the read fails.
-        (void)co_await this->directory.refresh();
+        const Result<void> read = co_await this->directory.refresh();
+        if (read.has_value() != wasRead) {
+            wasRead = read.has_value();
+            this->log->emit(
+                wasRead ? "executors_read" : "executors_unread", {{"reason", wasRead ? std::string() : describe(read.error())}}, EventPriority::Essential);
+        }
         if (this->directory.isLoaded()) {
             this->ownership.setExecutors(this->directory.executors(), this->directory.currentAsOf());
         }
