--- a/src/scheduler/executordirectory.cpp
+++ b/src/scheduler/executordirectory.cpp
@@ -22,6 +22,7 @@
 {
     const ExecutorId id{record.key};
     if (record.value.empty()) {
+        this->unreadableEntries.erase(id);
         if (this->knownExecutors.erase(id) > 0) {
             this->log.emit("executor_left", {{"executor", id.value}, {"offset", record.offset}});
         }
@@ -30,9 +31,15 @@
     Result<ExecutorInfo> info = this->decode(record.key, record.value);
     if (!info) {
         this->knownExecutors.erase(id);
-        this->log.emit("executor_unreadable", {{"executor", id.value}, {"reason", describe(info.error())}});
+        std::string reason = describe(info.error());
+        std::string &loggedReason = this->unreadableEntries[id];
+        if (loggedReason != reason) {
+            this->log.emit("executor_unreadable", {{"executor", id.value}, {"reason", reason}, {"offset", record.offset}}, EventPriority::Essential);
+            loggedReason = std::move(reason);
+        }
         return;
     }
+    this->unreadableEntries.erase(id);
     const auto before = this->knownExecutors.find(id);
     const bool hasChanged
         = before == this->knownExecutors.end() || before->second.incarnation != info->incarnation || before->second.isDraining != info->isDraining;
--- a/src/scheduler/executordirectory.h
+++ b/src/scheduler/executordirectory.h
@@ -34,6 +34,8 @@
     EventLog &log;
     ExecutorDecoder decode;
     std::map<ExecutorId, ExecutorInfo> knownExecutors;
+    // Entries that cannot be decoded, with the reason that was logged. Other writers may repeat them.
+    std::map<ExecutorId, std::string> unreadableEntries;
     StreamReader reader;
 };
 
