--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -143,6 +143,8 @@
         }
         if (Result<PlannerState> state = decodePlannerState(record.value)) {
             this->savedState = std::move(*state);
+        } else {
+            this->log.emit("plan_unreadable", {{"offset", record.offset}, {"reason", describe(state.error())}}, EventPriority::Essential);
         }
     }
     Result<std::unique_ptr<FleetPlanner>> planner
@@ -327,8 +329,14 @@
         StreamReader::Handlers{[] {
                                },
             [state](const StoredRecord &record) {
+                if (record.value.empty()) {
+                    return;
+                }
                 if (const auto report = decodePoolReport(record.value)) {
                     state->planner->setReport(*report, bootNow());
+                } else {
+                    state->log.emit("pool_report_unreadable", {{"key", record.key}, {"offset", record.offset}, {"reason", describe(report.error())}},
+                        EventPriority::Essential);
                 }
             }});
     net::co_spawn(
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -2,6 +2,8 @@
 #include "recordcodec.h"
 
 #include <charconv>
+#include <limits>
+#include <stdexcept>
 
 #include "boundedjson.h"
 
@@ -14,6 +16,10 @@
 
 constexpr char cancellationPrefix = '!';
 constexpr const char *executorPrefix = "@x/";
+constexpr std::size_t maxJobIdBytes = 64;
+constexpr std::int64_t maxFailures = 1'000'000;
+// The planner that continues from a stored state counts on.
+constexpr std::int64_t maxListNumber = maxWholeNumber / 2;
 
 std::string toBytes(const Json &json)
 {
@@ -27,6 +33,48 @@
     return parseBoundedCbor(bytes);
 }
 
+// The functions below throw a standard exception if the value has another type or is out of range; decode() makes an error of it.
+
+std::int64_t toWhole(const Json &json, std::int64_t minimum = 0, std::int64_t maximum = maxWholeNumber)
+{
+    const std::optional<std::int64_t> number = wholeNumber(json, minimum, maximum);
+    if (!number) {
+        throw std::out_of_range("must be a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    }
+    return *number;
+}
+
+std::int32_t toCount(const Json &json)
+{
+    return static_cast<std::int32_t>(toWhole(json, 0, std::numeric_limits<std::int32_t>::max()));
+}
+
+WallTime toWallTime(const Json &json)
+{
+    return WallTime(milliseconds(toWhole(json, 0, maxUnixTime.count())));
+}
+
+// Returns a name, which may be empty.
+std::string toName(const Json &json)
+{
+    const auto &text = json.get_ref<const std::string &>();
+    if (text.size() > maxNameBytes) {
+        throw std::out_of_range("must be a name of at most " + std::to_string(maxNameBytes) + " bytes");
+    }
+    return text;
+}
+
+// Calls a function that reads a record. Returns ErrorCode::Decode if a value is missing, has another type or is out of range.
+template<typename Reader>
+auto decode(std::string where, Reader reader) -> decltype(reader())
+{
+    try {
+        return reader();
+    } catch (const std::exception &exception) {
+        return makeError(ErrorCode::Decode, exception.what(), std::move(where));
+    }
+}
+
 // Flags of a step, stored as one number in the array that encodes the step.
 enum StepFlag : unsigned {
     Checkpointing = 1,
@@ -53,11 +101,13 @@
 StepSpec stepFromJson(const Json &json)
 {
     StepSpec step;
-    step.count = json.at(0).get<std::int32_t>();
-    step.resources = Resources{json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>(), json.at(3).get<std::int64_t>()};
-    step.estimate = milliseconds(json.at(4).get<std::int64_t>());
-    step.dependsOn = json.at(5).get<std::vector<std::int32_t>>();
-    const auto flags = json.at(6).get<unsigned>();
+    step.count = toCount(json.at(0));
+    step.resources = Resources{toWhole(json.at(1)), toWhole(json.at(2)), toWhole(json.at(3))};
+    step.estimate = milliseconds(toWhole(json.at(4)));
+    for (const Json &earlier : json.at(5)) {
+        step.dependsOn.push_back(toCount(earlier));
+    }
+    const std::int64_t flags = toWhole(json.at(6));
     step.isCheckpointing = (flags & Checkpointing) != 0;
     step.isGang = (flags & Gang) != 0;
     step.prefersSameRack = (flags & SameRack) != 0;
@@ -66,10 +116,10 @@
     step.isBestEffort = (flags & Filler) != 0;
     step.requiredLabel = json.at(7).get<std::string>();
     step.preferredRack = json.at(8).get<std::string>();
-    step.perExecutorLimit = json.at(9).get<std::int32_t>();
+    step.perExecutorLimit = toCount(json.at(9));
     step.image = json.at(10).get<std::string>();
-    step.tailLatencyTarget = milliseconds(json.at(11).get<std::int64_t>());
-    step.disruptionBudget = json.at(12).get<std::int32_t>();
+    step.tailLatencyTarget = milliseconds(toWhole(json.at(11)));
+    step.disruptionBudget = static_cast<std::int32_t>(toWhole(json.at(12), -1, std::numeric_limits<std::int32_t>::max()));
     return step;
 }
 
@@ -88,26 +138,27 @@
 
 Result<AcceptedJob> decodeAcceptedJob(const JobId &id, std::string_view bytes)
 {
-    try {
+    // Items are named by the job and numbers, with dots between them.
+    if (!isPlainName(id.value, maxJobIdBytes) || id.value.find('.') != std::string::npos) {
+        return makeError(ErrorCode::Decode, "is not a valid identifier", "job " + id.value);
+    }
+    return decode("job " + id.value, [&]() -> Result<AcceptedJob> {
         const Json json = fromBytes(bytes);
         AcceptedJob job;
         job.id = id;
-        job.queue = QueueId{json.at(0).get<std::string>()};
-        job.service = ServiceId{json.at(1).get<std::string>()};
-        job.acceptedAt = WallTime(milliseconds(json.at(2).get<std::int64_t>()));
+        job.queue = QueueId{toName(json.at(0))};
+        job.service = ServiceId{toName(json.at(1))};
+        job.acceptedAt = toWallTime(json.at(2));
         job.spec.payload = json.at(3).get<std::string>();
         for (const Json &step : json.at(4)) {
             job.spec.steps.push_back(stepFromJson(step));
         }
-        job.spec.recurrence
-            = Recurrence{json.at(5).get<std::int32_t>(), WallTime(milliseconds(json.at(6).get<std::int64_t>())), milliseconds(json.at(7).get<std::int64_t>())};
+        job.spec.recurrence = Recurrence{toCount(json.at(5)), toWallTime(json.at(6)), milliseconds(toWhole(json.at(7)))};
         if (const Result<void> checked = validate(job.spec); !checked) {
             return tl::unexpected(checked.error());
         }
         return job;
-    } catch (const Json::exception &exception) {
-        return makeError(ErrorCode::Decode, exception.what(), "job " + id.value);
-    }
+    });
 }
 
 std::string encodeProgress(const JobProgress &progress)
@@ -122,27 +173,25 @@
 
 Result<JobProgress> decodeProgress(const JobId &id, std::string_view bytes)
 {
-    try {
+    return decode("progress of " + id.value, [&]() -> Result<JobProgress> {
         const Json json = fromBytes(bytes);
         JobProgress progress;
         progress.id = id;
-        const int state = json.at(0).get<int>();
-        if (state < 0 || state > static_cast<int>(JobState::Cancelled)) {
-            return makeError(ErrorCode::Decode, "contains an unknown job state", "progress of " + id.value);
-        }
-        progress.state = static_cast<JobState>(state);
-        progress.queue = QueueId{json.at(1).get<std::string>()};
-        progress.service = ServiceId{json.at(2).get<std::string>()};
-        progress.endedAt = WallTime(milliseconds(json.at(3).get<std::int64_t>()));
+        progress.state = static_cast<JobState>(toWhole(json.at(0), 0, static_cast<int>(JobState::Cancelled)));
+        progress.queue = QueueId{toName(json.at(1))};
+        progress.service = ServiceId{toName(json.at(2))};
+        progress.endedAt = toWallTime(json.at(3));
         progress.mayHaveStarted = json.at(5).get<bool>();
         for (const Json &item : json.at(4)) {
-            progress.items.push_back(ItemProgress{item.at(0).get<std::int32_t>(), item.at(1).get<std::int32_t>(), item.at(2).get<std::int32_t>(),
-                item.at(3).get<int>() != 0, item.at(4).get<std::int32_t>(), item.at(5).get<std::vector<std::int64_t>>()});
+            ItemProgress known{toCount(item.at(0)), toCount(item.at(1)), toCount(item.at(2)), toWhole(item.at(3)) != 0,
+                static_cast<std::int32_t>(toWhole(item.at(4), 0, maxFailures)), {}};
+            for (const Json &run : item.at(5)) {
+                known.failedRuns.push_back(toWhole(run));
+            }
+            progress.items.push_back(std::move(known));
         }
         return progress;
-    } catch (const Json::exception &exception) {
-        return makeError(ErrorCode::Decode, exception.what(), "progress of " + id.value);
-    }
+    });
 }
 
 std::string encodeExecutorLocation(const ExecutorLocation &location)
@@ -152,12 +201,10 @@
 
 Result<ExecutorLocation> decodeExecutorLocation(std::string_view bytes)
 {
-    try {
+    return decode("executor location", [&]() -> Result<ExecutorLocation> {
         const Json json = fromBytes(bytes);
-        return ExecutorLocation{MachineId{json.at(0).get<std::string>()}, ServiceId{json.at(1).get<std::string>()}};
-    } catch (const Json::exception &exception) {
-        return makeError(ErrorCode::Decode, exception.what(), "executor location");
-    }
+        return ExecutorLocation{MachineId{toName(json.at(0))}, ServiceId{toName(json.at(1))}};
+    });
 }
 
 std::string encodePlannerState(const PlannerState &state)
@@ -188,34 +235,31 @@
 
 Result<PlannerState> decodePlannerState(std::string_view bytes)
 {
-    try {
+    return decode("planner state", [&]() -> Result<PlannerState> {
         const Json json = fromBytes(bytes);
         PlannerState state;
-        state.number = json.at(0).get<std::int64_t>();
+        state.number = toWhole(json.at(0), 0, maxListNumber);
         for (const Json &row : json.at(1)) {
-            state.evacuations.push_back(Evacuation{MachineId{row.at(0).get<std::string>()}, ExecutorId{row.at(1).get<std::string>()},
-                row.at(2).get<std::int64_t>(), row.at(3).get<int>() == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move,
-                WaveId{row.at(4).get<std::string>()}, ServiceId{row.at(5).get<std::string>()}, row.at(6).get<bool>(), row.at(7).get<std::int64_t>()});
+            state.evacuations.push_back(Evacuation{MachineId{toName(row.at(0))}, ExecutorId{toName(row.at(1))}, toWhole(row.at(2)),
+                toWhole(row.at(3)) == 0 ? EvacuationPurpose::Maintenance : EvacuationPurpose::Move, WaveId{toName(row.at(4))}, ServiceId{toName(row.at(5))},
+                row.at(6).get<bool>(), toWhole(row.at(7))});
         }
         for (const Json &row : json.at(2)) {
-            PlannerState::Wave &wave = state.waves[WaveId{row.at(0).get<std::string>()}];
-            wave.seenAt = WallTime(milliseconds(row.at(1).get<std::int64_t>()));
+            PlannerState::Wave &wave = state.waves[WaveId{toName(row.at(0))}];
+            wave.seenAt = toWallTime(row.at(1));
             wave.isCompleted = row.at(2).get<bool>();
             for (const Json &machine : row.at(3)) {
-                wave.startedMachines.insert(MachineId{machine.get<std::string>()});
+                wave.startedMachines.insert(MachineId{toName(machine)});
             }
         }
         for (const Json &row : json.at(3)) {
-            state.ended[ExecutorId{row.at(0).get<std::string>()}]
-                = PlannerState::EndedIncarnation{row.at(1).get<std::int64_t>(), WallTime(milliseconds(row.at(2).get<std::int64_t>()))};
+            state.ended[ExecutorId{toName(row.at(0))}] = PlannerState::EndedIncarnation{toWhole(row.at(1)), toWallTime(row.at(2))};
         }
         for (const Json &row : json.at(4)) {
-            state.orderedAt[MachineId{row.at(0).get<std::string>()}] = WallTime(milliseconds(row.at(1).get<std::int64_t>()));
+            state.orderedAt[MachineId{toName(row.at(0))}] = toWallTime(row.at(1));
         }
         return state;
-    } catch (const Json::exception &exception) {
-        return makeError(ErrorCode::Decode, exception.what(), "planner state");
-    }
+    });
 }
 
 std::string encodePoolReport(const PoolReport &report)
@@ -230,28 +274,26 @@
 
 Result<PoolReport> decodePoolReport(std::string_view bytes)
 {
-    try {
+    return decode("pool report", [&]() -> Result<PoolReport> {
         const Json json = fromBytes(bytes);
         PoolReport report;
-        report.service = ServiceId{json.at(0).get<std::string>()};
-        report.token = json.at(1).get<std::int64_t>();
-        report.number = json.at(2).get<std::int64_t>();
-        report.appliedEvacuationNumber = json.at(3).get<std::int64_t>();
-        report.longRunningCpu = json.at(4).get<std::int64_t>();
-        report.inflow = json.at(5).get<std::int64_t>();
-        report.backlog = json.at(6).get<std::int64_t>();
-        report.lateBacklog = json.at(7).get<std::int64_t>();
-        report.spread = json.at(8).get<std::int32_t>();
+        report.service = ServiceId{toName(json.at(0))};
+        report.token = toWhole(json.at(1));
+        report.number = toWhole(json.at(2));
+        report.appliedEvacuationNumber = toWhole(json.at(3));
+        report.longRunningCpu = toWhole(json.at(4), 0, maxReportedWork);
+        report.inflow = toWhole(json.at(5), 0, maxReportedWork);
+        report.backlog = toWhole(json.at(6), 0, maxReportedWork);
+        report.lateBacklog = toWhole(json.at(7), 0, maxReportedWork);
+        report.spread = static_cast<std::int32_t>(toWhole(json.at(8), 0, maxItems));
         for (const Json &row : json.at(9)) {
-            report.executors.push_back(ExecutorUsage{ExecutorId{row.at(0).get<std::string>()}, row.at(1).get<std::int64_t>(), row.at(2).get<std::int32_t>(),
-                row.at(3).get<std::int32_t>(), row.at(4).get<bool>()});
+            report.executors.push_back(
+                ExecutorUsage{ExecutorId{toName(row.at(0))}, toWhole(row.at(1)), toCount(row.at(2)), toCount(row.at(3)), row.at(4).get<bool>()});
         }
         // Reports of earlier versions end here.
-        report.readyCpu = json.size() > 10 ? json.at(10).get<std::int64_t>() : 0;
+        report.readyCpu = json.size() > 10 ? toWhole(json.at(10), 0, maxReportedWork) : 0;
         return report;
-    } catch (const Json::exception &exception) {
-        return makeError(ErrorCode::Decode, exception.what(), "pool report");
-    }
+    });
 }
 
 std::string cancellationKey(const JobId &job)
@@ -270,11 +312,12 @@
     if (key == ownerKey) {
         parsed.kind = KeyKind::Owner;
     } else if (key.starts_with(executorPrefix)) {
-        parsed.kind = KeyKind::Executor;
         const std::string_view rest = std::string_view(key).substr(std::string_view(executorPrefix).size());
-        const auto slash = rest.find('/');
-        std::from_chars(rest.data(), rest.data() + std::min(slash, rest.size()), parsed.executor.incarnation);
-        parsed.executor.id = ExecutorId{slash == std::string_view::npos ? std::string() : std::string(rest.substr(slash + 1))};
+        const char *slash = rest.data() + std::min(rest.find('/'), rest.size());
+        const auto [end, error] = std::from_chars(rest.data(), slash, parsed.executor.incarnation);
+        const bool isValid = error == std::errc{} && end == slash && parsed.executor.incarnation >= 0 && slash != rest.data() + rest.size();
+        parsed.kind = isValid ? KeyKind::Executor : KeyKind::Unknown;
+        parsed.executor.id = ExecutorId{isValid ? std::string(slash + 1, rest.data() + rest.size()) : std::string()};
     } else if (key.starts_with(cancellationPrefix)) {
         parsed.kind = KeyKind::Cancellation;
         parsed.job = JobId{key.substr(1)};
--- a/src/scheduler/recordcodec.h
+++ b/src/scheduler/recordcodec.h
@@ -26,6 +26,8 @@
     Cancellation,
     Executor,
     Owner,
+    // A key that no version of the scheduler writes.
+    Unknown,
 };
 
 struct ParsedKey {
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -271,7 +271,7 @@
     }
     const Result<PlannerState> state = decodePlannerState(record.value);
     if (!state) {
-        this->log->emit("plan_unreadable", {{"reason", describe(state.error())}}, EventPriority::Essential);
+        this->log->emit("plan_unreadable", {{"offset", record.offset}, {"reason", describe(state.error())}}, EventPriority::Essential);
         return;
     }
     for (const auto &[machine, at] : state->orderedAt) {
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -94,7 +94,7 @@
     }
     Result<AcceptedJob> job = decodeAcceptedJob(key.job, record.value);
     if (!job) {
-        this->owner.log.emit("job_unreadable", {{"job", key.job.value}, {"reason", describe(job.error())}}, EventPriority::Essential);
+        this->owner.log.emit("job_unreadable", {{"job", record.key}, {"offset", record.offset}, {"reason", describe(job.error())}}, EventPriority::Essential);
         return;
     }
     this->addJob(*job);
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -91,6 +91,7 @@
     ExecutorLocation findExecutorLocation(const ExecutorKey &key, const ServiceId &service) const;
 
     net::awaitable<bool> load();
+    void logUnreadable(const StoredRecord &record, const std::string &reason);
     net::awaitable<void> run();
     net::awaitable<void> followJobs();
     net::awaitable<void> plan();
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -2,6 +2,7 @@
 #include "shardowner_pvt.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace MangoCourse {
 
@@ -38,12 +39,22 @@
 constexpr milliseconds statusExpiryMargin{60'000};
 // Size of the range of run numbers that is reserved for each owner.
 constexpr std::int64_t maxRunsPerOwner = 100'000;
+constexpr std::int64_t maxTakeovers = 1'000'000'000;
 
 std::int64_t elapsedMs(TimePoint since, TimePoint now)
 {
     return std::chrono::duration_cast<milliseconds>(now - since).count();
 }
 
+std::optional<std::int64_t> parseTakeovers(const std::string &text)
+{
+    std::int64_t takeovers = 0;
+    const char *last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, takeovers);
+    const bool isValid = error == std::errc{} && end == last && takeovers >= 0 && takeovers <= maxTakeovers;
+    return isValid ? std::optional(takeovers) : std::nullopt;
+}
+
 std::vector<std::vector<StoredRecord>> splitIntoAppends(std::vector<StoredRecord> records)
 {
     std::vector<std::vector<StoredRecord>> appends;
@@ -91,6 +102,13 @@
     return ExecutorLocation{info == executors.end() ? MachineId{} : info->machine, service};
 }
 
+void ShardOwner::Tasks::logUnreadable(const StoredRecord &record, const std::string &reason)
+{
+    this->state.owner.log.emit("progress_unreadable",
+        {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}, {"key", record.key}, {"offset", record.offset}, {"reason", reason}},
+        EventPriority::Essential);
+}
+
 net::awaitable<bool> ShardOwner::Tasks::load()
 {
     // An empty append sets the epoch. From here on no earlier owner can change the progress.
@@ -109,22 +127,31 @@
         const ParsedKey key = parseKey(record.key);
         switch (key.kind) {
         case KeyKind::Owner:
-            takeovers = std::atoll(record.value.c_str());
+            if (const std::optional<std::int64_t> known = parseTakeovers(record.value)) {
+                takeovers = *known;
+            } else {
+                // Each takeover had a token of its own, and all were lower.
+                takeovers = std::min(this->state.token, maxTakeovers);
+                this->logUnreadable(record, "is not a number of takeovers");
+            }
             break;
         case KeyKind::Executor:
             if (Result<ExecutorLocation> location = decodeExecutorLocation(record.value)) {
                 this->state.recordedExecutors[key.executor] = std::move(*location);
             } else {
-                this->state.owner.log.emit(
-                    "executor_unreadable", {{"executor", key.executor.id.value}, {"reason", describe(location.error())}}, EventPriority::Essential);
+                this->logUnreadable(record, describe(location.error()));
             }
             break;
         case KeyKind::Job:
             if (Result<JobProgress> progress = decodeProgress(key.job, record.value)) {
                 this->state.progress[key.job] = std::move(*progress);
+            } else {
+                this->logUnreadable(record, describe(progress.error()));
             }
             break;
         case KeyKind::Cancellation:
+        case KeyKind::Unknown:
+            this->logUnreadable(record, "has an unknown key");
             break;
         }
     }
