--- a/src/libmangocourse/fleetneeds.cpp
+++ b/src/libmangocourse/fleetneeds.cpp
@@ -22,6 +22,14 @@
 constexpr std::int32_t spareMachines = 1;
 // A pool gives away only instances that it has not needed for this long, as its need dips briefly when that of another pool rises.
 constexpr milliseconds needPeakWindow{900};
+// Sums over the pools of a fleet stay within 32 bits.
+constexpr double maxPoolSize = 1'000'000.0;
+
+// Returns the number of instances that have the given number of cores together. Both amounts are in thousandths of a core.
+std::int32_t countMachines(double cores, std::int64_t cpuPerMachine)
+{
+    return static_cast<std::int32_t>(std::min(std::ceil(cores / static_cast<double>(cpuPerMachine)), maxPoolSize));
+}
 
 }
 
@@ -93,14 +101,14 @@
         const double finite = std::max(static_cast<double>(pool.report->inflow), static_cast<double>(pool.report->backlog) / targetBacklogSeconds);
         const double late = static_cast<double>(pool.report->lateBacklog) / lateBacklogSeconds;
         const double cores = static_cast<double>(pool.report->longRunningCpu) + (finite + late) / packingEfficiency;
-        const auto machines = static_cast<std::int32_t>(std::ceil(cores / static_cast<double>(pool.cpuPerMachine)));
-        pool.longRunningMachines = static_cast<std::int32_t>((pool.report->longRunningCpu + pool.cpuPerMachine - 1) / pool.cpuPerMachine);
+        const std::int32_t machines = countMachines(cores, pool.cpuPerMachine);
+        pool.longRunningMachines = countMachines(static_cast<double>(pool.report->longRunningCpu), pool.cpuPerMachine);
         pool.minSize = std::max(pool.report->spread + spareMachines, 2);
         pool.needed = std::max(machines, pool.minSize);
-        const double all = static_cast<double>(pool.report->backlog + pool.report->lateBacklog) / targetBacklogSeconds;
+        const double all = (static_cast<double>(pool.report->backlog) + static_cast<double>(pool.report->lateBacklog)) / targetBacklogSeconds;
         const double atOnce = std::min(all, static_cast<double>(pool.report->readyCpu));
         const double busyCores = static_cast<double>(pool.report->longRunningCpu) + atOnce / packingEfficiency;
-        pool.busySize = static_cast<std::int32_t>(std::ceil(busyCores / static_cast<double>(pool.cpuPerMachine)));
+        pool.busySize = countMachines(busyCores, pool.cpuPerMachine);
     }
     scaleNeedsToSupply(pools);
     return pools;
--- a/src/libmangocourse/job.cpp
+++ b/src/libmangocourse/job.cpp
@@ -1,15 +1,25 @@
 // Validation of submissions.
 #include <mangocourse/job.h>
 
+#include <mangocourse/limits.h>
+
 namespace MangoCourse {
 
 namespace {
 
 constexpr std::int32_t maxSteps = 256;
-// Per occurrence. An item takes about 150 bytes of memory in its owner.
-constexpr std::int32_t maxItems = 100'000;
 constexpr std::int32_t maxOccurrences = 10'000;
 
+bool isAmount(std::int64_t amount)
+{
+    return amount >= 0 && amount <= maxResourceAmount;
+}
+
+bool isWithin(std::chrono::milliseconds time, std::chrono::milliseconds maximum)
+{
+    return time >= std::chrono::milliseconds::zero() && time <= maximum;
+}
+
 std::string stepField(std::size_t step, const char *field)
 {
     return "steps[" + std::to_string(step) + "]." + field;
@@ -21,8 +31,14 @@
     if (step.count < 1 || step.count > maxItems) {
         return makeError(ErrorCode::InvalidArgument, "must be 1 to 100000", stepField(number, "count"));
     }
-    if (step.resources.cpu < 0 || step.resources.memory < 0 || step.resources.accelerators < 0) {
-        return makeError(ErrorCode::InvalidArgument, "must not be negative", stepField(number, "room"));
+    if (!isAmount(step.resources.cpu) || !isAmount(step.resources.memory) || !isAmount(step.resources.accelerators)) {
+        return makeError(ErrorCode::InvalidArgument, "must hold 0 to " + std::to_string(maxResourceAmount) + " of each resource", stepField(number, "room"));
+    }
+    if (!isWithin(step.estimate, maxItemTime)) {
+        return makeError(ErrorCode::InvalidArgument, "must be 0 to " + std::to_string(maxItemTime.count()) + " ms", stepField(number, "estimate"));
+    }
+    if (!isWithin(step.tailLatencyTarget, maxItemTime)) {
+        return makeError(ErrorCode::InvalidArgument, "must be 0 to " + std::to_string(maxItemTime.count()) + " ms", stepField(number, "tailLatencyTarget"));
     }
     for (const std::int32_t earlier : step.dependsOn) {
         if (earlier < 0 || static_cast<std::size_t>(earlier) >= number) {
@@ -42,6 +58,12 @@
     if (spec.recurrence.count < 0 || spec.recurrence.count > maxOccurrences) {
         return makeError(ErrorCode::InvalidArgument, "must be 0 to 10000", "recurrence.count");
     }
+    if (!isWithin(spec.recurrence.first.time_since_epoch(), maxUnixTime)) {
+        return makeError(ErrorCode::InvalidArgument, "must be between the years 1970 and 9999", "recurrence.first");
+    }
+    if (!isWithin(spec.recurrence.interval, maxTimeSpan)) {
+        return makeError(ErrorCode::InvalidArgument, "must be 0 to " + std::to_string(maxTimeSpan.count()) + " ms", "recurrence.interval");
+    }
     std::int64_t items = 0;
     for (std::size_t number = 0; number < spec.steps.size(); ++number) {
         if (Result<void> checked = validateStep(spec, number); !checked) {
@@ -52,6 +74,9 @@
     if (items > maxItems) {
         return makeError(ErrorCode::InvalidArgument, "must hold 100000 work items at most", "steps");
     }
+    if (items * spec.occurrences() > maxItemsOfAllOccurrences) {
+        return makeError(ErrorCode::InvalidArgument, "must lead to " + std::to_string(maxItemsOfAllOccurrences) + " work items at most", "recurrence.count");
+    }
     return {};
 }
 
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -363,7 +363,7 @@
     }
     item.failedRuns.push_back(end.run);
     ++item.failures;
-    std::int32_t failures = item.failures;
+    std::int64_t failures = item.failures;
     if (spec.isGang) {
         StepState &step = entry.occurrences[static_cast<std::size_t>(end.item.occurrence)].steps[static_cast<std::size_t>(end.item.step)];
         failures = ++step.gangFailures;
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -432,7 +432,7 @@
             capacity += executor.info.capacity;
         }
     }
-    std::int64_t wanted = 0;
+    double wanted = 0;
     for (const JobId &id : this->openJobs) {
         const JobEntry &entry = this->jobs.at(id);
         if (entry.job.spec.recurrence.count > 0) {
@@ -441,11 +441,11 @@
         for (std::size_t step = 0; step < entry.job.spec.steps.size(); ++step) {
             const StepSpec &spec = entry.job.spec.steps[step];
             if (!spec.isBestEffort && this->isStepReady(entry, entry.occurrences.front(), step)) {
-                wanted += spec.resources.cpu * (spec.count - entry.occurrences.front().steps[step].done);
+                wanted += static_cast<double>(spec.resources.cpu) * (spec.count - entry.occurrences.front().steps[step].done);
             }
         }
     }
-    return static_cast<double>(wanted) > overloadFactor * static_cast<double>(capacity.cpu);
+    return wanted > overloadFactor * static_cast<double>(capacity.cpu);
 }
 
 bool PoolScheduler::Private::checkOverload(TimePoint now)
--- a/src/libmangocourse/poolreport.cpp
+++ b/src/libmangocourse/poolreport.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include <mangocourse/limits.h>
+
 namespace MangoCourse {
 
 namespace {
@@ -17,7 +19,15 @@
 // Returns the work of one item in core-ms.
 std::int64_t workPerItem(const StepSpec &step)
 {
-    return step.resources.cpu * step.estimate.count() / 1000;
+    const double work = static_cast<double>(step.resources.cpu) * static_cast<double>(step.estimate.count()) / 1000.0;
+    return static_cast<std::int64_t>(std::min(work, static_cast<double>(maxReportedWork)));
+}
+
+// Adds an amount for each of `count` items. The total stays within what can be reported.
+void addAmounts(std::int64_t &total, std::int64_t amount, std::int64_t count)
+{
+    const bool isTooMuch = count > 0 && amount > (maxReportedWork - total) / count;
+    total = isTooMuch ? maxReportedWork : total + amount * count;
 }
 
 }
@@ -29,7 +39,9 @@
     }
     std::int64_t work = 0;
     for (const StepSpec &step : entry.job.spec.steps) {
-        work += step.isLongRunning || entry.job.spec.recurrence.count > 0 ? 0 : workPerItem(step) * step.count;
+        if (!step.isLongRunning && entry.job.spec.recurrence.count == 0) {
+            addAmounts(work, workPerItem(step), step.count);
+        }
     }
     if (work > 0) {
         this->arrivals.emplace_back(now, work);
@@ -47,14 +59,14 @@
     std::int64_t laterHalf = 0;
     for (const auto &[at, work] : this->d->arrivals) {
         if (now - at <= arrivalWindow / 2) {
-            laterHalf += work;
+            addAmounts(laterHalf, work, 1);
         } else if (now - at <= arrivalWindow) {
-            earlierHalf += work;
+            addAmounts(earlierHalf, work, 1);
         }
     }
     // A machine needs time to join the pool, so a rising trend is extrapolated. Twice the work of the later half window is a rate per second.
     const std::int64_t rise = std::max<std::int64_t>(0, laterHalf - earlierHalf);
-    report.inflow = std::max(earlierHalf + laterHalf, 2 * laterHalf + riseWeight * rise);
+    report.inflow = std::min(std::max(earlierHalf + laterHalf, 2 * laterHalf + riseWeight * rise), maxReportedWork);
     for (const JobId &id : this->d->openJobs) {
         const JobEntry &entry = *this->d->findJob(id);
         const std::vector<StepSpec> &specs = entry.job.spec.steps;
@@ -65,12 +77,12 @@
                 const StepSpec &spec = specs[step];
                 const std::int64_t remaining = spec.count - occurrence.steps[step].done;
                 if (spec.isLongRunning) {
-                    report.longRunningCpu += spec.isBestEffort ? 0 : spec.resources.cpu * remaining;
+                    addAmounts(report.longRunningCpu, spec.isBestEffort ? 0 : spec.resources.cpu, remaining);
                     const std::int32_t perExecutor = spec.isBestEffort ? 0 : spec.perExecutorLimit;
                     report.spread = std::max(report.spread, perExecutor > 0 ? (spec.count + perExecutor - 1) / perExecutor : 0);
                 } else {
-                    backlog += workPerItem(spec) * remaining;
-                    report.readyCpu += spec.isBestEffort || !this->d->isStepReady(entry, occurrence, step) ? 0 : spec.resources.cpu * remaining;
+                    addAmounts(backlog, workPerItem(spec), remaining);
+                    addAmounts(report.readyCpu, spec.isBestEffort || !this->d->isStepReady(entry, occurrence, step) ? 0 : spec.resources.cpu, remaining);
                 }
             }
         }
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -147,7 +147,7 @@
 struct StepState {
     std::vector<Item> items;
     std::int32_t done = 0;
-    std::int32_t gangFailures = 0;
+    std::int64_t gangFailures = 0;
     // Passes of the placement policy by executor, and their expiry.
     std::map<ExecutorId, std::string> passes;
     TimePoint passesExpireAt{};
