--- a/src/standin_fleet/oddentries_test.py
+++ b/src/standin_fleet/oddentries_test.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 from faultsoak import loopback_address
@@ -206,6 +207,25 @@
         check.expect(status == 400 and field in answer.get("reason", ""), "a submission with an odd %s is refused (%s %s)" % (field, status, answer))
 
 
+def send_oversized_request(check, scheduler):
+    """Sends a submission that is too large for a record together with others."""
+    answers = {}
+
+    def submit(job, body):
+        answers[job] = scheduler.request("POST", "/counter/%016x" % job, json.dumps(body))[0]
+
+    small = {"spec": "work", "steps": [{"count": 1, "cpu": 100, "mem_mb": 16}]}
+    threads = [threading.Thread(target=submit, args=(0xf000, dict(small, spec="w" * 300_000)))]
+    threads += [threading.Thread(target=submit, args=(0xf001 + number, small)) for number in range(6)]
+    for thread in threads:
+        thread.start()
+        time.sleep(0.02)
+    for thread in threads:
+        thread.join()
+    check.expect(answers.pop(0xf000) == 400, "a submission that is too large is refused")
+    check.expect(all(status == 200 for status in answers.values()), "those sent with it are accepted (%s)" % sorted(answers.values()))
+
+
 def run(arguments, directory):
     check = Check()
     store = RecordingStore(PARTITION_COUNT)
@@ -227,6 +247,7 @@
             write_odd_records(store)
         run_jobs(check, scheduler, 0xb000, "after odd records")
         send_odd_requests(check, scheduler)
+        send_oversized_request(check, scheduler)
         run_jobs(check, scheduler, 0xc000, "after odd requests")
         if arguments.stage != "records":
             check_lines(check, scheduler, odd_entries())
