Runs of ended jobs that a new owner finds take room until they have stopped

Its owner stops it, but did not count what it takes meanwhile, so an executor that does not guard its capacity was filled beyond it (rule LIMIT), and one that does refused starts.

Change: while an executor lists such runs, nothing new starts on it; usability `clearing`, told in work_waiting. The size of a run is not known if its job is not, so no part of the executor is given out. The next renewal without these runs makes it usable again, at most the time of a stop later.

--- a/src/include/mangocourse/poolwaiting.h
+++ b/src/include/mangocourse/poolwaiting.h
@@ -70,8 +70,10 @@
     // It is passed over for a while after failures or refused orders.
     Avoided,
     Evacuated,
+    // It holds runs of ended or unknown jobs, which take an unknown part of its capacity until they have stopped.
+    Clearing,
 };
-inline constexpr std::size_t executorUsabilityCount = static_cast<std::size_t>(ExecutorUsability::Evacuated) + 1;
+inline constexpr std::size_t executorUsabilityCount = static_cast<std::size_t>(ExecutorUsability::Clearing) + 1;
 std::string_view toString(ExecutorUsability usability);
 
 // Numbers of executors by usability.
--- a/src/libmangocourse/poolhistory_test.h
+++ b/src/libmangocourse/poolhistory_test.h
@@ -83,6 +83,10 @@
         }
         this->checkStarts(acknowledged.item, now);
     }
+    void onOverload(const ItemId &item, milliseconds now)
+    {
+        this->addViolation(now, item, "starts on an executor without room for it");
+    }
     void onLeaseExpired(int executor, std::int64_t incarnation)
     {
         for (auto &[item, history] : this->items) {
@@ -178,6 +182,8 @@
     ExecutorInfo info;
     int number = 0;
     bool isUp = true;
+    // Refuses what does not fit.
+    bool guardsRoom = true;
     milliseconds restartAt{};
     milliseconds partitionedUntil{};
     milliseconds lastListedAt{};
--- a/src/libmangocourse/poolhistoryworld_test.h
+++ b/src/libmangocourse/poolhistoryworld_test.h
@@ -103,6 +103,7 @@
             executor.info.capacity = Resources{16000, 64000, 0};
             executor.info.labels = {"a", "rack-" + std::to_string(number / 2)};
             executor.clockRate = this->randomChance(50) ? 1.0 : 0.98;
+            executor.guardsRoom = connections == Connections::Sound || number % 2 == 0;
             if (world == World::Wide && number % 2 == 0) {
                 executor.info.labels.emplace_back("ssd");
             }
@@ -622,7 +623,9 @@
                 const ExecutorInfo info = executor.info;
                 const double clockRate = executor.clockRate;
                 const int number = executor.number;
+                const bool guardsRoom = executor.guardsRoom;
                 executor = FakeExecutor{};
+                executor.guardsRoom = guardsRoom;
                 executor.info = info;
                 executor.info.incarnation = this->now.count() + 2;
                 executor.info.isDraining = false;
@@ -691,10 +694,14 @@
             executor.extendLease(order.until, this->now);
             return OrderReply{OrderOutcome::NoPass, clock};
         }
-        if (!executor.free().covers(demandOf(step))) {
+        const bool hasRoom = executor.free().covers(demandOf(step));
+        if (!hasRoom && executor.guardsRoom) {
             executor.extendLease(order.until, this->now);
             return OrderReply{OrderOutcome::NoRoom, clock};
         }
+        if (!hasRoom) {
+            this->checker.onOverload(order.item, this->now);
+        }
         executor.extendLease(order.until, this->now);
         ++executor.changes;
         FakeExecutor::ActiveRun &active = executor.running[order.item];
--- a/src/libmangocourse/pooltakeover_test.cpp
+++ b/src/libmangocourse/pooltakeover_test.cpp
@@ -116,6 +116,23 @@
     EXPECT_TRUE(this->plan().stops.empty());
 }
 
+TEST_F(PoolSchedulerTest, RunsOfEndedOrUnknownJobsTakeRoomUntilTheyHaveStopped)
+{
+    const JobProgress ended{JobId{"a"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Completed, true, this->wall, {}};
+    for (const char *leftOver : {"a", "unknown"}) {
+        this->scheduler = this->makeScheduler(2, 100'000, this->now);
+        this->add(this->job("a"), &ended);
+        this->setDiscovered({executor("one")});
+        this->report("one", {ReportedRun{ItemId{JobId{leftOver}, 0, 0, 0}, 3, {}, 100, 0}});
+        StepSpec step;
+        step.resources = Resources{64000, gigabyte, 0};
+        this->add(this->job("b", step));
+        EXPECT_TRUE(this->plan().starts.empty()) << leftOver;
+        this->report("one");
+        EXPECT_EQ(this->plan().starts.size(), 1U) << leftOver;
+    }
+}
+
 TEST_F(PoolSchedulerTest, RecordsOfUnresponsivePreviousExecutorsAreDeletedOnlyAfterAllLeasesExpired)
 {
     this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
--- a/src/libmangocourse/poolwaiting.cpp
+++ b/src/libmangocourse/poolwaiting.cpp
@@ -81,7 +81,7 @@
 std::string_view toString(ExecutorUsability usability)
 {
     static constexpr std::array<std::string_view, executorUsabilityCount> names{
-        "usable", "unlisted", "draining", "never-contacted", "failing", "not-recorded", "no-clock", "avoided", "evacuated"};
+        "usable", "unlisted", "draining", "never-contacted", "failing", "not-recorded", "no-clock", "avoided", "evacuated", "clearing"};
     return nameOf(usability, names);
 }
 
@@ -159,7 +159,10 @@
     if (executor.avoidedUntil > now) {
         return ExecutorUsability::Avoided;
     }
-    return this->isEvacuated(executor) ? ExecutorUsability::Evacuated : ExecutorUsability::Usable;
+    if (this->isEvacuated(executor)) {
+        return ExecutorUsability::Evacuated;
+    }
+    return executor.orphans.empty() ? ExecutorUsability::Usable : ExecutorUsability::Clearing;
 }
 
 void PoolScheduler::Private::notePlan(TimePoint now, const OwnershipTerm &term, const PoolWatermarks &watermarks)
