--- a/src/scheduler/batchappender.cpp
+++ b/src/scheduler/batchappender.cpp
@@ -55,9 +55,22 @@
     }
     this->unsettledRecords.endAppend(key, result.outcome == AppendOutcome::Unknown, bootNow());
     result.hasEarlierAttempt = hasEarlierAttempt;
+    if (result.outcome == AppendOutcome::NotStored && this->isUnsettled(key)) {
+        result.outcome = AppendOutcome::Unknown;
+    }
     co_return result;
 }
 
+bool BatchAppender::isUnsettled(const std::string &key) const
+{
+    return this->unsettledRecords.contains(key);
+}
+
+void BatchAppender::settle(TimePoint asOf)
+{
+    this->unsettledRecords.settle(asOf);
+}
+
 net::awaitable<AppendResult> BatchAppender::queue(StoredRecord record, steady_clock::time_point deadline)
 {
     const auto now = steady_clock::now();
--- a/src/scheduler/batchappender.h
+++ b/src/scheduler/batchappender.h
@@ -13,9 +13,9 @@
 
 enum class AppendOutcome {
     Durable,
-    // Nothing was stored and nothing will be.
+    // Nothing was stored and nothing will be, by no append of the key in this process.
     NotStored,
-    // The record may have been stored, or may still be stored.
+    // A record of the key may have been stored, or may still be stored.
     Unknown,
 };
 
@@ -39,6 +39,11 @@
     // Retries for a limited time, at most until the deadline. While the store is unavailable, records are rejected without being sent.
     net::awaitable<AppendResult> append(StoredRecord record, std::chrono::steady_clock::time_point deadline);
 
+    // Returns true if an append of the key is in progress, or has ended without an answer.
+    bool isUnsettled(const std::string &key) const;
+    // The stream has been read, with all that was stored up to `asOf`. Records that would have been seen by now are not stored.
+    void settle(TimePoint asOf);
+
 private:
     struct Entry {
         explicit Entry(net::io_context &context)
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -9,6 +9,7 @@
 
 #include "batchappender.h"
 #include "clocks.h"
+#include "event.h"
 #include "recordcodec.h"
 #include "streamreader.h"
 
@@ -91,6 +92,10 @@
     net::awaitable<CallerReply> readQueue(QueueConfig queue);
     net::awaitable<PartitionView *> findJob(QueueConfig queue, JobId id, Result<void> &readResult);
     static std::optional<JobState> findState(const PartitionView &view, const JobId &id);
+    // Appends a record of which earlier appends may be unsettled. If the store refuses this one, what it holds decides.
+    net::awaitable<AppendResult> append(PartitionView &view, StoredRecord record, std::function<bool()> isStored, steady_clock::time_point deadline);
+    // Reads the partition to its end. The event tells that this was tried.
+    std::shared_ptr<Event> startReading(PartitionView &view);
     void recordMovedQueues(const FleetConfig &next);
     // Logs a submission that was not confirmed, with what tells its causes apart.
     void logUnstored(std::string_view event, const JobId &id, const QueueConfig &queue, const char *reason, const AppendResult &appended);
@@ -189,6 +194,39 @@
     co_return nullptr;
 }
 
+std::shared_ptr<Event> JobGateway::Private::startReading(PartitionView &view)
+{
+    const auto readEnded = std::make_shared<Event>(this->context);
+    net::co_spawn(
+        this->context,
+        [&view, readEnded]() -> net::awaitable<void> {
+            const Result<void> read = co_await view.progressReader->catchUp();
+            if (read) {
+                (void)co_await view.jobsReader->catchUp();
+            }
+            view.appender->settle(view.jobsReader->currentAsOf());
+            readEnded->notify();
+        },
+        net::detached);
+    return readEnded;
+}
+
+net::awaitable<AppendResult> JobGateway::Private::append(
+    PartitionView &view, StoredRecord record, std::function<bool()> isStored, steady_clock::time_point deadline)
+{
+    const std::string key = record.key;
+    const std::shared_ptr<Event> readEnded = view.appender->isUnsettled(key) ? this->startReading(view) : nullptr;
+    AppendResult result = co_await view.appender->append(std::move(record), deadline);
+    if (readEnded && result.outcome == AppendOutcome::Unknown && result.unansweredSends == 0) {
+        co_await readEnded->waitFor(std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now()));
+        result.outcome = view.appender->isUnsettled(key) ? AppendOutcome::Unknown : AppendOutcome::NotStored;
+    }
+    if (result.outcome != AppendOutcome::Durable && isStored()) {
+        result.outcome = AppendOutcome::Durable;
+    }
+    co_return result;
+}
+
 net::awaitable<CallerReply> JobGateway::Private::submit(QueueConfig queue, JobId id, CallerRequest request, steady_clock::time_point deadline)
 {
     Result<JobSpec> spec = request.decodeJob();
@@ -213,7 +251,10 @@
     }
     AcceptedJob job{id, queue.id, queue.service, wallNow(), std::move(*spec)};
     StoredRecord record{id.value, encodeAcceptedJob(job), -1};
-    const AppendResult appended = co_await view.appender->append(std::move(record), deadline);
+    const auto isStored = [&view, id] {
+        return findState(view, id).has_value();
+    };
+    const AppendResult appended = co_await this->append(view, std::move(record), isStored, deadline);
     switch (appended.outcome) {
     case AppendOutcome::Durable:
         view.accepted.emplace(id, queue.id);
@@ -227,8 +268,9 @@
     case AppendOutcome::Unknown:
         break;
     }
-    this->logUnstored("job_unsettled", id, queue, "the store gave no answer", appended);
-    co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, "the store gave no answer", {}};
+    const char *reason = appended.unansweredSends > 0 ? "the store gave no answer" : "the store gave no answer to another attempt";
+    this->logUnstored("job_unsettled", id, queue, reason, appended);
+    co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
 }
 
 void JobGateway::Private::logUnstored(std::string_view event, const JobId &id, const QueueConfig &queue, const char *reason, const AppendResult &appended)
@@ -250,7 +292,10 @@
         co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
     }
     StoredRecord record{cancellationKey(id), "1", -1};
-    const AppendResult appended = co_await view->appender->append(std::move(record), deadline);
+    const auto isStored = [view, id] {
+        return view->cancelled.contains(id);
+    };
+    const AppendResult appended = co_await this->append(*view, std::move(record), isStored, deadline);
     const bool isDurable = appended.outcome == AppendOutcome::Durable;
     this->log.emit("job_cancel",
         {{"job", id.value}, {"queue", queue.id.value}, {"durable", isDurable}, {"error", appended.reason}, {"sends", std::int64_t(appended.sends)},
--- a/src/scheduler/refusedsubmission_test.cpp
+++ b/src/scheduler/refusedsubmission_test.cpp
@@ -48,7 +48,7 @@
 
 TEST_F(RefusedSubmissionTest, RepeatBesideAnAttemptInProgressIsNotRefused)
 {
-    this->store.behaviour = StoreBehaviour::LosingAnswers;
+    this->store.behaviour = StoreBehaviour::AppendingLate;
     this->submitInBackground(3000ms);
     this->runFor(700ms);
     EXPECT_FALSE(this->firstReply);
