--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -244,6 +244,12 @@
         if (!readResult) {
             co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, "the store cannot be read, so an earlier submission cannot be ruled out", {}};
         }
+        for (auto previous = std::next(candidates.begin()); previous != candidates.end(); ++previous) {
+            (*previous)->appender->settle((*previous)->jobsReader->currentAsOf());
+            if ((*previous)->appender->isUnsettled(id.value)) {
+                co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, "the store gave no answer to another attempt", {}};
+            }
+        }
     }
     PartitionView &view = *candidates.front();
     if (findState(view, id)) {
