--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -257,6 +257,10 @@
     }
     AcceptedJob job{id, queue.id, queue.service, wallNow(), std::move(*spec)};
     StoredRecord record{id.value, encodeAcceptedJob(job), -1};
+    if (!this->store.accepts(record)) {
+        const char *field = 2 * job.spec.payload.size() > record.value.size() ? "spec" : "steps";
+        co_return CallerReply{CallerOutcome::Invalid, {}, 0, std::string(field) + ": must be shorter, the job exceeds the store's limit for records", {}};
+    }
     const auto isStored = [&view, id] {
         return findState(view, id).has_value();
     };
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -113,6 +113,9 @@
 
     virtual ~RecordStore() = default;
 
+    // Returns true if the store takes a record of this size. An append with a larger one is refused as a whole.
+    virtual bool accepts(const StoredRecord &record) const = 0;
+
     // Appends all records or none. Returns Conflict if a higher epoch has fenced the writer off or the sequence number is out of order. An empty
     // list only sets the epoch.
     virtual net::awaitable<Result<void>> append(
--- a/src/scheduler/scheduler_test.h
+++ b/src/scheduler/scheduler_test.h
@@ -57,6 +57,11 @@
     // Stream whose reads time out.
     std::optional<Stream> unansweredReads;
 
+    bool accepts(const StoredRecord &record) const override
+    {
+        return record.key.size() + record.value.size() <= this->maxAppendBytes;
+    }
+
     net::awaitable<Result<void>> append(
         Stream stream, std::int32_t partitionNumber, std::vector<StoredRecord> records, std::optional<ProducerStamp> stamp, std::chrono::milliseconds) override
     {
