--- a/src/scheduler/batchappender.cpp
+++ b/src/scheduler/batchappender.cpp
@@ -55,9 +55,22 @@
     }
     this->unsettledRecords.endAppend(key, result.outcome == AppendOutcome::Unknown, bootNow());
     result.hasEarlierAttempt = hasEarlierAttempt;
+    if (result.outcome == AppendOutcome::NotStored && this->isUnsettled(key)) {
+        result.outcome = AppendOutcome::Unknown;
+    }
     co_return result;
 }
 
+bool BatchAppender::isUnsettled(const std::string &key) const
+{
+    return this->unsettledRecords.contains(key);
+}
+
+void BatchAppender::settle(TimePoint asOf)
+{
+    this->unsettledRecords.settle(asOf);
+}
+
 net::awaitable<AppendResult> BatchAppender::queue(StoredRecord record, steady_clock::time_point deadline)
 {
     const auto now = steady_clock::now();
@@ -133,7 +146,7 @@
             continue;
         }
         this->failingSince = this->failingSince.value_or(sentAt);
-        const bool mayBeStored = appended.error().code == ErrorCode::Timeout;
+        const bool mayBeStored = !provesNotDone(appended.error().code);
         for (const auto &entry : batch) {
             entry->result.reason = describe(appended.error());
             entry->result.unansweredSends += mayBeStored ? 1 : 0;
