--- /dev/null
+++ b/src/standin_fleet/callers.py
@@ -0,0 +1,209 @@
+"""The fault soak's scheduler processes, the proxies between them and their peers, and the callers that submit jobs."""
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import threading
+import time
+
+from judge import SERVICE_BY_PREFIX
+
+PARTITION_COUNT = 4
+BOUNDS = {"max_hold_ms": 6000, "stop_ms": 200, "grace_s": 4, "status_s": 120, "lease_ms": 3000}
+FRONT_PORT, READY_PORT, METRICS_PORT = 8001, 8002, 8003
+MAX_LASTING_JOBS_PER_CALLER = 2
+
+
+class Proxy:
+    """A loopback TCP proxy. Modes: "pass", "slow" (150 ms per chunk), "silent" (nothing passes) and "one-way" (answers don't pass).
+
+    reset() closes all its connections with RST.
+    """
+
+    def __init__(self, target):
+        host, port = target.split(":")
+        self.target = (host, int(port))
+        self.mode = "pass"
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.open_sockets = set()
+        threading.Thread(target=self.accept_loop, daemon=True).start()
+
+    def accept_loop(self):
+        while True:
+            client, _ = self.listener.accept()
+            try:
+                server = socket.create_connection(self.target, 2)
+            except OSError:
+                client.close()
+                continue
+            self.open_sockets |= {client, server}
+            threading.Thread(target=self.forward, args=(client, server, False), daemon=True).start()
+            threading.Thread(target=self.forward, args=(server, client, True), daemon=True).start()
+
+    def forward(self, source, sink, is_answer):
+        try:
+            while data := source.recv(65536):
+                while self.mode == "silent" or (self.mode == "one-way" and is_answer):
+                    time.sleep(0.02)
+                if self.mode == "slow":
+                    time.sleep(0.15)
+                sink.sendall(data)
+        except OSError:
+            # A fault reset the connection or the peer is gone; both sockets are shut down below.
+            pass
+        for endpoint in (source, sink):
+            self.open_sockets.discard(endpoint)
+            try:
+                endpoint.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # The socket is already closed.
+                pass
+
+    def reset(self):
+        for endpoint in list(self.open_sockets):
+            try:
+                endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+                endpoint.close()
+            except OSError:
+                # The forwarding thread has closed the socket.
+                pass
+
+
+class Process:
+    """A scheduler process with its own proxy to the store; restart_if_exited() starts it again after it exits."""
+
+    def __init__(self, number, arguments, store, directory):
+        self.name = "front-%d" % number
+        self.proxy = Proxy(store.address)
+        # Uses its own loopback address with fixed ports: a free port chosen on 127.0.0.1 may be taken by an outgoing connection before it is used.
+        self.host = loopback_address(number)
+        self.program = os.path.join(arguments.binaries, "mangocourse-scheduler")
+        self.settings = os.path.join(directory, self.name + ".json")
+        self.log = open(os.path.join(directory, self.name + ".log"), "ab")
+        self.write_settings(0.5 if number < 4 else 0.12)
+        self.unexpected_exits = []
+        self.start()
+
+    def write_settings(self, share):
+        with open(self.settings + ".new", "w") as file:
+            json.dump({"node": self.name, "zone": "z", "ip": self.host,
+                       "listen": {"front": "%s:%d" % (self.host, FRONT_PORT), "ready": "%s:%d" % (self.host, READY_PORT)},
+                       "port_range": [METRICS_PORT, METRICS_PORT], "limits": {"cpu_share": share, "cores": 1}, "bounds": BOUNDS,
+                       "platform": {"address": self.proxy.address, "parts": PARTITION_COUNT, "min_ttl_ms": 1000}}, file)
+        os.replace(self.settings + ".new", self.settings)
+
+    def is_up(self):
+        return self.child.poll() is None and not self.exit_expected
+
+    def start(self):
+        self.exit_expected = False
+        self.child = subprocess.Popen([self.program], env=dict(os.environ, MANGOCOURSE_NODE_FILE=self.settings), stdout=self.log, stderr=self.log)
+
+    def send_signal(self, number):
+        self.exit_expected = self.exit_expected or number in (signal.SIGTERM, signal.SIGKILL)
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def restart_if_exited(self):
+        """Restarts the process if it has exited, and returns whether it had; records the exit code if no fault caused the exit."""
+        code = self.child.poll()
+        if code is None:
+            return False
+        if not self.exit_expected:
+            self.unexpected_exits.append(code)
+        self.start()
+        return True
+
+    def close(self):
+        self.exit_expected = True
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.kill()
+        self.child.wait()
+        self.log.close()
+
+
+def loopback_address(number):
+    """Returns a loopback address derived from the process id, so that concurrent soaks on one machine don't collide."""
+    return "127.%d.%d.%d" % (20 + (os.getpid() >> 8) % 200, os.getpid() % 256, 1 + number)
+
+
+class Caller(threading.Thread):
+    """Submits jobs, queries their states and cancels some, over keep-alive connections."""
+
+    def __init__(self, number, seed, processes, checker, stop):
+        super().__init__(daemon=True)
+        self.number = number
+        self.random = random.Random(seed * 1000 + number)
+        self.processes = processes
+        self.checker = checker
+        self.stop = stop
+        self.connections = {}
+        self.lasting_jobs = []
+
+    def call(self, method, path, body=None, timeout_s=2.0):
+        """Sends a request to a random process; returns the status and the body, or None if no answer arrived."""
+        process = self.random.choice(self.processes)
+        connection = self.connections.pop(process.host, None) or http.client.HTTPConnection(process.host, FRONT_PORT, timeout=timeout_s)
+        try:
+            connection.request(method, path, body, {"Content-Type": "application/json", "X-Deadline-Ms": str(int(timeout_s * 1000)), "Host": "soak"})
+            response = connection.getresponse()
+            content = response.read()
+            self.connections[process.host] = connection
+            return response.status, content
+        except (OSError, http.client.HTTPException):
+            # The process was killed, is paused or has not started yet; the next attempt picks a process at random.
+            connection.close()
+            return None
+
+    def run(self):
+        count = 0
+        while not self.stop.is_set():
+            count += 1
+            prefix = self.random.choice(list(SERVICE_BY_PREFIX))
+            job = "%06x%010x" % (self.number, count)
+            step = {"count": self.random.randint(1, 4), "cpu": 2000, "mem_mb": 100, "estimate_ms": 500}
+            steps = [step] if self.random.random() < 0.6 else [step, dict(step, depends_on=[0])]
+            kind = self.random.random()
+            if kind < 0.12:
+                large = self.random.choice([{"cpu": 7500}, {"cpu": 12000}, {"mem_mb": 30000}, {"mem_mb": 40000}])
+                steps = [dict(earlier, count=self.random.randint(1, 2), **large) for earlier in steps]
+            elif kind < 0.2:
+                limits = self.random.choice([{}, {"may_miss": 1}, {"anti_affinity": 1}, {"may_miss": 1, "anti_affinity": 2}])
+                steps = [dict(step, count=self.random.randint(1, 3), cpu=500, mem_mb=500, long_running=True, **limits)]
+                self.lasting_jobs.append((prefix, job))
+            self.submit(prefix, job, steps)
+            time.sleep(self.random.uniform(0.05, 0.4))
+            if len(self.lasting_jobs) > MAX_LASTING_JOBS_PER_CALLER:
+                self.cancel(*self.lasting_jobs.pop(0))
+            elif self.random.random() < 0.1 and (prefix, job) not in self.lasting_jobs:
+                self.cancel(prefix, job)
+
+    def submit(self, prefix, job, steps):
+        with self.checker.lock:
+            record = self.checker.jobs.setdefault(job, {})
+            record.update(submitted=True, prefix=prefix, steps=steps, is_lasting="long_running" in steps[0])
+        body = json.dumps({"spec": "work", "steps": steps})
+        answers = []
+        for _ in range(4):
+            answer = self.call("POST", prefix + job, body)
+            answers.append(answer and answer[0])
+            if answer and answer[0] == 200:
+                record["accepted"] = True
+                return
+            time.sleep(self.random.uniform(0.05, 0.5))
+        record["rejected"] = all(answer in (429, 503) for answer in answers)
+
+    def cancel(self, prefix, job):
+        self.checker.jobs[job]["cancel_sent"] = True
+        answer = self.call("DELETE", prefix + job)
+        if answer and answer[0] == 200:
+            with self.checker.lock:
+                self.checker.jobs[job]["cancelled"] = time.monotonic()
+        else:
+            # Without a 200 the cancellation may or may not have been recorded.
+            self.checker.jobs[job]["unsure"] = True
