--- a/src/standin_fleet/callers.py
+++ b/src/standin_fleet/callers.py
@@ -20,12 +20,13 @@
 class Proxy:
     """A loopback TCP proxy. Modes: "pass", "slow" (150 ms per chunk), "silent" (nothing passes) and "one-way" (answers don't pass).
 
-    reset() closes all its connections with RST.
+    reset() closes all its connections with RST. The target sees source_host, if given, as their peer.
     """
 
-    def __init__(self, target):
+    def __init__(self, target, source_host=""):
         host, port = target.split(":")
         self.target = (host, int(port))
+        self.source = (source_host, 0) if source_host else None
         self.mode = "pass"
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -36,7 +37,7 @@
         while True:
             client, _ = self.listener.accept()
             try:
-                server = socket.create_connection(self.target, 2)
+                server = socket.create_connection(self.target, 2, self.source)
             except OSError:
                 client.close()
                 continue
@@ -78,9 +79,9 @@
 
     def __init__(self, number, arguments, store, directory):
         self.name = "front-%d" % number
-        self.proxy = Proxy(store.address)
         # Uses its own loopback address with fixed ports: a free port chosen on 127.0.0.1 may be taken by an outgoing connection before it is used.
         self.host = loopback_address(number)
+        self.proxy = Proxy(store.address, self.host)
         self.program = os.path.join(arguments.binaries, "mangocourse-scheduler")
         self.settings = os.path.join(directory, self.name + ".json")
         self.log = open(os.path.join(directory, self.name + ".log"), "ab")
--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -16,6 +16,7 @@
 import time
 
 from callers import Caller, PARTITION_COUNT, Process, Proxy
+from faults import LossAndRefusal
 from fleet import Executor, Store
 from judge import InvariantChecker, LASTING_RESTART_S, MAX_ATTEMPTS, MAX_WAIT_S, SERVICE_BY_PREFIX, WaitingWorkCheck
 
@@ -46,6 +47,8 @@
         self.length_random = random.Random("lengths %d" % seed)
         self.further_random = random.Random("further faults %d" % seed)
         self.executor_random = random.Random("executor faults %d" % seed)
+        self.refusal_random = random.Random("refusals %d" % seed)
+        self.has_refusals = arguments.refusals
         random.seed(seed)
         self.checker = InvariantChecker()
         self.store = Store(PARTITION_COUNT)
@@ -79,7 +82,7 @@
 
     def measure_calm(self, now):
         """Returns for how many seconds no fault has started, ended or been active, with all processes up and no order on its way."""
-        if self.recoveries or not all(process.is_up() for process in self.processes) or any(executor.late_orders for executor in self.executors):
+        if self.recoveries or not all(process.is_up() for process in self.processes) or any(stand_in.late_calls for stand_in in [self.store, *self.executors]):
             self.disturbed_at = now
         return now - self.disturbed_at
 
@@ -172,6 +175,23 @@
             "all stopped in turn": stop_in_turn,
         }
 
+    def find_refusal_kinds(self, generator, process, executor, executor_proxy):
+        def start(stand_in, *arguments):
+            fault = LossAndRefusal(generator, *arguments)
+            stand_in.faults.append(fault)
+            return lambda: stand_in.faults.remove(fault)
+
+        def start_at_store(targets):
+            return start(self.store, {target.host for target in targets}, ["/log-append", "/"], ["/log-append", "/"],
+                         [[503], [429], [503, 429, 507]], lambda: [target.proxy.reset() for target in targets])
+
+        return {
+            "store loses answers, refuses": lambda: start_at_store(self.processes),
+            "store loses answers of some, refuses": lambda: start_at_store(generator.sample(self.processes, generator.randint(1, len(self.processes)))),
+            "executor loses answers, refuses": lambda: start(executor, None, ["/run-start", "/run-stop", "/hold", "/"], ["/run-start", "/"],
+                                                             [[503], [429], [503, 429]], executor_proxy.reset),
+        }
+
     def end_faults(self):
         """Ends the faults whose time is over."""
         for entry in [entry for entry in self.recoveries if entry[0] < time.monotonic()]:
@@ -183,6 +203,9 @@
         kinds = dict(self.find_kinds(generator, process, executor, executor_proxy), **self.find_further_kinds(generator, process, executor, executor_proxy))
         return {name: start for name, start in kinds.items() if any(word in name for word in ("executor", "pool", "order", "change"))}
 
+    def find_executor_refusal_kinds(self, *targets):
+        return {name: start for name, start in self.find_refusal_kinds(*targets).items() if name.startswith("executor")}
+
     def inject_series(self, until, sources):
         """Injects faults at random intervals; a source is a generator, its kinds, their longest duration and the time of its next fault."""
         while time.monotonic() < until:
@@ -214,6 +237,8 @@
         started_at = time.monotonic()
         sources = [[self.random, self.find_kinds, LONGEST_FAULT_S, started_at + 4.0],
                    [self.further_random, self.find_further_kinds, LONGEST_FURTHER_FAULT_S, started_at + 4.0]]
+        if self.has_refusals:
+            sources.append([self.refusal_random, self.find_refusal_kinds, LONGEST_FAULT_S, started_at + 4.0])
         length_s = 4.0 + self.length_random.uniform(*SERIES_S)
         while remaining_s > 0:
             # A rest too short for a series of its own belongs to this one.
@@ -221,8 +246,10 @@
             ended_at = time.monotonic() + length_s
             self.inject_series(ended_at, sources)
             self.pause_faults()
-            self.inject_series(time.monotonic() + self.length_random.uniform(*SERIES_S),
-                               [[self.executor_random, self.find_executor_kinds, LONGEST_FURTHER_FAULT_S, time.monotonic()]])
+            executor_sources = [[self.executor_random, self.find_executor_kinds, LONGEST_FURTHER_FAULT_S, time.monotonic()]]
+            if self.has_refusals:
+                executor_sources.append([self.refusal_random, self.find_executor_refusal_kinds, LONGEST_FAULT_S, time.monotonic()])
+            self.inject_series(time.monotonic() + self.length_random.uniform(*SERIES_S), executor_sources)
             self.pause_faults()
             for source in sources:
                 source[3] += time.monotonic() - ended_at
@@ -288,6 +315,13 @@
         if state == "failed" and not any(item.startswith(job) and count >= MAX_ATTEMPTS for item, count in self.checker.failures.items()):
             self.checker.report_violation("LOST: %s is shown as failed without its attempts" % job)
 
+    def write_trace(self, path):
+        """Writes what faults did to calls, and the records of jobs that were stored, in the order of time."""
+        names = {process.host: process.name for process in self.processes}
+        with open(path, "w") as file:
+            for at, source, call, what, subject in sorted(line for stand_in in [self.store, *self.executors] for line in stand_in.trace):
+                file.write("%d %s %s %s %s\n" % (at * 1000, names.get(source, ""), call, what, subject))
+
     def close(self):
         for process in self.processes:
             process.close()
@@ -316,6 +350,7 @@
         for line in soak.faults:
             print("  fault at " + line, flush=True)
     if checker.violations and arguments.logs:
+        soak.write_trace(os.path.join(directory, "stand-ins.log"))
         shutil.copytree(directory, os.path.join(arguments.logs, "seed-%d" % seed), dirs_exist_ok=True)
     shutil.rmtree(directory)
     return checker.violations
@@ -329,6 +364,7 @@
     parser.add_argument("--seconds", type=float, default=20, help="duration of the fault injection, in seconds")
     parser.add_argument("--processes", type=int, default=5)
     parser.add_argument("--executors", type=int, default=8)
+    parser.add_argument("--refusals", action="store_true", help="adds faults that lose answers and refuse the calls that follow")
     parser.add_argument("--logs", help="directory for the logs of failed seeds")
     arguments = parser.parse_args()
     seeds = []
--- a/src/standin_fleet/fleet.py
+++ b/src/standin_fleet/fleet.py
@@ -12,6 +12,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
+from faults import FaultyService
+
 MAX_LEASE_S = 6.0
 MAX_STOP_DELAY_S = 0.2
 CAPACITY = {"cpu": 16000, "mem_mb": 64000}
@@ -19,6 +21,8 @@
 FINITE_RUN_S = (0.1, 0.8)
 LASTING_RUN_S = (4.0, 30.0)
 MAX_ORDER_DELAY_S = 3.5
+# A producer's repeat of one of so many last appends gets its first answer again.
+REMEMBERED_APPENDS = 5
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -26,6 +30,10 @@
 
     protocol_version = "HTTP/1.1"
 
+    def setup(self):
+        super().setup()
+        self.source = self.client_address[0]
+
     def log_message(self, *_):
         pass
 
@@ -33,7 +41,7 @@
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
         url = urlsplit(self.path)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
-        answer = self.server.stand_in.respond(url.path, query, body, self.headers)
+        answer = self.server.stand_in.respond(url.path, query, body, self)
         if answer is None:
             self.close_connection = True
             return
@@ -55,19 +63,24 @@
             self.close_connection = True
 
 
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+
 def serve(stand_in):
     """Starts a server on an ephemeral loopback port and returns its address."""
-    server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-    server.daemon_threads = True
+    server = Server(("127.0.0.1", 0), Handler)
     server.stand_in = stand_in
     threading.Thread(target=server.serve_forever, kwargs={"poll_interval": 0.2}, daemon=True).start()
     return "127.0.0.1:%d" % server.server_address[1]
 
 
-class Store:
+class Store(FaultyService):
     """The platform's log: partitioned topics with keyed records, idempotent producers and consumer groups."""
 
     def __init__(self, partition_count):
+        super().__init__()
         self.partition_count = partition_count
         self.log_changed = threading.Condition()
         self.logs = {}
@@ -77,15 +90,24 @@
         self.fault_mode = "none"
         self.address = serve(self)
 
-    def respond(self, path, query, body, _headers):
+    def respond(self, path, query, body, call):
+        subject = self.describe_append(query, body) if path == "/log-append" else ""
         if self.fault_mode == "refuse":
+            self.add_trace(call.source, path, "refused with 503", subject)
             return 503, {}
-        call = {"/log-append": self.append, "/log-read": self.read, "/log-newest": self.newest, "/log-join": self.join,
-                "/log-leave": self.leave, "/log-owners": self.owners}.get(path)
-        if call is None:
+        handler = {"/log-append": lambda query, body: self.append(query, body, call), "/log-read": self.read, "/log-newest": self.newest,
+                   "/log-join": self.join, "/log-leave": self.leave, "/log-owners": self.owners}.get(path)
+        if handler is None:
             return 404, {}
-        answer = call(query, body)
-        return None if self.fault_mode == "lose-answers" and random.random() < 0.4 else answer
+        answer = self.respond_under_faults(call, path, subject, lambda: handler(query, body))
+        if self.fault_mode == "lose-answers" and random.random() < 0.4:
+            self.add_trace(call.source, path, "answer lost", subject)
+            return None
+        return answer
+
+    def describe_append(self, query, body):
+        keys = [record[1:1 + record[0]].decode(errors="replace") for record in self.split_records(body)]
+        return "%s/%s: %s" % (query["topic"], query["part"], " ".join(keys[:20]))
 
     @staticmethod
     def split_records(body):
@@ -96,23 +118,37 @@
             body = body[4 + size:]
         return records
 
-    def append(self, query, body):
+    def append(self, query, body, call):
         partition_key = (query["topic"], int(query["part"]))
         time.sleep(0.004)
         with self.log_changed:
             log = self.logs.setdefault(partition_key, [])
-            if "producer" in query:
-                producer_state = self.producers.setdefault(partition_key + (query["producer"],), [-1, -1])
+            if "at" in query and int(query["at"]) != len(log):
+                return 412, {"end": len(log)}
+            producer = self.producers.setdefault(partition_key + (query["producer"],), {"epoch": -1}) if "producer" in query else None
+            if producer is not None:
                 epoch, sequence = int(query["epoch"]), int(query["sequence"])
-                if epoch < producer_state[0]:
+                if epoch < producer["epoch"]:
                     return 409, {"reason": "fenced"}
-                if epoch == producer_state[0] and sequence <= producer_state[1] and body:
-                    return 200, {"offset": 0, "end": len(log)}
-                if body or epoch > producer_state[0]:
-                    producer_state[:] = [epoch, sequence if body else -1]
-            log.extend(self.split_records(body))
+                if epoch > producer["epoch"]:
+                    producer.update(epoch=epoch, next=None, answers={})
+                if body and sequence in producer["answers"]:
+                    return producer["answers"][sequence]
+                if body and producer["next"] not in (None, sequence):
+                    return 409, {"reason": "seq", "sequence": producer["next"]}
+            records = self.split_records(body)
+            answer = 200, {"offset": len(log), "end": len(log) + len(records)}
+            if producer is not None and body:
+                producer["next"] = sequence + 1
+                producer["answers"][sequence] = answer
+                producer["answers"].pop(sequence - REMEMBERED_APPENDS, None)
+            log.extend(records)
             self.log_changed.notify_all()
-            return 200, {"offset": len(log), "end": len(log)}
+        if query["topic"] == "keyed.jobs":
+            for record in records:
+                key, value = record[1:1 + record[0]].decode(), record[1 + record[0]:]
+                self.add_trace(call.source, "/log-append", "stored" if value else "dropped", key)
+        return answer
 
     def append_record(self, topic, key, value):
         """Appends a record to partition 0 of a topic, on behalf of the operator or of an executor; None drops the key."""
@@ -199,10 +235,11 @@
             return 200, {"parts": [[topic, part, member, 0] for (topic, part), member in group["owner"].items()]}
 
 
-class Executor:
+class Executor(FaultyService):
     """A machine that runs work items; a restart resets its clock, fencing token, lease and run numbers."""
 
     def __init__(self, name, service, store, checker):
+        super().__init__()
         self.name = name
         self.service = service
         self.store = store
@@ -217,7 +254,6 @@
         self.unhealthy_statuses = []
         # "none", "lose-answers" (an order is carried out without an answer) or "late" (so too, and seconds after it came).
         self.order_fault = "none"
-        self.late_orders = 0
         self.restart()
         threading.Thread(target=self.update_loop, daemon=True).start()
 
@@ -290,30 +326,30 @@
             return {name: amount - sum(work["demand"][name] for work in self.running.values()) for name, amount in CAPACITY.items()}
 
     def is_sound(self):
-        return self.is_up and self.is_listed and not self.unhealthy_statuses and self.order_fault == "none" and self.late_orders == 0
+        return self.is_up and self.is_listed and not self.unhealthy_statuses and self.order_fault == "none" and not self.faults and self.late_calls == 0
 
-    def respond(self, path, _query, body, _headers):
+    def respond(self, path, _query, body, call):
         if not self.is_up:
             return None
         if self.unhealthy_statuses:
             return random.choice(self.unhealthy_statuses), b""
         request = json.loads(body)
+        boot_id = self.boot_id
+
+        def carry_out():
+            return self.carry_out(path, request) if self.is_up and self.boot_id == boot_id else None
+
         fault = self.order_fault if path in ("/run-start", "/run-stop") else "none"
         if fault == "late":
-            with self.lock:
-                self.late_orders += 1
-            threading.Thread(target=self.carry_out_late, args=(path, request, self.boot_id), daemon=True).start()
+            with self.late_lock:
+                self.late_calls += 1
+            delay_s = random.uniform(1.0, MAX_ORDER_DELAY_S)
+            threading.Thread(target=self.carry_out_late, args=(delay_s, carry_out), daemon=True).start()
             return None
-        answer = self.carry_out(path, request)
+        subject = "%s %s run %s" % (self.name, request.get("task", ""), request.get("run", ""))
+        answer = self.respond_under_faults(call, path, subject, carry_out)
         return None if fault == "lose-answers" else answer
 
-    def carry_out_late(self, path, request, boot_id):
-        time.sleep(random.uniform(1.0, MAX_ORDER_DELAY_S))
-        if self.is_up and self.boot_id == boot_id:
-            self.carry_out(path, request)
-        with self.lock:
-            self.late_orders -= 1
-
     def carry_out(self, path, request):
         with self.lock:
             if request.get("fencing_token", 0) < self.token:
