--- a/src/standin_fleet/callers.py
+++ b/src/standin_fleet/callers.py
@@ -8,6 +8,7 @@
 import subprocess
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from judge import SERVICE_BY_PREFIX
 
@@ -102,6 +103,7 @@
 
     def start(self):
         self.exit_expected = False
+        self.started_at = time.monotonic()
         self.child = subprocess.Popen([self.program], env=dict(os.environ, MANGOCOURSE_NODE_FILE=self.settings), stdout=self.log, stderr=self.log)
 
     def send_signal(self, number):
@@ -146,9 +148,9 @@
         self.connections = {}
         self.lasting_jobs = []
 
-    def call(self, method, path, body=None, timeout_s=2.0):
-        """Sends a request to a random process; returns the status and the body, or None if no answer arrived."""
-        process = self.random.choice(self.processes)
+    def call(self, method, path, body=None, timeout_s=2.0, process=None):
+        """Sends a request to the process, or to a random one; returns the status and the body, or None if no answer arrived."""
+        process = process or self.random.choice(self.processes)
         connection = self.connections.pop(process.host, None) or http.client.HTTPConnection(process.host, FRONT_PORT, timeout=timeout_s)
         try:
             connection.request(method, path, body, {"Content-Type": "application/json", "X-Deadline-Ms": str(int(timeout_s * 1000)), "Host": "soak"})
@@ -185,26 +187,75 @@
                 self.cancel(prefix, job)
 
     def submit(self, prefix, job, steps):
+        body = self.register(prefix, job, steps)
+        for _ in range(4):
+            if self.attempt(job, prefix, body, self.random.choice(self.processes)) == 200:
+                break
+            time.sleep(self.random.uniform(0.05, 0.5))
+        self.checker.submission_ended(job)
+
+    def register(self, prefix, job, steps):
+        """Records what a job is and returns the body that submits it."""
         with self.checker.lock:
             record = self.checker.jobs.setdefault(job, {})
-            record.update(submitted=True, prefix=prefix, steps=steps, is_lasting="long_running" in steps[0])
-        body = json.dumps({"spec": "work", "steps": steps})
-        answers = []
-        for _ in range(4):
-            answer = self.call("POST", prefix + job, body)
-            answers.append(answer and answer[0])
+            record.update(submitted=True, prefix=prefix, steps=steps, is_lasting="long_running" in steps[0], attempts=[])
+        return json.dumps({"spec": "work", "steps": steps})
+
+    def attempt(self, job, prefix, body, process, timeout_s=2.0):
+        """Submits the job once and returns the status, or None if no answer arrived."""
+        attempt = {"sent_at": time.monotonic(), "process": process.name, "host": process.host, "status": "open"}
+        with self.checker.lock:
+            self.checker.jobs[job]["attempts"].append(attempt)
+        answer = self.call("POST", prefix + job, body, timeout_s, process)
+        status = answer and answer[0]
+        if status == 200:
+            self.checker.jobs[job]["accepted"] = True
+        self.checker.attempt_ended(job, attempt, status, process.started_at)
+        return status
+
+    def cancel(self, prefix, job, attempts=1):
+        self.checker.jobs[job]["cancel_sent"] = True
+        for _ in range(attempts):
+            answer = self.call("DELETE", prefix + job)
             if answer and answer[0] == 200:
-                record["accepted"] = True
+                with self.checker.lock:
+                    self.checker.jobs[job]["cancelled"] = time.monotonic()
                 return
-            time.sleep(self.random.uniform(0.05, 0.5))
-        record["rejected"] = all(answer in (429, 503) for answer in answers)
+            if answer and answer[0] == 410 and self.checker.jobs[job].get("accepted"):
+                self.checker.report_violation("LOST: %s was accepted, and its cancellation says that no such job exists" % job)
+        # Without a 200 the cancellation may or may not have been recorded.
+        self.checker.jobs[job]["unsure"] = True
 
-    def cancel(self, prefix, job):
-        self.checker.jobs[job]["cancel_sent"] = True
-        answer = self.call("DELETE", prefix + job)
-        if answer and answer[0] == 200:
-            with self.checker.lock:
-                self.checker.jobs[job]["cancelled"] = time.monotonic()
-        else:
-            # Without a 200 the cancellation may or may not have been recorded.
-            self.checker.jobs[job]["unsure"] = True
+
+class RepeatingCaller(Caller):
+    """Submits small jobs and repeats them as impatient clients do: at the same process or at others, one by one or several at once."""
+
+    def run(self):
+        count = 0
+        while not self.stop.is_set():
+            count += 1
+            prefix = self.random.choice(list(SERVICE_BY_PREFIX))
+            job = "%06x%010x" % (self.number, count)
+            self.submit(prefix, job, [{"count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 500}])
+            if self.random.random() < 0.1:
+                self.cancel(prefix, job, self.random.randint(1, 4))
+            time.sleep(self.random.uniform(0.0, 0.3))
+
+    def submit(self, prefix, job, steps):
+        body = self.register(prefix, job, steps)
+        same_process_share = self.random.choice([0.0, 0.5, 1.0])
+        width = self.random.choice([1, 1, 1, 2, 3])
+        timeout_s = self.random.choice([0.4, 1.0, 2.0, 3.0])
+        longest_pause_s = self.random.choice([0.0, 0.1, 0.6])
+        process = self.random.choice(self.processes)
+        for _ in range(self.random.randint(1, 7)):
+            targets = []
+            for _ in range(width):
+                process = process if self.random.random() < same_process_share else self.random.choice(self.processes)
+                targets.append(process)
+            with ThreadPoolExecutor(width) as threads:
+                statuses = list(threads.map(lambda target: self.attempt(job, prefix, body, target, timeout_s), targets))
+            if 200 in statuses or self.stop.is_set():
+                break
+            time.sleep(self.random.uniform(0.0, longest_pause_s))
+        self.checker.submission_ended(job)
--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -14,11 +14,12 @@
 import tempfile
 import threading
 import time
+from collections import Counter
 
-from callers import Caller, PARTITION_COUNT, Process, Proxy
+from callers import Caller, PARTITION_COUNT, Process, Proxy, RepeatingCaller
 from faults import LossAndRefusal
 from fleet import Executor, Store
-from judge import InvariantChecker, LASTING_RESTART_S, MAX_ATTEMPTS, MAX_WAIT_S, SERVICE_BY_PREFIX, WaitingWorkCheck
+from judge import InvariantChecker, LASTING_RESTART_S, MAX_ATTEMPTS, MAX_START_AFTER_CANCEL_S, MAX_WAIT_S, SERVICE_BY_PREFIX, WaitingWorkCheck
 
 # Time for accepted jobs to reach a final state after the last fault.
 SETTLE_TIMEOUT_S = 30.0
@@ -51,7 +52,7 @@
         self.has_refusals = arguments.refusals
         random.seed(seed)
         self.checker = InvariantChecker()
-        self.store = Store(PARTITION_COUNT)
+        self.store = Store(PARTITION_COUNT, self.checker)
         self.version = 0
         self.publish_configuration()
         self.executors = []
@@ -258,6 +259,8 @@
 
     def run(self):
         callers = [Caller(number, self.random.randrange(10 ** 6), self.processes, self.checker, self.stop) for number in range(4)]
+        if self.has_refusals:
+            callers += [RepeatingCaller(number, self.refusal_random.randrange(10 ** 6), self.processes, self.checker, self.stop) for number in range(16, 20)]
         self.waiting_work_check.start()
         time.sleep(2.0)
         for caller in callers:
@@ -298,9 +301,11 @@
             self.checker.report_violation("LOST: %s is to last and doesn't run at the end" % item)
         for job in unfinished:
             self.checker.report_violation("LOST: %s was accepted and is %s at the end" % (job, states.get(job)))
-        for job, record in self.checker.jobs.items():
-            if record.get("rejected") and record.get("started"):
-                self.checker.report_violation("REFUSED: %s was refused each time, and it ran" % job)
+        now = time.monotonic()
+        with self.checker.lock:
+            for item, active_runs in self.checker.running.items():
+                if active_runs and now - self.checker.jobs[item.split(".")[0]].get("cancelled", now) > MAX_START_AFTER_CANCEL_S:
+                    self.checker.report_violation("UNASKED: %s still runs on %s, long after its job was cancelled" % (item, list(active_runs)))
 
     def find_absent(self, lasting):
         """Returns the items of the lasting jobs that don't run, except those that have just ended."""
@@ -341,9 +346,10 @@
         checker.report_violation("IDLE: only %d jobs were accepted" % accepted)
     if soak.waiting_work_check.judged_s < MAX_WAIT_S:
         checker.report_violation("IDLE: only %.1f s of calm were judged" % soak.waiting_work_check.judged_s)
-    print("seed %d: %d jobs accepted, %d items done, %d faults, longest wait in %.0f s of calm %.1f s, %d promises broken"
+    kinds = Counter(line.split(" s: ")[1].split(":")[0] for line in checker.violations)
+    print("seed %d: %d jobs accepted, %d items done, %d faults, longest wait in %.0f s of calm %.1f s, %d promises broken%s"
           % (seed, accepted, len(checker.completed), len(soak.faults), soak.waiting_work_check.judged_s, soak.waiting_work_check.longest_wait_s,
-             len(checker.violations)), flush=True)
+             len(checker.violations), "".join(", %s %d" % kind for kind in sorted(kinds.items()))), flush=True)
     for line in checker.violations[:10]:
         print("  " + line, flush=True)
     if checker.violations:
@@ -364,7 +370,7 @@
     parser.add_argument("--seconds", type=float, default=20, help="duration of the fault injection, in seconds")
     parser.add_argument("--processes", type=int, default=5)
     parser.add_argument("--executors", type=int, default=8)
-    parser.add_argument("--refusals", action="store_true", help="adds faults that lose answers and refuse the calls that follow")
+    parser.add_argument("--refusals", action="store_true", help="adds faults that lose answers and refuse the calls that follow, and callers that repeat")
     parser.add_argument("--logs", help="directory for the logs of failed seeds")
     arguments = parser.parse_args()
     seeds = []
--- a/src/standin_fleet/fleet.py
+++ b/src/standin_fleet/fleet.py
@@ -33,6 +33,7 @@
     def setup(self):
         super().setup()
         self.source = self.client_address[0]
+        self.connected_at = time.monotonic()
 
     def log_message(self, *_):
         pass
@@ -79,8 +80,9 @@
 class Store(FaultyService):
     """The platform's log: partitioned topics with keyed records, idempotent producers and consumer groups."""
 
-    def __init__(self, partition_count):
+    def __init__(self, partition_count, checker):
         super().__init__()
+        self.checker = checker
         self.partition_count = partition_count
         self.log_changed = threading.Condition()
         self.logs = {}
@@ -91,11 +93,12 @@
         self.address = serve(self)
 
     def respond(self, path, query, body, call):
+        arrived_at = time.monotonic()
         subject = self.describe_append(query, body) if path == "/log-append" else ""
         if self.fault_mode == "refuse":
             self.add_trace(call.source, path, "refused with 503", subject)
             return 503, {}
-        handler = {"/log-append": lambda query, body: self.append(query, body, call), "/log-read": self.read, "/log-newest": self.newest,
+        handler = {"/log-append": lambda query, body: self.append(query, body, call, arrived_at), "/log-read": self.read, "/log-newest": self.newest,
                    "/log-join": self.join, "/log-leave": self.leave, "/log-owners": self.owners}.get(path)
         if handler is None:
             return 404, {}
@@ -118,7 +121,7 @@
             body = body[4 + size:]
         return records
 
-    def append(self, query, body, call):
+    def append(self, query, body, call, arrived_at):
         partition_key = (query["topic"], int(query["part"]))
         time.sleep(0.004)
         with self.log_changed:
@@ -148,6 +151,8 @@
             for record in records:
                 key, value = record[1:1 + record[0]].decode(), record[1 + record[0]:]
                 self.add_trace(call.source, "/log-append", "stored" if value else "dropped", key)
+                if value:
+                    self.checker.record_stored(key, call.source, call.connected_at, arrived_at)
         return answer
 
     def append_record(self, topic, key, value):
--- a/src/standin_fleet/judge.py
+++ b/src/standin_fleet/judge.py
@@ -7,6 +7,8 @@
 
 SERVICE_BY_PREFIX = {"/counter/": "desk", "/shop/": "shop"}
 MAX_ATTEMPTS = 3
+# Answers that promise that a job was not accepted and never runs.
+REFUSALS = (429, 503)
 # Work of a cancelled job may start up to this long after the confirmation: the documented bound plus the longest outage plus a takeover.
 MAX_START_AFTER_CANCEL_S = 14.0
 # Work that could run may wait for this long, in a stretch that has been calm for CALM_S before. A lasting item restarts within LASTING_RESTART_S.
@@ -29,6 +31,8 @@
         self.failures = {}
         self.last_ends = {}
         self.jobs = {}
+        # For each job, the records of it that are stored: (host of the process, time of its connection, time of arrival at the store).
+        self.records = {}
 
     def report_violation(self, what):
         self.violations.append("%.2f s: %s" % (time.monotonic() - self.started_at, what))
@@ -45,6 +49,7 @@
             active_runs[executor] = run
             job = self.jobs.setdefault(item.split(".")[0], {})
             job["started"] = True
+            self.judge_refusal(item.split(".")[0])
             if "submitted" not in job:
                 self.report_violation("UNASKED: %s was never submitted" % item)
             if time.monotonic() - job.get("cancelled", time.monotonic()) > MAX_START_AFTER_CANCEL_S:
@@ -71,6 +76,57 @@
                 if active_runs.pop(executor, None) is not None:
                     self.last_ends[item] = time.monotonic()
 
+    def attempt_ended(self, job, attempt, status, answered_by):
+        """Records the answer to an attempt to submit a job, from the incarnation of the process that started at answered_by."""
+        with self.lock:
+            attempt.update(status=status, answered_at=time.monotonic(), answered_by=answered_by)
+            earlier = [other for other in self.jobs[job]["attempts"] if other["status"] == 504 and other["answered_at"] < attempt["sent_at"]
+                       and (other["host"], other["answered_by"]) == (attempt["host"], answered_by)]
+            if status in REFUSALS and earlier:
+                self.report_refusal("FORGOTTEN: %s was refused by %s, which had answered 504 before" % (job, attempt["process"]), job)
+            self.judge_attempts(job)
+
+    def submission_ended(self, job):
+        """Records that the caller makes no further attempts."""
+        with self.lock:
+            self.jobs[job]["is_given_up"] = True
+            self.judge_refusal(job)
+
+    def record_stored(self, key, host, connected_at, arrived_at):
+        with self.lock:
+            self.records.setdefault(key, []).append((host, connected_at, arrived_at))
+            self.judge_attempts(key)
+
+    def judge_refusal(self, job):
+        """Reports a job that started although all its attempts were refused. Call it with the lock held."""
+        record = self.jobs[job]
+        attempts = record.get("attempts", [])
+        if record.get("started") and record.get("is_given_up") and all(attempt["status"] in REFUSALS for attempt in attempts):
+            self.report_refusal("REFUSED: %s was refused each time, and it started" % job, job)
+
+    def judge_attempts(self, job):
+        """Reports refused attempts whose process had sent a record that is stored. Call it with the lock held."""
+        attempts = self.jobs.get(job, {}).get("attempts", [])
+        for refused in [attempt for attempt in attempts if attempt["status"] in REFUSALS]:
+            for host, connected_at, arrived_at in self.records.get(job, []):
+                if host != refused["host"] or connected_at < refused["answered_by"]:
+                    continue
+                # The record is that of an earlier attempt, or of one of several that were all refused.
+                senders = [attempt for attempt in attempts if attempt["host"] == host and attempt["sent_at"] <= arrived_at]
+                if arrived_at <= refused["sent_at"] or all(attempt["status"] in REFUSALS for attempt in senders):
+                    self.report_refusal("RECORD: %s was refused by %s, whose record of it arrived at the store at %.2f s and is stored" % (
+                        job, refused["process"], arrived_at - self.started_at), job)
+
+    def report_refusal(self, what, job):
+        """Reports a kind of violation once for each job, with the job's attempts so far."""
+        reported = self.jobs[job].setdefault("reported", set())
+        if what.split(":")[0] in reported:
+            return
+        reported.add(what.split(":")[0])
+        rows = ["%.2f-%.2f s %s %s" % (other["sent_at"] - self.started_at, other.get("answered_at", time.monotonic()) - self.started_at, other["process"],
+                                       other["status"]) for other in self.jobs[job]["attempts"]]
+        self.report_violation("%s; attempts: %s" % (what, ", ".join(rows)))
+
     def describe(self, item):
         """Returns what an item needs and whether it lasts, as its job was submitted."""
         job, _, step, _ = item.split(".")
