--- /dev/null
+++ b/src/standin_fleet/faultsoak_test.py
@@ -0,0 +1,141 @@
+#!/usr/bin/env python3
+"""Tests of the fault soak's own judge and stand-ins."""
+import time
+import unittest
+
+from fleet import Store
+from judge import InvariantChecker
+
+
+class Call:
+    """What the stand-ins see of a connection."""
+
+    def __init__(self, source="127.0.0.2"):
+        self.source = source
+        self.connected_at = time.monotonic()
+
+
+class FixedFault:
+    """Takes each call with the next of the given verdicts."""
+
+    def __init__(self, *verdicts):
+        self.verdicts = list(verdicts)
+
+    def decide(self, _source, _path):
+        return self.verdicts.pop(0) if self.verdicts else None
+
+
+class JudgeTest(unittest.TestCase):
+    def setUp(self):
+        self.checker = InvariantChecker()
+        self.checker.jobs["j"] = {"submitted": True, "is_lasting": False, "steps": [], "attempts": []}
+
+    def send(self, host="a", sent_at=1.0):
+        attempt = {"sent_at": sent_at, "process": "front-" + host, "host": host, "status": "open"}
+        self.checker.jobs["j"]["attempts"].append(attempt)
+        return attempt
+
+    def answer(self, attempt, status, incarnation=0.0):
+        self.checker.attempt_ended("j", attempt, status, incarnation)
+
+    def store(self, arrived_at, host="a", connected_at=0.5):
+        self.checker.record_stored("j", host, connected_at, arrived_at)
+
+    def kinds(self):
+        return [line.split(" s: ")[1].split(":")[0] for line in self.checker.violations]
+
+    def test_refusal_of_an_attempt_whose_record_is_stored(self):
+        self.store(1.1)
+        self.answer(self.send(), 503)
+        self.assertEqual(self.kinds(), ["RECORD"])
+
+    def test_refusal_of_an_attempt_whose_record_is_stored_later(self):
+        self.answer(self.send(), 429)
+        self.assertEqual(self.kinds(), [])
+        self.store(1.1)
+        self.assertEqual(self.kinds(), ["RECORD"])
+
+    def test_refusal_after_the_record_of_an_attempt_without_an_answer(self):
+        self.answer(self.send(), None)
+        self.store(1.1)
+        self.answer(self.send(sent_at=1.2), 503)
+        self.assertEqual(self.kinds(), ["RECORD"])
+
+    def test_refusal_before_an_accepted_attempt_is_allowed(self):
+        self.answer(self.send(), 503)
+        second = self.send(sent_at=2.0)
+        self.store(2.1)
+        self.answer(second, 200)
+        self.assertEqual(self.kinds(), [])
+
+    def test_records_of_other_processes_and_of_the_incarnation_before_are_allowed(self):
+        self.store(1.1, host="b")
+        self.store(0.9, connected_at=0.5)
+        self.answer(self.send(), 503, incarnation=0.8)
+        self.assertEqual(self.kinds(), [])
+
+    def test_refusal_after_504_by_the_same_incarnation(self):
+        self.answer(self.send(), 504)
+        later = time.monotonic() + 1
+        self.answer(self.send(sent_at=later), 503, incarnation=2.0)
+        self.answer(self.send(sent_at=later, host="b"), 503)
+        self.assertEqual(self.kinds(), [])
+        self.answer(self.send(sent_at=later), 503)
+        self.assertEqual(self.kinds(), ["FORGOTTEN"])
+
+    def test_job_that_starts_before_its_caller_gives_up(self):
+        self.answer(self.send(), 503)
+        self.checker.run_started("j.0.0.0", "e0", 1)
+        self.assertEqual(self.kinds(), [])
+        self.checker.submission_ended("j")
+        self.assertEqual(self.kinds(), ["REFUSED"])
+
+    def test_job_with_an_attempt_without_an_answer_may_start(self):
+        self.answer(self.send(), 503)
+        self.answer(self.send(), None)
+        self.checker.submission_ended("j")
+        self.checker.run_started("j.0.0.0", "e0", 1)
+        self.assertEqual(self.kinds(), [])
+
+
+class StoreTest(unittest.TestCase):
+    def setUp(self):
+        self.checker = InvariantChecker()
+        self.store = Store(1, self.checker)
+
+    def append(self, key, **query):
+        record = bytes([len(key)]) + key.encode() + b"v"
+        query = dict({"topic": "keyed.jobs", "part": "0"}, **{name: str(value) for name, value in query.items()})
+        return self.store.respond("/log-append", query, len(record).to_bytes(4, "big") + record, Call())
+
+    def keys(self):
+        return [record[1:1 + record[0]].decode() for record in self.store.logs.get(("keyed.jobs", 0), [])]
+
+    def test_refused_call_does_nothing_and_lost_call_is_carried_out(self):
+        self.store.faults.append(FixedFault(503, (0.0, 0.0), 429))
+        self.assertEqual([self.append("a")[0], self.append("b"), self.append("c")[0], self.append("d")[0]], [503, None, 429, 200])
+        self.assertEqual(self.keys(), ["b", "d"])
+        self.assertEqual(list(self.checker.records), ["b", "d"])
+
+    def test_late_call_keeps_its_conditions(self):
+        self.store.faults.append(FixedFault((0.1, 0.0), (0.1, 0.0), (0.1, 0.0)))
+        self.assertEqual([self.append("a", at=0), self.append("b", producer="p", epoch=1, sequence=4), self.append("c")], [None] * 3)
+        self.assertEqual(self.append("d", at=0), (200, {"offset": 0, "end": 1}))
+        self.assertEqual(self.append("e", producer="p", epoch=2, sequence=9)[0], 200)
+        while self.store.late_calls:
+            time.sleep(0.01)
+        self.assertEqual(self.keys(), ["d", "e", "c"])
+
+    def test_producer_follows_its_last_append_and_repeats_get_the_first_answer(self):
+        first = self.append("a", producer="p", epoch=1, sequence=7)
+        self.assertEqual(self.append("a", producer="p", epoch=1, sequence=7), first)
+        self.assertEqual(self.append("c", producer="p", epoch=1, sequence=9), (409, {"reason": "seq", "sequence": 8}))
+        for sequence in range(8, 13):
+            self.assertEqual(self.append("b", producer="p", epoch=1, sequence=sequence)[0], 200)
+        self.assertEqual(self.append("a", producer="p", epoch=1, sequence=7)[0], 409)
+        self.assertEqual(self.append("d", producer="p", epoch=0, sequence=1), (409, {"reason": "fenced"}))
+        self.assertEqual(self.keys(), ["a"] + ["b"] * 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
