--- a/src/standin_fleet/faults.py
+++ b/src/standin_fleet/faults.py
@@ -15,8 +15,9 @@
 class LossAndRefusal:
     """Loses answers of calls, which are carried out at once or late, and refuses the calls that follow.
 
-    Either each lost answer is followed by refusals, to the same source or to all, or both alternate, and reset_connections() is called at the start of
-    each phase of refusals. A refused call does nothing.
+    Either each lost answer is followed by refusals, to the same source or to all; or both alternate, and reset_connections() is called at the start of
+    each phase of refusals; or answers are lost on the connections that were open when the fault began, and calls on new ones are refused. A refused
+    call does nothing.
     """
 
     def __init__(self, generator, sources, lossy_paths, refused_paths, statuses, reset_connections):
@@ -31,6 +32,7 @@
         self.hang_share = generator.choice([0.0, 0.5, 1.0])
         self.is_for_all = generator.random() < 0.5
         self.phases_s = (generator.uniform(*LOSS_PHASE_S), generator.uniform(*REFUSAL_PHASE_S)) if generator.random() < 0.4 else None
+        self.is_by_connection = not self.phases_s and self.random.random() < 0.3
         self.started_at = time.monotonic()
         self.refused_until = {}
         self.is_refusing = False
@@ -41,17 +43,22 @@
         position = (now - self.started_at) % (loss_s + refusal_s)
         return position >= loss_s, now + (loss_s - position if position < loss_s else loss_s + refusal_s - position)
 
-    def decide(self, source, path):
+    def decide(self, call, path):
         """Returns the status of a refused call, (delay of the call, time that its connection stays open) of a lost answer, or None."""
-        if self.sources is not None and source not in self.sources:
+        if self.sources is not None and call.source not in self.sources:
             return None
         now = time.monotonic()
-        group = None if self.is_for_all else source
-        was_refusing = self.is_refusing
-        self.is_refusing, phase_end = self.find_phase_end(now) if self.phases_s else (now < self.refused_until.get(group, 0.0), now)
-        if self.is_refusing:
-            if self.phases_s and not was_refusing:
+        group = None if self.is_for_all else call.source
+        if self.phases_s:
+            was_refusing = self.is_refusing
+            self.is_refusing, phase_end = self.find_phase_end(now)
+            if self.is_refusing and not was_refusing:
                 self.reset_connections()
+        elif self.is_by_connection:
+            self.is_refusing = call.connected_at > self.started_at
+        else:
+            self.is_refusing = now < self.refused_until.get(group, 0.0)
+        if self.is_refusing:
             status = self.random.choice(self.statuses)
             status = 503 if status == 507 and path != "/log-append" else status
             return status if path.startswith(self.refused_paths) else None
@@ -80,7 +87,7 @@
 
     def respond_under_faults(self, call, path, subject, carry_out):
         """Returns the answer of carry_out() unless a fault takes the call."""
-        verdicts = (fault.decide(call.source, path) for fault in list(self.faults))
+        verdicts = (fault.decide(call, path) for fault in list(self.faults))
         verdict = next((verdict for verdict in verdicts if verdict is not None), None)
         if verdict is None:
             return carry_out()
--- a/src/standin_fleet/faultsoak_test.py
+++ b/src/standin_fleet/faultsoak_test.py
@@ -21,7 +21,7 @@
     def __init__(self, *verdicts):
         self.verdicts = list(verdicts)
 
-    def decide(self, _source, _path):
+    def decide(self, _call, _path):
         return self.verdicts.pop(0) if self.verdicts else None
 
 
