--- a/src/gate/gate_test.cpp
+++ b/src/gate/gate_test.cpp
@@ -7,6 +7,7 @@
 #include "base64.h"
 #include "forward.h"
 #include "gatestate.h"
+#include "loopbackserver_test.h"
 
 namespace MangoCourse {
 
@@ -196,6 +197,33 @@
     EXPECT_TRUE(attempt.body.empty());
 }
 
+TEST(Forward, UnsolicitedRefusalIsNotTakenForTheAnswerToTheNextRequest)
+{
+    ServingThread serving(0);
+    ServingLimits limits;
+    limits.responseBufferBytes = 1024 * 1024;
+    const LoopbackServer server(serving.context, [](const HttpRequest &request, int) -> std::optional<LoopbackReply> {
+        LoopbackReply reply = loopbackReply(200);
+        reply.response.set("X-Request-Id", request["X-Request-Id"]);
+        reply.trailingBytes = "HTTP/1.1 503 Busy\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n";
+        return reply;
+    });
+    std::vector<Attempt> attempts;
+    net::co_spawn(
+        serving.context,
+        [&]() -> net::awaitable<void> {
+            for (const char *id : {"id-1", "id-2"}) {
+                const UpstreamRequest request{"/v1/service", id, "", "", "body"};
+                attempts.push_back(co_await forward(serving, limits, server.endpoint(), request, SteadyClock().now() + 2s, {}, 0));
+            }
+            serving.context.stop();
+        },
+        net::detached);
+    serving.context.run_for(5s);
+    ASSERT_EQ(attempts.size(), 2U);
+    EXPECT_EQ(attempts[1].verdict, Verdict::Ran);
+}
+
 TEST(Base64, RoundTripsEveryLengthAndByte)
 {
     std::string bytes;
--- a/src/libservice/loopbackserver_test.h
+++ b/src/libservice/loopbackserver_test.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include <mangocourse/processsettings.h>
 
@@ -29,11 +30,18 @@
 
     LoopbackServer(net::io_context &context, Handler handler)
         : state(std::make_shared<State>(State{tcp::acceptor(context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0)), std::move(handler)}))
+        , address{"127.0.0.1", this->state->acceptor.local_endpoint().port()}
     {
         net::co_spawn(context, accept(this->state), net::detached);
     }
 
     ~LoopbackServer()
+    {
+        this->stopAccepting();
+    }
+
+    // Refuses further connections. Runs on the server's io_context, or before or after that runs.
+    void stopAccepting()
     {
         SystemErrorCode ignored;
         this->state->acceptor.close(ignored);
@@ -41,7 +49,7 @@
 
     Endpoint endpoint() const
     {
-        return Endpoint{"127.0.0.1", this->state->acceptor.local_endpoint().port()};
+        return this->address;
     }
 
     int connections() const
@@ -102,6 +110,32 @@
     }
 
     std::shared_ptr<State> state;
+    Endpoint address;
+};
+
+// Runs a server on a thread of its own, for clients that block.
+class BackgroundServer
+{
+public:
+    explicit BackgroundServer(LoopbackServer::Handler handler)
+        : server(context, std::move(handler))
+        , thread([this] {
+            this->context.run();
+        })
+    {
+    }
+
+    ~BackgroundServer()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+
+    net::io_context context;
+    LoopbackServer server;
+
+private:
+    std::thread thread;
 };
 
 inline LoopbackReply loopbackReply(unsigned status, std::string body = {})
