--- a/src/libservice/connectionpool.h
+++ b/src/libservice/connectionpool.h
@@ -11,6 +11,7 @@
 #include <mangocourse/processsettings.h>
 
 #include "asiotypes.h"
+#include "httpanswer.h"
 
 namespace MangoCourse {
 
@@ -23,13 +24,6 @@
     std::chrono::milliseconds timeout{};
 };
 
-struct HttpAnswer {
-    HttpResponse response;
-    // The call was sent before, on a connection that broke without an answer. That attempt may have been carried out, or may still be, whatever this
-    // answer says.
-    bool hasUnansweredAttempt = false;
-};
-
 // Calls may run concurrently, each on its own connection. Runs on the io_context it was created with.
 class ConnectionPool
 {
--- /dev/null
+++ b/src/libservice/httpanswer.h
@@ -0,0 +1,15 @@
+// Answers of clients that send a call once more if a kept connection breaks.
+#pragma once
+
+#include "asiotypes.h"
+
+namespace MangoCourse {
+
+struct HttpAnswer {
+    HttpResponse response;
+    // The call was sent before, on a connection that broke without an answer. That attempt may have been carried out, or may still be, whatever this
+    // answer says.
+    bool hasUnansweredAttempt = false;
+};
+
+}
--- a/src/libservice/httpclient.cpp
+++ b/src/libservice/httpclient.cpp
@@ -106,7 +106,7 @@
     return std::unique_ptr<HttpClient>(new HttpClient(std::move(impl)));
 }
 
-Result<HttpResponse> HttpClient::request(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds timeout)
+Result<HttpAnswer> HttpClient::request(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds timeout)
 {
     HttpRequest request(method, target, 11);
     request.set(http::field::host, toString(this->d->endpoint));
@@ -116,26 +116,36 @@
     request.body() = body;
     request.prepare_payload();
     const bool wasOpen = this->d->stream != nullptr;
-    Result<HttpResponse> result = this->d->runExchange(request, timeout);
+    Result<HttpResponse> response = this->d->runExchange(request, timeout);
     // The server may have closed the idle connection. request() requires idempotent requests, so one retry on a new connection is safe.
-    if (!result && wasOpen) {
-        result = this->d->runExchange(request, timeout);
+    const bool isRepeated = !response && wasOpen;
+    if (isRepeated) {
+        response = this->d->runExchange(request, timeout);
     }
-    return result;
+    if (!response && isRepeated) {
+        return makeError(ErrorCode::Timeout, "no answer to the first attempt; the second: " + response.error().message, response.error().where);
+    }
+    return response.map([isRepeated](HttpResponse &received) {
+        return HttpAnswer{std::move(received), isRepeated};
+    });
 }
 
 Result<std::string> HttpClient::call(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds timeout)
 {
-    Result<HttpResponse> response = this->request(method, target, body, timeout);
-    if (!response) {
-        return tl::unexpected(response.error());
+    Result<HttpAnswer> answer = this->request(method, target, body, timeout);
+    if (!answer) {
+        return tl::unexpected(answer.error());
     }
-    if (response->result_int() >= 400) {
-        const auto json = nlohmann::json::parse(response->body(), nullptr, false);
+    HttpResponse &response = answer->response;
+    if (response.result_int() >= 400) {
+        const auto json = nlohmann::json::parse(response.body(), nullptr, false);
         const std::string reason = json.is_object() ? json.value("reason", std::string("refused")) : "refused";
-        return makeError(ErrorCode::Refused, std::to_string(response->result_int()) + " " + reason, toString(this->d->endpoint) + target);
+        // A refusal says nothing about the attempt that got no answer.
+        const bool mayBeDone = answer->hasUnansweredAttempt && method != http::verb::get;
+        return makeError(
+            mayBeDone ? ErrorCode::Timeout : ErrorCode::Refused, std::to_string(response.result_int()) + " " + reason, toString(this->d->endpoint) + target);
     }
-    return std::move(response->body());
+    return std::move(response.body());
 }
 
 void HttpClient::interrupt()
--- a/src/libservice/httpclient.h
+++ b/src/libservice/httpclient.h
@@ -9,6 +9,7 @@
 #include <mangocourse/processsettings.h>
 
 #include "asiotypes.h"
+#include "httpanswer.h"
 
 namespace MangoCourse {
 
@@ -20,11 +21,12 @@
     static Result<std::unique_ptr<HttpClient>> create(Endpoint endpoint, std::string token = {});
     ~HttpClient();
 
-    // Returns the response with any status. Errors: Unavailable if the request cannot have arrived, Timeout if it may have.
+    // Returns the answer with any status. Errors: Unavailable if the request cannot have arrived, Timeout if it may have.
     // After a failure on a reused connection the request is sent once more, so requests have to be idempotent.
-    Result<HttpResponse> request(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds timeout);
+    Result<HttpAnswer> request(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds timeout);
 
-    // Returns the body of the response. A status of 400 or above is ErrorCode::Refused with the "reason" of the body.
+    // Returns the body of the response. A status of 400 or above is ErrorCode::Refused with the "reason" of the body, or Timeout if an earlier attempt
+    // of a call other than GET may have been carried out.
     Result<std::string> call(http::verb method, const std::string &target, const std::string &body, std::chrono::milliseconds timeout);
 
     // Makes the current call and every later one return Timeout. Thread-safe.
