--- a/src/libservice/httpclient.cpp
+++ b/src/libservice/httpclient.cpp
@@ -7,6 +7,7 @@
 
 #include "controltraffic.h"
 #include "readmessage.h"
+#include "reusablesocket.h"
 
 namespace MangoCourse {
 
@@ -115,6 +116,10 @@
     }
     request.body() = body;
     request.prepare_payload();
+    // Bytes that nobody asked for would be read as the answer to this request.
+    if (this->d->stream && (this->d->buffer.size() > 0 || !isReusable(this->d->stream->socket()))) {
+        this->d->stream.reset();
+    }
     const bool wasOpen = this->d->stream != nullptr;
     Result<HttpResponse> response = this->d->runExchange(request, timeout);
     // The server may have closed the idle connection. request() requires idempotent requests, so one retry on a new connection is safe.
