--- a/src/gate/forward.cpp
+++ b/src/gate/forward.cpp
@@ -157,7 +157,9 @@
     }
     Attempt attempt = classifyResponse(*response, request);
     const bool isClean = attempt.verdict == Verdict::Ran || attempt.verdict == Verdict::NotRun;
-    if (isClean && response->keep_alive()) {
+    // Bytes after the response would be read as the answer to the next request.
+    const bool hasLeftover = connection->buffer.size() > 0;
+    if (isClean && response->keep_alive() && !hasLeftover) {
         connection->stream.expires_never();
         serving.upstreams.release(endpoint, std::move(connection));
     }
