--- a/src/gate/gate_test.cpp
+++ b/src/gate/gate_test.cpp
@@ -7,7 +7,9 @@
 #include "base64.h"
 #include "forward.h"
 #include "gatestate.h"
+#include "jobs.h"
 #include "loopbackserver_test.h"
+#include "peercall.h"
 
 namespace MangoCourse {
 
@@ -224,6 +226,62 @@
     EXPECT_EQ(attempts[1].verdict, Verdict::Ran);
 }
 
+// A keeper that appends the first submission without an answer and then refuses, as the log is unavailable.
+std::vector<CallerResponse> submitTwice(bool isKnownToLedger)
+{
+    ServingThread serving(0);
+    const LoopbackServer keeper(serving.context, [isKnownToLedger, submissions = 0](const HttpRequest &request, int) mutable -> std::optional<LoopbackReply> {
+        if (request.target() == "/peer/job") {
+            Rpc::JobView view;
+            view.known = isKnownToLedger;
+            view.state = isKnownToLedger ? "waiting" : "unknown";
+            return loopbackReply(200, toThrift(view));
+        }
+        if (++submissions == 1) {
+            return std::nullopt;
+        }
+        Rpc::SubmitReply reply;
+        reply.verdicts.emplace_back();
+        reply.verdicts.back().known = true;
+        reply.verdicts.back().reason = "log-unavailable";
+        return loopbackReply(200, toThrift(reply));
+    });
+    ProcessSettings settings;
+    settings.keepers = {keeper.endpoint()};
+    GateState state(settings);
+    GateRequest request;
+    request.service = ServiceId{"service"};
+    request.team = TeamId{"team"};
+    request.spec.idempotent = false;
+    request.upstream.idempotencyKey = "key";
+    std::vector<CallerResponse> responses;
+    net::co_spawn(
+        serving.context,
+        [&]() -> net::awaitable<void> {
+            responses.push_back(co_await submitJob(state, serving, request));
+            responses.push_back(co_await submitJob(state, serving, request));
+            serving.context.stop();
+        },
+        net::detached);
+    serving.context.run_for(10s);
+    return responses;
+}
+
+TEST(SubmitJob, RefusedRepeatAfterAnUnansweredAttemptMayHaveRun)
+{
+    const std::vector<CallerResponse> responses = submitTwice(false);
+    ASSERT_EQ(responses.size(), 2U);
+    EXPECT_EQ(responses[0].verdict, Verdict::MayHaveRun);
+    EXPECT_EQ(responses[1].verdict, Verdict::MayHaveRun) << responses[1].body;
+}
+
+TEST(SubmitJob, RefusedRepeatOfAJobInTheLedgerIsAccepted)
+{
+    const std::vector<CallerResponse> responses = submitTwice(true);
+    ASSERT_EQ(responses.size(), 2U);
+    EXPECT_EQ(responses[1].status, http::status::accepted) << responses[1].body;
+}
+
 TEST(Base64, RoundTripsEveryLengthAndByte)
 {
     std::string bytes;
