--- a/src/gate/gatestate.h
+++ b/src/gate/gatestate.h
@@ -9,11 +9,13 @@
 
 #include <mangocourse/dispatcher.h>
 #include <mangocourse/fleetstate.h>
+#include <mangocourse/guarded.h>
 #include <mangocourse/processsettings.h>
 #include <mangocourse/supervisor.h>
 
 #include "asiotypes.h"
 #include "metrics.h"
+#include "unsettledrecords.h"
 #include "upstreampool.h"
 
 namespace MangoCourse {
@@ -112,6 +114,8 @@
     std::atomic<bool> keeperReachable{false};
     std::atomic<int> liveGates{1};
     std::atomic<int> runningJobs{0};
+    // Jobs whose submission is in progress, or ended without a verdict.
+    Guarded<UnsettledRecords> unsettledJobs;
 
     std::shared_ptr<const GateView> view() const
     {
--- a/src/gate/jobs.cpp
+++ b/src/gate/jobs.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds claimPollTimeout = 4000ms;
 constexpr std::chrono::milliseconds keeperRetryDelay = 500ms;
 constexpr std::chrono::milliseconds finishRetryDelay = 500ms;
+// Callers do not repeat a submission after this time.
+constexpr std::chrono::minutes maxRepeatDelay{10};
 constexpr int maxFinishAttempts = 20;
 constexpr int maxRunningJobs = 16;
 // Base64 and JSON enlarge a body by about a third.
@@ -82,6 +84,35 @@
     co_return describeJob(job, *view);
 }
 
+bool isRefused(const Result<Rpc::SubmitVerdict> &verdict)
+{
+    if (!verdict) {
+        return verdict.error().code == ErrorCode::Unavailable;
+    }
+    return verdict->known && !verdict->accepted && verdict->reason != toString(Refusal::AlreadyExists);
+}
+
+bool isUnsettled(const GateState &state, const JobId &job)
+{
+    return state.unsettledJobs.read([&job](const UnsettledRecords &records) {
+        return records.contains(job.value);
+    });
+}
+
+// The answer to a refused attempt while another one of the job may be in the log.
+net::awaitable<CallerResponse> describeUnsettledJob(GateState &state, ServingThread &serving, JobId job)
+{
+    Rpc::JobQuery query;
+    query.job = job.value;
+    const Result<Rpc::JobView> view
+        = co_await callPeer<Rpc::JobView>(serving.context, state.currentKeeper(), state.settings.peerToken, "/peer/job", query, keeperCallTimeout);
+    if (view && view->known) {
+        co_return describeJob(job, *view);
+    }
+    co_return failureResponse(
+        http::status::gateway_timeout, Verdict::MayHaveRun, "an earlier attempt may have been accepted; retry with the same Idempotency-Key", keeperRetryDelay);
+}
+
 std::string boundedOutcome(const Attempt &attempt)
 {
     return attempt.body.size() <= maxOutcomeBodyBytes ? attempt.body : R"({"reason":"the outcome is larger than the ledger keeps"})";
@@ -168,7 +199,21 @@
     const JobId job = makeJobId(request);
     const Record record{
         RecordId{state.newRequestId()}, AcceptJob{job, request.service, request.team, request.spec.idempotent, toBase64(request.upstream.body)}};
+    state.unsettledJobs.write([&](UnsettledRecords &records) {
+        records.settle(state.clock.now() - maxRepeatDelay);
+        records.beginAppend(job.value);
+    });
     const Result<Rpc::SubmitVerdict> verdict = co_await submitRecord(state, serving, record);
+    const bool mayBeAccepted = !isRefused(verdict) && !(verdict && verdict->known);
+    state.unsettledJobs.write([&](UnsettledRecords &records) {
+        if (verdict && verdict->known && !isRefused(verdict)) {
+            records.markStored(job.value);
+        }
+        records.endAppend(job.value, mayBeAccepted, state.clock.now());
+    });
+    if (isRefused(verdict) && isUnsettled(state, job)) {
+        co_return co_await describeUnsettledJob(state, serving, job);
+    }
     if (!verdict && verdict.error().code == ErrorCode::Unavailable) {
         co_return failureResponse(http::status::service_unavailable, Verdict::NotRun, "no keeper can be reached", keeperRetryDelay);
     }
@@ -176,7 +221,7 @@
         co_return failureResponse(
             http::status::gateway_timeout, Verdict::MayHaveRun, "the job may have been accepted; retry with the same Idempotency-Key", keeperRetryDelay);
     }
-    if (!verdict->accepted && verdict->reason != toString(Refusal::AlreadyExists)) {
+    if (isRefused(verdict)) {
         co_return failureResponse(http::status::service_unavailable, Verdict::NotRun, verdict->reason, keeperRetryDelay);
     }
     co_return co_await fetchJob(state, serving, job);
