--- a/src/scheduler/oddrecords_test.cpp
+++ b/src/scheduler/oddrecords_test.cpp
@@ -275,6 +275,20 @@
     }
 }
 
+// An append with a record that the store does not take is repeated without end, and with it all other changes of the partition wait.
+TEST(OddRecords, ProgressOfTheLargestJobFitsIntoARecord)
+{
+    constexpr std::size_t maxRecordBytes = 262'144;
+    JobProgress progress{JobId{"00000000000000aa"}, QueueId{"q"}, ServiceId{"s"}, JobState::Running, true, {}, {}};
+    StepSpec step;
+    step.count = 100'000;
+    ASSERT_TRUE(validate(JobSpec{"work", {step}, {}}));
+    for (std::int32_t index = 0; index < step.count; ++index) {
+        progress.items.push_back(ItemProgress{0, 0, index, true, 0, {}});
+    }
+    EXPECT_LT(encodeProgress(progress).size(), maxRecordBytes);
+}
+
 class OddTakeoversTest : public SchedulerTest, public testing::WithParamInterface<const char *>
 {
 };
