--- a/src/standin_fleet/callers.py
+++ b/src/standin_fleet/callers.py
@@ -21,7 +21,8 @@
 class Proxy:
     """A loopback TCP proxy. Modes: "pass", "slow" (150 ms per chunk), "silent" (nothing passes) and "one-way" (answers don't pass).
 
-    reset() closes all its connections with RST. The target sees source_host, if given, as their peer.
+    reset() closes all its connections with RST. The target sees source_host, if given, as their peer. sent_times has, for the address of each
+    connection to the target, when the peer last sent something.
     """
 
     def __init__(self, target, source_host=""):
@@ -32,6 +33,7 @@
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         self.open_sockets = set()
+        self.sent_times = {}
         threading.Thread(target=self.accept_loop, daemon=True).start()
 
     def accept_loop(self):
@@ -48,7 +50,10 @@
 
     def forward(self, source, sink, is_answer):
         try:
+            address = None if is_answer else sink.getsockname()
             while data := source.recv(65536):
+                if address:
+                    self.sent_times[address] = time.monotonic()
                 while self.mode == "silent" or (self.mode == "one-way" and is_answer):
                     time.sleep(0.02)
                 if self.mode == "slow":
@@ -83,6 +88,7 @@
         # Uses its own loopback address with fixed ports: a free port chosen on 127.0.0.1 may be taken by an outgoing connection before it is used.
         self.host = loopback_address(number)
         self.proxy = Proxy(store.address, self.host)
+        store.sent_times[self.host] = self.proxy.sent_times
         self.program = os.path.join(arguments.binaries, "mangocourse-scheduler")
         self.settings = os.path.join(directory, self.name + ".json")
         self.log = open(os.path.join(directory, self.name + ".log"), "ab")
