--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -7,6 +7,7 @@
 
 #include "controltraffic.h"
 #include "readmessage.h"
+#include "reusablesocket.h"
 
 namespace MangoCourse {
 
@@ -74,12 +75,15 @@
         this->idle.pop_front();
         --this->openCount;
     }
-    if (this->idle.empty()) {
-        return nullptr;
+    while (!this->idle.empty()) {
+        std::unique_ptr<Connection> connection = std::move(this->idle.back());
+        this->idle.pop_back();
+        if (isReusable(connection->stream.socket())) {
+            return connection;
+        }
+        --this->openCount;
     }
-    std::unique_ptr<Connection> connection = std::move(this->idle.back());
-    this->idle.pop_back();
-    return connection;
+    return nullptr;
 }
 
 void ConnectionPool::Private::returnConnection(std::unique_ptr<Connection> connection)
@@ -159,7 +163,7 @@
     return std::unique_ptr<ConnectionPool>(new ConnectionPool(std::move(impl)));
 }
 
-net::awaitable<Result<HttpResponse>> ConnectionPool::call(HttpCall call)
+net::awaitable<Result<HttpAnswer>> ConnectionPool::call(HttpCall call)
 {
     const std::shared_ptr<Private> self = this->d;
     const auto deadline = std::chrono::steady_clock::now() + call.timeout;
@@ -180,16 +184,19 @@
         connection = std::make_unique<Connection>(self->context);
         ++self->openCount;
     }
-    HttpResponse response;
+    HttpAnswer answer;
     const bool wasReused = connection->isReused;
-    ExchangeResult result = co_await self->exchange(*connection, request, response, deadline);
+    ExchangeResult result = co_await self->exchange(*connection, request, answer.response, deadline);
     if (result != ExchangeResult::Answered && wasReused && std::chrono::steady_clock::now() < deadline) {
         connection = std::make_unique<Connection>(self->context);
-        const ExchangeResult retryResult = co_await self->exchange(*connection, request, response, deadline);
+        answer.hasUnansweredAttempt = true;
+        const ExchangeResult retryResult = co_await self->exchange(*connection, request, answer.response, deadline);
         // The server may still carry out the first attempt.
         result = retryResult == ExchangeResult::Answered ? ExchangeResult::Answered : ExchangeResult::MaybeSent;
     }
-    if (result == ExchangeResult::Answered && response.keep_alive()) {
+    // Bytes after the response would be read as the answer to the next call.
+    const bool hasLeftover = connection->buffer.size() > 0;
+    if (result == ExchangeResult::Answered && answer.response.keep_alive() && !hasLeftover) {
         self->returnConnection(std::move(connection));
     } else {
         connection.reset();
@@ -204,7 +211,7 @@
     case ExchangeResult::Answered:
         break;
     }
-    co_return response;
+    co_return answer;
 }
 
 }
--- a/src/libservice/connectionpool_test.cpp
+++ b/src/libservice/connectionpool_test.cpp
@@ -5,6 +5,8 @@
 
 #include <thread>
 
+#include "loopbackserver_test.h"
+
 namespace MangoCourse {
 namespace {
 
@@ -25,7 +27,7 @@
 }
 
 struct CallOutcome {
-    std::optional<Result<HttpResponse>> response;
+    std::optional<Result<HttpAnswer>> answer;
     // Iterations of the caller's event loop.
     int loopIterations = 0;
 };
@@ -46,10 +48,10 @@
             HttpCall call;
             call.target = "/";
             call.timeout = 10s;
-            outcome.response = co_await (*pool)->call(std::move(call));
+            outcome.answer = co_await (*pool)->call(std::move(call));
         },
         net::detached);
-    while (!outcome.response && context.run_one_for(10s) > 0) {
+    while (!outcome.answer && context.run_one_for(10s) > 0) {
         ++outcome.loopIterations;
     }
     server.join();
@@ -63,24 +65,24 @@
     constexpr std::size_t bodySize = 100'000;
     constexpr int maxLoopIterations = 50;
     const CallOutcome outcome = callOnce(bodySize);
-    ASSERT_TRUE(outcome.response && *outcome.response);
-    EXPECT_EQ((*outcome.response)->body().size(), bodySize);
+    ASSERT_TRUE(outcome.answer && *outcome.answer);
+    EXPECT_EQ((*outcome.answer)->response.body().size(), bodySize);
     EXPECT_LE(outcome.loopIterations, maxLoopIterations);
 }
 
 TEST(ConnectionPool, ResponseWithoutBodyIsComplete)
 {
     const CallOutcome outcome = callOnce(0);
-    ASSERT_TRUE(outcome.response && *outcome.response);
-    EXPECT_TRUE((*outcome.response)->body().empty());
+    ASSERT_TRUE(outcome.answer && *outcome.answer);
+    EXPECT_TRUE((*outcome.answer)->response.body().empty());
 }
 
 TEST(ConnectionPool, ResponseLargerThanOneReadIsComplete)
 {
     constexpr std::size_t bodySize = 1'000'000;
     const CallOutcome outcome = callOnce(bodySize);
-    ASSERT_TRUE(outcome.response && *outcome.response);
-    EXPECT_EQ((*outcome.response)->body(), std::string(bodySize, 'x'));
+    ASSERT_TRUE(outcome.answer && *outcome.answer);
+    EXPECT_EQ((*outcome.answer)->response.body(), std::string(bodySize, 'x'));
 }
 
 // A server that accepts connections and answers nothing; each call has to end with its own timeout.
@@ -100,8 +102,8 @@
                 HttpCall call;
                 call.target = "/";
                 call.timeout = 200ms;
-                const auto response = co_await (*pool)->call(std::move(call));
-                EXPECT_FALSE(response);
+                const auto answer = co_await (*pool)->call(std::move(call));
+                EXPECT_FALSE(answer);
                 ++ended;
             },
             net::detached);
@@ -114,5 +116,72 @@
     EXPECT_LE(loopIterations, maxLoopIterations);
 }
 
+// Makes calls one after another and returns their answers.
+std::vector<Result<HttpAnswer>> callInTurn(LoopbackServer::Handler handler, int calls, std::chrono::milliseconds pause = 0ms)
+{
+    net::io_context context;
+    const LoopbackServer server(context, std::move(handler));
+    const auto pool = ConnectionPool::create(context, server.endpoint(), 1);
+    std::vector<Result<HttpAnswer>> answers;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            for (int number = 1; number <= calls; ++number) {
+                HttpCall call;
+                call.target = "/" + std::to_string(number);
+                call.timeout = 5s;
+                answers.push_back(co_await (*pool)->call(std::move(call)));
+                net::steady_timer timer(context, pause);
+                co_await timer.async_wait(net::use_awaitable);
+            }
+            context.stop();
+        },
+        net::detached);
+    context.run_for(10s);
+    return answers;
+}
+
+TEST(ConnectionPool, AnswerToARepeatSaysThatTheFirstAttemptGotNone)
+{
+    const auto answers = callInTurn(
+        [](const HttpRequest &request, int numberOnConnection) -> std::optional<LoopbackReply> {
+            return numberOnConnection == 2 ? std::nullopt : std::optional(loopbackReply(request.target() == "/1" ? 200 : 503));
+        },
+        2);
+    ASSERT_EQ(answers.size(), 2U);
+    ASSERT_TRUE(answers[0] && answers[1]);
+    EXPECT_FALSE(answers[0]->hasUnansweredAttempt);
+    EXPECT_EQ(answers[1]->response.result_int(), 503U);
+    EXPECT_TRUE(answers[1]->hasUnansweredAttempt);
+}
+
+TEST(ConnectionPool, ConnectionClosedWhileIdleIsNotAnUnansweredAttempt)
+{
+    const auto answers = callInTurn(
+        [](const HttpRequest &, int) -> std::optional<LoopbackReply> {
+            LoopbackReply reply = loopbackReply(200);
+            reply.closesAfter = 0ms;
+            return reply;
+        },
+        2, 50ms);
+    ASSERT_EQ(answers.size(), 2U);
+    ASSERT_TRUE(answers[1]);
+    EXPECT_FALSE(answers[1]->hasUnansweredAttempt);
+}
+
+TEST(ConnectionPool, UnsolicitedResponseIsNotTakenForTheNextAnswer)
+{
+    const auto answers = callInTurn(
+        [](const HttpRequest &request, int) -> std::optional<LoopbackReply> {
+            LoopbackReply reply = loopbackReply(200, std::string(request.target()));
+            reply.trailingBytes = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+            return reply;
+        },
+        2);
+    ASSERT_EQ(answers.size(), 2U);
+    ASSERT_TRUE(answers[1]);
+    EXPECT_EQ(answers[1]->response.body(), "/2");
+}
+
 }
 }
