A job that is stored again under another service stays in its pool

What callers can see: a work item runs in the pools of two services.

Cause: a gateway that has not read another gateway's submission stores the repeat again, under the service that the queue has by then. If both services are in one partition, its owner added the job to the second pool as well, as a pool knows only its own jobs. A new owner sees only the newer record, and put the job into the second pool alone: the run and its end are then reported to the first pool, which does not know the item and acknowledges the end, and the second pool starts the item again under the new owner's run numbers.

Change: an owner ignores a job that one of its pools has, and puts one with stored progress into the pool that the progress names.

Tests, before: both MovedJobTest cases start the item in the second pool.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -185,6 +185,7 @@
     // Adds a job with its stored progress, or nullptr if there is none. Adding a known job again has no effect. A job's start intent
     // is durable before its first start, so a job without a stored intent has never been started by any owner.
     void addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow);
+    bool hasJob(const JobId &job) const;
     void cancelJob(const JobId &job, TimePoint now, WallTime wallNow);
     // Removes the jobs that reached their final state before `bound`, and returns their ids.
     std::vector<JobId> removeJobsEndedBefore(WallTime bound);
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -229,6 +229,11 @@
     entry.remainingCriticalPath = this->d->computeCriticalPath(entry);
 }
 
+bool PoolScheduler::hasJob(const JobId &job) const
+{
+    return this->d->jobs.contains(job);
+}
+
 void PoolScheduler::cancelJob(const JobId &job, TimePoint now, WallTime wallNow)
 {
     if (JobEntry *entry = this->d->findJob(job)) {
--- /dev/null
+++ b/src/scheduler/movedqueue_test.cpp
@@ -0,0 +1,133 @@
+// Tests of jobs whose queue moves to another service, and so to another partition.
+#include "scheduler_test.h"
+
+#include "clocks.h"
+
+namespace MangoCourse {
+namespace {
+
+// The executors of two services.
+class ExecutorsOfTwoServices : public ExecutorPort
+{
+public:
+    explicit ExecutorsOfTwoServices(net::io_context &context)
+        : desk(context)
+        , shop(context)
+    {
+    }
+
+    net::awaitable<ExecutorReport> renew(const ExecutorInfo &executor, LeaseRenewal renewal) override
+    {
+        return this->of(executor).renew(executor, renewal);
+    }
+    net::awaitable<OrderReply> start(const ExecutorInfo &executor, StartRun order) override
+    {
+        return this->of(executor).start(executor, std::move(order));
+    }
+    net::awaitable<OrderReply> stop(const ExecutorInfo &executor, StopRun order) override
+    {
+        return this->of(executor).stop(executor, order);
+    }
+    net::awaitable<OrderReply> pace(const ExecutorInfo &executor, PaceRun order) override
+    {
+        return this->of(executor).pace(executor, order);
+    }
+    void closeConnections(const ExecutorInfo &executor) override
+    {
+        this->of(executor).closeConnections(executor);
+    }
+
+    FakeExecutors desk;
+    FakeExecutors shop;
+
+private:
+    FakeExecutors &of(const ExecutorInfo &executor)
+    {
+        return executor.service == ServiceId{"desk"} ? this->desk : this->shop;
+    }
+};
+
+// Tests of an owner of both services' pools. A gateway that does not know that another one has accepted a job stores it again under the service
+// that its queue has now.
+class MovedJobTest : public SchedulerTest
+{
+protected:
+    MovedJobTest()
+        : twoServices(this->context)
+    {
+    }
+
+    void SetUp() override
+    {
+        auto both = std::make_shared<FleetConfig>(*this->config);
+        both->services.emplace(ServiceId{"shop"}, ServiceConfig{ServiceId{"shop"}, {}, 64, true, false});
+        this->config = both;
+        this->twoServices.desk.endsRuns = false;
+        this->twoServices.shop.endsRuns = false;
+    }
+
+    std::shared_ptr<ShardOwner> startOwnerOfBoth(std::int64_t token)
+    {
+        const OwnerContext owner{this->context, this->store, this->twoServices, nullptr, *this->log, this->metrics, this->settings};
+        const auto shard = ShardOwner::create(owner, 0, token);
+        ExecutorInfo other = executor();
+        other.id = ExecutorId{"two"};
+        other.machine = MachineId{"n"};
+        other.service = ServiceId{"shop"};
+        const TimePoint now = BootClock().now();
+        shard->setConfig(this->config);
+        shard->setExecutors({executor(), other}, now);
+        shard->setTerm(OwnershipTerm{now, now + 60s});
+        shard->start();
+        return shard;
+    }
+    void storeUnder(const char *service)
+    {
+        StepSpec step;
+        step.resources = Resources{1000, 10, 0};
+        const AcceptedJob accepted{JobId{"00000000000000aa"}, QueueId{"counter"}, ServiceId{service}, wallNow(), JobSpec{"work", {step}, {}}};
+        std::vector<StoredRecord> &records = this->store.partitions[{Stream::Jobs, 0}].records;
+        records.push_back(StoredRecord{accepted.id.value, encodeAcceptedJob(accepted), static_cast<std::int64_t>(records.size())});
+    }
+
+    ExecutorsOfTwoServices twoServices;
+};
+
+TEST_F(MovedJobTest, JobThatIsStoredAgainUnderAnotherServiceRunsOnce)
+{
+    const auto owner = this->startOwnerOfBoth(1);
+    this->storeUnder("desk");
+    this->runUntil([this] {
+        return this->twoServices.desk.starts.size() == 1;
+    });
+    this->storeUnder("shop");
+    this->runFor(700ms);
+    EXPECT_TRUE(this->twoServices.shop.starts.empty());
+    owner->stop();
+}
+
+TEST_F(MovedJobTest, NewOwnerKeepsAJobInThePoolThatStartedIt)
+{
+    const auto owner = this->startOwnerOfBoth(1);
+    this->storeUnder("desk");
+    this->runUntil([this] {
+        return this->twoServices.desk.starts.size() == 1;
+    });
+    owner->stop();
+    this->storeUnder("shop");
+    // The end that the new owner finds is the job's, whatever service the newer record names.
+    const ReportedRun run = this->twoServices.desk.running.front();
+    this->twoServices.desk.running.clear();
+    this->twoServices.desk.ended.push_back(ReportedEnd{1, run.item, run.run, RunEnd::Done, {}});
+    const auto successor = this->startOwnerOfBoth(2);
+    this->runUntil([this] {
+        return this->twoServices.desk.ended.empty();
+    });
+    this->runFor(700ms);
+    EXPECT_TRUE(this->twoServices.shop.starts.empty());
+    EXPECT_EQ(this->twoServices.desk.starts.size(), 1U);
+    successor->stop();
+}
+
+}
+}
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -54,18 +54,26 @@
 
 void ShardOwner::Private::addJob(const AcceptedJob &job)
 {
-    ServiceId service = job.service;
-    if (this->config && !this->config->services.contains(service)) {
+    // A repeated submission may be stored under another service, if the job's queue has moved since. Its runs and their ends are in the first pool.
+    const bool isAssigned = std::any_of(this->pools.begin(), this->pools.end(), [&job](const auto &entry) {
+        return entry.second->hasJob(job.id);
+    });
+    if (isAssigned) {
+        return;
+    }
+    const auto known = this->progress.find(job.id);
+    AcceptedJob assigned = job;
+    assigned.service = known == this->progress.end() ? job.service : known->second.service;
+    if (this->config && !this->config->services.contains(assigned.service)) {
         const QueueConfig *queue = this->config->find(job.queue);
-        service = queue != nullptr ? queue->service : service;
+        assigned.service = queue != nullptr ? queue->service : assigned.service;
     }
-    PoolScheduler *pool = this->findOrCreatePool(service);
+    PoolScheduler *pool = this->findOrCreatePool(assigned.service);
     if (pool == nullptr) {
         this->unassignedJobs.emplace(job.id, job);
         return;
     }
-    const auto known = this->progress.find(job.id);
-    pool->addJob(job, known == this->progress.end() ? nullptr : &known->second, bootNow(), wallNow());
+    pool->addJob(assigned, known == this->progress.end() ? nullptr : &known->second, bootNow(), wallNow());
     if (known != this->progress.end() && isFinal(known->second.state)) {
         this->finalJobs.emplace_back(bootNow(), job.id);
     }
