Test: a job of a moved queue is stored in two partitions (known red)

The same submission in the partitions of both services has an owner in each, and its work items run twice. It needs a gateway that does not know both services of the queue: one that started after the queue had moved, or one that has not read the move. The first also denies the job ("no such job").

Output: movedqueue_test.cpp: countStored() is 2, expected 1, in both; the first also reads NoSuchJob. The case of a gateway that read both configurations passes.

Not mended here: only the newest configuration is sure to be in the store, so a gateway would have to be told of earlier services by a record.

--- a/src/scheduler/movedqueue_test.cpp
+++ b/src/scheduler/movedqueue_test.cpp
@@ -6,6 +6,47 @@
 namespace MangoCourse {
 namespace {
 
+class MovedQueueTest : public SchedulerTest
+{
+protected:
+    void SetUp() override
+    {
+        this->settings.partitions = 8;
+        this->before = this->makeConfig(1, "desk");
+        this->after = this->makeConfig(2, "shop");
+        ASSERT_NE(partitionOf(ServiceId{"desk"}, 8), partitionOf(ServiceId{"shop"}, 8));
+    }
+
+    std::shared_ptr<const FleetConfig> makeConfig(Revision revision, const char *service) const
+    {
+        auto made = std::make_shared<FleetConfig>(*this->config);
+        made->revision = revision;
+        made->queues.front().service = ServiceId{service};
+        made->services.emplace(ServiceId{"shop"}, ServiceConfig{ServiceId{"shop"}, {}, 64, true, false});
+        return made;
+    }
+    // Makes call() use another process's gateway.
+    void useGateway(const std::vector<std::shared_ptr<const FleetConfig>> &configs)
+    {
+        this->gateway = std::move(*JobGateway::create(this->context, this->store, *this->log, this->metrics, this->settings));
+        for (const auto &read : configs) {
+            this->gateway->setConfig(read);
+        }
+    }
+    // Returns in how many partitions the job is stored. Each of their owners runs it.
+    std::size_t countStored()
+    {
+        std::size_t stored = 0;
+        for (std::int32_t partition = 0; partition < this->settings.partitions; ++partition) {
+            stored += this->store.partitions[{Stream::Jobs, partition}].records.empty() ? 0 : 1;
+        }
+        return stored;
+    }
+
+    std::shared_ptr<const FleetConfig> before;
+    std::shared_ptr<const FleetConfig> after;
+};
+
 // The executors of two services.
 class ExecutorsOfTwoServices : public ExecutorPort
 {
@@ -129,5 +170,33 @@
     successor->stop();
 }
 
+TEST_F(MovedQueueTest, SubmissionThatIsRepeatedAtAGatewayThatReadBothConfigurationsIsStoredOnce)
+{
+    this->useGateway({this->before});
+    ASSERT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->useGateway({this->before, this->after});
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    EXPECT_EQ(this->countStored(), 1U);
+}
+
+TEST_F(MovedQueueTest, SubmissionThatIsRepeatedAtAGatewayStartedAfterTheMoveIsStoredOnce)
+{
+    this->useGateway({this->before});
+    ASSERT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->useGateway({this->after});
+    EXPECT_NE(this->call(CallerAction::Read, this->job).outcome, CallerOutcome::NoSuchJob);
+    this->call(CallerAction::Submit, this->job);
+    EXPECT_EQ(this->countStored(), 1U);
+}
+
+TEST_F(MovedQueueTest, SubmissionThatIsRepeatedAtAGatewayThatHasNotReadTheMoveIsStoredOnce)
+{
+    this->useGateway({this->before, this->after});
+    ASSERT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->useGateway({this->before});
+    this->call(CallerAction::Submit, this->job);
+    EXPECT_EQ(this->countStored(), 1U);
+}
+
 }
 }
