A start that an executor's next incarnation carried out is not repeated elsewhere

An order that is in flight meanwhile is then carried out by the next incarnation and answered 200, or it is carried out by the repeat of the call. The owner took the run for one of the earlier incarnation: as soon as a renewal was answered by the next one, the run was given up and started elsewhere while it was active. Until then the renewals acknowledged ends by the earlier incarnation's numbers to the next one, which forgets its own ends by them.

Change: an answer to a start whose clock is behind the last reading before the order shows the next incarnation, since the clock of one never goes back: the earlier one has ended, and renewals to it with it. Items of that order, and of runs and ends that a report of the next incarnation lists, start elsewhere only once the longest lease is over; if the next incarnation's own report has the run, it is adopted, and its end decides as usual.

Not covered: a run of an order without an answer that begins and ends on the next incarnation before a renewal meant for the earlier one acknowledges its end; and orders carried out late by the next incarnation. The histories don't deliver orders to another incarnation.

--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -164,6 +164,7 @@
         this->pendingRenewals.insert(executor.key());
     }
     item->lastRun = std::max(item->lastRun, number);
+    item->possiblyActiveUntil = std::min(item->possiblyActiveUntil, now);
     item->runningOn.push_back(executor.key());
     if (item->phase == ItemPhase::Waiting) {
         item->phase = ItemPhase::Active;
@@ -409,6 +410,13 @@
     executor.orphans.clear();
 }
 
+void PoolScheduler::Private::holdForNextIncarnation(const ItemId &id, TimePoint now)
+{
+    if (Item *item = this->findItem(id)) {
+        item->possiblyActiveUntil = std::max(item->possiblyActiveUntil, after(now, this->settings.maxLeaseLength * (1.0 + this->settings.clockDrift)));
+    }
+}
+
 void PoolScheduler::Private::dropRuns(Executor &executor, TimePoint endedBy, const char *reason)
 {
     while (!executor.runs.empty()) {
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -267,6 +267,7 @@
     }
     this->extendLease(executor, order.until, round.now);
     run.startableUntil = executor.leaseEnd;
+    run.clockBeforeStart = *executor.clock;
     if (executor.hasFailedRepeatedly() && !spec.isGang) {
         this->index.remove(executor);
     } else {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -274,6 +274,12 @@
     }
     if (report.incarnation != 0 && report.incarnation != key.incarnation) {
         this->d->endIncarnation(*executor, now, "the executor has restarted");
+        for (const ReportedRun &reported : report.running) {
+            this->d->holdForNextIncarnation(reported.item, now);
+        }
+        for (const ReportedEnd &end : report.ended) {
+            this->d->holdForNextIncarnation(end.item, now);
+        }
         return;
     }
     this->d->noteReachable(*executor, now);
@@ -364,6 +370,12 @@
     }
     Executor *executor = this->d->find(key);
     run->orderResolvedAt = now;
+    if (reply.outcome == OrderOutcome::Done && reply.clock && *reply.clock < run->clockBeforeStart) {
+        // The clock of an incarnation never goes back.
+        this->d->endIncarnation(*executor, now, "the next incarnation answered a start order");
+        this->d->holdForNextIncarnation(order.item, now);
+        return;
+    }
     switch (reply.outcome) {
     case OrderOutcome::Done:
         if (run->phase == RunPhase::Starting) {
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -37,6 +37,8 @@
     TimePoint orderResolvedAt{};
     // Latest time at which the executor can still carry out the start order; it rejects the order once the lease in it has expired.
     TimePoint startableUntil{};
+    // Reading of the executor's clock before the start order was sent.
+    std::chrono::milliseconds clockBeforeStart{};
     TimePoint stopSentAt{};
     bool isStopConfirmed = false;
     // The last report of the executor listed the run as running.
@@ -324,6 +326,9 @@
     void completeJobIfDone(JobEntry &entry, TimePoint now, WallTime wallNow);
     // Marks the incarnation as certainly ended, at `endedBy` at the latest, and drops its runs.
     void endIncarnation(Executor &executor, TimePoint endedBy, const char *reason);
+    // Keeps the item from starting elsewhere until the longest lease is over, or until its executor's next incarnation lists the run or its end.
+    // That incarnation may have carried out an order that was in flight when the executor restarted under its id.
+    void holdForNextIncarnation(const ItemId &id, TimePoint now);
     // Gives up the runs of an incarnation or lease that ended at `endedBy` at the latest.
     void dropRuns(Executor &executor, TimePoint endedBy, const char *reason);
     void stopOtherCopies(const ItemId &id, const Executor &except, const char *reason);
--- a/src/libmangocourse/pooltakeover_test.cpp
+++ b/src/libmangocourse/pooltakeover_test.cpp
@@ -287,6 +287,86 @@
     EXPECT_FALSE(this->renewal("one"));
 }
 
+// Tests of an executor that restarts under its id while a start order is in flight, which its next incarnation then carries out.
+class PoolRestartTest : public PoolSchedulerTest
+{
+protected:
+    void SetUp() override
+    {
+        PoolSchedulerTest::SetUp();
+        this->setDiscovered({executor("one"), executor("two")});
+        this->report("one");
+        this->report("two");
+        this->add(this->job("a"));
+        const SchedulerOrders orders = this->plan();
+        ASSERT_EQ(orders.starts.size(), 1U);
+        this->order = orders.starts[0];
+        this->holder = this->order.executor.id.value;
+        this->other = this->holder == "one" ? "two" : "one";
+        this->advance(50ms);
+    }
+    void answerByNextIncarnation()
+    {
+        const OrderReply reply{OrderOutcome::Done, 20ms};
+        this->scheduler->onStarted(ExecutorKey{this->order.executor.id, 100}, this->order.run, reply, this->now, this->now);
+    }
+    // The next incarnation answers a renewal that was meant for the earlier one.
+    void reportNextIncarnation(std::vector<ReportedRun> running)
+    {
+        ExecutorReport report;
+        report.outcome = OrderOutcome::Done;
+        report.clock = 60ms;
+        report.incarnation = 200;
+        report.running = std::move(running);
+        this->scheduler->onReport(ExecutorKey{this->order.executor.id, 100}, report, this->now, this->now, this->wall);
+    }
+    ReportedRun activeRun() const
+    {
+        return ReportedRun{this->order.run.item, this->order.run.run, {}, 100, 0};
+    }
+
+    StartOrder order;
+    std::string holder;
+    std::string other;
+};
+
+TEST_F(PoolRestartTest, RunThatTheNextIncarnationListsIsNotStartedElsewhere)
+{
+    this->answer(this->order, OrderOutcome::Done);
+    this->reportNextIncarnation({this->activeRun()});
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->setDiscovered({executor(this->holder, 200), executor(this->other)});
+    this->report(this->holder, {this->activeRun()}, {}, 200);
+    const SchedulerOrders orders = this->plan();
+    EXPECT_TRUE(orders.starts.empty());
+    EXPECT_TRUE(orders.stops.empty());
+    this->report(this->holder, {}, {ReportedEnd{1, this->order.run.item, this->order.run.run, RunEnd::Failed, {}}}, 200);
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
+TEST_F(PoolRestartTest, StartThatTheNextIncarnationAnswersIsNotRepeatedElsewhere)
+{
+    this->answerByNextIncarnation();
+    EXPECT_FALSE(this->renewal(this->holder)) << "it would acknowledge ends of the next incarnation";
+    this->setDiscovered({executor(this->other)});
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->setDiscovered({executor(this->holder, 200), executor(this->other)});
+    this->report(this->holder, {}, {ReportedEnd{1, this->order.run.item, this->order.run.run, RunEnd::Done, {}}}, 200);
+    EXPECT_TRUE(this->plan().starts.empty());
+    EXPECT_EQ(this->savedProgress.at(JobId{"a"}).state, JobState::Completed);
+}
+
+TEST_F(PoolRestartTest, StartThatTheNextIncarnationAnsweredIsRepeatedOnceItsLeaseIsOver)
+{
+    this->answerByNextIncarnation();
+    this->setDiscovered({executor(this->other)});
+    for (int second = 0; second < 7; ++second) {
+        this->advance(1s);
+        this->report(this->other);
+    }
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
 TEST_F(PoolSchedulerTest, ReportOfAnotherIncarnationEndsTheRenewals)
 {
     this->setDiscovered({executor("one")});
