--- a/src/standin_fleet/callers.py
+++ b/src/standin_fleet/callers.py
@@ -21,8 +21,8 @@
 class Proxy:
     """A loopback TCP proxy. Modes: "pass", "slow" (150 ms per chunk), "silent" (nothing passes) and "one-way" (answers don't pass).
 
-    reset() closes all its connections with RST. The target sees source_host, if given, as their peer. sent_times has, for the address of each
-    connection to the target, when the peer last sent something.
+    reset() closes all its connections with RST. The target sees source_host, if given, as their peer. senders has, for the address of each
+    connection to the target, the incarnation of the peer and when it last sent something.
     """
 
     def __init__(self, target, source_host=""):
@@ -30,30 +30,35 @@
         self.target = (host, int(port))
         self.source = (source_host, 0) if source_host else None
         self.mode = "pass"
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         self.open_sockets = set()
-        self.sent_times = {}
-        threading.Thread(target=self.accept_loop, daemon=True).start()
+        self.senders = {}
+        self.listen(0)
 
-    def accept_loop(self):
+    def listen(self, incarnation):
+        """Listens at another port, for an incarnation of the peer; what the one before has sent is still forwarded."""
+        listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = "127.0.0.1:%d" % listener.getsockname()[1]
+        threading.Thread(target=self.accept_loop, args=(listener, incarnation), daemon=True).start()
+
+    def accept_loop(self, listener, incarnation):
         while True:
-            client, _ = self.listener.accept()
+            client, _ = listener.accept()
             try:
                 server = socket.create_connection(self.target, 2, self.source)
             except OSError:
                 client.close()
                 continue
             self.open_sockets |= {client, server}
-            threading.Thread(target=self.forward, args=(client, server, False), daemon=True).start()
-            threading.Thread(target=self.forward, args=(server, client, True), daemon=True).start()
+            threading.Thread(target=self.forward, args=(client, server, incarnation), daemon=True).start()
+            threading.Thread(target=self.forward, args=(server, client, None), daemon=True).start()
 
-    def forward(self, source, sink, is_answer):
+    def forward(self, source, sink, incarnation):
+        is_answer = incarnation is None
         try:
             address = None if is_answer else sink.getsockname()
             while data := source.recv(65536):
-                if address:
-                    self.sent_times[address] = time.monotonic()
+                if not is_answer:
+                    self.senders[address] = (incarnation, time.monotonic())
                 while self.mode == "silent" or (self.mode == "one-way" and is_answer):
                     time.sleep(0.02)
                 if self.mode == "slow":
@@ -88,19 +93,20 @@
         # Uses its own loopback address with fixed ports: a free port chosen on 127.0.0.1 may be taken by an outgoing connection before it is used.
         self.host = loopback_address(number)
         self.proxy = Proxy(store.address, self.host)
-        store.sent_times[self.host] = self.proxy.sent_times
+        store.senders[self.host] = self.proxy.senders
         self.program = os.path.join(arguments.binaries, "mangocourse-scheduler")
         self.settings = os.path.join(directory, self.name + ".json")
         self.log = open(os.path.join(directory, self.name + ".log"), "ab")
-        self.write_settings(0.5 if number < 4 else 0.12)
+        self.share = 0.5 if number < 4 else 0.12
+        self.incarnation = 0
         self.unexpected_exits = []
         self.start()
 
-    def write_settings(self, share):
+    def write_settings(self):
         with open(self.settings + ".new", "w") as file:
             json.dump({"node": self.name, "zone": "z", "ip": self.host,
                        "listen": {"front": "%s:%d" % (self.host, FRONT_PORT), "ready": "%s:%d" % (self.host, READY_PORT)},
-                       "port_range": [METRICS_PORT, METRICS_PORT], "limits": {"cpu_share": share, "cores": 1}, "bounds": BOUNDS,
+                       "port_range": [METRICS_PORT, METRICS_PORT], "limits": {"cpu_share": self.share, "cores": 1}, "bounds": BOUNDS,
                        "platform": {"address": self.proxy.address, "parts": PARTITION_COUNT, "min_ttl_ms": 1000}}, file)
         os.replace(self.settings + ".new", self.settings)
 
@@ -109,7 +115,9 @@
 
     def start(self):
         self.exit_expected = False
-        self.started_at = time.monotonic()
+        self.incarnation += 1
+        self.proxy.listen(self.incarnation)
+        self.write_settings()
         self.child = subprocess.Popen([self.program], env=dict(os.environ, MANGOCOURSE_NODE_FILE=self.settings), stdout=self.log, stderr=self.log)
 
     def send_signal(self, number):
@@ -216,7 +224,7 @@
         status = answer and answer[0]
         if status == 200:
             self.checker.jobs[job]["accepted"] = True
-        self.checker.attempt_ended(job, attempt, status, process.started_at)
+        self.checker.attempt_ended(job, attempt, status, process.incarnation)
         return status
 
     def cancel(self, prefix, job, attempts=1):
--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -155,7 +155,8 @@
             executor.order_fault = value
 
         def change_settings():
-            process.write_settings(generator.choice([0.4, 0.5, 0.6]))
+            process.share = generator.choice([0.4, 0.5, 0.6])
+            process.write_settings()
             process.send_signal(signal.SIGHUP)
             return no_recovery
 
--- a/src/standin_fleet/faultsoak_test.py
+++ b/src/standin_fleet/faultsoak_test.py
@@ -36,11 +36,11 @@
         self.checker.jobs["j"]["attempts"].append(attempt)
         return attempt
 
-    def answer(self, attempt, status, incarnation=0.0):
+    def answer(self, attempt, status, incarnation=1):
         self.checker.attempt_ended("j", attempt, status, incarnation)
 
-    def store(self, sent_at, host="a", connected_at=0.5):
-        self.checker.record_stored("j", host, connected_at, sent_at)
+    def store(self, sent_at, host="a", incarnation=1):
+        self.checker.record_stored("j", host, incarnation, sent_at)
 
     def kinds(self):
         return [line.split(" s: ")[1].split(":")[0] for line in self.checker.violations]
@@ -71,8 +71,8 @@
 
     def test_records_of_other_processes_and_of_the_incarnation_before_are_allowed(self):
         self.store(1.1, host="b")
-        self.store(0.9, connected_at=0.5)
-        self.answer(self.send(), 503, incarnation=0.8)
+        self.store(1.1, incarnation=1)
+        self.answer(self.send(), 503, incarnation=2)
         self.assertEqual(self.kinds(), [])
 
     def test_refusal_after_504_for_a_record_that_gets_stored_later(self):
--- a/src/standin_fleet/fleet.py
+++ b/src/standin_fleet/fleet.py
@@ -83,8 +83,8 @@
     def __init__(self, partition_count, checker):
         super().__init__()
         self.checker = checker
-        # For each process's host, when it last sent something on the connection of an address, as its proxy saw it.
-        self.sent_times = {}
+        # For each process's host, which incarnation last sent something on the connection of an address, and when, as its proxy saw it.
+        self.senders = {}
         self.partition_count = partition_count
         self.log_changed = threading.Condition()
         self.logs = {}
@@ -95,12 +95,12 @@
         self.address = serve(self)
 
     def respond(self, path, query, body, call):
-        sent_at = self.sent_times.get(call.source, {}).get(call.client_address, time.monotonic())
+        sender = self.senders.get(call.source, {}).get(call.client_address, (0, time.monotonic()))
         subject = self.describe_append(query, body) if path == "/log-append" else ""
         if self.fault_mode == "refuse":
             self.add_trace(call.source, path, "refused with 503", subject)
             return 503, {}
-        handler = {"/log-append": lambda query, body: self.append(query, body, call, sent_at), "/log-read": self.read, "/log-newest": self.newest,
+        handler = {"/log-append": lambda query, body: self.append(query, body, call, sender), "/log-read": self.read, "/log-newest": self.newest,
                    "/log-join": self.join, "/log-leave": self.leave, "/log-owners": self.owners}.get(path)
         if handler is None:
             return 404, {}
@@ -123,7 +123,7 @@
             body = body[4 + size:]
         return records
 
-    def append(self, query, body, call, sent_at):
+    def append(self, query, body, call, sender):
         partition_key = (query["topic"], int(query["part"]))
         time.sleep(0.004)
         with self.log_changed:
@@ -154,7 +154,7 @@
                 key, value = record[1:1 + record[0]].decode(), record[1 + record[0]:]
                 self.add_trace(call.source, "/log-append", "stored" if value else "dropped", key)
                 if value:
-                    self.checker.record_stored(key, call.source, call.connected_at, sent_at)
+                    self.checker.record_stored(key, call.source, *sender)
         return answer
 
     def append_record(self, topic, key, value):
--- a/src/standin_fleet/judge.py
+++ b/src/standin_fleet/judge.py
@@ -31,7 +31,7 @@
         self.failures = {}
         self.last_ends = {}
         self.jobs = {}
-        # For each job, the records of it that are stored: (host of the process, time of its connection, time at which it sent the record).
+        # For each job, the records of it that are stored: (host of the process, its incarnation, time at which it sent the record).
         self.records = {}
 
     def report_violation(self, what):
@@ -77,7 +77,7 @@
                     self.last_ends[item] = time.monotonic()
 
     def attempt_ended(self, job, attempt, status, answered_by):
-        """Records the answer to an attempt to submit a job, from the incarnation of the process that started at answered_by."""
+        """Records the answer to an attempt to submit a job, from the incarnation answered_by of the process."""
         with self.lock:
             attempt.update(status=status, answered_at=time.monotonic(), answered_by=answered_by)
             self.judge_attempts(job)
@@ -88,9 +88,9 @@
             self.jobs[job]["is_given_up"] = True
             self.judge_refusal(job)
 
-    def record_stored(self, key, host, connected_at, sent_at):
+    def record_stored(self, key, host, incarnation, sent_at):
         with self.lock:
-            self.records.setdefault(key, []).append((host, connected_at, sent_at))
+            self.records.setdefault(key, []).append((host, incarnation, sent_at))
             self.judge_attempts(key)
 
     def judge_refusal(self, job):
@@ -104,8 +104,8 @@
         """Reports refused attempts whose process had sent a record that is stored. Call it with the lock held."""
         attempts = self.jobs.get(job, {}).get("attempts", [])
         for refused in [attempt for attempt in attempts if attempt["status"] in REFUSALS]:
-            for host, connected_at, sent_at in self.records.get(job, []):
-                if host != refused["host"] or connected_at < refused["answered_by"]:
+            for host, incarnation, sent_at in self.records.get(job, []):
+                if (host, incarnation) != (refused["host"], refused["answered_by"]):
                     continue
                 # The record is that of an earlier attempt, or of one of several that were all refused.
                 senders = [attempt for attempt in attempts if attempt["host"] == host and attempt["sent_at"] <= sent_at]
