--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -348,9 +348,9 @@
     if soak.waiting_work_check.judged_s < MAX_WAIT_S:
         checker.report_violation("IDLE: only %.1f s of calm were judged" % soak.waiting_work_check.judged_s)
     kinds = Counter(line.split(" s: ")[1].split(":")[0] for line in checker.violations)
-    print("seed %d: %d jobs accepted, %d items done, %d faults, longest wait in %.0f s of calm %.1f s, %d promises broken%s"
+    print("seed %d: %d jobs accepted, %d items done, %d faults, longest wait in %.0f s of calm %.1f s, longest answer of the store there %.2f s, %d promises broken%s"
           % (seed, accepted, len(checker.completed), len(soak.faults), soak.waiting_work_check.judged_s, soak.waiting_work_check.longest_wait_s,
-             len(checker.violations), "".join(", %s %d" % kind for kind in sorted(kinds.items()))), flush=True)
+             soak.waiting_work_check.longest_answer_s, len(checker.violations), "".join(", %s %d" % kind for kind in sorted(kinds.items()))), flush=True)
     for line in checker.violations[:10]:
         print("  " + line, flush=True)
     if checker.violations:
--- a/src/standin_fleet/judge.py
+++ b/src/standin_fleet/judge.py
@@ -2,6 +2,7 @@
 import json
 import threading
 import time
+import urllib.request
 
 from fleet import CAPACITY
 
@@ -170,6 +171,8 @@
         self.reported = set()
         self.judged_s = 0.0
         self.longest_wait_s = 0.0
+        # Longest time that the store took to answer in a calm stretch: the stand-ins' own share of a wait.
+        self.longest_answer_s = 0.0
         self.is_stopped = threading.Event()
 
     def run(self):
@@ -183,8 +186,19 @@
             else:
                 self.judged_s += now - previous_look_at if calm_s > CALM_S + MAX_WAIT_S else 0.0
                 self.look(now)
+                self.measure_answer()
             previous_look_at = now
 
+    def measure_answer(self):
+        asked_at = time.monotonic()
+        try:
+            with urllib.request.urlopen("http://%s/log-owners?group=owners" % self.soak.store.address) as answer:
+                answer.read()
+            self.longest_answer_s = max(self.longest_answer_s, time.monotonic() - asked_at)
+        except OSError:
+            # A fault of the store has begun.
+            pass
+
     @staticmethod
     def count_places(room, step, taken):
         """Returns how many items of the step fit into the room beside what runs there."""
