--- a/src/libservice/httpclient_test.cpp
+++ b/src/libservice/httpclient_test.cpp
@@ -86,5 +86,25 @@
     EXPECT_EQ(drained.error().code, ErrorCode::Timeout) << describe(drained.error());
 }
 
+TEST(PlatformClient, OddInstanceDoesNotHideTheOthers)
+{
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string good = R"({"id":"good","state":"live","pool":"p","token":1,"rebooted":1,"closed":1,"host":"127.0.0.1","port":80,"version":3})";
+    for (const std::string &odd : {std::string("7"), std::string(R"({"id":7})"), std::string(R"({"id":"odd"})"),
+             std::string(R"({"id":"odd","state":"live","pool":"p","token":1,"rebooted":1,"closed":1,"host":"127.0.0.1","port":65616,"version":3})"),
+             std::string(R"({"id":"odd","state":"live","pool":"p","token":1e300,"rebooted":1,"closed":1,"host":"127.0.0.1","port":80,"version":3})"),
+             std::string(R"({"id":"odd","state":)") + deep + "}"}) {
+        BackgroundServer background([&](const HttpRequest &, int) -> std::optional<LoopbackReply> {
+            return loopbackReply(200, R"({"version":4,"instances":[)" + odd + "," + good + "]}");
+        });
+        const auto client = std::move(*PlatformClient::create(background.server.endpoint()));
+        const Result<ListingDelta> delta = client->listing(0, 0ms);
+        ASSERT_TRUE(delta) << odd.substr(0, 100) << ": " << describe(delta.error());
+        EXPECT_EQ(delta->version, 4);
+        EXPECT_TRUE(delta->changed.contains(InstanceId{"good"}));
+        EXPECT_EQ(delta->changed.size(), 1U) << odd.substr(0, 100);
+    }
+}
+
 }
 }
--- a/src/libservice/platformclient.cpp
+++ b/src/libservice/platformclient.cpp
@@ -1,8 +1,12 @@
 // Client of the platform's service: JSON over HTTP.
 #include "platformclient.h"
 
-#include <nlohmann/json.hpp>
+#include <array>
+#include <limits>
 
+#include <spdlog/spdlog.h>
+
+#include "boundedjson.h"
 #include "httpclient.h"
 
 namespace MangoCourse {
@@ -29,10 +33,23 @@
     if (!state) {
         return tl::unexpected(state.error());
     }
+    const auto port = wholeNumber(json.at("port"), 0, std::numeric_limits<std::uint16_t>::max());
+    if (!port) {
+        return makeError(ErrorCode::Decode, "must be a port number", "port");
+    }
+    std::array<Offset, 4> offsets{};
+    constexpr std::array names{"token", "rebooted", "closed", "version"};
+    for (std::size_t index = 0; index < names.size(); ++index) {
+        const auto offset = wholeNumber(json.at(names[index]), 0);
+        if (!offset) {
+            return makeError(ErrorCode::Decode, "must be an offset", names[index]);
+        }
+        offsets[index] = *offset;
+    }
     AddressedInstance instance;
-    instance.listed = {*state, PoolId{json.at("pool")}, json.at("token"), json.at("rebooted"), json.at("closed")};
-    instance.endpoint = {json.at("host"), json.at("port")};
-    instance.version = json.at("version");
+    instance.listed = {*state, PoolId{json.at("pool")}, offsets[0], offsets[1], offsets[2]};
+    instance.endpoint = {json.at("host"), static_cast<std::uint16_t>(*port)};
+    instance.version = offsets[3];
     return instance;
 }
 
@@ -47,6 +64,20 @@
     }
 }
 
+// Skips an entry that cannot be read, so that the others hold.
+void addInstance(ListingDelta &delta, const Json &entry)
+{
+    const std::string id = entry.is_object() && entry.contains("id") && entry["id"].is_string() ? entry["id"].get<std::string>() : "";
+    Result<AddressedInstance> instance = decode([&entry]() -> Result<AddressedInstance> {
+        return parseInstance(entry);
+    });
+    if (!instance || id.empty()) {
+        spdlog::warn("event=instance_unreadable instance={} reason={}", id, instance ? "the id is missing" : describe(instance.error()));
+        return;
+    }
+    delta.changed.emplace(InstanceId{id}, std::move(*instance));
+}
+
 }
 
 class PlatformClient::Private
@@ -135,11 +166,7 @@
         ListingDelta delta;
         delta.version = json->at("version");
         for (const Json &entry : json->at("instances")) {
-            Result<AddressedInstance> instance = parseInstance(entry);
-            if (!instance) {
-                return tl::unexpected(instance.error());
-            }
-            delta.changed.emplace(InstanceId{entry.at("id")}, std::move(*instance));
+            addInstance(delta, entry);
         }
         return delta;
     });
