--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -86,6 +86,8 @@
 
     std::unique_ptr<PartitionView> makeView(std::int32_t partition);
     std::vector<PartitionView *> findViews(const QueueConfig &queue);
+    // Returns the partition that may still get a record of the job, after its streams have been read without one; nullptr if there is none.
+    PartitionView *findUnsettledView(const QueueConfig &queue, const JobId &id);
     net::awaitable<CallerReply> submit(QueueConfig queue, JobId id, CallerRequest request, steady_clock::time_point deadline);
     net::awaitable<CallerReply> cancel(QueueConfig queue, JobId id, steady_clock::time_point deadline);
     net::awaitable<CallerReply> readJob(QueueConfig queue, JobId id);
@@ -154,6 +156,17 @@
     return result;
 }
 
+PartitionView *JobGateway::Private::findUnsettledView(const QueueConfig &queue, const JobId &id)
+{
+    for (PartitionView *view : this->findViews(queue)) {
+        view->appender->settle(view->jobsReader->currentAsOf());
+        if (view->appender->isUnsettled(id.value)) {
+            return view;
+        }
+    }
+    return nullptr;
+}
+
 std::optional<JobState> JobGateway::Private::findState(const PartitionView &view, const JobId &id)
 {
     const auto known = view.progress.find(id);
@@ -298,6 +311,10 @@
     if (view == nullptr && !readResult) {
         co_return CallerReply{CallerOutcome::Unavailable, {}, 0, "the store cannot be read", storeRetryAfter};
     }
+    if (view == nullptr) {
+        // A submission that may still be stored is cancelled ahead of it.
+        view = this->findUnsettledView(queue, id);
+    }
     if (view == nullptr) {
         co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
     }
--- a/src/scheduler/refusedsubmission_test.cpp
+++ b/src/scheduler/refusedsubmission_test.cpp
@@ -87,6 +87,22 @@
     EXPECT_EQ(this->call(CallerAction::Cancel, this->job, 300ms).outcome, CallerOutcome::MayBeAccepted);
 }
 
+// The record of the submission is stored after the gateway has looked for the job.
+TEST_F(RefusedSubmissionTest, CancellationOfAJobThatMayBeStoredLateIsNotAnsweredNoSuchJob)
+{
+    this->store.behaviour = StoreBehaviour::AppendingLate;
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job, 300ms).outcome, CallerOutcome::MayBeAccepted);
+    this->store.behaviour = StoreBehaviour::Normal;
+    EXPECT_EQ(this->call(CallerAction::Cancel, this->job).outcome, CallerOutcome::Cancelled);
+    const auto shard = this->startOwner(1);
+    this->runUntil([this] {
+        return this->call(CallerAction::Read, this->job).state == JobState::Cancelled;
+    });
+    EXPECT_TRUE(this->executors.starts.empty());
+    shard->stop();
+    this->runFor(100ms);
+}
+
 // The partition of the queue's new service would get a second record of the job.
 TEST_F(RefusedSubmissionTest, JobOfAMovedQueueIsNotStoredTwiceAfterAnUnansweredAttempt)
 {
