--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -213,11 +213,14 @@
     net::co_spawn(
         this->context,
         [&view, readEnded]() -> net::awaitable<void> {
-            const Result<void> read = co_await view.progressReader->catchUp();
+            Result<void> read = co_await view.progressReader->catchUp();
             if (read) {
-                (void)co_await view.jobsReader->catchUp();
+                read = co_await view.jobsReader->catchUp();
+            }
+            // The record of a job that has ended may be deleted, so the jobs alone do not tell.
+            if (read) {
+                view.appender->settle(view.jobsReader->currentAsOf());
             }
-            view.appender->settle(view.jobsReader->currentAsOf());
             readEnded->notify();
         },
         net::detached);
