--- a/src/scheduler/planningduty_test.cpp
+++ b/src/scheduler/planningduty_test.cpp
@@ -105,5 +105,73 @@
     });
 }
 
+// Carries out the first append of a status late and does not answer it.
+class LateStatusStore : public MemoryStore
+{
+public:
+    using MemoryStore::MemoryStore;
+
+    net::awaitable<Result<void>> append(Stream stream, std::int32_t partitionNumber, std::vector<StoredRecord> records, std::optional<ProducerStamp> stamp,
+        std::chrono::milliseconds timeout) override
+    {
+        this->statusAppends += stream == Stream::Status ? 1 : 0;
+        const bool isLate = stream == Stream::Status && this->statusAppends == 1;
+        this->behaviour = isLate ? StoreBehaviour::AppendingLate : StoreBehaviour::Normal;
+        Result<void> appended = co_await MemoryStore::append(stream, partitionNumber, std::move(records), std::move(stamp), timeout);
+        this->behaviour = StoreBehaviour::Normal;
+        co_return appended;
+    }
+
+private:
+    int statusAppends = 0;
+};
+
+class PlatformWithWave : public PlatformWithMachines
+{
+public:
+    using PlatformWithMachines::PlatformWithMachines;
+
+    Result<OperatorRecord> decodeOperatorRecord(const std::string &key, const std::string &value) const override
+    {
+        if (key == "wave") {
+            return OperatorRecord(MaintenanceWave{WaveId{value}, {MachineId{"m"}}, 30s, 1});
+        }
+        return PlatformWithMachines::decodeOperatorRecord(key, value);
+    }
+    StoredRecord encodeWaveStatus(const WaveId &wave, bool isCompleted) const override
+    {
+        return StoredRecord{wave.value, isCompleted ? "completed" : "running", -1};
+    }
+};
+
+// The record that says "running" is stored after the one that says "completed".
+TEST_F(SchedulerTest, UnansweredStatusOfAWaveDoesNotReplaceALaterOne)
+{
+    OneMachine machinePort(this->context);
+    LateStatusStore lateStore(this->context);
+    CallerService *service = nullptr;
+    FleetConfig standbyConfig = *this->config;
+    standbyConfig.services.at(ServiceId{"desk"}).isStandby = true;
+    std::map<std::string, FleetConfig> configs{{"1", standbyConfig}};
+    std::vector<StoredRecord> &operatorRecords = lateStore.partitions[{Stream::Operator, 0}].records;
+    operatorRecords.push_back(StoredRecord{"config", "1", 0});
+    operatorRecords.push_back(StoredRecord{"wave", "1", 1});
+    lateStore.membership = Membership{5, {OwnedPartition{Stream::Plan, plannerPartition}}};
+    const auto process = std::move(*SchedulerProcess::create(
+        this->context, this->metrics, std::make_unique<PlatformWithWave>(machinePort, lateStore, this->executors, this->settings, configs, service)));
+    process->start();
+    const std::vector<StoredRecord> &statuses = lateStore.partitions[{Stream::Status, 0}].records;
+    const auto hasStatus = [&statuses](const char *status) {
+        return std::any_of(statuses.begin(), statuses.end(), [status](const StoredRecord &record) {
+            return record.value == status;
+        });
+    };
+    this->runUntil([&hasStatus] {
+        return hasStatus("completed");
+    });
+    this->runFor(lateStore.lateAppendDelay + 500ms);
+    EXPECT_EQ(statuses.back().value, "completed");
+}
+
 }
 }
