--- a/src/standin_fleet/oddentries_test.py
+++ b/src/standin_fleet/oddentries_test.py
@@ -14,7 +14,7 @@
 import threading
 import time
 
-from faultsoak import loopback_address
+from callers import loopback_address
 from fleet import Executor, Store
 
 PARTITION_COUNT = 4
@@ -228,7 +228,7 @@
 
 def run(arguments, directory):
     check = Check()
-    store = RecordingStore(PARTITION_COUNT)
+    store = RecordingStore(PARTITION_COUNT, NoChecks())
     store.append_record("keyed.op", "config", {
         "version": 1, "services": [{"name": SERVICE, "rejects_overload": True, "max_conns": 64}],
         "routes": [{"name": "counter", "host": "odd", "path_prefix": "/counter/", "service": SERVICE, "max_attempts": 50, "slack_factor": 2,
