--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,8 +18,22 @@
 LENGTH_S = 80.0
 
 
-async def case(world):
-    generator = random.Random(4)
+async def crash_case(world):
+    """An idle executor crashes, is back under its id DARK_S later, and is sent several orders at once before its new entry is read."""
+    prepare(world)
+    await world.start()
+    await asyncio.sleep(BOUNDS["contact_ms"] / 1000)
+    for number in range(10):
+        if world.trouble:
+            world.executors[0].crash()
+            await asyncio.sleep(DARK_S)
+            await world.executors[0].start()
+        body = {"spec": "photo", "steps": [{"count": 6, "cpu": 10000, "mem_mb": 256, "estimate_ms": 800}]}
+        await world.submit(world.fronts[0], "/brick/%016x" % (0xd0000 + number), body)
+        await asyncio.sleep(3.0)
+
+
+def prepare(world):
     world.executors = [Executor(world, "i-%d" % number, SERVICE) for number in range(EXECUTORS)]
     world.work = lambda task, run: (0.8, "done", 10000, 256)
     base_start = world.on_start
@@ -31,6 +45,11 @@
 
     world.on_start = on_start
     world.configure([("r-brick", "/brick/", SERVICE, {})], [SERVICE])
+
+
+async def case(world):
+    generator = random.Random(4)
+    prepare(world)
     await world.start()
     await asyncio.sleep(BOUNDS["contact_ms"] / 1000)
     begun = time.monotonic()
@@ -57,4 +76,4 @@
         raise CannotRun("only %d jobs were accepted" % len(accepted))
 
 
-run_case(case, HERE, 2)
+run_case(crash_case if os.environ.get("VARIANT") == "crash" else case, HERE, 2)
