--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -648,10 +648,10 @@
 
     HOST_NAME = "kocka.example"
 
-    def __init__(self, folder, front_count):
+    def __init__(self, record, front_count):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.started = time.monotonic()
-        self.record = open(os.path.join(folder, "record.txt"), "w")
+        self.record = open(record, "w")
         self.folder = tempfile.mkdtemp(prefix="review-")
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.command = tomllib.load(file)["roles"]["scheduler"]["run"].split()
@@ -768,11 +768,11 @@
         self.record.close()
 
 
-def run_case(case, folder, front_count):
-    """Runs the coroutine function case(world) and exits with 1 if a rule was broken, 0 if all held, and 2 if the case could not run."""
+def run_case(case, record, front_count):
+    """Runs the coroutine function case(world), writes to the file record, and exits with 1 if a rule was broken, 0 if all held, and 2 if the case could not run."""
 
     async def main():
-        world = World(folder, front_count)
+        world = World(record, front_count)
         # The scheduler's processes end with the script, also if that is told to stop.
         task = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
