--- a/review/1/case.py
+++ b/review/1/case.py
@@ -76,4 +76,4 @@
         raise CannotRun("only %d jobs were accepted" % len(accepted))
 
 
-run_case(crash_case if os.environ.get("VARIANT") == "crash" else case, HERE, 2)
+run_case(crash_case if os.environ.get("VARIANT") == "crash" else case, os.path.join(HERE, "record.txt"), 2)
