--- a/review/2/case.py
+++ b/review/2/case.py
@@ -91,4 +91,4 @@
     world.note("after_the_cancel", answer=answer, still_running=still)
 
 
-run_case(unread_case if os.environ.get("VARIANT") == "unread" else case, HERE, 2)
+run_case(unread_case if os.environ.get("VARIANT") == "unread" else case, os.path.join(HERE, "record.txt"), 2)
