--- a/review/3/case.py
+++ b/review/3/case.py
@@ -66,4 +66,4 @@
         world.broken("LOST", "all %d work items of %s have ended done, and it is shown as %s" % (count, LARGE, states[LARGE]))
 
 
-run_case(case, HERE, 2)
+run_case(case, os.path.join(HERE, "record.txt"), 2)
