--- a/review/4/case.py
+++ b/review/4/case.py
@@ -61,4 +61,4 @@
         raise CannotRun("the job is answered %s" % (answer,))
 
 
-run_case(case, HERE, 2)
+run_case(case, os.path.join(HERE, "record.txt"), 2)
