--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -175,9 +175,9 @@
     request.body() = std::move(call.body);
     request.prepare_payload();
 
-    const bool isAvailable = co_await self->waitForConnection(deadline);
+    const bool isAvailable = co_await self->waitForConnection(deadline - call.longPoll - (call.timeout - call.longPoll) / 2);
     if (!isAvailable) {
-        co_return makeError(ErrorCode::Unavailable, "no connection became free before the deadline", toString(self->endpoint));
+        co_return makeError(ErrorCode::Unavailable, "no connection became free in time", toString(self->endpoint));
     }
     std::unique_ptr<Connection> connection = self->takeIdleConnection();
     if (!connection) {
--- a/src/libservice/connectionpool.h
+++ b/src/libservice/connectionpool.h
@@ -20,8 +20,11 @@
     std::string target;
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
-    // Includes the wait for a free connection.
+    // Includes the wait for a free connection, which ends early enough to leave the server at least half of the time. A call that the server may have
+    // carried out is not given up because it waited behind other calls of this process.
     std::chrono::milliseconds timeout{};
+    // Part of the time-out for which the server holds the answer back if it has none. It is left in full.
+    std::chrono::milliseconds longPoll{};
 };
 
 // Calls may run concurrently, each on its own connection. Runs on the io_context it was created with.
--- a/src/libservice/connectionpool_test.cpp
+++ b/src/libservice/connectionpool_test.cpp
@@ -116,6 +116,73 @@
     EXPECT_LE(loopIterations, maxLoopIterations);
 }
 
+// Guards against calls that are sent after a long wait behind other calls of this process, with too little time left for the answer: the server carries
+// them out for a caller that has given up.
+TEST(ConnectionPool, CallThatHasWaitedForMostOfItsTimeIsNotSent)
+{
+    net::io_context context;
+    int requests = 0;
+    const LoopbackServer server(context, [&requests](const HttpRequest &, int) {
+        ++requests;
+        LoopbackReply reply = loopbackReply(200);
+        reply.answersAfter = 350ms;
+        return std::optional(reply);
+    });
+    const auto pool = ConnectionPool::create(context, server.endpoint(), 1);
+    std::vector<Result<HttpAnswer>> answers;
+    for (int number = 0; number < 3; ++number) {
+        net::co_spawn(
+            context,
+            [&pool, &answers]() -> net::awaitable<void> {
+                HttpCall call;
+                call.target = "/";
+                call.timeout = 500ms;
+                answers.push_back(co_await (*pool)->call(std::move(call)));
+            },
+            net::detached);
+    }
+    while (answers.size() < 3 && context.run_one_for(5s) > 0) {
+    }
+    ASSERT_EQ(answers.size(), 3U);
+    EXPECT_EQ(requests, 1);
+    int notSent = 0;
+    for (const Result<HttpAnswer> &answer : answers) {
+        notSent += !answer && answer.error().code == ErrorCode::Unavailable ? 1 : 0;
+    }
+    EXPECT_EQ(notSent, 2) << "a call that was not sent must not be told from one that may have been carried out";
+}
+
+// A long poll needs its whole time at the server.
+TEST(ConnectionPool, LongPollThatWouldBeCutShortIsNotSent)
+{
+    net::io_context context;
+    int requests = 0;
+    const LoopbackServer server(context, [&requests](const HttpRequest &, int) {
+        ++requests;
+        LoopbackReply reply = loopbackReply(200);
+        reply.answersAfter = 350ms;
+        return std::optional(reply);
+    });
+    const auto pool = ConnectionPool::create(context, server.endpoint(), 1);
+    std::vector<Result<HttpAnswer>> answers;
+    for (int number = 0; number < 2; ++number) {
+        net::co_spawn(
+            context,
+            [&pool, &answers]() -> net::awaitable<void> {
+                HttpCall call;
+                call.target = "/";
+                call.timeout = 900ms;
+                call.longPoll = 500ms;
+                answers.push_back(co_await (*pool)->call(std::move(call)));
+            },
+            net::detached);
+    }
+    while (answers.size() < 2 && context.run_one_for(5s) > 0) {
+    }
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(requests, 1);
+}
+
 // Makes calls one after another and returns their answers.
 std::vector<Result<HttpAnswer>> callInTurn(LoopbackServer::Handler handler, int calls, std::chrono::milliseconds pause = 0ms)
 {
--- a/src/libservice/loopbackserver_test.h
+++ b/src/libservice/loopbackserver_test.h
@@ -18,6 +18,8 @@
     HttpResponse response;
     // Sent after the response on the same connection.
     std::string trailingBytes = {};
+    // Time from the request to the response.
+    std::chrono::milliseconds answersAfter = {};
     // Time until the server closes the connection after the response.
     std::optional<std::chrono::milliseconds> closesAfter = {};
 };
@@ -93,6 +95,10 @@
             if (!reply) {
                 co_return;
             }
+            if (reply->answersAfter > std::chrono::milliseconds::zero()) {
+                net::steady_timer delay(socket.get_executor(), reply->answersAfter);
+                co_await delay.async_wait(captureError(error));
+            }
             reply->response.prepare_payload();
             std::ostringstream text;
             text << reply->response;
