--- a/src/scheduler/batchappender.cpp
+++ b/src/scheduler/batchappender.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds unavailableAfter{500};
 // No further record is added to an append of this size, which is well below the store's limit.
 constexpr std::size_t maxBatchBytes = 1024 * 1024;
+// Records that wait for the store take no more memory than this.
+constexpr std::size_t maxWaitingBytes = 8 * 1024 * 1024;
 
 }
 
@@ -78,11 +80,16 @@
         // The records in progress probe the store. This record is not sent, so that its caller learns immediately that it is not stored.
         co_return AppendResult{AppendOutcome::NotStored, "not sent, as appends have failed for a while", 0, 0, false};
     }
+    const std::size_t bytes = record.key.size() + record.value.size();
+    if (this->waitingBytes + bytes > maxWaitingBytes) {
+        co_return AppendResult{AppendOutcome::NotStored, "not sent, as too many records wait for the store", 0, 0, false};
+    }
     const auto entry = std::make_shared<Entry>(this->context);
     entry->record = std::move(record);
     entry->refusedDeadline = std::min(deadline, now + refusedRetryTime);
     entry->unknownDeadline = std::min(deadline, now + unknownRetryTime);
     this->pendingEntries.push_back(entry);
+    this->waitingBytes += bytes;
     if (!this->isRunning) {
         this->isRunning = true;
         net::co_spawn(
@@ -97,6 +104,7 @@
         entry->settled.expires_at(steady_clock::time_point::max());
         co_await entry->settled.async_wait(captureError(ignored));
     }
+    this->waitingBytes -= bytes;
     co_return entry->result;
 }
 
--- a/src/scheduler/batchappender.h
+++ b/src/scheduler/batchappender.h
@@ -36,7 +36,8 @@
 public:
     BatchAppender(net::io_context &context, RecordStore &store, Stream stream, std::int32_t partition);
 
-    // Retries for a limited time, at most until the deadline. While the store is unavailable, records are rejected without being sent.
+    // Retries for a limited time, at most until the deadline. While the store is unavailable, or too many bytes wait for it, records are rejected without
+    // being sent.
     net::awaitable<AppendResult> append(StoredRecord record, std::chrono::steady_clock::time_point deadline);
 
     // Returns true if an append of the key is in progress, or has ended without an answer.
@@ -78,6 +79,8 @@
     Stream stream;
     std::int32_t partition;
     std::deque<std::shared_ptr<Entry>> pendingEntries;
+    // Bytes of the records that are queued or being appended.
+    std::size_t waitingBytes = 0;
     UnsettledRecords unsettledRecords;
     bool isRunning = false;
     // Start of the first of the current series of failed appends.
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -349,5 +349,45 @@
     owner->stop();
 }
 
+// Guards against records of callers that fill the memory of a process while the store is slow.
+TEST_F(SchedulerTest, RecordsThatWaitForTheStoreAreBounded)
+{
+    constexpr std::size_t recordBytes = 256 * 1024;
+    constexpr int records = 100;
+    this->store.behaviour = StoreBehaviour::LosingAnswers;
+    const auto appender = std::make_shared<BatchAppender>(this->context, this->store, Stream::Jobs, 0);
+    std::vector<AppendResult> results;
+    for (int number = 0; number < records; ++number) {
+        net::co_spawn(
+            this->context,
+            [&appender, &results, number]() -> net::awaitable<void> {
+                StoredRecord record{"key" + std::to_string(number), std::string(recordBytes, 'x'), -1};
+                results.push_back(co_await appender->append(std::move(record), std::chrono::steady_clock::now() + 3s));
+            },
+            net::detached);
+    }
+    this->runUntil([&results] {
+        return results.size() == records;
+    });
+    const auto refused = std::count_if(results.begin(), results.end(), [](const AppendResult &result) {
+        return result.outcome == AppendOutcome::NotStored && result.reason == "not sent, as too many records wait for the store";
+    });
+    EXPECT_GE(refused, 60) << "8 MB wait at most";
+    EXPECT_LE(refused, 75);
+    results.clear();
+    this->store.behaviour = StoreBehaviour::Normal;
+    net::co_spawn(
+        this->context,
+        [&appender, &results]() -> net::awaitable<void> {
+            StoredRecord record{"later", "x", -1};
+            results.push_back(co_await appender->append(std::move(record), std::chrono::steady_clock::now() + 3s));
+        },
+        net::detached);
+    this->runUntil([&results] {
+        return !results.empty();
+    });
+    EXPECT_EQ(results.front().outcome, AppendOutcome::Durable);
+}
+
 }
 }
