--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -13,6 +13,8 @@
 #include <mangocourse/execution.h>
 #include <mangocourse/fleetconfig.h>
 #include <mangocourse/fleetplanner.h>
+#include <mangocourse/placementrank.h>
+#include <mangocourse/policyturns.h>
 #include <mangocourse/poolwaiting.h>
 
 namespace MangoCourse {
@@ -143,6 +145,12 @@
 struct PolicyRequest {
     ItemId step;
     std::vector<ExecutorId> executors;
+    QueueId queue;
+    PolicyPurpose purpose = PolicyPurpose::Start;
+    // As the queue's configuration declares it.
+    std::chrono::milliseconds expectedDuration{};
+    // Time since which the step has needed the answer.
+    TimePoint neededSince{};
 };
 
 // Totals for state dumps and metrics.
@@ -204,7 +212,6 @@
     void onReport(const ExecutorKey &executor, const ExecutorReport &report, TimePoint sentAt, TimePoint now, WallTime wallNow);
     void onStarted(const ExecutorKey &executor, const StartRun &order, const OrderReply &reply, TimePoint sentAt, TimePoint now);
     void onStopped(const ExecutorKey &executor, const StopRun &order, const OrderReply &reply, TimePoint now);
-    void onPolicyAnswer(const ItemId &step, const PolicyAnswer &answer, TimePoint now);
 
     // Returns the orders to send now. Work whose lease expired restarts only if no other owner can have renewed the lease. Nothing
     // starts while the watermarks are so old that an unread cancellation or drain could exceed its propagation limit.
@@ -229,7 +236,16 @@
     // Returns the incarnations that ended since the last call, whose stored records can be deleted.
     std::vector<ExecutorKey> takeEndedExecutors();
 
-    std::vector<PolicyRequest> takePolicyRequests(TimePoint now) const;
+    // Returns false if no open job has a placement policy.
+    bool mayNeedPolicy() const;
+    // Returns the steps that need an answer of the placement policy, by queue.
+    std::vector<QueuePolicyNeeds> policyNeeds(TimePoint now);
+    // Returns the request for a step that policyNeeds() named; nothing if the step needs none any more. Either onPolicyAnswer() or onPolicyFailure()
+    // has to follow, or the step gets no further request.
+    std::optional<PolicyRequest> takePolicyRequest(const ItemId &step, TimePoint now);
+    // An answer without a validity counts as an error of the policy.
+    void onPolicyAnswer(const ItemId &step, const PolicyAnswer &answer, TimePoint now);
+    void onPolicyFailure(const ItemId &step, PolicyOutcome outcome, TimePoint now);
 
     // Returns the progress of the jobs that changed since the last call. markPersisted() allows their ended runs to be acknowledged.
     std::vector<JobProgress> takeChangedJobs();
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -134,6 +134,7 @@
     entry.priority = terms.priority;
     entry.maxAttempts = std::max(1, terms.attempts);
     entry.hasPolicy = terms.hasPolicy;
+    this->hasPolicyJobs = this->hasPolicyJobs || entry.hasPolicy;
     entry.durationRatio = &this->durationRatio.try_emplace(entry.job.queue, 1.0).first->second;
     const auto objective
         = milliseconds(static_cast<std::int64_t>(terms.slackFactor * static_cast<double>(entry.remainingCriticalPath.count()))) + terms.targetLatency;
@@ -231,16 +232,6 @@
     }
 }
 
-void PoolScheduler::Private::dropPass(const ItemId &id, const ExecutorId &executor)
-{
-    if (this->findItem(id) == nullptr) {
-        return;
-    }
-    StepState &step = this->findJob(id.job)->occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
-    step.passes.erase(executor);
-    step.askedExecutors.erase(executor);
-}
-
 void PoolScheduler::Private::updateDurationRatios(Executor &executor, const Run &run, TimePoint now)
 {
     if (run.isLongRunning || run.expectedDuration.count() <= 0 || run.startedAt == TimePoint{}) {
--- a/src/libmangocourse/poolhistoryworld_test.h
+++ b/src/libmangocourse/poolhistoryworld_test.h
@@ -9,6 +9,7 @@
 #include <queue>
 #include <random>
 
+#include "policyrequests_test.h"
 #include "poolhistory_test.h"
 #include "poolprogress_test.h"
 
@@ -763,7 +764,7 @@
     void answerPolicyRequests(const std::shared_ptr<FakeOwner> &owner)
     {
         // The scheduler's order depends on addresses, and a seed must always give the same history.
-        std::vector<PolicyRequest> requests = owner->scheduler->takePolicyRequests(this->time());
+        std::vector<PolicyRequest> requests = takePolicyRequests(*owner->scheduler, this->time());
         std::sort(requests.begin(), requests.end(), [](const PolicyRequest &left, const PolicyRequest &right) {
             return left.step < right.step;
         });
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -16,17 +16,11 @@
 constexpr milliseconds secondRunSilence{200};
 constexpr double secondRunFactor = 2.0;
 constexpr milliseconds secondRunSlack{300};
-// Soft limit of long-running items of one step on one executor.
-constexpr int maxItemsOfStepPerExecutor = 2;
 // The pool is overloaded if the CPU demand of ready work exceeds its capacity by this factor.
 constexpr double overloadFactor = 1.3;
 // Overload lasts for seconds and stalls are detected late anyway, so neither is checked in each plan.
 constexpr milliseconds overloadCheckInterval{50};
 constexpr milliseconds stallCheckInterval{200};
-// Looking for a usable pass costs a pass over the executors, so each step is looked at this often only.
-constexpr milliseconds passCheckInterval{250};
-// The policy is asked about this many executors at a time.
-constexpr std::size_t maxExecutorsPerRequest = 100;
 // An executor that has failed repeatedly gets one run at a time, and the next one when that has lasted this long.
 constexpr milliseconds trialTime{800};
 // Executors slower than others by this factor are avoided if there is a choice.
@@ -48,16 +42,6 @@
     return info.labels.size() > 1 ? info.labels[1] : std::string();
 }
 
-// Returns the resources that an item of the step reserves.
-Resources demandOf(const StepSpec &spec)
-{
-    Resources demand = spec.resources;
-    if (spec.isBestEffort) {
-        demand.cpu = 0;
-    }
-    return demand;
-}
-
 // Ranks an executor for a long-running item. Such items are packed onto few machines, so that the others can move to other pools, but one
 // machine gets few items of the same step.
 int longRunningRank(const Executor &executor, const ItemId &id)
@@ -73,6 +57,26 @@
 
 }
 
+Resources demandOf(const StepSpec &spec)
+{
+    Resources demand = spec.resources;
+    if (spec.isBestEffort) {
+        demand.cpu = 0;
+    }
+    return demand;
+}
+
+std::int32_t countRunsOfStep(const Executor &executor, const ItemId &item)
+{
+    std::int32_t runs = 0;
+    const auto first = executor.runs.lower_bound(ItemId{item.job, item.occurrence, item.step, 0});
+    for (auto run = first; run != executor.runs.end() && run->first.job == item.job && run->first.occurrence == item.occurrence && run->first.step == item.step;
+         ++run) {
+        ++runs;
+    }
+    return runs;
+}
+
 bool PoolScheduler::Private::isUsable(const Executor &executor, TimePoint now) const
 {
     return this->usabilityOf(executor, now) == ExecutorUsability::Usable;
@@ -151,20 +155,12 @@
     if (executor.runs.contains(id)) {
         return PlacementObstacle::RunsHere;
     }
-    if (spec.perExecutorLimit > 0) {
-        std::int32_t itemsHere = 0;
-        const auto first = executor.runs.lower_bound(ItemId{id.job, id.occurrence, id.step, 0});
-        for (auto run = first; run != executor.runs.end() && run->first.job == id.job && run->first.occurrence == id.occurrence && run->first.step == id.step;
-             ++run) {
-            ++itemsHere;
-        }
-        if (itemsHere >= spec.perExecutorLimit) {
-            return PlacementObstacle::PerExecutorLimit;
-        }
+    if (spec.perExecutorLimit > 0 && countRunsOfStep(executor, id) >= spec.perExecutorLimit) {
+        return PlacementObstacle::PerExecutorLimit;
     }
     if (entry.hasPolicy) {
         const StepState &state = entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
-        return state.passes.contains(executor.info.id) ? PlacementObstacle::None : PlacementObstacle::Pass;
+        return hasPass(state, executor) ? PlacementObstacle::None : PlacementObstacle::Pass;
     }
     return PlacementObstacle::None;
 }
@@ -198,6 +194,24 @@
     return {};
 }
 
+PoolScheduler::Private::CandidateRank PoolScheduler::Private::rankCandidate(
+    const Executor &executor, const JobEntry &entry, const ItemId &id, const Item &item, const std::string &siblingRack) const
+{
+    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
+    const Resources demand = demandOf(spec);
+    CandidateRank rank;
+    rank.hasFailedHere = item.lastFailedOn == executor.info.id;
+    rank.isOffRack
+        = (!spec.preferredRack.empty() && !hasLabel(executor.info, spec.preferredRack)) || (!siblingRack.empty() && rackOf(executor.info) != siblingRack);
+    rank.isSlow = executor.slowness > slownessThreshold;
+    rank.hasRecentFailures = !executor.failedJobs.empty();
+    rank.isMaintenanceDue = spec.isLongRunning && this->isMaintenanceDue(executor);
+    rank.spread = spec.isLongRunning ? longRunningRank(executor, id) : 0;
+    // Best fit: finite items go to the executor with the least free CPU, which keeps large gaps for large items.
+    rank.cpuLeft = spec.isBestEffort ? demand.cpu - executor.free().cpu : executor.free().cpu - demand.cpu;
+    return rank;
+}
+
 PoolScheduler::Private::Candidate PoolScheduler::Private::findBestExecutor(
     const CapacityIndex::Slots &slots, const JobEntry &entry, const ItemId &id, const Item &item, const std::string &siblingRack) const
 {
@@ -208,17 +222,7 @@
         if (!executor.free().covers(demand) || this->findConstraint(executor, entry, id, spec) != PlacementObstacle::None) {
             return false;
         }
-        const bool isOffRack
-            = (!spec.preferredRack.empty() && !hasLabel(executor.info, spec.preferredRack)) || (!siblingRack.empty() && rackOf(executor.info) != siblingRack);
-        CandidateRank rank;
-        rank.hasFailedHere = item.lastFailedOn == executor.info.id;
-        rank.isOffRack = isOffRack;
-        rank.isSlow = executor.slowness > slownessThreshold;
-        rank.hasRecentFailures = !executor.failedJobs.empty();
-        rank.isMaintenanceDue = spec.isLongRunning && this->isMaintenanceDue(executor);
-        rank.spread = spec.isLongRunning ? longRunningRank(executor, id) : 0;
-        // Best fit: finite items go to the executor with the least free CPU, which keeps large gaps for large items.
-        rank.cpuLeft = spec.isBestEffort ? demand.cpu - executor.free().cpu : executor.free().cpu - demand.cpu;
+        const CandidateRank rank = this->rankCandidate(executor, entry, id, item, siblingRack);
         if (best.executor == nullptr || rank < best.rank) {
             best = Candidate{&executor, rank};
         }
@@ -264,7 +268,7 @@
     }
     if (entry.hasPolicy) {
         const StepState &state = entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
-        order.pass = state.passes.at(executor.info.id);
+        order.pass = state.verdicts.at(executor.info.id).pass;
     }
     this->extendLease(executor, order.until, round.now);
     run.startableUntil = executor.leaseEnd;
@@ -407,7 +411,8 @@
             if (state.done >= spec.count || !this->isStepReady(entry, occurrence, step)) {
                 continue;
             }
-            const bool lacksPolicy = entry.hasPolicy && state.passesExpireAt <= round.now;
+            expirePasses(state, round.now);
+            const bool lacksPolicy = entry.hasPolicy && !hasAnyPass(state);
             // An unknown run of a previous owner may be active, and only speculative items may run twice.
             const bool mayRunUnseen = entry.isInherited && !round.arePreviousRunsKnown && !spec.isSpeculative;
             if (lacksPolicy || mayRunUnseen) {
@@ -458,17 +463,17 @@
     return this->wasOverloaded;
 }
 
-PlacementRank PoolScheduler::Private::rankJob(const JobEntry &entry, const PlacementRound &round) const
+PlacementRank PoolScheduler::Private::rankJob(const JobEntry &entry, TimePoint now, bool isOverloaded)
 {
     const StepSpec &first = entry.job.spec.steps.front();
     const double expected = static_cast<double>(entry.remainingCriticalPath.count()) * durationFactor(entry);
-    const auto slack = millisecondsBetween(round.now, entry.deadline) - milliseconds(static_cast<std::int64_t>(expected));
+    const auto slack = millisecondsBetween(now, entry.deadline) - milliseconds(static_cast<std::int64_t>(expected));
     PlacementRank rank;
     rank.group = first.isLongRunning && !first.isBestEffort ? 0 : 1;
     rank.isLate = !first.isLongRunning && slack < milliseconds::zero();
     rank.priority = entry.priority;
     // Under overload, started jobs go first; of the others, the newest are the most likely to meet their deadline.
-    rank.isDeferred = round.isOverloaded && !first.isLongRunning && !entry.hasStarted;
+    rank.isDeferred = isOverloaded && !first.isLongRunning && !entry.hasStarted;
     rank.slack = rank.isDeferred ? -slack.count() : slack.count();
     return rank;
 }
@@ -499,7 +504,7 @@
     std::vector<std::pair<PlacementRank, JobEntry *>> order;
     order.reserve(state.placeable.size());
     for (JobEntry *entry : state.placeable) {
-        order.emplace_back(state.rankJob(*entry, round), entry);
+        order.emplace_back(Private::rankJob(*entry, now, round.isOverloaded), entry);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
         return left.first != right.first ? left.first < right.first : left.second->job.id < right.second->job.id;
@@ -541,69 +546,6 @@
     return false;
 }
 
-bool PoolScheduler::Private::hasUsablePass(const JobEntry &entry, ItemId id, TimePoint now) const
-{
-    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
-    const StepState &state = entry.occurrences[static_cast<std::size_t>(id.occurrence)].steps[static_cast<std::size_t>(id.step)];
-    const auto waiting = std::find_if(state.items.begin(), state.items.end(), [](const Item &item) {
-        return item.phase == ItemPhase::Waiting;
-    });
-    if (waiting == state.items.end()) {
-        return true;
-    }
-    id.index = static_cast<std::int32_t>(waiting - state.items.begin());
-    const Resources demand = demandOf(spec);
-    return std::any_of(this->executors.begin(), this->executors.end(), [&](const auto &known) {
-        const Executor &executor = known.second;
-        return state.passes.contains(executor.info.id) && this->isUsable(executor, now) && executor.free().covers(demand)
-            && this->findConstraint(executor, entry, id, spec) == PlacementObstacle::None;
-    });
-}
-
-std::vector<PolicyRequest> PoolScheduler::takePolicyRequests(TimePoint now) const
-{
-    std::vector<PolicyRequest> questions;
-    for (JobEntry *placeable : this->d->placeable) {
-        JobEntry &entry = *placeable;
-        const JobId &id = entry.job.id;
-        if (!entry.hasPolicy) {
-            continue;
-        }
-        for (std::size_t number = 0; number < entry.occurrences.size(); ++number) {
-            OccurrenceState &occurrence = entry.occurrences[number];
-            for (std::size_t step = 0; occurrence.isOpen && step < occurrence.steps.size(); ++step) {
-                StepState &state = occurrence.steps[step];
-                const StepSpec &spec = entry.job.spec.steps[step];
-                const ItemId firstItem{id, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), 0};
-                if (state.done >= spec.count || state.isPolicyRequested || !this->d->isStepReady(entry, occurrence, step)) {
-                    continue;
-                }
-                if (state.passesExpireAt <= now) {
-                    state.passes.clear();
-                    state.askedExecutors.clear();
-                } else if (now - state.passesCheckedAt < passCheckInterval || this->d->hasUsablePass(entry, firstItem, now)) {
-                    continue;
-                }
-                PolicyRequest question{firstItem, {}};
-                for (const auto &[key, executor] : this->d->executors) {
-                    const bool isNew = question.executors.size() < maxExecutorsPerRequest && !state.askedExecutors.contains(executor.info.id);
-                    if (isNew && this->d->isUsable(executor, now) && hasRequiredLabel(executor.info, spec)) {
-                        question.executors.push_back(executor.info.id);
-                    }
-                }
-                if (question.executors.empty()) {
-                    state.passesCheckedAt = now;
-                    continue;
-                }
-                state.askedExecutors.insert(question.executors.begin(), question.executors.end());
-                state.isPolicyRequested = true;
-                questions.push_back(std::move(question));
-            }
-        }
-    }
-    return questions;
-}
-
 TimePoint PoolScheduler::nextWakeup(TimePoint now, WallTime wallNow) const
 {
     TimePoint next = after(now, milliseconds(500));
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -54,6 +54,7 @@
             this->d->applyTerms(entry);
         }
     }
+    this->d->updatePolicies();
 }
 
 void PoolScheduler::setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint now)
@@ -483,36 +484,6 @@
     }
 }
 
-void PoolScheduler::onPolicyAnswer(const ItemId &step, const PolicyAnswer &answer, TimePoint now)
-{
-    JobEntry *entry = this->d->findJob(step.job);
-    if (entry == nullptr || static_cast<std::size_t>(step.occurrence) >= entry->occurrences.size()) {
-        return;
-    }
-    OccurrenceState &occurrence = entry->occurrences[static_cast<std::size_t>(step.occurrence)];
-    if (!occurrence.isOpen || static_cast<std::size_t>(step.step) >= occurrence.steps.size()) {
-        return;
-    }
-    StepState &state = occurrence.steps[static_cast<std::size_t>(step.step)];
-    state.isPolicyRequested = false;
-    if (answer.validity <= milliseconds::zero()) {
-        // The question failed. The passes of earlier answers stay, and the executors are asked about again.
-        state.askedExecutors.clear();
-        return;
-    }
-    const TimePoint expiresAt = after(now, answer.validity);
-    // Passes of an earlier answer that are still valid remain, and all expire with the first.
-    const bool hasValidPasses = state.passesExpireAt > now && !state.passes.empty();
-    state.passesExpireAt = hasValidPasses ? std::min(state.passesExpireAt, expiresAt) : expiresAt;
-    if (!hasValidPasses) {
-        state.passes.clear();
-    }
-    for (const PlacementPass &pass : answer.passes) {
-        state.passes[pass.executor] = pass.pass;
-    }
-    this->d->markPlaceable(*entry);
-}
-
 std::vector<ExecutorKey> PoolScheduler::executors() const
 {
     std::vector<ExecutorKey> keys;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -185,18 +185,50 @@
     TimePoint possiblyActiveUntil{};
 };
 
+// What the placement policy has said about an executor; the most useful to ask about first.
+enum class PolicyVerdictKind {
+    Allowed,
+    Unknown,
+    Excluded,
+};
+
+struct PolicyVerdict {
+    PolicyVerdictKind kind = PolicyVerdictKind::Unknown;
+    // The incarnation that was asked about; 0 if unknown.
+    std::int64_t incarnation = 0;
+    // Empty if there is none or it has expired.
+    std::string pass;
+    // Of the pass, or of the exclusion.
+    TimePoint validUntil{};
+    TimePoint grantedAt{};
+};
+
+// Of the executors that a queue's requests named, the number that the policy allowed; older answers weigh less.
+struct PolicyShare {
+    double allowed = 1;
+    double named = 2;
+
+    double value() const
+    {
+        return this->allowed / this->named;
+    }
+};
+
 struct StepState {
     std::vector<Item> items;
     std::int32_t done = 0;
     std::int64_t gangFailures = 0;
-    // Passes of the placement policy by executor, and their expiry.
-    std::map<ExecutorId, std::string> passes;
-    TimePoint passesExpireAt{};
-    // Last time at which no usable executor had a pass and the policy had been asked about all of them.
-    TimePoint passesCheckedAt{};
-    bool isPolicyRequested = false;
-    // Executors that the policy was asked about since the passes last expired.
-    std::set<ExecutorId> askedExecutors;
+    // What the placement policy has said about executors.
+    std::map<ExecutorId, PolicyVerdict> verdicts;
+    // Executors that the request in progress names, with their incarnations; empty if there is none.
+    std::map<ExecutorId, std::int64_t> requestedExecutors;
+    // Time since which the step has needed an answer.
+    std::optional<TimePoint> policyNeededSince;
+    // Last time at which all executors with room were found to be ruled out.
+    TimePoint policyCheckedAt{};
+    // The next request after an error of the policy, and the number of errors in sequence.
+    TimePoint policyRetryAt{};
+    std::int32_t policyFailures = 0;
 };
 
 struct OccurrenceState {
@@ -252,19 +284,6 @@
     bool isOverloaded = false;
 };
 
-// Order in which jobs are placed; the lowest rank first.
-struct PlacementRank {
-    // 0 for long-running jobs other than best-effort ones, 1 for all others.
-    int group = 0;
-    bool isLate = false;
-    std::int32_t priority = 0;
-    bool isDeferred = false;
-    // Slack until the deadline in ms; negated for deferred jobs, so that the newest comes first.
-    std::int64_t slack = 0;
-
-    auto operator<=>(const PlacementRank &) const = default; // NOLINT(modernize-use-nullptr)
-};
-
 class PoolScheduler::Private
 {
 public:
@@ -300,6 +319,11 @@
     TimePoint previousLeasesExpireAt{};
     std::function<void(const SchedulerEvent &)> observer;
     std::map<QueueId, QueueConfig> queues;
+    // Costs of the placement policy by queue, as configured last.
+    std::map<QueueId, PlacementPolicy> policies;
+    std::map<QueueId, PolicyShare> policyShares;
+    // A job with a placement policy has been added.
+    bool hasPolicyJobs = false;
     std::map<ExecutorKey, Executor> executors;
     std::map<ExecutorId, std::vector<UnsettledStart>> unsettledStarts;
     // Latest ends of the leases that calls to ended incarnations can have given to the next ones with their ids.
@@ -408,8 +432,6 @@
     void forgetUnsettledStart(const ExecutorKey &sentTo, const StartRun &order, TimePoint now);
     void stopOtherCopies(const ItemId &id, const Executor &except, const char *reason);
     void requestStop(Executor &executor, Run &run, const char *reason);
-    // Makes the policy be asked about the executor again.
-    void dropPass(const ItemId &id, const ExecutorId &executor);
     void updateDurationRatios(Executor &executor, const Run &run, TimePoint now);
 
     // Planning
@@ -437,11 +459,13 @@
     // Adds usable executors to the index and removes the others.
     void refreshIndex(TimePoint now);
     void updateIndex(Executor &executor);
-    PlacementRank rankJob(const JobEntry &entry, const PlacementRound &round) const;
+    // `isOverloaded`: not all waiting jobs can be served in time.
+    static PlacementRank rankJob(const JobEntry &entry, TimePoint now, bool isOverloaded);
     // Adds an open job to those that may have something to place.
     void markPlaceable(JobEntry &entry);
     bool checkOverload(TimePoint now);
     std::string findSiblingRack(const JobEntry &entry, const ItemId &id);
+    CandidateRank rankCandidate(const Executor &executor, const JobEntry &entry, const ItemId &id, const Item &item, const std::string &siblingRack) const;
     Candidate findBestExecutor(
         const CapacityIndex::Slots &slots, const JobEntry &entry, const ItemId &id, const Item &item, const std::string &siblingRack) const;
     Executor *chooseExecutor(const JobEntry &entry, const ItemId &id, const Item &item);
@@ -450,8 +474,6 @@
     static double durationFactor(const JobEntry &entry);
     // Returns true if a speculative second run is expected to end sooner than the only active run.
     bool needsSecondRun(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
-    // Returns true if a waiting item of the step that `id` names could be placed on an executor with a pass.
-    bool hasUsablePass(const JobEntry &entry, ItemId id, TimePoint now) const;
     // Return true if items remain that may be placed later.
     bool placeJob(JobEntry &entry, const PlacementRound &round);
     bool placeStep(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
@@ -467,8 +489,38 @@
     bool arePreviousRunsKnown(TimePoint now) const;
     void recordStartIntent(JobEntry &entry);
     bool isOverloaded() const;
+
+    // Placement policy; see poolpolicy.cpp.
+    class PolicyRound;
+    static void expirePasses(StepState &state, TimePoint now);
+    // These two count expired passes until expirePasses() is called.
+    static bool hasPass(const StepState &state, const Executor &executor);
+    static bool hasAnyPass(const StepState &state);
+    // Returns true if an answer of the policy could still give the step a pass.
+    static bool isPolicyUnanswered(const StepState &state);
+    const PlacementPolicy &policyOf(const QueueId &queue) const;
+    // Returns the probability that the policy allows the step an executor that it has not been asked about.
+    double allowedShare(const QueueId &queue, const StepState &state) const;
+    // Ranks the steps of a queue anew if the policy can't answer for all of them in time.
+    void deferIfOverloaded(const QueueId &queue, std::vector<std::pair<PolicyNeed, const JobEntry *>> &steps, TimePoint now) const;
+    void updatePolicies();
+    // Makes the policy be asked about the executor again.
+    void dropPass(const ItemId &id, const ExecutorId &executor);
+    // Returns the state of an open occurrence's step, or nullptr.
+    StepState *findStep(const ItemId &step);
+    // Returns the executor with the id that is in the index, or nullptr.
+    const Executor *findIndexed(const ExecutorId &id) const;
 };
 
+// Soft limit of long-running items of one step on one executor.
+inline constexpr std::int32_t maxItemsOfStepPerExecutor = 2;
+
+// Returns the resources that an item of the step reserves.
+Resources demandOf(const StepSpec &spec);
+
+// Returns the number of runs on the executor that belong to the item's step.
+std::int32_t countRunsOfStep(const Executor &executor, const ItemId &item);
+
 template<typename Rep, typename Period>
 TimePoint after(TimePoint start, std::chrono::duration<Rep, Period> span)
 {
--- a/src/libmangocourse/poolscheduler_test.h
+++ b/src/libmangocourse/poolscheduler_test.h
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 
+#include "policyrequests_test.h"
+
 namespace MangoCourse {
 
 using namespace std::chrono_literals;
--- a/src/libmangocourse/poolstarvation_test.cpp
+++ b/src/libmangocourse/poolstarvation_test.cpp
@@ -16,7 +16,7 @@
     this->add(early);
     this->config.queues.push_back(guarded);
     this->scheduler->setConfig(this->config);
-    EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
+    EXPECT_EQ(takePolicyRequests(*this->scheduler, this->now).size(), 1U);
     EXPECT_TRUE(this->plan().starts.empty());
 }
 
@@ -27,13 +27,13 @@
     this->setDiscovered({executor("one")});
     this->report("one");
     this->add(this->job("a"));
-    std::vector<PolicyRequest> requests = this->scheduler->takePolicyRequests(this->now);
+    std::vector<PolicyRequest> requests = takePolicyRequests(*this->scheduler, this->now);
     ASSERT_EQ(requests.size(), 1U);
     this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{{PlacementPass{ExecutorId{"one"}, "pass"}}, 60s}, this->now);
     this->setDiscovered({executor("two")});
     this->report("two");
     this->plan();
-    requests = this->scheduler->takePolicyRequests(this->now);
+    requests = takePolicyRequests(*this->scheduler, this->now);
     ASSERT_EQ(requests.size(), 1U);
     EXPECT_EQ(requests[0].executors, std::vector<ExecutorId>{ExecutorId{"two"}});
 }
@@ -44,9 +44,9 @@
     this->scheduler->setConfig(this->config);
     this->setDiscovered({executor("one")});
     this->add(this->job("a"));
-    EXPECT_TRUE(this->scheduler->takePolicyRequests(this->now).empty());
+    EXPECT_TRUE(takePolicyRequests(*this->scheduler, this->now).empty());
     this->report("one");
-    EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
+    EXPECT_EQ(takePolicyRequests(*this->scheduler, this->now).size(), 1U);
 }
 
 TEST_F(PoolSchedulerTest, PolicyIsAskedForEveryExecutorOfALargePoolInTurn)
@@ -64,14 +64,14 @@
     this->add(this->job("a"));
     std::set<ExecutorId> asked;
     for (int round = 0; round < 2; ++round) {
-        for (const PolicyRequest &request : this->scheduler->takePolicyRequests(this->now)) {
+        for (const PolicyRequest &request : takePolicyRequests(*this->scheduler, this->now)) {
             EXPECT_LE(request.executors.size(), 100U);
             asked.insert(request.executors.begin(), request.executors.end());
             this->scheduler->onPolicyAnswer(request.step, PolicyAnswer{{}, 60s}, this->now);
         }
     }
     EXPECT_EQ(asked.size(), infos.size());
-    EXPECT_TRUE(this->scheduler->takePolicyRequests(this->now).empty());
+    EXPECT_TRUE(takePolicyRequests(*this->scheduler, this->now).empty());
 }
 
 TEST_F(PoolSchedulerTest, PolicyIsAskedAgainAfterAnExecutorRejectedItsPass)
@@ -81,7 +81,7 @@
     this->setDiscovered({executor("one")});
     this->report("one");
     this->add(this->job("a"));
-    const std::vector<PolicyRequest> requests = this->scheduler->takePolicyRequests(this->now);
+    const std::vector<PolicyRequest> requests = takePolicyRequests(*this->scheduler, this->now);
     ASSERT_EQ(requests.size(), 1U);
     this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{{PlacementPass{ExecutorId{"one"}, "old"}}, 60s}, this->now);
     const SchedulerOrders orders = this->plan();
@@ -89,7 +89,7 @@
     this->answer(orders.starts[0], OrderOutcome::NoPass);
     this->advance(1s);
     this->plan();
-    EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
+    EXPECT_EQ(takePolicyRequests(*this->scheduler, this->now).size(), 1U);
 }
 
 TEST_F(PoolSchedulerTest, SecondCopyWithoutAPlaceDoesNotHoldUpTheLaterItemsOfItsStep)
@@ -206,14 +206,14 @@
     this->setDiscovered({executor("one"), executor("two")});
     this->report("one");
     this->add(this->job("a"));
-    std::vector<PolicyRequest> requests = this->scheduler->takePolicyRequests(this->now);
+    std::vector<PolicyRequest> requests = takePolicyRequests(*this->scheduler, this->now);
     ASSERT_EQ(requests.size(), 1U);
     this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{{PlacementPass{ExecutorId{"one"}, "pass"}}, 60s}, this->now);
     ExecutorReport failed;
     failed.outcome = OrderOutcome::Unhealthy;
     this->scheduler->onReport(ExecutorKey{ExecutorId{"one"}, 100}, failed, this->now, this->now, this->wall);
     this->report("two");
-    requests = this->scheduler->takePolicyRequests(this->now);
+    requests = takePolicyRequests(*this->scheduler, this->now);
     ASSERT_EQ(requests.size(), 1U);
     this->scheduler->onPolicyAnswer(requests[0].step, PolicyAnswer{}, this->now);
     this->advance(100ms);
@@ -244,7 +244,7 @@
     std::size_t starts = 0;
     for (int round = 0; round < 30; ++round) {
         starts += this->planAndConfirm().starts.size();
-        for (const PolicyRequest &request : this->scheduler->takePolicyRequests(this->now)) {
+        for (const PolicyRequest &request : takePolicyRequests(*this->scheduler, this->now)) {
             PolicyAnswer answer{{}, 60s};
             for (const ExecutorId &id : request.executors) {
                 if (id.value == near || id.value == far) {
--- a/src/libmangocourse/poolterms_test.cpp
+++ b/src/libmangocourse/poolterms_test.cpp
@@ -75,7 +75,7 @@
     terms.hasPolicy = true;
     this->add(this->jobWithTerms("a", terms));
     EXPECT_TRUE(this->plan().starts.empty());
-    EXPECT_EQ(this->scheduler->takePolicyRequests(this->now).size(), 1U);
+    EXPECT_EQ(takePolicyRequests(*this->scheduler, this->now).size(), 1U);
 }
 
 TEST_F(PoolTermsTest, UrgentJobWhoseQueueIsGoneGoesFirst)
--- a/src/libmangocourse/poolwaiting.cpp
+++ b/src/libmangocourse/poolwaiting.cpp
@@ -428,7 +428,7 @@
     }
     const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(id.step)];
     const StepState &state = occurrence.steps[static_cast<std::size_t>(id.step)];
-    if (entry.hasPolicy && state.passesExpireAt <= this->now) {
+    if (entry.hasPolicy && isPolicyUnanswered(state)) {
         return WaitReason::PolicyUnanswered;
     }
     if (entry.isInherited && !spec.isSpeculative && !this->pool.arePreviousRunsKnown(this->now)) {
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -169,7 +169,10 @@
 {
 public:
     virtual ~PolicyPort() = default;
-    virtual net::awaitable<Result<PolicyAnswer>> advise(const ItemId &step, std::vector<ExecutorId> executors) = 0;
+    // Asks which of the executors may run the step. The policy answers the calls of one process in turn, and a call that is given up may keep its turn, so
+    // one call is made at a time. Errors: Refused if too many calls wait at the policy, Unavailable if it was not reached, Timeout if it has not answered;
+    // any other error is an answer that is no advice.
+    virtual net::awaitable<Result<PolicyAnswer>> advise(const ItemId &step, std::vector<ExecutorId> executors, std::chrono::milliseconds timeout) = 0;
 };
 
 }
--- a/src/scheduler/scheduler_test.h
+++ b/src/scheduler/scheduler_test.h
@@ -336,7 +336,7 @@
 
     std::shared_ptr<ShardOwner> startOwner(std::int64_t token)
     {
-        const OwnerContext owner{this->context, this->store, this->executors, nullptr, *this->log, this->metrics, this->settings};
+        const OwnerContext owner{this->context, this->store, this->executors, this->policyWanted, *this->log, this->metrics, this->settings};
         const auto shard = ShardOwner::create(owner, 0, token);
         const TimePoint now = BootClock().now();
         shard->setConfig(this->config);
@@ -395,6 +395,8 @@
     MemoryStore store;
     FakeExecutors executors;
     std::unique_ptr<EventLog> log;
+    // For the owners; without one they ask for no placement policy.
+    Event *policyWanted = nullptr;
     Metrics metrics;
     NodeSettings settings;
     std::shared_ptr<const FleetConfig> config;
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -15,6 +15,7 @@
 #include "operatorfeed.h"
 #include "ownership.h"
 #include "planningduty.h"
+#include "policyduty.h"
 #include "recordcodec.h"
 #include "segmentedrecord.h"
 #include "waitinglog.h"
@@ -83,7 +84,8 @@
                       this->gateway->setConfigCurrentAsOf(asOf);
                   }})
         , placements(std::make_shared<QueuePlacements>(context, this->platform->store()))
-        , ownership(OwnerContext{context, this->platform->store(), this->platform->executors(), this->platform->policy(), *this->log, this->metrics,
+        , policyWanted(context)
+        , ownership(OwnerContext{context, this->platform->store(), this->platform->executors(), &this->policyWanted, *this->log, this->metrics,
                         this->platform->settings(), this->placements},
               [this](bool isReachable) {
                   this->gateway->noteStoreContact(isReachable);
@@ -114,7 +116,10 @@
     ExecutorDirectory directory;
     OperatorFeed feed;
     std::shared_ptr<QueuePlacements> placements;
+    Event policyWanted;
     Ownership ownership;
+    // Absent if there is no placement policy.
+    std::shared_ptr<PolicyDuty> policyDuty;
     GroupMember plannerMember;
     StreamReader planReader;
     SegmentedValue planValue{plannerKey};
@@ -142,6 +147,7 @@
     bool isReportDue(const PoolReport &report) const;
 
     net::awaitable<void> followDirectory();
+    void startPolicyDuty();
     nlohmann::json stateAsJson() const;
     // Sets the gauges of the pools that this process owns now.
     void updateGauges();
@@ -363,6 +369,21 @@
     }
 }
 
+void SchedulerProcess::Private::startPolicyDuty()
+{
+    if (this->platform->policy() == nullptr) {
+        return;
+    }
+    this->policyDuty = PolicyDuty::create(this->context, *this->platform->policy(), *this->log, this->metrics, this->policyWanted, [this] {
+        std::vector<std::shared_ptr<ShardOwner>> owners;
+        for (const auto &[partition, shard] : this->ownership.shards()) {
+            owners.push_back(shard);
+        }
+        return owners;
+    });
+    this->policyDuty->start();
+}
+
 nlohmann::json SchedulerProcess::Private::stateAsJson() const
 {
     nlohmann::json pools = nlohmann::json::array();
@@ -452,6 +473,7 @@
     net::co_spawn(state->context, state->followDirectory(), net::detached);
     net::co_spawn(state->context, state->followPlan(), net::detached);
     net::co_spawn(state->context, state->reportPools(), net::detached);
+    state->startPolicyDuty();
 }
 
 net::awaitable<void> SchedulerProcess::shutDown()
@@ -468,6 +490,9 @@
     }
     co_await state.plannerMember.leave();
     co_await state.ownership.shutDown();
+    if (state.policyDuty) {
+        state.policyDuty->stop();
+    }
     while (steady_clock::now() < deadline && (steady_clock::now() - start < callerDrainTime || state.callerFrontend->activeRequests() > 0)) {
         co_await sleepFor(state.context, milliseconds(50));
     }
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -239,6 +239,56 @@
     return this->d->token;
 }
 
+PoolScheduler *ShardOwner::Private::findPoolOf(const JobId &job)
+{
+    const auto found = std::find_if(this->pools.begin(), this->pools.end(), [&job](const auto &entry) {
+        return entry.second->hasJob(job);
+    });
+    return found == this->pools.end() ? nullptr : found->second.get();
+}
+
+bool ShardOwner::mayNeedPolicy() const
+{
+    return this->isActive() && std::any_of(this->d->pools.begin(), this->d->pools.end(), [](const auto &entry) {
+        return entry.second->mayNeedPolicy();
+    });
+}
+
+std::vector<QueuePolicyNeeds> ShardOwner::policyNeeds()
+{
+    std::vector<QueuePolicyNeeds> needs;
+    if (!this->isActive()) {
+        return needs;
+    }
+    for (auto &[service, pool] : this->d->pools) {
+        for (QueuePolicyNeeds &queue : pool->policyNeeds(bootNow())) {
+            needs.push_back(std::move(queue));
+        }
+    }
+    return needs;
+}
+
+std::optional<PolicyRequest> ShardOwner::takePolicyRequest(const ItemId &step)
+{
+    PoolScheduler *pool = this->isActive() ? this->d->findPoolOf(step.job) : nullptr;
+    return pool == nullptr ? std::nullopt : pool->takePolicyRequest(step, bootNow());
+}
+
+void ShardOwner::onPolicyAnswer(const ItemId &step, const PolicyAnswer &answer)
+{
+    if (PoolScheduler *pool = this->d->findPoolOf(step.job)) {
+        pool->onPolicyAnswer(step, answer, bootNow());
+        this->d->planRequested.notify();
+    }
+}
+
+void ShardOwner::onPolicyFailure(const ItemId &step, PolicyOutcome outcome)
+{
+    if (PoolScheduler *pool = this->d->findPoolOf(step.job)) {
+        pool->onPolicyFailure(step, outcome, bootNow());
+    }
+}
+
 std::vector<PoolReport> ShardOwner::reports() const
 {
     std::vector<PoolReport> reports;
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -7,6 +7,7 @@
 #include <mangocourse/bootclock.h>
 #include <mangocourse/poolscheduler.h>
 
+#include "event.h"
 #include "eventlog.h"
 #include "metrics.h"
 #include "nodesettings.h"
@@ -20,7 +21,8 @@
     net::io_context &context;
     RecordStore &store;
     ExecutorPort &executors;
-    PolicyPort *policy;
+    // Notified when a step may need the placement policy; nullptr if there is no policy.
+    Event *policyWanted;
     EventLog &log;
     Metrics &metrics;
     const NodeSettings &settings;
@@ -59,6 +61,13 @@
     bool isActive() const;
     std::int64_t token() const;
 
+    // The placement policy; see PoolScheduler. Only an active owner has needs.
+    bool mayNeedPolicy() const;
+    std::vector<QueuePolicyNeeds> policyNeeds();
+    std::optional<PolicyRequest> takePolicyRequest(const ItemId &step);
+    void onPolicyAnswer(const ItemId &step, const PolicyAnswer &answer);
+    void onPolicyFailure(const ItemId &step, PolicyOutcome outcome);
+
     // Returns the reports of all pools for the planner; empty unless the owner is active.
     std::vector<PoolReport> reports() const;
     // Returns the pools by service, for state dumps.
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -71,6 +71,8 @@
 
     PoolWatermarks watermarks() const;
     PoolScheduler *findOrCreatePool(const ServiceId &service);
+    // Returns the pool that has the job, or nullptr.
+    PoolScheduler *findPoolOf(const JobId &job);
     void addJob(const AcceptedJob &job);
     void applyJobRecord(const StoredRecord &record);
     void applyCancellation(const JobId &job);
@@ -124,7 +126,6 @@
     net::awaitable<void> send(PoolScheduler *pool, StartOrder order);
     net::awaitable<void> send(PoolScheduler *pool, StopOrder order);
     net::awaitable<void> send(PoolScheduler *pool, PaceOrder order);
-    net::awaitable<void> askPolicy(PoolScheduler *pool, PolicyRequest request);
     void dispatch(PoolScheduler *pool, SchedulerOrders orders);
     // Starts lease renewals for executors that have none yet.
     void startRenewals(PoolScheduler *pool);
@@ -138,7 +139,6 @@
     void queueSilence();
     // Queues records for executors that come into use and deletions for those that are no longer used.
     void recordExecutorUse(const ServiceId &service, PoolScheduler &pool);
-    void askPolicies(PoolScheduler *pool, TimePoint now);
     template<typename Coroutine>
     void spawn(Coroutine coroutine)
     {
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -398,19 +398,6 @@
     }
 }
 
-void ShardOwner::Tasks::askPolicies(PoolScheduler *pool, TimePoint now)
-{
-    if (this->state.owner.policy == nullptr) {
-        return;
-    }
-    for (PolicyRequest &request : pool->takePolicyRequests(now)) {
-        this->spawn([self = this->self, &sharedState = this->state, pool, request]() -> net::awaitable<void> {
-            Tasks tasks{self, sharedState};
-            co_await tasks.askPolicy(pool, request);
-        });
-    }
-}
-
 net::awaitable<void> ShardOwner::Tasks::plan()
 {
     while (!this->isEnded()) {
@@ -423,7 +410,9 @@
             }
             this->dispatch(pool.get(), pool->plan(now, wallNow(), this->state.term, this->state.watermarks()));
             wakeup = std::min(wakeup, pool->nextWakeup(now, wallNow()));
-            this->askPolicies(pool.get(), now);
+            if (this->state.owner.policyWanted != nullptr && pool->mayNeedPolicy()) {
+                this->state.owner.policyWanted->notify();
+            }
         }
         if (this->state.hasChanges()) {
             this->state.persistRequested.notify();
@@ -501,18 +490,6 @@
             {"percent", std::int64_t(order.run.percent)}, {"outcome", toString(reply.outcome)}});
 }
 
-net::awaitable<void> ShardOwner::Tasks::askPolicy(PoolScheduler *pool, PolicyRequest request)
-{
-    Result<PolicyAnswer> answer = co_await this->state.owner.policy->advise(request.step, request.executors);
-    if (!answer) {
-        this->state.owner.log.emit("policy_failed", {{"job", request.step.job.value}, {"reason", describe(answer.error())}}, EventPriority::Essential);
-        co_await sleepFor(this->state.owner.context, retryDelay);
-        answer = PolicyAnswer{};
-    }
-    pool->onPolicyAnswer(request.step, *answer, bootNow());
-    this->state.planRequested.notify();
-}
-
 net::awaitable<void> ShardOwner::Tasks::renewLeases(PoolScheduler *pool, ExecutorKey key, std::shared_ptr<Event> renewalRequested)
 {
     std::optional<ExecutorInfo> lastExecutor;
