--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -116,6 +116,8 @@
 struct PaceOrder {
     ExecutorInfo executor;
     PaceRun run;
+    // Speed before the order.
+    std::int32_t previousPercent = 100;
 };
 
 // Orders to send after one call of plan().
@@ -212,6 +214,8 @@
     void onReport(const ExecutorKey &executor, const ExecutorReport &report, TimePoint sentAt, TimePoint now, WallTime wallNow);
     void onStarted(const ExecutorKey &executor, const StartRun &order, const OrderReply &reply, TimePoint sentAt, TimePoint now);
     void onStopped(const ExecutorKey &executor, const StopRun &order, const OrderReply &reply, TimePoint now);
+    // Unless the order was carried out, the run counts as having its previous speed, so that the next plan orders it again.
+    void onPaced(const ExecutorKey &executor, const PaceOrder &order, const OrderReply &reply, TimePoint now);
 
     // Returns the orders to send now. Work whose lease expired restarts only if no other owner can have renewed the lease. Nothing
     // starts while the watermarks are so old that an unread cancellation or drain could exceed its propagation limit.
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -155,9 +155,9 @@
         }
         wanted = std::clamp(wanted, 0, 100);
         if (wanted != run.pacePercent) {
-            run.pacePercent = wanted;
+            const std::int32_t previous = std::exchange(run.pacePercent, wanted);
             run.pacedAt = now;
-            this->orders.paces.push_back(PaceOrder{executor.info, PaceRun{id, run.number, this->token, wanted}});
+            this->orders.paces.push_back(PaceOrder{executor.info, PaceRun{id, run.number, this->token, wanted}, previous});
         }
     }
 }
--- a/src/libmangocourse/poolrestarts.cpp
+++ b/src/libmangocourse/poolrestarts.cpp
@@ -59,6 +59,7 @@
     end = std::max(end, after(executor.acknowledgementSentAt, maxCallDuration));
     for (auto next = this->executors.upper_bound(key); next != this->executors.end() && next->first.id == key.id; ++next) {
         next->second.avoidedUntil = std::max(next->second.avoidedUntil, end);
+        this->emitEvent("executor_avoided", ItemId{}, next->second, 0, strayAcknowledgementReason);
     }
 }
 
--- a/src/libmangocourse/poolrestarts_test.cpp
+++ b/src/libmangocourse/poolrestarts_test.cpp
@@ -230,7 +230,13 @@
     this->plan();
     ASSERT_EQ(this->renewal("one")->renewal.acknowledgedEnd, 57);
     this->advance(100ms);
+    std::vector<std::string> events;
+    this->scheduler->setObserver([&events](const SchedulerEvent &event) {
+        events.push_back(event.event + (": " + event.outcome));
+    });
     this->setDiscovered({executor("one", secondBoot)});
+    const std::string line = "executor_avoided: an acknowledgement to an earlier incarnation may reach it";
+    EXPECT_EQ(std::count(events.begin(), events.end(), line), 1);
     this->report("one", {}, {}, secondBoot);
     EXPECT_TRUE(this->plan().starts.empty());
     this->advance(longestCall);
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -92,6 +92,7 @@
             }
             if (const auto stray = this->d->strayAcknowledgementEnds.find(key.id); stray != this->d->strayAcknowledgementEnds.end()) {
                 executor.avoidedUntil = stray->second;
+                this->d->emitEvent("executor_avoided", ItemId{}, executor, 0, strayAcknowledgementReason);
             }
             this->d->isExecutorSetChanged = true;
             this->d->pendingRenewals.insert(key);
@@ -484,6 +485,20 @@
     }
 }
 
+void PoolScheduler::onPaced(const ExecutorKey &key, const PaceOrder &order, const OrderReply &reply, TimePoint now)
+{
+    Run *run = this->d->resolveOrder(key, order.run.item, order.run.run, reply, now);
+    if (reply.outcome == OrderOutcome::OtherBoot) {
+        if (Executor *executor = this->d->find(key)) {
+            this->d->endIncarnation(*executor, now, false, "another executor answers at its address");
+        }
+        return;
+    }
+    if (run != nullptr && reply.outcome != OrderOutcome::Done && run->pacePercent == order.run.percent) {
+        run->pacePercent = order.previousPercent;
+    }
+}
+
 std::vector<ExecutorKey> PoolScheduler::executors() const
 {
     std::vector<ExecutorKey> keys;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -17,6 +17,8 @@
 inline constexpr std::chrono::milliseconds adoptedLeaseMargin{60};
 // A call to an executor is given up after this time.
 inline constexpr std::chrono::milliseconds maxCallDuration{2200};
+// Why a restarted executor gets no starts for a while.
+inline constexpr const char *strayAcknowledgementReason = "an acknowledgement to an earlier incarnation may reach it";
 // Nothing starts with a lease shorter than this.
 inline constexpr std::chrono::milliseconds minStartLease{400};
 
--- a/src/libmangocourse/poolstarvation_test.cpp
+++ b/src/libmangocourse/poolstarvation_test.cpp
@@ -258,5 +258,41 @@
     EXPECT_EQ(starts, 2U);
 }
 
+// Guards against a best-effort item that keeps its speed since the order to slow it down was lost.
+TEST_F(PoolSchedulerTest, PaceOrderThatWasNotCarriedOutIsGivenAgain)
+{
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    StepSpec serving;
+    serving.resources = Resources{4000, gigabyte, 0};
+    serving.isLongRunning = true;
+    serving.tailLatencyTarget = 100ms;
+    StepSpec filling = serving;
+    filling.tailLatencyTarget = 0ms;
+    filling.isBestEffort = true;
+    this->add(this->job("serving", serving));
+    this->add(this->job("filling", filling));
+    std::map<std::string, ReportedRun> runs;
+    for (const StartOrder &order : this->planAndConfirm().starts) {
+        runs[order.run.item.job.value] = ReportedRun{order.run.item, order.run.run, {}, 100, 0};
+    }
+    ASSERT_EQ(runs.size(), 2U);
+    // The serving item is over its target.
+    runs["serving"].load = 150;
+    for (const OrderOutcome outcome : {OrderOutcome::Unknown, OrderOutcome::NotSent, OrderOutcome::Done}) {
+        this->advance(1s);
+        this->renewal("one");
+        this->report("one", {runs["serving"], runs["filling"]});
+        const SchedulerOrders orders = this->planOnce();
+        ASSERT_EQ(orders.paces.size(), 1U) << toString(outcome);
+        EXPECT_EQ(orders.paces[0].run.percent, 50) << toString(outcome);
+        const ExecutorKey key{ExecutorId{"one"}, 100};
+        this->scheduler->onPaced(key, orders.paces[0], OrderReply{outcome, std::nullopt}, this->now);
+    }
+    this->advance(1s);
+    this->report("one", {runs["serving"], runs["filling"]});
+    EXPECT_EQ(this->planOnce().paces.at(0).run.percent, 25);
+}
+
 }
 }
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -308,14 +308,18 @@
             co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
         }
         if (!readResult) {
-            co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, "the store cannot be read, so an earlier submission cannot be ruled out", {}};
+            const char *reason = "the store cannot be read, so an earlier submission cannot be ruled out";
+            this->logUnstored("job_unsettled", id, queue, reason, AppendResult{AppendOutcome::Unknown, describe(readResult.error())});
+            co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
         }
         const bool isUnsettledElsewhere = std::any_of(std::next(candidates.begin()), candidates.end(), [&id](PartitionView *view) {
             view->appender->settle(view->jobsReader->currentAsOf());
             return view->appender->isUnsettled(id.value);
         });
         if (isUnsettledElsewhere) {
-            co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, "the store gave no answer to another attempt", {}};
+            const char *reason = "the store gave no answer to another attempt in an earlier partition of the queue";
+            this->logUnstored("job_unsettled", id, queue, reason, AppendResult{AppendOutcome::Unknown, {}, 0, 0, true});
+            co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
         }
     }
     const QueuePlacement placement = this->placementOf(queue);
@@ -506,7 +510,7 @@
         return makeError(ErrorCode::InvalidArgument, "must be at least 1", "partitions");
     }
     if (!placements) {
-        placements = std::make_shared<QueuePlacements>(context, store);
+        placements = std::make_shared<QueuePlacements>(context, store, log);
     }
     auto impl = std::make_unique<Private>(context, store, log, metrics, settings, std::move(placements));
     for (std::int32_t partition = 0; partition < settings.partitions; ++partition) {
--- a/src/scheduler/movedqueue_test.cpp
+++ b/src/scheduler/movedqueue_test.cpp
@@ -259,7 +259,7 @@
     this->store.partitions[{Stream::Jobs, partition}].records.push_back(StoredRecord{accepted.id.value, encodeAcceptedJob(accepted), 0});
     this->executors.endsRuns = false;
     OwnerContext owner{this->context, this->store, this->executors, nullptr, *this->log, this->metrics, this->settings};
-    owner.placements = std::make_shared<QueuePlacements>(this->context, this->store);
+    owner.placements = std::make_shared<QueuePlacements>(this->context, this->store, *this->log);
     const auto shard = ShardOwner::create(owner, partition, 1);
     const TimePoint now = BootClock().now();
     shard->setConfig(this->after);
@@ -275,5 +275,48 @@
     this->runFor(20ms);
 }
 
+// Decisions that the log did not tell: a record that names no placement, and a submission that waits for an attempt in an earlier partition.
+class MovedQueueLogTest : public MovedQueueTest
+{
+protected:
+    MovedQueueLogTest()
+    {
+        this->gateway.reset();
+        this->log = EventLog::create("test", 60);
+    }
+
+    CallerOutcome submit(std::string &lines)
+    {
+        testing::internal::CaptureStdout();
+        const CallerOutcome outcome = this->call(CallerAction::Submit, this->job, 2000ms).outcome;
+        this->log->flush();
+        lines = testing::internal::GetCapturedStdout();
+        return outcome;
+    }
+};
+
+TEST_F(MovedQueueLogTest, UnreadablePlacementIsTold)
+{
+    this->store.partitions[{Stream::QueuePlacements, 0}].records.push_back(StoredRecord{"odd", "no placement", 0});
+    this->useGateway({this->before});
+    std::string lines;
+    EXPECT_EQ(this->submit(lines), CallerOutcome::Accepted);
+    EXPECT_NE(lines.find("\"event\":\"placement_unreadable\",\"key\":\"odd\""), std::string::npos) << lines;
+}
+
+TEST_F(MovedQueueLogTest, SubmissionThatWaitsForAnAttemptInAnEarlierPartitionIsTold)
+{
+    this->useGateway({this->before});
+    ASSERT_EQ(this->call(CallerAction::Submit, "/counter/00000000000000bb").outcome, CallerOutcome::Accepted);
+    this->store.behaviour = StoreBehaviour::AppendingLate;
+    this->store.lateAppendDelay = 20s;
+    ASSERT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::MayBeAccepted);
+    this->store.behaviour = StoreBehaviour::Normal;
+    this->gateway->setConfig(this->after);
+    std::string lines;
+    EXPECT_EQ(this->submit(lines), CallerOutcome::MayBeAccepted);
+    EXPECT_NE(lines.find("the store gave no answer to another attempt in an earlier partition of the queue"), std::string::npos) << lines;
+}
+
 }
 }
--- a/src/scheduler/queueplacements.cpp
+++ b/src/scheduler/queueplacements.cpp
@@ -15,8 +15,9 @@
 
 }
 
-QueuePlacements::QueuePlacements(net::io_context &context, RecordStore &store)
+QueuePlacements::QueuePlacements(net::io_context &context, RecordStore &store, EventLog &log)
     : context(context)
+    , log(log)
     , appender(std::make_shared<BatchAppender>(context, store, Stream::QueuePlacements, placementPartition))
     , reader(context, store, Stream::QueuePlacements, placementPartition,
           StreamReader::Handlers{[this] {
@@ -32,9 +33,15 @@
 {
     if (record.value.empty()) {
         this->placements.erase(record.key);
-    } else if (auto placement = decodeQueuePlacement(record.value)) {
-        this->placements[record.key] = std::move(*placement);
+        return;
     }
+    Result<QueuePlacement> placement = decodeQueuePlacement(record.value);
+    if (!placement) {
+        this->log.emit(
+            "placement_unreadable", {{"key", record.key}, {"offset", record.offset}, {"reason", describe(placement.error())}}, EventPriority::Essential);
+        return;
+    }
+    this->placements[record.key] = std::move(*placement);
 }
 
 net::awaitable<Result<void>> QueuePlacements::refresh()
--- a/src/scheduler/queueplacements.h
+++ b/src/scheduler/queueplacements.h
@@ -20,7 +20,7 @@
 class QueuePlacements
 {
 public:
-    QueuePlacements(net::io_context &context, RecordStore &store);
+    QueuePlacements(net::io_context &context, RecordStore &store, EventLog &log);
 
     // Reads all placements that are durable when the call begins. Fails at once while the store has been unreachable for a while and is being probed.
     net::awaitable<Result<void>> refresh();
@@ -40,6 +40,7 @@
     net::awaitable<bool> append(std::vector<StoredRecord> records, std::chrono::steady_clock::time_point deadline);
 
     net::io_context &context;
+    EventLog &log;
     std::shared_ptr<BatchAppender> appender;
     std::map<std::string, QueuePlacement> placements;
     StreamReader reader;
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -83,7 +83,7 @@
                   [this](TimePoint asOf) {
                       this->gateway->setConfigCurrentAsOf(asOf);
                   }})
-        , placements(std::make_shared<QueuePlacements>(context, this->platform->store()))
+        , placements(std::make_shared<QueuePlacements>(context, this->platform->store(), *this->log))
         , policyWanted(context)
         , ownership(OwnerContext{context, this->platform->store(), this->platform->executors(), &this->policyWanted, *this->log, this->metrics,
                         this->platform->settings(), this->placements},
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -480,7 +480,7 @@
 
 net::awaitable<void> ShardOwner::Tasks::send(PoolScheduler *pool, PaceOrder order)
 {
-    (void)pool;
+    const ExecutorKey key{order.executor.id, order.executor.incarnation};
     const OrderReply reply = co_await this->state.owner.executors.pace(order.executor, order.run);
     if (reply.outcome == OrderOutcome::Fenced) {
         this->state.markFenced("executor");
@@ -488,6 +488,7 @@
     this->state.owner.log.emit("run_paced",
         {{"job", order.run.item.job.value}, {"index", std::int64_t(order.run.item.index)}, {"executor", order.executor.id.value},
             {"percent", std::int64_t(order.run.percent)}, {"outcome", toString(reply.outcome)}});
+    pool->onPaced(key, order, reply, bootNow());
 }
 
 net::awaitable<void> ShardOwner::Tasks::renewLeases(PoolScheduler *pool, ExecutorKey key, std::shared_ptr<Event> renewalRequested)
