--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -28,6 +28,8 @@
 constexpr int stallFactor = 4;
 constexpr milliseconds stallSlack{1500};
 constexpr std::int32_t maxStallStops = 2;
+// After a run has stood still its executor gets no other for a while, then one at a time: if the other executors are full, work must not wait for long.
+constexpr milliseconds stallPause{1000};
 constexpr milliseconds stallCooldown{3000};
 // Minimum time between pace changes of one run, so that the tail latency can react.
 constexpr milliseconds paceInterval{300};
@@ -114,7 +116,9 @@
         }
         ++item->stallStops;
         item->lastFailedOn = executor.info.id;
-        executor.avoidedUntil = std::max(executor.avoidedUntil, after(now, stallCooldown));
+        executor.avoidedUntil = std::max(executor.avoidedUntil, after(now, stallPause));
+        executor.triedUntil = after(now, stallCooldown);
+        this->emitEvent("executor_avoided", id, executor, run.number, "a run stands still");
         this->requestStop(executor, run, "it stands still");
     }
 }
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -142,7 +142,7 @@
 
 bool PoolScheduler::Private::isOnTrial(const Executor &executor, TimePoint now)
 {
-    return executor.hasFailedRepeatedly() && std::any_of(executor.runs.begin(), executor.runs.end(), [now](const auto &entry) {
+    return executor.isTried(now) && std::any_of(executor.runs.begin(), executor.runs.end(), [now](const auto &entry) {
         return entry.second.startedAt == TimePoint{} || now - entry.second.startedAt < trialTime;
     });
 }
@@ -272,7 +272,7 @@
     }
     this->extendLease(executor, order.until, round.now);
     run.startableUntil = executor.leaseEnd;
-    if (executor.hasFailedRepeatedly() && !spec.isGang) {
+    if (executor.isTried(round.now) && !spec.isGang) {
         this->index.remove(executor);
     } else {
         this->updateIndex(executor);
@@ -320,7 +320,7 @@
     }
     for (const Item &item : state.items) {
         Executor &holder = *this->find(item.runningOn.front());
-        if (holder.hasFailedRepeatedly()) {
+        if (holder.isTried(round.now)) {
             this->index.remove(holder);
         }
     }
--- a/src/libmangocourse/poolpolicy.cpp
+++ b/src/libmangocourse/poolpolicy.cpp
@@ -194,7 +194,7 @@
         // Placement spreads them.
         limit = std::min(limit, std::max(1, maxItemsOfStepPerExecutor - ofStep));
     }
-    if (executor.hasFailedRepeatedly() && !spec.isGang) {
+    if (executor.isTried(this->now) && !spec.isGang) {
         limit = std::min(limit, 1);
     }
     const Resources demand = demandOf(spec);
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -97,6 +97,8 @@
     // Latest time at which the lease can expire.
     TimePoint leaseEnd{};
     TimePoint avoidedUntil{};
+    // End of the time for which it gets one run at a time because runs have stood still there.
+    TimePoint triedUntil{};
     // Time of the first failed renewal since the last success.
     TimePoint failingSince{};
     // Time of the last successful renewal.
@@ -145,6 +147,11 @@
     {
         return this->failedJobs.size() >= failedJobsBeforeTrial;
     }
+    // Returns true if the executor gets one run at a time.
+    bool isTried(TimePoint now) const
+    {
+        return this->hasFailedRepeatedly() || now < this->triedUntil;
+    }
     Resources free() const
     {
         Resources resources = this->info.capacity;
@@ -456,7 +463,7 @@
     std::chrono::milliseconds computeCriticalPath(const JobEntry &entry) const;
     // Forgets the failures of an executor on which a long-running item has started and goes on since.
     static void endTrial(Executor &executor, TimePoint now);
-    // Returns true if the executor has failed repeatedly and holds a run that may still show whether it works again.
+    // Returns true if the executor gets one run at a time and holds a run that may still show whether it works again.
     static bool isOnTrial(const Executor &executor, TimePoint now);
     // Adds usable executors to the index and removes the others.
     void refreshIndex(TimePoint now);
--- a/src/libmangocourse/poolstarvation_test.cpp
+++ b/src/libmangocourse/poolstarvation_test.cpp
@@ -258,6 +258,39 @@
     EXPECT_EQ(starts, 2U);
 }
 
+// Guards against work that waits for 3 s beside the only executors with room, because a run has stood still there.
+TEST_F(PoolSchedulerTest, ExecutorOnWhichARunStoodStillTakesOthersOneAtATime)
+{
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->add(this->job("still"));
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 1U);
+    const ReportedRun run{first.starts[0].run.item, first.starts[0].run.run, {}, 100, 0};
+    for (int count = 0; count < 60; ++count) {
+        this->advance(100ms);
+        this->renewal("one");
+        this->report("one", {run});
+        if (!this->plan().stops.empty()) {
+            break;
+        }
+    }
+    this->report("one", {}, {ReportedEnd{1, run.item, run.run, RunEnd::Stopped, {}}});
+    for (const char *name : {"b", "c", "d"}) {
+        this->add(this->job(name));
+    }
+    EXPECT_TRUE(this->planAndConfirm().starts.empty());
+    this->advance(1100ms);
+    this->report("one");
+    EXPECT_EQ(this->planAndConfirm().starts.size(), 1U);
+    this->advance(100ms);
+    this->report("one");
+    EXPECT_TRUE(this->planAndConfirm().starts.empty()) << "one at a time";
+    this->advance(800ms);
+    this->report("one");
+    EXPECT_EQ(this->planAndConfirm().starts.size(), 1U);
+}
+
 // Guards against a best-effort item that keeps its speed since the order to slow it down was lost.
 TEST_F(PoolSchedulerTest, PaceOrderThatWasNotCarriedOutIsGivenAgain)
 {
