--- a/src/libmangocourse/policyload_test.cpp
+++ b/src/libmangocourse/policyload_test.cpp
@@ -467,7 +467,8 @@
 {
     PolicyTurns turns;
     TimePoint now{1s};
-    const std::vector<QueuePolicyNeeds> needs{QueuePolicyNeeds{QueueId{"q"}, PolicyNeed{ItemId{JobId{"a"}, 0, 0, 0}}, PolicyNeed{}, 1}};
+    const std::vector<QueuePolicyNeeds> needs{
+        QueuePolicyNeeds{QueueId{"q"}, PolicyNeed{ItemId{JobId{"a"}, 0, 0, 0}, PolicyPurpose::Start, {}, {}}, PolicyNeed{}, 1}};
     for (const PolicyOutcome outcome :
         {PolicyOutcome::Busy, PolicyOutcome::Failed, PolicyOutcome::Unreachable, PolicyOutcome::TimedOut, PolicyOutcome::Answered}) {
         ASSERT_TRUE(turns.choose(needs, now)) << toString(outcome);
--- a/src/libmangocourse/poolpolicy.cpp
+++ b/src/libmangocourse/poolpolicy.cpp
@@ -67,12 +67,6 @@
         std::int32_t slots = 0;
     };
 
-    // What a request for a step would be for, and the executors that it can name, the best first.
-    struct Prospect {
-        PolicyPurpose purpose = PolicyPurpose::Start;
-        std::vector<Candidate> candidates;
-    };
-
     PolicyRound(PoolScheduler::Private &pool, TimePoint now)
         : pool(pool)
         , now(now)
@@ -84,9 +78,10 @@
     // Steps with uncovered items, the most urgent first.
     std::vector<Step> steps;
 
-    std::optional<Prospect> examine(const Step &step) const;
-    // Returns the executors to name.
-    std::vector<const Executor *> chooseExecutors(const Step &step, const Prospect &prospect) const;
+    // Returns what a request for the step would be for, or nothing if it needs none.
+    std::optional<PolicyPurpose> findPurpose(const Step &step) const;
+    // Returns the executors to name in a request for the purpose, the best first.
+    std::vector<const Executor *> chooseExecutors(const Step &step, PolicyPurpose purpose) const;
 
 private:
     void collectSteps();
@@ -99,7 +94,12 @@
     std::int32_t countSlots(
         const Executor &executor, const JobEntry &entry, const StepSpec &spec, const ItemId &item, Resources room, std::int32_t limit) const;
     Resources roomOf(const Executor &executor) const;
+    // Calls `visit` with each executor that has no pass and has room for the step, those with the least free CPU first, until it returns true.
+    // `isRuledOut`: the policy has excluded the executor not long ago.
+    template<typename Visitor>
+    void visitRoom(const Step &step, Visitor visit) const;
     std::vector<Candidate> findCandidates(const Step &step) const;
+    static bool isLargeEnough(const Executor &executor, const Step &step);
     // Returns the executors that could hold an item of the step if they were empty.
     std::vector<Candidate> findLargeEnough(const Step &step) const;
 
@@ -230,34 +230,53 @@
     return items;
 }
 
-std::vector<PoolScheduler::Private::PolicyRound::Candidate> PoolScheduler::Private::PolicyRound::findCandidates(const Step &step) const
+template<typename Visitor>
+void PoolScheduler::Private::PolicyRound::visitRoom(const Step &step, Visitor visit) const
 {
-    std::vector<Candidate> candidates;
-    const Item &item = step.state->items[static_cast<std::size_t>(step.firstItem.index)];
-    const std::string siblingRack = step.spec->prefersSameRack ? this->pool.findSiblingRack(*step.entry, step.firstItem) : std::string();
     const CapacityIndex::Slots &slots = this->pool.index.slots(step.spec->requiredLabel);
     for (auto slot = slots.lower_bound(CapacitySlot{demandOf(*step.spec).cpu, 0, nullptr}); slot != slots.end(); ++slot) {
         const Executor &executor = *slot->executor;
         const auto known = step.state->verdicts.find(executor.info.id);
         const bool isKnown = known != step.state->verdicts.end() && isOfIncarnation(known->second, executor);
+        if (isKnown && !known->second.pass.empty()) {
+            continue;
+        }
         const bool isRuledOut = isKnown && !isAllowed(known->second) && known->second.validUntil > this->now;
-        const bool hasPass = isKnown && !known->second.pass.empty();
         const std::int32_t fitting
-            = this->countSlots(executor, *step.entry, *step.spec, step.firstItem, this->roomOf(executor), isRuledOut || hasPass ? 1 : step.uncoveredItems);
-        if (fitting > 0 && !hasPass) {
-            candidates.push_back(Candidate{&executor, isKnown ? known->second.kind : PolicyVerdictKind::Unknown,
-                this->pool.rankCandidate(executor, *step.entry, step.firstItem, item, siblingRack), isRuledOut ? 0 : fitting});
+            = this->countSlots(executor, *step.entry, *step.spec, step.firstItem, this->roomOf(executor), isRuledOut ? 1 : step.uncoveredItems);
+        const PolicyVerdictKind verdict = isKnown ? known->second.kind : PolicyVerdictKind::Unknown;
+        if (fitting > 0 && visit(executor, verdict, isRuledOut, fitting)) {
+            return;
         }
     }
+}
+
+std::vector<PoolScheduler::Private::PolicyRound::Candidate> PoolScheduler::Private::PolicyRound::findCandidates(const Step &step) const
+{
+    std::vector<Candidate> candidates;
+    const Item &item = step.state->items[static_cast<std::size_t>(step.firstItem.index)];
+    const std::string siblingRack = step.spec->prefersSameRack ? this->pool.findSiblingRack(*step.entry, step.firstItem) : std::string();
+    this->visitRoom(step, [&](const Executor &executor, PolicyVerdictKind verdict, bool isRuledOut, std::int32_t fitting) {
+        if (!isRuledOut) {
+            const CandidateRank rank = this->pool.rankCandidate(executor, *step.entry, step.firstItem, item, siblingRack);
+            candidates.push_back(Candidate{&executor, verdict, rank, fitting});
+        }
+        return false;
+    });
     return candidates;
 }
 
+bool PoolScheduler::Private::PolicyRound::isLargeEnough(const Executor &executor, const Step &step)
+{
+    return executor.info.capacity.covers(demandOf(*step.spec));
+}
+
 std::vector<PoolScheduler::Private::PolicyRound::Candidate> PoolScheduler::Private::PolicyRound::findLargeEnough(const Step &step) const
 {
     std::vector<Candidate> candidates;
     for (const CapacitySlot &slot : this->pool.index.slots(step.spec->requiredLabel)) {
         const Executor &executor = *slot.executor;
-        if (executor.info.capacity.covers(demandOf(*step.spec))) {
+        if (isLargeEnough(executor, step)) {
             CandidateRank rank;
             rank.cpuLeft = -slot.cpu;
             candidates.push_back(Candidate{&executor, PolicyVerdictKind::Unknown, rank, 1});
@@ -266,62 +285,58 @@
     return candidates;
 }
 
-std::optional<PoolScheduler::Private::PolicyRound::Prospect> PoolScheduler::Private::PolicyRound::examine(const Step &step) const
+std::optional<PolicyPurpose> PoolScheduler::Private::PolicyRound::findPurpose(const Step &step) const
 {
+    // An unknown run of a previous owner may be active, so nothing can start yet.
     const bool mayRunUnseen = step.entry->isInherited && !step.spec->isSpeculative && !this->pool.arePreviousRunsKnown(this->now);
-    Prospect prospect;
+    const std::int64_t needed = step.spec->isGang ? step.uncoveredItems : 1;
+    std::int64_t slots = 0;
+    bool hasRoom = false;
+    bool isAnyNotExcluded = false;
     if (!mayRunUnseen) {
-        prospect.candidates = this->findCandidates(step);
-        const bool hasRoom = !prospect.candidates.empty();
-        std::erase_if(prospect.candidates, [](const Candidate &candidate) {
-            return candidate.slots == 0;
+        this->visitRoom(step, [&](const Executor &, PolicyVerdictKind verdict, bool isRuledOut, std::int32_t fitting) {
+            hasRoom = true;
+            slots += isRuledOut ? 0 : fitting;
+            isAnyNotExcluded = isAnyNotExcluded || verdict != PolicyVerdictKind::Excluded;
+            return isAnyNotExcluded && slots >= needed;
         });
-        if (prospect.candidates.empty() && hasRoom) {
-            step.state->policyCheckedAt = this->now;
-            return std::nullopt;
-        }
-    }
-    std::int64_t slots = 0;
-    for (const Candidate &candidate : prospect.candidates) {
-        slots += candidate.slots;
     }
-    const bool isEnough = step.spec->isGang ? slots >= step.uncoveredItems : slots > 0;
-    if (isEnough) {
-        const bool areAllExcluded = std::all_of(prospect.candidates.begin(), prospect.candidates.end(), [](const Candidate &candidate) {
-            return candidate.verdict == PolicyVerdictKind::Excluded;
-        });
+    if (slots >= needed) {
         const PolicyPurpose usual = step.state->policyFailures > 0 ? PolicyPurpose::Retry : PolicyPurpose::Start;
-        prospect.purpose = areAllExcluded ? PolicyPurpose::Recheck : usual;
-    } else if (step.state->verdicts.empty()) {
-        prospect.purpose = PolicyPurpose::Prefetch;
-        prospect.candidates = this->findLargeEnough(step);
+        return isAnyNotExcluded ? usual : PolicyPurpose::Recheck;
     }
-    if (prospect.candidates.empty() || (!isEnough && prospect.purpose != PolicyPurpose::Prefetch)) {
+    if (hasRoom && slots == 0) {
+        step.state->policyCheckedAt = this->now;
         return std::nullopt;
     }
-    std::sort(prospect.candidates.begin(), prospect.candidates.end(), [](const Candidate &left, const Candidate &right) {
-        return left.verdict != right.verdict ? left.verdict < right.verdict : left.rank < right.rank;
+    const CapacityIndex::Slots &all = this->pool.index.slots(step.spec->requiredLabel);
+    const bool canPrefetch = step.state->verdicts.empty() && std::any_of(all.begin(), all.end(), [&step](const CapacitySlot &slot) {
+        return isLargeEnough(*slot.executor, step);
     });
-    return prospect;
+    return canPrefetch ? std::optional(PolicyPurpose::Prefetch) : std::nullopt;
 }
 
-std::vector<const Executor *> PoolScheduler::Private::PolicyRound::chooseExecutors(const Step &step, const Prospect &prospect) const
+std::vector<const Executor *> PoolScheduler::Private::PolicyRound::chooseExecutors(const Step &step, PolicyPurpose purpose) const
 {
+    std::vector<Candidate> candidates = purpose == PolicyPurpose::Prefetch ? this->findLargeEnough(step) : this->findCandidates(step);
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return left.verdict != right.verdict ? left.verdict < right.verdict : left.rank < right.rank;
+    });
     std::vector<const Executor *> chosen;
     std::int64_t uncovered = step.uncoveredItems;
-    auto next = prospect.candidates.begin();
-    for (; next != prospect.candidates.end() && next->verdict == PolicyVerdictKind::Allowed && uncovered > 0; ++next) {
+    auto next = candidates.begin();
+    for (; next != candidates.end() && next->verdict == PolicyVerdictKind::Allowed && uncovered > 0; ++next) {
         chosen.push_back(next->executor);
         uncovered -= next->slots;
     }
     if (uncovered > 0) {
         std::size_t needed = 0;
-        for (auto candidate = next; candidate != prospect.candidates.end() && uncovered > 0; ++candidate) {
+        for (auto candidate = next; candidate != candidates.end() && uncovered > 0; ++candidate) {
             ++needed;
             uncovered -= candidate->slots;
         }
-        const std::size_t named = choosePolicyRequestSize(this->pool.policyOf(step.entry->job.queue), needed,
-            static_cast<std::size_t>(prospect.candidates.end() - next), this->pool.allowedShare(step.entry->job.queue, *step.state));
+        const std::size_t named = choosePolicyRequestSize(this->pool.policyOf(step.entry->job.queue), needed, static_cast<std::size_t>(candidates.end() - next),
+            this->pool.allowedShare(step.entry->job.queue, *step.state));
         for (std::size_t count = 0; count < named; ++count, ++next) {
             chosen.push_back(next->executor);
         }
@@ -444,11 +459,11 @@
     Private::PolicyRound round(*this->d, now);
     std::map<QueueId, std::vector<std::pair<PolicyNeed, const JobEntry *>>> needs;
     for (const Private::PolicyRound::Step &step : round.steps) {
-        if (const auto prospect = round.examine(step)) {
+        if (const std::optional<PolicyPurpose> purpose = round.findPurpose(step)) {
             step.state->policyNeededSince = step.state->policyNeededSince.value_or(now);
             ItemId id = step.firstItem;
             id.index = 0;
-            needs[step.entry->job.queue].emplace_back(PolicyNeed{id, prospect->purpose, step.rank, *step.state->policyNeededSince}, step.entry);
+            needs[step.entry->job.queue].emplace_back(PolicyNeed{id, *purpose, step.rank, *step.state->policyNeededSince}, step.entry);
         }
     }
     for (auto &[queue, steps] : needs) {
@@ -503,13 +518,13 @@
     if (found == round.steps.end()) {
         return std::nullopt;
     }
-    const auto prospect = round.examine(*found);
-    if (!prospect) {
+    const std::optional<PolicyPurpose> purpose = round.findPurpose(*found);
+    if (!purpose) {
         return std::nullopt;
     }
     const PlacementPolicy &policy = this->d->policyOf(found->entry->job.queue);
-    PolicyRequest request{step, {}, found->entry->job.queue, prospect->purpose, {}, found->state->policyNeededSince.value_or(now)};
-    for (const Executor *executor : round.chooseExecutors(*found, *prospect)) {
+    PolicyRequest request{step, {}, found->entry->job.queue, *purpose, {}, found->state->policyNeededSince.value_or(now)};
+    for (const Executor *executor : round.chooseExecutors(*found, *purpose)) {
         request.executors.push_back(executor->info.id);
         found->state->requestedExecutors.emplace(executor->info.id, executor->info.incarnation);
     }
--- a/src/scheduler/policyduty.cpp
+++ b/src/scheduler/policyduty.cpp
@@ -16,8 +16,10 @@
 // Without a notification the needs are reviewed at this interval while a step may need the policy.
 constexpr milliseconds reviewInterval{250};
 constexpr milliseconds idleInterval{60'000};
-// Before the needs are reviewed again after a step needed no request any more.
-constexpr milliseconds staleNeedDelay{5};
+// After a review without a request the duty pauses for this multiple of its time, between the two bounds, so that planning is not starved.
+constexpr int reviewRestFactor = 4;
+constexpr milliseconds minReviewRest{3};
+constexpr milliseconds maxReviewRest{50};
 
 constexpr const char *waitingGauge = "mangocourse_policy_waiting_steps";
 constexpr const char *longestWaitGauge = "mangocourse_policy_longest_wait_seconds";
@@ -69,7 +71,7 @@
     bool isStopped = false;
 
     net::awaitable<void> run();
-    // Takes the next turn, if a step needs one. Returns how long to wait for a notification before the next review.
+    // Takes the next turn, if a step needs one. Returns how long to wait for a notification before the next review, zero after a request.
     net::awaitable<milliseconds> takeTurn();
     net::awaitable<void> ask(ShardOwner &owner, const PolicyNeed &need, const PolicyRequest &request);
     void updateGauges(const std::vector<QueuePolicyNeeds> &needs, TimePoint now);
@@ -156,12 +158,14 @@
     this->updateGauges(needs, now);
     const std::optional<PolicyTurns::Choice> choice = this->turns.choose(needs, now);
     if (!choice) {
-        co_return needs.empty() && !mayNeedPolicy ? idleInterval : (now < this->turns.pausedUntil() ? staleNeedDelay : reviewInterval);
+        const milliseconds rest = std::chrono::duration_cast<milliseconds>(reviewRestFactor * (bootNow() - now));
+        co_await sleepFor(this->context, std::clamp(rest, minReviewRest, maxReviewRest));
+        co_return mayNeedPolicy ? reviewInterval : idleInterval;
     }
     const std::shared_ptr<ShardOwner> owner = owners[choice->queue];
     const std::optional<PolicyRequest> request = owner->takePolicyRequest(choice->need.step);
     if (!request) {
-        co_return staleNeedDelay;
+        co_return minReviewRest;
     }
     co_await this->ask(*owner, choice->need, *request);
     co_return milliseconds::zero();
