--- a/src/scheduler/movedqueue_test.cpp
+++ b/src/scheduler/movedqueue_test.cpp
@@ -275,6 +275,82 @@
     this->runFor(20ms);
 }
 
+// Guards against a job that two gateways store at the same time, of which one has not read that its queue has moved: both owners would run it.
+class ConcurrentSubmissionTest : public MovedQueueTest
+{
+protected:
+    void storeIn(const char *service)
+    {
+        StepSpec step;
+        step.resources = Resources{1000, 10, 0};
+        const AcceptedJob accepted{JobId{"00000000000000aa"}, QueueId{"counter"}, ServiceId{service}, wallNow(), JobSpec{"work", {step}, {}}};
+        this->jobsOf(service).push_back(StoredRecord{accepted.id.value, encodeAcceptedJob(accepted), static_cast<std::int64_t>(this->jobsOf(service).size())});
+    }
+    std::vector<StoredRecord> &jobsOf(const char *service)
+    {
+        return this->store.partitions[{Stream::Jobs, partitionOf(ServiceId{service}, this->settings.partitions)}].records;
+    }
+    // Starts the owner of the partition that the queue has left. It knows the move.
+    std::shared_ptr<ShardOwner> startEarlierOwner()
+    {
+        this->executors.endsRuns = false;
+        const OwnerContext owner{this->context, this->store, this->executors, nullptr, *this->log, this->metrics, this->settings};
+        const auto shard = ShardOwner::create(owner, partitionOf(ServiceId{"desk"}, this->settings.partitions), 1);
+        const TimePoint now = BootClock().now();
+        shard->setConfig(this->after);
+        shard->setExecutors({executor()}, now);
+        shard->setTerm(OwnershipTerm{now, now + 60s});
+        shard->start();
+        return shard;
+    }
+};
+
+TEST_F(ConcurrentSubmissionTest, RecordInTheEarlierPartitionIsDroppedIfTheJobIsInTheNewOne)
+{
+    const auto owner = this->startEarlierOwner();
+    this->storeIn("desk");
+    this->runFor(1s);
+    // The other gateway searched before that record was stored.
+    this->storeIn("shop");
+    this->runUntil([this] {
+        return this->jobsOf("desk").size() > 1;
+    });
+    EXPECT_EQ(this->jobsOf("desk")[1].key, "00000000000000aa");
+    EXPECT_TRUE(this->jobsOf("desk")[1].value.empty());
+    this->runFor(300ms);
+    EXPECT_TRUE(this->executors.starts.empty());
+    EXPECT_EQ(this->jobsOf("shop").size(), 1U);
+    owner->stop();
+    this->runFor(20ms);
+}
+
+TEST_F(ConcurrentSubmissionTest, CancellationInTheEarlierPartitionHoldsForTheRecordInTheNewOne)
+{
+    const auto owner = this->startEarlierOwner();
+    this->storeIn("desk");
+    this->storeIn("shop");
+    this->jobsOf("desk").push_back(StoredRecord{cancellationKey(JobId{"00000000000000aa"}), "1", 1});
+    this->runUntil([this] {
+        return this->jobsOf("shop").size() > 1;
+    });
+    EXPECT_EQ(this->jobsOf("shop")[1].key, cancellationKey(JobId{"00000000000000aa"}));
+    owner->stop();
+    this->runFor(20ms);
+}
+
+TEST_F(ConcurrentSubmissionTest, JobThatIsInTheEarlierPartitionOnlyRunsThere)
+{
+    const auto owner = this->startEarlierOwner();
+    this->storeIn("desk");
+    this->runFor(1s);
+    EXPECT_TRUE(this->executors.starts.empty());
+    this->runUntil([this] {
+        return this->executors.starts.size() == 1;
+    });
+    owner->stop();
+    this->runFor(20ms);
+}
+
 // Decisions that the log did not tell: a record that names no placement, and a submission that waits for an attempt in an earlier partition.
 class MovedQueueLogTest : public MovedQueueTest
 {
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -3,10 +3,20 @@
 
 #include <algorithm>
 
+#include "clocks.h"
 #include "waitinglog.h"
 
 namespace MangoCourse {
 
+namespace {
+
+// Longer than a gateway takes from its search for a job to the end of its append.
+constexpr std::chrono::milliseconds heldJobTime{4000};
+// Between the clocks of two processes.
+constexpr std::chrono::milliseconds maxClockDifference{10'000};
+
+}
+
 PoolWatermarks ShardOwner::Private::watermarks() const
 {
     return PoolWatermarks{this->jobsReader->currentAsOf(), this->executorWatermark};
@@ -52,9 +62,34 @@
             {"outcome", event.outcome}});
 }
 
+bool ShardOwner::Private::mayBeStoredElsewhere(const AcceptedJob &job) const
+{
+    const QueueConfig *queue = this->config ? this->config->find(job.queue) : nullptr;
+    const bool hasMoved = queue != nullptr && partitionOf(queue->service, this->owner.settings.partitions) != this->partition;
+    return hasMoved && wallNow() - job.acceptedAt < heldJobTime + maxClockDifference;
+}
+
 void ShardOwner::Private::addJob(const AcceptedJob &job)
 {
     this->queueOfJob.emplace(job.id, job.queue);
+    const bool isAssigned = std::any_of(this->pools.begin(), this->pools.end(), [&job](const auto &entry) {
+        return entry.second->hasJob(job.id);
+    });
+    if (!isAssigned && !this->progress.contains(job.id) && this->mayBeStoredElsewhere(job)) {
+        const bool isNew = this->heldJobs.try_emplace(job.id, bootNow() + heldJobTime, job).second;
+        if (isNew) {
+            this->owner.log.emit("job_held",
+                {{"job", job.id.value}, {"queue", job.queue.value}, {"partition", std::int64_t(this->partition)}, {"token", this->token},
+                    {"reason", "its queue has moved, another gateway may store it in the new partition"}},
+                EventPriority::Essential);
+        }
+        return;
+    }
+    this->assignJob(job);
+}
+
+void ShardOwner::Private::assignJob(const AcceptedJob &job)
+{
     // A repeated submission may be stored under another service, if the job's queue has moved since. Its runs and their ends are in the first pool.
     const bool isAssigned = std::any_of(this->pools.begin(), this->pools.end(), [&job](const auto &entry) {
         return entry.second->hasJob(job.id);
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -48,6 +48,8 @@
     std::map<ExecutorKey, ExecutorLocation> previousExecutors;
     std::map<ServiceId, std::unique_ptr<PoolScheduler>> pools;
     std::map<JobId, AcceptedJob> unassignedJobs;
+    // Jobs that another gateway may have stored in a later partition of their queue at the same time, and when that will be known.
+    std::map<JobId, std::pair<TimePoint, AcceptedJob>> heldJobs;
     std::map<JobId, JobProgress> progress;
     std::set<JobId> cancelled;
     // Queues of all jobs of the partition, also of those that have ended and are kept for their callers.
@@ -74,6 +76,11 @@
     // Returns the pool that has the job, or nullptr.
     PoolScheduler *findPoolOf(const JobId &job);
     void addJob(const AcceptedJob &job);
+    // Adds the job to the pool of its service, unless it is in a pool already.
+    void assignJob(const AcceptedJob &job);
+    // Returns true if the job's queue has moved to another partition and the job is so new that a gateway which has read the move may store it there
+    // in ignorance of this record.
+    bool mayBeStoredElsewhere(const AcceptedJob &job) const;
     void applyJobRecord(const StoredRecord &record);
     void applyCancellation(const JobId &job);
     void markFenced(const char *source);
@@ -119,6 +126,11 @@
     net::awaitable<void> deleteSubmissions(std::vector<JobId> ids);
     // Makes the placements durable of the queues whose jobs the partition holds, as earlier versions store jobs without doing so, and deletes
     // those that are no longer of use.
+    // Looks for held jobs in the other partitions of their queues. Those that are found there are deleted here, the others are scheduled.
+    net::awaitable<void> settleHeldJobs();
+    net::awaitable<void> settle(AcceptedJob job);
+    // Returns the first other partition of the job's queue that holds the job, or nothing.
+    net::awaitable<Result<std::optional<std::int32_t>>> findElsewhere(AcceptedJob job);
     net::awaitable<void> maintainPlacements();
     net::awaitable<void> reviewPlacements();
     net::awaitable<bool> persistOnce();
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -46,6 +46,7 @@
 // A process that has not read the newest configuration may store jobs of a queue in its previous partition for this long.
 constexpr std::chrono::seconds placementRetention{120};
 constexpr milliseconds placementReviewInterval{5000};
+constexpr milliseconds heldJobsInterval{250};
 constexpr milliseconds placementTimeout{2000};
 
 std::int64_t elapsedMs(TimePoint since, TimePoint now)
@@ -328,6 +329,10 @@
         Tasks tasks{self, sharedState};
         co_await tasks.recordSilence();
     });
+    this->spawn([self, &sharedState]() -> net::awaitable<void> {
+        Tasks tasks{self, sharedState};
+        co_await tasks.settleHeldJobs();
+    });
     if (this->state.owner.placements) {
         this->spawn([self, &sharedState]() -> net::awaitable<void> {
             Tasks tasks{self, sharedState};
@@ -666,6 +671,89 @@
     }
 }
 
+net::awaitable<Result<std::optional<std::int32_t>>> ShardOwner::Tasks::findElsewhere(AcceptedJob job)
+{
+    const QueueConfig *queue = this->state.config->find(job.queue);
+    if (queue == nullptr) {
+        co_return std::optional<std::int32_t>();
+    }
+    std::set<std::int32_t> partitions{partitionOf(queue->service, this->state.owner.settings.partitions)};
+    if (this->state.owner.placements) {
+        const std::set<std::int32_t> recorded = this->state.owner.placements->partitionsOf(*queue);
+        partitions.insert(recorded.begin(), recorded.end());
+    }
+    partitions.erase(this->state.partition);
+    for (const std::int32_t partition : partitions) {
+        // The submission of a job that has ended may be deleted, its state is kept for longer.
+        for (const Stream stream : {Stream::Jobs, Stream::Progress}) {
+            Result<StreamBatch> batch = co_await this->state.owner.store.readSnapshot(stream, partition);
+            if (!batch) {
+                co_return tl::unexpected(batch.error());
+            }
+            const bool isFound = std::any_of(batch->records.begin(), batch->records.end(), [&job](const StoredRecord &record) {
+                return record.key == job.id.value && !record.value.empty();
+            });
+            if (isFound) {
+                co_return std::optional<std::int32_t>(partition);
+            }
+        }
+    }
+    co_return std::optional<std::int32_t>();
+}
+
+net::awaitable<void> ShardOwner::Tasks::settle(AcceptedJob job)
+{
+    const Result<std::optional<std::int32_t>> found = co_await this->findElsewhere(job);
+    if (this->isEnded()) {
+        co_return;
+    }
+    if (!found) {
+        this->state.owner.log.emit("job_held",
+            {{"job", job.id.value}, {"queue", job.queue.value}, {"partition", std::int64_t(this->state.partition)}, {"token", this->state.token},
+                {"reason", describe(found.error())}});
+        co_return;
+    }
+    if (*found && this->state.cancelled.contains(job.id)) {
+        // The caller's cancellation is of the other record, too.
+        std::vector<StoredRecord> cancellation{StoredRecord{cancellationKey(job.id), "1", -1}};
+        const Result<void> appended = co_await this->state.owner.store.append(Stream::Jobs, **found, std::move(cancellation), std::nullopt, appendTimeout);
+        if (!appended) {
+            co_return;
+        }
+    }
+    this->state.heldJobs.erase(job.id);
+    this->state.owner.log.emit("job_settled",
+        {{"job", job.id.value}, {"queue", job.queue.value}, {"partition", std::int64_t(this->state.partition)}, {"token", this->state.token},
+            {"stored_in", std::int64_t(found->value_or(this->state.partition))}},
+        EventPriority::Essential);
+    if (*found) {
+        std::vector<JobId> duplicates{job.id};
+        co_await this->deleteSubmissions(std::move(duplicates));
+        this->state.queueOfJob.erase(job.id);
+    } else {
+        this->state.assignJob(job);
+        this->state.planRequested.notify();
+    }
+}
+
+net::awaitable<void> ShardOwner::Tasks::settleHeldJobs()
+{
+    while (!this->isEnded()) {
+        co_await sleepFor(this->state.owner.context, heldJobsInterval);
+        std::vector<AcceptedJob> due;
+        for (const auto &[id, held] : this->state.heldJobs) {
+            if (held.first <= bootNow()) {
+                due.push_back(held.second);
+            }
+        }
+        for (const AcceptedJob &job : due) {
+            if (!this->isEnded()) {
+                co_await this->settle(job);
+            }
+        }
+    }
+}
+
 net::awaitable<void> ShardOwner::Tasks::maintainPlacements()
 {
     while (!this->isEnded()) {
