--- a/src/libmangocourse/policyload_test.cpp
+++ b/src/libmangocourse/policyload_test.cpp
@@ -425,6 +425,34 @@
     EXPECT_LE(forBad, 12) << "pauses of 0.1 to 2 s";
 }
 
+// Guards against a request for a large step that takes seconds, while urgent ones wait.
+TEST_F(PolicyLoadTest, LargeStepDoesNotHoldUpTheOthersForLong)
+{
+    this->setPolicy("counter", PlacementPolicy{30ms, 100ms, 3000ms});
+    this->submit("counter", step(executorCount * 18 * 3));
+    this->setPolicy("other", PlacementPolicy{30ms, 3ms, 3000ms});
+    StepSpec small = step(1);
+    small.resources.cpu = 100;
+    const TimePoint end = this->now + 8s;
+    while (this->now < end) {
+        this->play(200ms, 0);
+        this->submit("other", small);
+    }
+    // The request in progress, one more of the large step, and the own one.
+    EXPECT_LE(this->longestWait("other"), 2 * 530ms + 100ms);
+}
+
+// The members of a gang need passes that are valid together.
+TEST_F(PolicyLoadTest, GangThatNeedsAllExecutorsStarts)
+{
+    this->setPolicy("counter", PlacementPolicy{30ms, 60ms, 1000ms});
+    StepSpec gang = step(executorCount);
+    gang.isGang = true;
+    gang.perExecutorLimit = 1;
+    this->submit("counter", gang);
+    EXPECT_LT(this->playUntilAllStarted(10s), 6s);
+}
+
 TEST_F(PolicyLoadTest, StepOfManyItemsThatOutlastsItsPassesGetsNewOnes)
 {
     this->setPolicy("counter", PlacementPolicy{30ms, 3ms, 500ms});
--- a/src/libmangocourse/poolpolicy.cpp
+++ b/src/libmangocourse/poolpolicy.cpp
@@ -28,6 +28,9 @@
 // Weight of the queue's share against the answers for the step itself, in executors.
 constexpr double queueShareWeight = 4.0;
 constexpr double minAllowedShare = 0.01;
+// A request names no more executors than this time covers, or this multiple of what a further request costs: others wait until it ends.
+constexpr milliseconds maxNamingTime{500};
+constexpr int namingTimeFactor = 4;
 // Costs of a policy whose queue has left the configuration before this owner read it.
 constexpr PlacementPolicy undeclaredPolicy{milliseconds(100), milliseconds(10), milliseconds(1000)};
 // Counting the items that a step could start stops here; no request names executors for more.
@@ -323,7 +326,9 @@
         return left.verdict != right.verdict ? left.verdict < right.verdict : left.rank < right.rank;
     });
     std::vector<const Executor *> chosen;
-    std::int64_t uncovered = step.uncoveredItems;
+    // Nothing can start on the others' answers yet, so one item is enough to ask for.
+    const bool isStart = purpose == PolicyPurpose::Start || purpose == PolicyPurpose::Retry;
+    std::int64_t uncovered = isStart ? step.uncoveredItems : 1;
     auto next = candidates.begin();
     for (; next != candidates.end() && next->verdict == PolicyVerdictKind::Allowed && uncovered > 0; ++next) {
         chosen.push_back(next->executor);
@@ -341,7 +346,9 @@
             chosen.push_back(next->executor);
         }
     }
-    chosen.resize(std::min(chosen.size(), maxExecutorsPerPolicyRequest));
+    // The passes of a gang have to be valid together, so it is asked about at once.
+    const std::size_t limit = step.spec->isGang ? maxExecutorsPerPolicyRequest : this->pool.longestRequest(step.entry->job.queue);
+    chosen.resize(std::min(chosen.size(), limit));
     return chosen;
 }
 
@@ -383,6 +390,16 @@
     return policy == this->policies.end() ? undeclaredPolicy : policy->second;
 }
 
+std::size_t PoolScheduler::Private::longestRequest(const QueueId &queue) const
+{
+    const PlacementPolicy &policy = this->policyOf(queue);
+    const milliseconds time = std::max(maxNamingTime, namingTimeFactor * policy.decisionTime);
+    if (policy.timePerExecutor * static_cast<std::int64_t>(maxExecutorsPerPolicyRequest) <= time) {
+        return maxExecutorsPerPolicyRequest;
+    }
+    return std::max<std::size_t>(1, static_cast<std::size_t>(time / policy.timePerExecutor));
+}
+
 double PoolScheduler::Private::allowedShare(const QueueId &queue, const StepState &state) const
 {
     const auto known = this->policyShares.find(queue);
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -508,6 +508,8 @@
     // Returns true if an answer of the policy could still give the step a pass.
     static bool isPolicyUnanswered(const StepState &state);
     const PlacementPolicy &policyOf(const QueueId &queue) const;
+    // Returns the most executors that a request for a step of the queue names, unless the step is a gang.
+    std::size_t longestRequest(const QueueId &queue) const;
     // Returns the probability that the policy allows the step an executor that it has not been asked about.
     double allowedShare(const QueueId &queue, const StepState &state) const;
     // Ranks the steps of a queue anew if the policy can't answer for all of them in time.
