--- a/src/libmangocourse/poolpolicy.cpp
+++ b/src/libmangocourse/poolpolicy.cpp
@@ -36,6 +36,12 @@
 // Counting the items that a step could start stops here; no request names executors for more.
 constexpr std::int32_t maxCountedItems = 1000;
 
+// Returns true if items of the step can start once the policy allows it.
+bool isForStart(PolicyPurpose purpose)
+{
+    return purpose == PolicyPurpose::Start || purpose == PolicyPurpose::Retry;
+}
+
 bool isAllowed(const PolicyVerdict &verdict)
 {
     return verdict.kind == PolicyVerdictKind::Allowed;
@@ -326,9 +332,8 @@
         return left.verdict != right.verdict ? left.verdict < right.verdict : left.rank < right.rank;
     });
     std::vector<const Executor *> chosen;
-    // Nothing can start on the others' answers yet, so one item is enough to ask for.
-    const bool isStart = purpose == PolicyPurpose::Start || purpose == PolicyPurpose::Retry;
-    std::int64_t uncovered = isStart ? step.uncoveredItems : 1;
+    // If nothing is likely to start on the answer, one item is enough to ask for.
+    std::int64_t uncovered = isForStart(purpose) ? step.uncoveredItems : 1;
     auto next = candidates.begin();
     for (; next != candidates.end() && next->verdict == PolicyVerdictKind::Allowed && uncovered > 0; ++next) {
         chosen.push_back(next->executor);
@@ -476,11 +481,13 @@
     Private::PolicyRound round(*this->d, now);
     std::map<QueueId, std::vector<std::pair<PolicyNeed, const JobEntry *>>> needs;
     for (const Private::PolicyRound::Step &step : round.steps) {
-        if (const std::optional<PolicyPurpose> purpose = round.findPurpose(step)) {
-            step.state->policyNeededSince = step.state->policyNeededSince.value_or(now);
+        const std::optional<PolicyPurpose> purpose = round.findPurpose(step);
+        std::optional<TimePoint> &neededSince = step.state->policyNeededSince;
+        neededSince = purpose && isForStart(*purpose) ? std::optional(neededSince.value_or(now)) : std::nullopt;
+        if (purpose) {
             ItemId id = step.firstItem;
             id.index = 0;
-            needs[step.entry->job.queue].emplace_back(PolicyNeed{id, *purpose, step.rank, *step.state->policyNeededSince}, step.entry);
+            needs[step.entry->job.queue].emplace_back(PolicyNeed{id, *purpose, step.rank, neededSince.value_or(now)}, step.entry);
         }
     }
     for (auto &[queue, steps] : needs) {
@@ -492,11 +499,10 @@
         });
         QueuePolicyNeeds summary{queue, steps.front().first, steps.front().first, 0};
         for (const auto &[need, entry] : steps) {
-            if (need.purpose != PolicyPurpose::Start && need.purpose != PolicyPurpose::Retry) {
-                continue;
+            if (isForStart(need.purpose)) {
+                ++summary.waiting;
+                summary.longestWaiting = need.since < summary.longestWaiting.since ? need : summary.longestWaiting;
             }
-            ++summary.waiting;
-            summary.longestWaiting = need.since < summary.longestWaiting.since ? need : summary.longestWaiting;
         }
         result.push_back(std::move(summary));
     }
@@ -511,7 +517,8 @@
     std::int64_t timely = 0;
     milliseconds longestSlack{};
     for (const auto &[need, entry] : steps) {
-        if (need.purpose == PolicyPurpose::Start && !need.rank.isLate && need.rank.group != 0) {
+        const bool isLongRunning = entry->job.spec.steps.front().isLongRunning;
+        if (need.purpose == PolicyPurpose::Start && !need.rank.isLate && !isLongRunning) {
             ++timely;
             longestSlack = std::max(longestSlack, milliseconds(need.rank.slack));
         }
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -231,7 +231,7 @@
     std::map<ExecutorId, PolicyVerdict> verdicts;
     // Executors that the request in progress names, with their incarnations; empty if there is none.
     std::map<ExecutorId, std::int64_t> requestedExecutors;
-    // Time since which the step has needed an answer.
+    // Time since which items could start if the policy allowed it.
     std::optional<TimePoint> policyNeededSince;
     // Last time at which all executors with room were found to be ruled out.
     TimePoint policyCheckedAt{};
