--- a/src/libservice/connectionpool_test.cpp
+++ b/src/libservice/connectionpool_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <thread>
 
 #include "loopbackserver_test.h"
@@ -116,71 +117,60 @@
     EXPECT_LE(loopIterations, maxLoopIterations);
 }
 
-// Guards against calls that are sent after a long wait behind other calls of this process, with too little time left for the answer: the server carries
-// them out for a caller that has given up.
-TEST(ConnectionPool, CallThatHasWaitedForMostOfItsTimeIsNotSent)
+struct ConcurrentCalls {
+    std::vector<Result<HttpAnswer>> answers;
+    // Requests that reached the server.
+    int requests = 0;
+};
+
+// Makes calls at the same time over one connection to a server that answers after 350 ms.
+ConcurrentCalls callConcurrently(std::size_t calls, std::chrono::milliseconds timeout, std::chrono::milliseconds longPoll)
 {
     net::io_context context;
-    int requests = 0;
-    const LoopbackServer server(context, [&requests](const HttpRequest &, int) {
-        ++requests;
+    ConcurrentCalls result;
+    const LoopbackServer server(context, [&result](const HttpRequest &, int) {
+        ++result.requests;
         LoopbackReply reply = loopbackReply(200);
         reply.answersAfter = 350ms;
         return std::optional(reply);
     });
     const auto pool = ConnectionPool::create(context, server.endpoint(), 1);
-    std::vector<Result<HttpAnswer>> answers;
-    for (int number = 0; number < 3; ++number) {
+    for (std::size_t number = 0; number < calls; ++number) {
         net::co_spawn(
             context,
-            [&pool, &answers]() -> net::awaitable<void> {
+            [&pool, &result, timeout, longPoll]() -> net::awaitable<void> {
                 HttpCall call;
                 call.target = "/";
-                call.timeout = 500ms;
-                answers.push_back(co_await (*pool)->call(std::move(call)));
+                call.timeout = timeout;
+                call.longPoll = longPoll;
+                result.answers.push_back(co_await (*pool)->call(std::move(call)));
             },
             net::detached);
     }
-    while (answers.size() < 3 && context.run_one_for(5s) > 0) {
-    }
-    ASSERT_EQ(answers.size(), 3U);
-    EXPECT_EQ(requests, 1);
-    int notSent = 0;
-    for (const Result<HttpAnswer> &answer : answers) {
-        notSent += !answer && answer.error().code == ErrorCode::Unavailable ? 1 : 0;
+    while (result.answers.size() < calls && context.run_one_for(5s) > 0) {
     }
-    EXPECT_EQ(notSent, 2) << "a call that was not sent must not be told from one that may have been carried out";
+    return result;
+}
+
+// Guards against calls that are sent after a long wait behind other calls of this process, with too little time left for the answer: the server carries
+// them out for a caller that has given up.
+TEST(ConnectionPool, CallThatHasWaitedForMostOfItsTimeIsNotSent)
+{
+    const ConcurrentCalls calls = callConcurrently(3, 500ms, 0ms);
+    ASSERT_EQ(calls.answers.size(), 3U);
+    EXPECT_EQ(calls.requests, 1);
+    const auto notSent = std::count_if(calls.answers.begin(), calls.answers.end(), [](const Result<HttpAnswer> &answer) {
+        return !answer && answer.error().code == ErrorCode::Unavailable;
+    });
+    EXPECT_EQ(notSent, 2) << "the callers know that nothing was sent";
 }
 
 // A long poll needs its whole time at the server.
 TEST(ConnectionPool, LongPollThatWouldBeCutShortIsNotSent)
 {
-    net::io_context context;
-    int requests = 0;
-    const LoopbackServer server(context, [&requests](const HttpRequest &, int) {
-        ++requests;
-        LoopbackReply reply = loopbackReply(200);
-        reply.answersAfter = 350ms;
-        return std::optional(reply);
-    });
-    const auto pool = ConnectionPool::create(context, server.endpoint(), 1);
-    std::vector<Result<HttpAnswer>> answers;
-    for (int number = 0; number < 2; ++number) {
-        net::co_spawn(
-            context,
-            [&pool, &answers]() -> net::awaitable<void> {
-                HttpCall call;
-                call.target = "/";
-                call.timeout = 900ms;
-                call.longPoll = 500ms;
-                answers.push_back(co_await (*pool)->call(std::move(call)));
-            },
-            net::detached);
-    }
-    while (answers.size() < 2 && context.run_one_for(5s) > 0) {
-    }
-    ASSERT_EQ(answers.size(), 2U);
-    EXPECT_EQ(requests, 1);
+    const ConcurrentCalls calls = callConcurrently(2, 900ms, 500ms);
+    ASSERT_EQ(calls.answers.size(), 2U);
+    EXPECT_EQ(calls.requests, 1);
 }
 
 // Makes calls one after another and returns their answers.
