--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -129,6 +129,8 @@
     // Looks for held jobs in the other partitions of their queues. Those that are found there are deleted here, the others are scheduled.
     net::awaitable<void> settleHeldJobs();
     net::awaitable<void> settle(AcceptedJob job);
+    // Logs why a held job cannot be settled yet; it is tried again.
+    void logHeld(const AcceptedJob &job, const std::string &reason);
     // Returns the first other partition of the job's queue that holds the job, or nothing.
     net::awaitable<Result<std::optional<std::int32_t>>> findElsewhere(AcceptedJob job);
     net::awaitable<void> maintainPlacements();
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -701,6 +701,13 @@
     co_return std::optional<std::int32_t>();
 }
 
+void ShardOwner::Tasks::logHeld(const AcceptedJob &job, const std::string &reason)
+{
+    this->state.owner.log.emit("job_held",
+        {{"job", job.id.value}, {"queue", job.queue.value}, {"partition", std::int64_t(this->state.partition)}, {"token", this->state.token},
+            {"reason", reason}});
+}
+
 net::awaitable<void> ShardOwner::Tasks::settle(AcceptedJob job)
 {
     const Result<std::optional<std::int32_t>> found = co_await this->findElsewhere(job);
@@ -708,9 +715,7 @@
         co_return;
     }
     if (!found) {
-        this->state.owner.log.emit("job_held",
-            {{"job", job.id.value}, {"queue", job.queue.value}, {"partition", std::int64_t(this->state.partition)}, {"token", this->state.token},
-                {"reason", describe(found.error())}});
+        this->logHeld(job, describe(found.error()));
         co_return;
     }
     if (*found && this->state.cancelled.contains(job.id)) {
@@ -718,6 +723,7 @@
         std::vector<StoredRecord> cancellation{StoredRecord{cancellationKey(job.id), "1", -1}};
         const Result<void> appended = co_await this->state.owner.store.append(Stream::Jobs, **found, std::move(cancellation), std::nullopt, appendTimeout);
         if (!appended) {
+            this->logHeld(job, describe(appended.error()));
             co_return;
         }
     }
