Review: an end is forgotten when calls to an executor's earlier boot reach the next (review/9)

The stand-ins get executors that crash, the network in front of them, and addresses of the processes' own.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,61 +1,80 @@
-"""A machine that was added after a queue had moved to another service doesn't count the queue's jobs that wait in the old one."""
+"""An executor restarts under its id. A start and an acknowledgement that were sent to the boot before reach the next one, which forgets an end that
+nobody has read; the work item runs again."""
 import os
 import sys
+import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standin-2"))
-from harness import BROKEN, HELD, NOT_RUN, TROUBLE, Deployment, finish, route, service  # noqa: E402
+from harness import BROKEN, HELD, NOT_RUN, TROUBLE, Deployment, Line, finish, route, service  # noqa: E402
 
-WAITING_JOBS = 8
-CONTACT_S, VISIBLE_S = 3.0, 3.0
+EXECUTORS = 7
+ROUNDS = 14
+# How long the executor is down, and when in that time the second job is handed in.
+DARK_S, HANDED_IN_S = 0.5, 0.235
+WORK_S = 0.06
 
 
 def main():
     deployment = Deployment(HERE)
-    services = ["desk", "shop", "quotes"]
-    deployment.publish([route("ident", "/ident/", "desk"), route("list", "/list/", "shop"), route("quote", "/quote/", "quotes")],
-                       [service(name) for name in services])
-    for number, name in enumerate(services * 2):
-        deployment.fleet.add("i-%d" % number, name, ["a", "r1-0"], {"cpu": 4000, "mem_mb": 64000, "gpu": 0})
-    strong = [deployment.start_process(share=0.5) for _ in range(3)]
+    deployment.publish([route("ident", "/ident/", "desk")], [service("desk")])
+    executors = []
+    for number in range(EXECUTORS):
+        executors.append(deployment.fleet.add("i-%d" % number, "desk", ["b" if number == 0 else "a", "r1-0"], {"cpu": 16000, "mem_mb": 64000, "gpu": 0}))
+        Line(executors[-1])
+    target = executors[0]
+    fronts = [deployment.start_process(share=0.5) for _ in range(2)]
     if not deployment.wait_ready():
         finish(deployment, NOT_RUN, "the processes did not get ready")
-    time.sleep(5)
-    partitions = deployment.partitions_of_pools()
-    targets = [name for name in services[1:] if partitions.get(name) != partitions.get("desk")]
-    if not targets:
-        finish(deployment, NOT_RUN, "all services have the same partition: %s" % partitions)
-    # Two long jobs fill the executors of the queue's service; the others wait for their end.
-    step = {"count": 1, "cpu": 4000, "mem_mb": 1000, "estimate_ms": 40000}
-    jobs = ["%016x" % (0x9a10 + number) for number in range(2 + WAITING_JOBS)]
-    for job in jobs:
-        if deployment.submit(strong[0], "/ident/", job, [step], [{"work_s": 60.0}])[0] != 200:
-            finish(deployment, NOT_RUN, "a submission was not accepted")
-    time.sleep(1)
-    if TROUBLE:
-        deployment.publish([route("ident", "/ident/", targets[0]), route("list", "/list/", "shop"), route("quote", "/quote/", "quotes")],
-                           [service(name) for name in services])
-    time.sleep(VISIBLE_S + 2)
-    added = deployment.start_process(share=0.12)
-    if not deployment.wait_ready([added]):
-        finish(deployment, NOT_RUN, "the added process did not get ready")
-    time.sleep(CONTACT_S + 2)
-    begun = {task.split(".")[0] for _, _, task, _ in deployment.fleet.starts}
-    waiting = len([job for job in jobs if job not in begun])
-    counts = {}
-    for _ in range(3):
-        for process in [added] + strong:
-            status, answer = process.call("GET", "/ident/")
-            if status != 200:
-                finish(deployment, NOT_RUN, "no count: %s %s" % (status, answer))
-            counts.setdefault(process.name, []).append(answer["pending"])
-        time.sleep(1)
-    deployment.record.write("%d jobs were accepted and have not begun; counts: %s" % (waiting, counts))
-    wrong = [name for name, values in counts.items() if 2 * max(values) < waiting]
-    if wrong:
-        finish(deployment, BROKEN, "MIXED: %s gives %s as pending, %d jobs wait" % (wrong, [counts[name] for name in wrong], waiting))
-    finish(deployment, HELD, "all machines count at least half of %d: %s" % (waiting, counts))
+    time.sleep(4)
+    broken = []
+
+    def watch(run, executor):
+        for other in executors:
+            if run.task in other.running and other is not executor:
+                broken.append("%s run %d starts on %s while it runs on %s" % (run.task, run.run, executor.name, other.name))
+            elif run.task in other.noted:
+                broken.append("%s run %d starts on %s; run %d has ended done on %s, and that has been taken note of" % (
+                    run.task, run.run, executor.name, other.noted[run.task], other.name))
+
+    for executor in executors:
+        executor.on_start = lambda run, executor=executor: watch(run, executor)
+    end_listed = threading.Event()
+    hold = target.hold
+
+    def hold_and_tell(request):
+        answer = hold(request)
+        if answer and answer[1]["ended_runs"]:
+            end_listed.set()
+        return answer
+
+    target.hold = hold_and_tell
+    step = {"count": 1, "cpu": 2000, "mem_mb": 1000, "estimate_ms": 100, "requires": "b"}
+    accepted = 0
+    for number in range(ROUNDS):
+        end_listed.clear()
+        for front, kind in ((fronts[0], 0), (fronts[1], 1)):
+            job = "%06x%010x" % (0x9a0 + kind, number)
+            accepted += deployment.submit(front, "/ident/", job, [step], [{"work_s": WORK_S}])[0] == 200
+            if kind == 0:
+                end_listed.wait(4)
+                time.sleep(0.003)
+                if TROUBLE:
+                    target.crash()
+                down_at = time.monotonic()
+                time.sleep(HANDED_IN_S)
+        time.sleep(max(0.0, down_at + DARK_S - time.monotonic()))
+        if TROUBLE:
+            target.restart()
+        time.sleep(4.5)
+        if broken:
+            break
+    if accepted <= number:
+        finish(deployment, NOT_RUN, "only %d jobs were accepted" % accepted)
+    if broken:
+        finish(deployment, BROKEN, "TWICE: %d work items; the first: %s" % (len(broken), broken[0]))
+    finish(deployment, HELD, "no work item of %d jobs has run twice" % accepted)
 
 
 main()
--- a/review/standin-2/harness.py
+++ b/review/standin-2/harness.py
@@ -165,6 +165,9 @@
         self.boot_time = time.monotonic()
         self.token, self.lease_until, self.last_end = 0, 0, 0
         self.running, self.highest, self.ended, self.last_taken_note = {}, {}, [], 0
+        # Number of the last end before the lease lapsed, and the ends `done` that have been taken note of.
+        self.last_end_before_lapse, self.noted, self.listed = 0, {}, set()
+        self.is_up = True
         # Called with each run that starts; sets its field `fails`.
         self.on_start = lambda run: None
         # Called with path and request; returns None to handle the call, or the seconds after which it is carried out without an answer.
@@ -173,14 +176,37 @@
         self.advertised = self.address
         threading.Thread(target=self.heartbeat_loop, daemon=True).start()
 
+    def crash(self):
+        """Ends all that runs here; the executor answers nothing until restart()."""
+        with self.fleet.lock:
+            self.is_up, self.running = False, {}
+            self.fleet.lock.notify_all()
+        self.fleet.record.write("%s: crashes" % self.name)
+
+    def restart(self):
+        """Starts the executor again under its id; it knows nothing of before."""
+        with self.fleet.lock:
+            self.boot_id, self.boot_time = int(time.time() * 1000), time.monotonic()
+            self.token, self.lease_until, self.last_end, self.last_end_before_lapse = 0, 0, 0, 0
+            self.running, self.highest, self.ended, self.last_taken_note = {}, {}, [], 0
+            self.is_up = True
+        self.fleet.record.write("%s: is up again" % self.name)
+
     def heartbeat_loop(self):
         sequence = 0
+        known_boot = 0
         while True:
             sequence += 1
+            # After a start the first entry follows at once.
+            if not self.is_up or (known_boot == self.boot_id and time.monotonic() < next_at):
+                time.sleep(0.02)
+                continue
+            if known_boot not in (0, self.boot_id):
+                time.sleep(0.05)
+            known_boot, next_at = self.boot_id, time.monotonic() + HEARTBEAT_S
             self.fleet.store.append_record("keyed.servers", self.name, {
                 "service": self.service, "address": self.advertised, "zone": "z-a", "version": "1", "slots": 8, "state": "ready", "cold_left_ms": 0,
                 "born": self.boot_id, "machine": "m-" + self.name, "sequence": sequence, "capacity": self.capacity, "labels": self.labels})
-            time.sleep(HEARTBEAT_S)
 
     def clock(self):
         return int((time.monotonic() - self.boot_time) * 1000) + 1000
@@ -190,6 +216,7 @@
 
     def advance(self, now):
         if self.lease_until < self.clock():
+            self.last_end_before_lapse = self.last_end
             for run in self.running.values():
                 run.end_at(now, "lapsed")
         for run in [run for run in self.running.values() if run.ends_at is not None and run.ends_at <= now]:
@@ -203,6 +230,8 @@
 
     def respond(self, path, _query, body, call):
         request = json.loads(body or b"{}")
+        if not self.is_up:
+            return None
         if call.headers.get("X-Expect-Instance", self.name) != self.name:
             return 421, {}
         delay_s = self.delay_of(path, request)
@@ -262,20 +291,95 @@
         if "until_ms" in request:
             self.extend(request["until_ms"])
         self.last_taken_note = max(self.last_taken_note, request.get("last_seen", 0))
+        for number, task, run, outcome, _ in self.ended:
+            if outcome == "done" and self.last_end_before_lapse < number <= request.get("last_seen", 0):
+                self.noted[task] = run
+                if (self.boot_id, number) not in self.listed:
+                    self.fleet.record.write("%s: a /hold with last_seen %d takes note of end %d, run %d of %s, which was never listed" % (
+                        self.name, request["last_seen"], number, run, task))
         self.ended = [end for end in self.ended if end[0] > request.get("last_seen", 0)]
-        deadline = time.monotonic() + request.get("wait_ms", 0) / 1000
-        while not self.ended and time.monotonic() < deadline:
+        deadline, boot_id = time.monotonic() + request.get("wait_ms", 0) / 1000, self.boot_id
+        while not self.ended and time.monotonic() < deadline and self.is_up and self.boot_id == boot_id:
             self.fleet.lock.wait(deadline - time.monotonic())
+        if not self.is_up or self.boot_id != boot_id:
+            return None
+        self.listed.update((self.boot_id, end[0]) for end in self.ended[:500])
         rows = [[run.task, run.run, run.checkpoint, 100 if run.begun_at else 0, 0] for run in self.running.values()]
         return 200, {"clock_ms": self.clock(), "born": self.boot_id, "running": rows, "ended_runs": self.ended[:500]}
 
 
+class Line:
+    """The network in front of an executor that crashes and starts again: a loopback proxy.
+
+    A connection from before a crash stays open and silent. What is sent on it is lost; a copy of it, sent again as TCP does (0.2, 0.6 or 1.4 s after
+    it was sent), reaches the next boot, which does not know the connection and resets it. What is sent on a connection that is opened while the executor is
+    down is lost.
+    """
+
+    RESENT_AFTER_S = (0.2, 0.6, 1.4)
+
+    def __init__(self, executor):
+        self.executor = executor
+        host, port = executor.address.split(":")
+        self.target = (host, int(port))
+        listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        executor.advertised = "127.0.0.1:%d" % listener.getsockname()[1]
+        threading.Thread(target=self.accept_loop, args=(listener,), daemon=True).start()
+
+    def accept_loop(self, listener):
+        while True:
+            client, _ = listener.accept()
+            threading.Thread(target=self.forward, args=(client, self.executor.boot_id if self.executor.is_up else -1), daemon=True).start()
+
+    def forward(self, client, boot_id):
+        server = None
+        try:
+            while data := client.recv(65536):
+                sent_at = time.monotonic()
+                if not self.executor.is_up or self.executor.boot_id != boot_id:
+                    if boot_id != -1:
+                        self.reset(client, sent_at)
+                        return
+                    continue
+                if server is None:
+                    server = socket.create_connection(self.target, 2)
+                    threading.Thread(target=self.backward, args=(server, client, boot_id), daemon=True).start()
+                server.sendall(data)
+        except OSError:
+            # The other side has closed the connection.
+            pass
+        finally:
+            client.close()
+
+    def reset(self, client, sent_at):
+        for delay_s in self.RESENT_AFTER_S:
+            time.sleep(max(0.0, sent_at + delay_s - time.monotonic()))
+            if self.executor.is_up:
+                break
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+
+    def backward(self, server, client, boot_id):
+        try:
+            while data := server.recv(65536):
+                if self.executor.is_up and self.executor.boot_id == boot_id:
+                    client.sendall(data)
+            if self.executor.is_up and self.executor.boot_id == boot_id:
+                client.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The caller has closed the connection.
+            pass
+        finally:
+            server.close()
+
+
 class Process:
     """A scheduler process, started with the command of the deploy file."""
 
     def __init__(self, number, store_address, folder, record, share=0.25, partitions=8, log_folder=None):
         self.name, self.record, self.folder = "front-z-a-%d" % number, record, folder
-        self.front, self.ready, self.metrics = free_port(), free_port(), free_port()
+        # An address of its own, so that no outgoing connection of another process takes one of its ports.
+        self.host = "127.%d.%d.%d" % (30 + (os.getpid() >> 8) % 200, os.getpid() % 256, number)
+        self.front, self.ready, self.metrics = free_port(self.host), free_port(self.host), free_port(self.host)
         self.settings = os.path.join(folder, self.name + ".json")
         bounds = {"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000, "grace_s": 6,
                   "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_stretch_ms": 5000, "recover_s": 12, "max_hold_ms": MAX_HOLD_MS,
@@ -283,8 +387,8 @@
                   "cross_rack_factor": 3, "checkpoint_s": 0.5, "restore_ms": 600, "notice_ms": 4500, "move_s": 1.5, "maintenance_s": 2,
                   "enforce_fencing": True, "lease_ms": 3000, "thaw_ms": 300, "pace_ms": 100, "harm_ms": 4000}
         with open(self.settings, "w") as file:
-            json.dump({"node": self.name, "role": "scheduler", "machine_class": "front", "serves": ["front"], "ip": "127.0.0.1", "zone": "z-a", "region": "r",
-                       "zones": {"z-a": "r"}, "listen": {"front": "127.0.0.1:%d" % self.front, "ready": "127.0.0.1:%d" % self.ready},
+            json.dump({"node": self.name, "role": "scheduler", "machine_class": "front", "serves": ["front"], "ip": self.host, "zone": "z-a", "region": "r",
+                       "zones": {"z-a": "r"}, "listen": {"front": "%s:%d" % (self.host, self.front), "ready": "%s:%d" % (self.host, self.ready)},
                        "port_range": [self.metrics, self.metrics], "seeds": [], "bootstrap": True, "counts_as_loss": False,
                        "limits": {"cpu_share": share, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0}, "data_dir": None,
                        "discovery": "platform", "entry": "vip", "heartbeat_ms": int(HEARTBEAT_S * 1000),
@@ -309,7 +413,7 @@
 
     def is_ready(self):
         try:
-            connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=1)
+            connection = http.client.HTTPConnection(self.host, self.ready, timeout=1)
             connection.request("GET", "/ready")
             return connection.getresponse().status == 200
         except OSError:
@@ -317,7 +421,7 @@
 
     def call(self, method, path, body=None, host="shop.example", timeout_s=3.0):
         """Sends a client's request; returns the status and the decoded body, or (None, None) without an answer."""
-        connection = http.client.HTTPConnection("127.0.0.1", self.front, timeout=timeout_s)
+        connection = http.client.HTTPConnection(self.host, self.front, timeout=timeout_s)
         try:
             connection.request(method, path, None if body is None else json.dumps(body),
                                {"Host": host, "Content-Type": "application/json", "X-Deadline-Ms": str(int(timeout_s * 1000))})
@@ -332,7 +436,7 @@
         return answer
 
     def state(self):
-        connection = http.client.HTTPConnection("127.0.0.1", self.metrics, timeout=2)
+        connection = http.client.HTTPConnection(self.host, self.metrics, timeout=2)
         connection.request("GET", "/state")
         return json.loads(connection.getresponse().read())
 
