--- a/review/8/case.py
+++ b/review/8/case.py
@@ -21,7 +21,7 @@
 
 
 def main():
-    deployment = Deployment(HERE)
+    deployment = Deployment(HERE, sys.argv[1])
     services = ["desk", "shop", "quotes"]
     others = [route("list", "/list/", "shop"), route("quote", "/quote/", "quotes")]
     deployment.publish([route("ident", "/ident/", "desk")] + others, [service(name) for name in services])
