--- a/review/9/case.py
+++ b/review/9/case.py
@@ -17,7 +17,7 @@
 
 
 def main():
-    deployment = Deployment(HERE)
+    deployment = Deployment(HERE, sys.argv[1])
     deployment.publish([route("ident", "/ident/", "desk")], [service("desk")])
     executors = []
     for number in range(EXECUTORS):
