--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -11,6 +11,7 @@
 
 #include <mangocourse/clock.h>
 #include <mangocourse/execution.h>
+#include <mangocourse/fencing.h>
 #include <mangocourse/fleetconfig.h>
 #include <mangocourse/fleetplanner.h>
 #include <mangocourse/placementrank.h>
@@ -179,11 +180,14 @@
 class PoolScheduler
 {
 public:
-    // `token` is the fencing token against previous owners. Run numbers start above `runNumberBase`, which rises with each takeover.
-    // Until `previousLeasesExpireAt`, runs of a previous owner may be active on executors that do not answer. Returns InvalidArgument if
-    // the lease length is not positive or exceeds the maximum.
+    // `tokens` are shared by all schedulers of the owner, as an executor may change pools. Run numbers start above `runNumberBase`, which rises with
+    // each takeover. Until `previousLeasesExpireAt`, runs of a previous owner may be active on executors that do not answer. Returns InvalidArgument if
+    // the lease length is not positive or exceeds the maximum, or if there are no tokens.
+    static Result<std::unique_ptr<PoolScheduler>> create(ServiceId service, SchedulerSettings settings, std::shared_ptr<FencingTokens> tokens,
+        std::int64_t runNumberBase, TimePoint previousLeasesExpireAt);
+    // As above, with tokens of its own for the ownership token.
     static Result<std::unique_ptr<PoolScheduler>> create(
-        ServiceId service, SchedulerSettings settings, std::int64_t token, std::int64_t runNumberBase, TimePoint previousLeasesExpireAt);
+        ServiceId service, SchedulerSettings settings, std::int64_t ownershipToken, std::int64_t runNumberBase, TimePoint previousLeasesExpireAt);
     ~PoolScheduler();
 
     void setObserver(std::function<void(const SchedulerEvent &)> observer);
@@ -223,6 +227,10 @@
     // Returns true if the order may still be sent; call it right before sending. Otherwise the run is removed as never started.
     bool confirmStart(const StartOrder &order, const PoolWatermarks &watermarks, TimePoint now);
 
+    // Returns true if a call with the fencing token can have been refused because a later call of this owner has overtaken it, so that the refusal does
+    // not prove that another owner has taken over.
+    bool isOvertaken(const ExecutorId &executor, std::int64_t fencingToken) const;
+
     // Returns the renewal to send to the executor now, or nothing if none is needed. Records the lease and the acknowledgement as sent.
     std::optional<RenewalPlan> renewal(const ExecutorKey &executor, TimePoint now, TimePoint expiresAt) const;
     std::vector<ExecutorKey> executors() const;
@@ -256,8 +264,8 @@
     // Call it once everything that takeChangedJobs() returned so far is durable.
     void markPersisted();
     bool hasChanges() const;
-    // Returns true while ended runs of the executor are not durable yet; a renewal would only report them again.
-    bool hasUnpersistedEnds(const ExecutorKey &executor) const;
+    // Returns true while ended runs of the executor can't be acknowledged yet; a renewal would only report them again.
+    bool hasUnacknowledgeableEnds(const ExecutorKey &executor, TimePoint now) const;
     // Returns true if a change should be stored at once: a start intent, or the end of a job.
     bool hasUrgentChange() const;
 
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -47,6 +47,11 @@
     return executor.isListed && executor.mayHoldPreviousRuns && !isAsked;
 }
 
+TimePoint PoolScheduler::Private::previousCallsEndAt() const
+{
+    return this->previousLeasesExpireAt == TimePoint{} ? TimePoint{} : after(this->previousLeasesExpireAt, maxCallDuration - this->settings.maxLeaseLength);
+}
+
 bool PoolScheduler::Private::arePreviousRunsKnown(TimePoint now) const
 {
     for (const auto &[key, executor] : this->executors) {
@@ -98,7 +103,7 @@
         const bool isDue = run.stopSentAt == TimePoint{} || now - run.stopSentAt > stopRetryInterval;
         if (run.phase == RunPhase::Stopping && !run.isStopConfirmed && isDue) {
             run.stopSentAt = now;
-            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, run.number, this->token}});
+            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, run.number, this->tokens->current(executor.info.id)}});
         }
     }
 }
@@ -129,7 +134,7 @@
         if (now - orphan.second > stopRetryInterval) {
             orphan.second = now;
             this->emitEvent("stop_requested", id, executor, orphan.first, "its job has ended or is unknown");
-            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, orphan.first, this->token}});
+            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, orphan.first, this->tokens->current(executor.info.id)}});
         }
     }
 }
@@ -161,7 +166,7 @@
         if (wanted != run.pacePercent) {
             const std::int32_t previous = std::exchange(run.pacePercent, wanted);
             run.pacedAt = now;
-            this->orders.paces.push_back(PaceOrder{executor.info, PaceRun{id, run.number, this->token, wanted}, previous});
+            this->orders.paces.push_back(PaceOrder{executor.info, PaceRun{id, run.number, this->tokens->current(executor.info.id), wanted}, previous});
         }
     }
 }
@@ -228,6 +233,11 @@
     return known != this->upcomingMaintenance.end() && WallTime(milliseconds(executor.info.incarnation)) < known->second;
 }
 
+bool PoolScheduler::isOvertaken(const ExecutorId &executor, std::int64_t fencingToken) const
+{
+    return fencingToken < this->d->tokens->current(executor);
+}
+
 std::optional<RenewalPlan> PoolScheduler::renewal(const ExecutorKey &key, TimePoint now, TimePoint expiresAt) const
 {
     Executor *executor = this->d->find(key);
@@ -243,9 +253,12 @@
         return std::nullopt;
     }
     // An acknowledgement that the executor has received is not repeated: its next incarnation would forget ends of its own up to that number.
-    executor->sentEnd = hasEnds ? executor->persistedEnd : 0;
-    executor->acknowledgementSentAt = hasEnds ? now : executor->acknowledgementSentAt;
-    RenewalPlan plan{executor->info, LeaseRenewal{this->d->token, executor->sentEnd, std::nullopt, milliseconds::zero()}, renewalRetryDelay};
+    executor->sentEnd = hasEnds && this->d->canAcknowledge(*executor, now) ? executor->persistedEnd : 0;
+    RenewalPlan plan{
+        executor->info, LeaseRenewal{this->d->tokens->current(key.id), executor->sentEnd, std::nullopt, milliseconds::zero()}, renewalRetryDelay};
+    if (executor->sentEnd > 0) {
+        this->d->tokens->raise(key.id);
+    }
     if (executor->isContacted && !hasWork && !hasEnds) {
         plan.retryDelay = probeInterval;
     }
@@ -260,6 +273,10 @@
         plan.renewal.until = this->d->computeLeaseExpiry(*executor, now, expiresAt);
         this->d->extendLease(*executor, *plan.renewal.until, now);
     }
+    if (hasEnds) {
+        // An executor that waits may restart meanwhile, and would acknowledge ends of its next incarnation.
+        return plan;
+    }
     const bool isWatched = std::any_of(executor->runs.begin(), executor->runs.end(), [](const auto &entry) {
         return entry.second.phase != RunPhase::Running || entry.second.isBestEffort || (entry.second.isLongRunning && entry.second.percent < 100);
     });
--- a/src/libmangocourse/poolrestarts.cpp
+++ b/src/libmangocourse/poolrestarts.cpp
@@ -49,24 +49,21 @@
     }
 }
 
-void PoolScheduler::Private::recordStrayAcknowledgement(const Executor &executor)
+bool PoolScheduler::Private::canAcknowledge(const Executor &executor, TimePoint now) const
 {
-    if (executor.acknowledgementSentAt == TimePoint{}) {
-        return;
-    }
-    const ExecutorKey key = executor.key();
-    TimePoint &end = this->strayAcknowledgementEnds[key.id];
-    end = std::max(end, after(executor.acknowledgementSentAt, maxCallDuration));
-    for (auto next = this->executors.upper_bound(key); next != this->executors.end() && next->first.id == key.id; ++next) {
-        next->second.avoidedUntil = std::max(next->second.avoidedUntil, end);
-        this->emitEvent("executor_avoided", ItemId{}, next->second, 0, strayAcknowledgementReason);
+    if (now < executor.acknowledgeableFrom || this->unsettledStarts.contains(executor.info.id)) {
+        return false;
     }
+    return std::none_of(executor.runs.begin(), executor.runs.end(), [](const auto &entry) {
+        return entry.second.isStartInFlight || !entry.second.isConfirmed;
+    });
 }
 
 void PoolScheduler::Private::endIncarnation(Executor &executor, TimePoint endedBy, bool mayReturn, const char *reason)
 {
     this->dropRuns(executor, endedBy, reason);
-    this->recordStrayAcknowledgement(executor);
+    // What is still on its way to this incarnation must not follow the calls to the next one.
+    this->tokens->raise(executor.info.id);
     executor.hasEnded = true;
     executor.isListed = false;
     executor.orphans.clear();
@@ -109,7 +106,6 @@
         return entry.second < now;
     };
     std::erase_if(this->strayLeaseEnds, isOver);
-    std::erase_if(this->strayAcknowledgementEnds, isOver);
     for (auto unsettled = this->unsettledStarts.begin(); unsettled != this->unsettledStarts.end();) {
         // The last of the incarnations with the id is the one that is up.
         auto newest = this->executors.upper_bound(ExecutorKey{unsettled->first, std::numeric_limits<std::int64_t>::max()});
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -22,15 +22,24 @@
 PoolScheduler::~PoolScheduler() = default;
 
 Result<std::unique_ptr<PoolScheduler>> PoolScheduler::create(
-    ServiceId service, SchedulerSettings settings, std::int64_t token, std::int64_t runNumberBase, TimePoint previousLeasesExpireAt)
+    ServiceId service, SchedulerSettings settings, std::int64_t ownershipToken, std::int64_t runNumberBase, TimePoint previousLeasesExpireAt)
 {
+    return create(std::move(service), settings, std::make_shared<FencingTokens>(ownershipToken), runNumberBase, previousLeasesExpireAt);
+}
+
+Result<std::unique_ptr<PoolScheduler>> PoolScheduler::create(ServiceId service, SchedulerSettings settings, std::shared_ptr<FencingTokens> tokens,
+    std::int64_t runNumberBase, TimePoint previousLeasesExpireAt)
+{
+    if (!tokens) {
+        return makeError(ErrorCode::InvalidArgument, "must be given", "tokens");
+    }
     if (settings.leaseLength <= milliseconds::zero() || settings.maxLeaseLength < settings.leaseLength) {
         return makeError(ErrorCode::InvalidArgument, "must be positive and at most maxLeaseLength", "leaseLength");
     }
     auto impl = std::make_unique<Private>();
     impl->service = std::move(service);
     impl->settings = settings;
-    impl->token = token;
+    impl->tokens = std::move(tokens);
     impl->runNumberBase = runNumberBase;
     impl->previousLeasesExpireAt = previousLeasesExpireAt;
     return std::unique_ptr<PoolScheduler>(new PoolScheduler(std::move(impl)));
@@ -90,9 +99,8 @@
             if (const auto stray = this->d->strayLeaseEnds.find(key.id); stray != this->d->strayLeaseEnds.end()) {
                 executor.leaseEnd = std::max(executor.leaseEnd, stray->second);
             }
-            if (const auto stray = this->d->strayAcknowledgementEnds.find(key.id); stray != this->d->strayAcknowledgementEnds.end()) {
-                executor.avoidedUntil = stray->second;
-                this->d->emitEvent("executor_avoided", ItemId{}, executor, 0, strayAcknowledgementReason);
+            if (recorded != this->d->executorsOfPreviousOwners.end() && recorded->id == key.id) {
+                executor.acknowledgeableFrom = this->d->previousCallsEndAt();
             }
             this->d->isExecutorSetChanged = true;
             this->d->pendingRenewals.insert(key);
@@ -149,7 +157,7 @@
         if (executor.isRecorded || executor.isSilenceRecorded) {
             this->d->endedExecutors.push_back(known->first);
         }
-        this->d->recordStrayAcknowledgement(executor);
+        this->d->tokens->raise(known->first.id);
         this->d->index.remove(executor);
         this->d->isExecutorSetChanged = true;
         // Makes the caller end its renewal loop for the executor.
@@ -337,7 +345,6 @@
     }
     executor->upAt = std::max(executor->upAt, sentAt);
     executor->acknowledgedEnd = std::max(executor->acknowledgedEnd, executor->sentEnd);
-    executor->acknowledgementSentAt = TimePoint{};
     this->d->recordClock(*executor, report.clock, now);
     for (const ReportedEnd &end : report.ended) {
         if (end.number > executor->processedEnd) {
@@ -407,6 +414,7 @@
             this->d->requestStop(*executor, state, "the start order got no reply");
         } else if (state.phase == RunPhase::Stopping && ((state.isStopConfirmed && report.isComplete) || (listsEverything && sentAt > state.startableUntil))) {
             this->d->emitEvent("run_lost", state.item, *executor, state.number, "it never started");
+            executor->acknowledgeableFrom = std::max(executor->acknowledgeableFrom, after(now, maxCallDuration));
             this->d->removeRun(*executor, current);
         } else if (state.phase == RunPhase::Running && state.isLongRunning && listsEverything) {
             // A run that lasts restarts however it ended. A finite one may have ended done, so it is left to the check for stalls.
@@ -432,6 +440,9 @@
     Executor *executor = this->d->find(key);
     run->orderResolvedAt = now;
     run->isStartInFlight = false;
+    if (executor->acknowledgedEnd < executor->persistedEnd) {
+        this->d->pendingRenewals.insert(key);
+    }
     switch (reply.outcome) {
     case OrderOutcome::Done:
         if (run->phase == RunPhase::Starting) {
@@ -482,6 +493,9 @@
     if (run != nullptr && reply.outcome == OrderOutcome::Done) {
         run->isStopConfirmed = true;
         run->orderResolvedAt = now;
+    } else if (run != nullptr && reply.outcome == OrderOutcome::Fenced) {
+        // A later call has overtaken the order, so that it is sent again at once.
+        run->stopSentAt = TimePoint{};
     }
 }
 
@@ -643,10 +657,14 @@
     return !this->d->changedJobs.empty();
 }
 
-bool PoolScheduler::hasUnpersistedEnds(const ExecutorKey &executor) const
+bool PoolScheduler::hasUnacknowledgeableEnds(const ExecutorKey &executor, TimePoint now) const
 {
     const Executor *known = this->d->find(executor);
-    return known != nullptr && known->persistedEnd < known->processedEnd;
+    if (known == nullptr) {
+        return false;
+    }
+    const bool areEndsPersisted = known->persistedEnd >= known->processedEnd;
+    return !areEndsPersisted || (known->acknowledgedEnd < known->persistedEnd && !this->d->canAcknowledge(*known, now));
 }
 
 bool PoolScheduler::hasUrgentChange() const
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -17,8 +17,6 @@
 inline constexpr std::chrono::milliseconds adoptedLeaseMargin{60};
 // A call to an executor is given up after this time.
 inline constexpr std::chrono::milliseconds maxCallDuration{2200};
-// Why a restarted executor gets no starts for a while.
-inline constexpr const char *strayAcknowledgementReason = "an acknowledgement to an earlier incarnation may reach it";
 // Nothing starts with a lease shorter than this.
 inline constexpr std::chrono::milliseconds minStartLease{400};
 
@@ -119,8 +117,8 @@
     // Acknowledgements in the renewal in flight and in the last successful one.
     std::int64_t sentEnd = 0;
     std::int64_t acknowledgedEnd = 0;
-    // Time of the last renewal with an acknowledgement, unless the executor has answered since.
-    TimePoint acknowledgementSentAt{};
+    // Nothing is acknowledged before, as a start order that the executor has not carried out may still reach its next incarnation.
+    TimePoint acknowledgeableFrom{};
     // Jobs of which an item failed on this executor, and on no other one, since the executor's last success.
     std::set<JobId> failedJobs;
     // Smoothed ratio of actual to expected run time, relative to the queue's ratio.
@@ -321,7 +319,7 @@
 
     ServiceId service;
     SchedulerSettings settings;
-    std::int64_t token = 0;
+    std::shared_ptr<FencingTokens> tokens;
     std::int64_t runNumberBase = 0;
     // Starts are held because the watermarks are too old.
     bool areStartsHeld = false;
@@ -337,8 +335,6 @@
     std::map<ExecutorId, std::vector<UnsettledStart>> unsettledStarts;
     // Latest ends of the leases that calls to ended incarnations can have given to the next ones with their ids.
     std::map<ExecutorId, TimePoint> strayLeaseEnds;
-    // Latest times at which an acknowledgement to an ended incarnation can reach the next one with the id.
-    std::map<ExecutorId, TimePoint> strayAcknowledgementEnds;
     std::map<ExecutorKey, PreviousExecutor> previousExecutors;
     // All executors that previous owners recorded, also those whose leases are over.
     std::set<ExecutorKey> executorsOfPreviousOwners;
@@ -421,9 +417,9 @@
     static bool mayBeOnNextIncarnation(const Executor &executor, const Run &run);
     // Records that a call which extends the lease may have reached the next incarnation instead of the one that it was sent to.
     void recordStrayLease(const ExecutorKey &sentTo, OrderOutcome outcome, TimePoint now);
-    // Keeps the next incarnations from getting starts while an acknowledgement to this one may reach them: they would forget ends that nobody has
-    // read, and their items would run again.
-    void recordStrayAcknowledgement(const Executor &executor);
+    // Returns true if no start order that was sent before can still be carried out by a next incarnation. An acknowledgement that reaches that incarnation
+    // after the run has ended makes it forget an end that nobody has read; one that is overtaken by a later start is refused, as its token is lower.
+    bool canAcknowledge(const Executor &executor, TimePoint now) const;
     // Returns true if the reply can come from the next incarnation, as far as its clock tells.
     static bool mayBeFromNextIncarnation(const Executor &executor, const OrderReply &reply, TimePoint now);
     // Gives up the runs of an incarnation or lease that ended at `endedBy` at the latest.
@@ -490,6 +486,8 @@
     void startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, const PlacementRound &round);
     std::chrono::milliseconds computeLeaseExpiry(const Executor &executor, TimePoint now, TimePoint expiresAt) const;
     void extendLease(Executor &executor, std::chrono::milliseconds until, TimePoint now) const;
+    // Returns the time by which all calls of previous owners have ended.
+    TimePoint previousCallsEndAt() const;
     // Returns true if the executor was reached, or no run of a previous owner can be active there.
     bool arePreviousRunsOver(const ExecutorKey &key, const PreviousExecutor &previous, TimePoint now) const;
     // Returns true if the executor may hold runs or ends of a previous owner that this owner does not know.
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -32,7 +32,7 @@
         return nullptr;
     }
     Result<std::unique_ptr<PoolScheduler>> pool
-        = PoolScheduler::create(service, this->owner.settings.scheduler, this->token, this->runNumberBase, this->previousLeasesExpireAt);
+        = PoolScheduler::create(service, this->owner.settings.scheduler, this->fencingTokens, this->runNumberBase, this->previousLeasesExpireAt);
     if (!pool) {
         this->owner.log.emit("pool_failed", {{"service", service.value}, {"reason", describe(pool.error())}}, EventPriority::Essential);
         return nullptr;
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -19,6 +19,7 @@
         : owner(owner)
         , partition(partition)
         , token(token)
+        , fencingTokens(std::make_shared<FencingTokens>(token))
         , progressRecords(owner.store)
         , planRequested(owner.context)
         , persistRequested(owner.context)
@@ -28,6 +29,7 @@
     OwnerContext owner;
     std::int32_t partition;
     std::int64_t token;
+    std::shared_ptr<FencingTokens> fencingTokens;
     std::int64_t sequence = 0;
     std::int64_t runNumberBase = 0;
     bool isStopped = false;
@@ -141,6 +143,8 @@
     net::awaitable<void> send(PoolScheduler *pool, StopOrder order);
     net::awaitable<void> send(PoolScheduler *pool, PaceOrder order);
     void dispatch(PoolScheduler *pool, SchedulerOrders orders);
+    // Ends the ownership if the executor refused the call because of another owner.
+    void checkFence(const PoolScheduler &pool, const ExecutorId &executor, std::int64_t fencingToken, OrderOutcome outcome);
     // Starts lease renewals for executors that have none yet.
     void startRenewals(PoolScheduler *pool);
     // Wakes the renewals that have something to send.
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -28,8 +28,8 @@
 constexpr int planRestFactor = 3;
 constexpr milliseconds maxPlanDelay{40};
 constexpr milliseconds renewalDelay{10};
-// Maximum time to wait for reported ends to become durable before the executor is asked again.
-constexpr milliseconds maxUnpersistedEndsWait{400};
+// Maximum time to wait until reported ends can be acknowledged before the executor is asked again.
+constexpr milliseconds maxAcknowledgementWait{400};
 constexpr milliseconds idleRenewalInterval{3000};
 // Runs of an earlier owner may outlast the lease limit by this much because of slow clocks and rounding.
 constexpr milliseconds previousLeasesMargin{350};
@@ -459,15 +459,14 @@
         co_return;
     }
     const OrderReply reply = co_await this->state.owner.executors.start(order.executor, order.run);
-    if (reply.outcome == OrderOutcome::Fenced) {
-        this->state.markFenced("executor");
-    }
+    this->checkFence(*pool, key.id, order.run.token, reply.outcome);
     this->state.owner.log.emit("run_start",
         {{"job", order.run.item.job.value}, {"occurrence", std::int64_t(order.run.item.occurrence)}, {"step", std::int64_t(order.run.item.step)},
             {"index", std::int64_t(order.run.item.index)}, {"run", order.run.run}, {"executor", order.executor.id.value}, {"token", order.run.token},
             {"outcome", toString(reply.outcome)}, {"repeat_outcome", reply.repeatOutcome ? toString(*reply.repeatOutcome) : ""},
             {"view_age_ms", elapsedMs(order.watermarks.requestWatermark, order.decidedAt)}, {"order_wait_ms", elapsedMs(order.decidedAt, sentAt)}});
     pool->onStarted(key, order.run, reply, sentAt, bootNow());
+    this->wakeRenewals();
     if (reply.outcome != OrderOutcome::Done) {
         this->state.planRequested.notify();
     }
@@ -477,9 +476,7 @@
 {
     const ExecutorKey key{order.executor.id, order.executor.incarnation};
     const OrderReply reply = co_await this->state.owner.executors.stop(order.executor, order.run);
-    if (reply.outcome == OrderOutcome::Fenced) {
-        this->state.markFenced("executor");
-    }
+    this->checkFence(*pool, key.id, order.run.token, reply.outcome);
     pool->onStopped(key, order.run, reply, bootNow());
 }
 
@@ -487,15 +484,26 @@
 {
     const ExecutorKey key{order.executor.id, order.executor.incarnation};
     const OrderReply reply = co_await this->state.owner.executors.pace(order.executor, order.run);
-    if (reply.outcome == OrderOutcome::Fenced) {
-        this->state.markFenced("executor");
-    }
+    this->checkFence(*pool, key.id, order.run.token, reply.outcome);
     this->state.owner.log.emit("run_paced",
         {{"job", order.run.item.job.value}, {"index", std::int64_t(order.run.item.index)}, {"executor", order.executor.id.value},
             {"percent", std::int64_t(order.run.percent)}, {"outcome", toString(reply.outcome)}});
     pool->onPaced(key, order, reply, bootNow());
 }
 
+void ShardOwner::Tasks::checkFence(const PoolScheduler &pool, const ExecutorId &executor, std::int64_t fencingToken, OrderOutcome outcome)
+{
+    if (outcome != OrderOutcome::Fenced) {
+        return;
+    }
+    if (pool.isOvertaken(executor, fencingToken)) {
+        this->state.owner.log.emit("call_overtaken",
+            {{"executor", executor.value}, {"fencing_token", fencingToken}, {"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}});
+        return;
+    }
+    this->state.markFenced("executor");
+}
+
 net::awaitable<void> ShardOwner::Tasks::renewLeases(PoolScheduler *pool, ExecutorKey key, std::shared_ptr<Event> renewalRequested)
 {
     std::optional<ExecutorInfo> lastExecutor;
@@ -511,19 +519,21 @@
         }
         lastExecutor = plan->executor;
         const ExecutorReport report = co_await this->state.owner.executors.renew(plan->executor, plan->renewal);
-        if (report.outcome == OrderOutcome::Fenced) {
-            this->state.markFenced("executor");
-            break;
-        }
+        this->checkFence(*pool, key.id, plan->renewal.token, report.outcome);
         if (this->isEnded()) {
             break;
         }
+        if (report.outcome == OrderOutcome::Fenced) {
+            // Nothing was done, and the executor is up.
+            co_await sleepFor(this->state.owner.context, renewalDelay);
+            continue;
+        }
         pool->onReport(key, report, sentAt, bootNow(), wallNow());
         this->state.planRequested.notify();
         co_await sleepFor(this->state.owner.context, report.outcome == OrderOutcome::Done ? renewalDelay : plan->retryDelay);
-        const TimePoint deadline = bootNow() + maxUnpersistedEndsWait;
-        while (!this->isEnded() && pool->hasUnpersistedEnds(key) && bootNow() < deadline) {
-            co_await renewalRequested->waitFor(maxUnpersistedEndsWait);
+        const TimePoint deadline = bootNow() + maxAcknowledgementWait;
+        while (!this->isEnded() && pool->hasUnacknowledgeableEnds(key, bootNow()) && bootNow() < deadline) {
+            co_await renewalRequested->waitFor(maxAcknowledgementWait);
         }
     }
     if (lastExecutor) {
