--- a/src/include/mangocourse/job.h
+++ b/src/include/mangocourse/job.h
@@ -120,6 +120,16 @@
 };
 
 // A submission as it is stored, with the queue that accepted it, the service that runs it, and the time of acceptance.
+// The placement of a queue under which a job is stored.
+struct JobPlacement {
+    // Identifies what callers name the queue by: its host and path prefix.
+    std::string address;
+    // Revision of the configuration that has sent the queue to the partition.
+    std::int64_t revision = 0;
+
+    bool operator==(const JobPlacement &) const = default;
+};
+
 struct AcceptedJob {
     JobId id;
     QueueId queue;
@@ -128,6 +138,7 @@
     JobSpec spec;
     // Absent in records of earlier versions.
     std::optional<JobTerms> terms{};
+    std::optional<JobPlacement> placement{};
 };
 
 // Job states that callers can see.
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -45,15 +46,38 @@
     JobState state = JobState::Queued;
 };
 
+// A submission in the store.
+struct KnownSubmission {
+    QueueId queue;
+    std::optional<JobPlacement> placement;
+    std::int64_t offset = -1;
+};
+
 // The gateway's view of one partition.
 struct PartitionView {
+    // What the owner has stored; it proves that a job lives in the partition.
     std::unordered_map<JobId, KnownJob> progress;
     // Jobs accepted by this or any other gateway.
-    std::unordered_map<JobId, QueueId> accepted;
+    std::unordered_map<JobId, KnownSubmission> accepted;
+    // Sealed placements by their keys, and the offsets of the seals.
+    std::map<std::string, std::pair<JobPlacement, std::int64_t>> seals;
     std::set<JobId> cancelled;
     std::shared_ptr<BatchAppender> appender;
     std::unique_ptr<StreamReader> progressReader;
     std::unique_ptr<StreamReader> jobsReader;
+
+    bool isSealed(const JobPlacement &placement, std::int64_t offset) const
+    {
+        return std::any_of(this->seals.begin(), this->seals.end(), [&placement, offset](const auto &entry) {
+            const auto &[sealed, sealOffset] = entry.second;
+            return sealed.address == placement.address && sealed.revision >= placement.revision && sealOffset < offset;
+        });
+    }
+    // Returns true if the submission was stored after its placement was sealed, so that the owner moves it on.
+    bool isVoid(const KnownSubmission &submission) const
+    {
+        return submission.placement && this->isSealed(*submission.placement, submission.offset);
+    }
 };
 
 }
@@ -98,14 +122,23 @@
     net::awaitable<CallerReply> cancel(QueueConfig queue, JobId id, steady_clock::time_point deadline);
     net::awaitable<CallerReply> readJob(QueueConfig queue, JobId id);
     net::awaitable<CallerReply> readQueue(QueueConfig queue);
+    // Returns the partition that has the job. Only the owner's record proves that; without one, all partitions that may have the job are read to their ends.
     net::awaitable<PartitionView *> findJob(QueueConfig queue, JobId id, Result<void> &readResult);
     static std::optional<JobState> findState(const PartitionView &view, const JobId &id);
     // Appends a record of which earlier appends may be unsettled. If the store refuses this one, what it holds decides.
     net::awaitable<AppendResult> append(PartitionView &view, StoredRecord record, std::function<bool()> isStored, steady_clock::time_point deadline);
     // Reads the partition to its end. The event tells that this was tried.
     std::shared_ptr<Event> startReading(PartitionView &view);
-    // Returns the reply to a submission that cannot be stored now, or that another attempt may have stored; nothing if it can be stored.
-    net::awaitable<std::optional<CallerReply>> findConflict(QueueConfig queue, JobId id, steady_clock::time_point deadline);
+    // Returns the reply to a submission that cannot be stored now, or that another attempt may have stored; nothing if it can be stored under the
+    // placement that is set then.
+    net::awaitable<std::optional<CallerReply>> findConflict(
+        QueueConfig queue, Revision revision, JobId id, steady_clock::time_point deadline, JobPlacement &placement);
+    // Makes the queue's placement in the partition of its service the current one. Returns the reply if that is not possible.
+    net::awaitable<std::optional<CallerReply>> makePlacementCurrent(
+        QueueConfig queue, Revision revision, JobId id, steady_clock::time_point deadline, JobPlacement &placement);
+    // Seals all placements of the queue but the current one. Returns false if that is not confirmed before the deadline.
+    net::awaitable<bool> sealEarlierPlacements(QueueConfig queue, steady_clock::time_point deadline);
+    CallerReply refuseSubmission(const JobId &id, const QueueConfig &queue, bool isUnsettled, const char *reason, const std::string &error);
     // Makes the placements durable of the queues that the next configuration moves, as earlier versions store jobs without doing so.
     void recordMovedQueues(const FleetConfig &next);
     static net::awaitable<void> recordPlacements(
@@ -140,12 +173,18 @@
                                },
             [raw](const StoredRecord &record) {
                 const ParsedKey key = parseKey(record.key);
-                if (record.value.empty()) {
+                if (key.kind == KeyKind::Seal) {
+                    if (record.value.empty()) {
+                        raw->seals.erase(record.key);
+                    } else {
+                        raw->seals.emplace(record.key, std::pair(key.sealed, record.offset));
+                    }
+                } else if (record.value.empty()) {
                     raw->accepted.erase(key.job);
                 } else if (key.kind == KeyKind::Cancellation) {
                     raw->cancelled.insert(key.job);
                 } else if (const auto job = decodeAcceptedJob(key.job, record.value)) {
-                    raw->accepted.emplace(key.job, job->queue);
+                    raw->accepted.emplace(key.job, KnownSubmission{job->queue, job->placement, record.offset});
                 }
             }});
     return view;
@@ -228,25 +267,42 @@
 net::awaitable<PartitionView *> JobGateway::Private::findJob(QueueConfig queue, JobId id, Result<void> &readResult)
 {
     for (PartitionView *view : this->findViews(queue)) {
-        if (findState(*view, id)) {
+        if (view->progress.contains(id)) {
             co_return view;
         }
     }
-    readResult = co_await this->placements->refresh();
     for (PartitionView *view : this->findViews(queue)) {
+        if (view->accepted.contains(id)) {
+            const Result<void> read = co_await view->progressReader->catchUp();
+            if (read && view->progress.contains(id)) {
+                co_return view;
+            }
+        }
+    }
+    readResult = co_await this->placements->refresh();
+    const std::vector<PartitionView *> candidates = this->findViews(queue);
+    PartitionView *known = nullptr;
+    // The current partition is read last, as void records are moved there.
+    for (auto candidate = candidates.rbegin(); candidate != candidates.rend(); ++candidate) {
+        PartitionView *view = *candidate;
         Result<void> read = co_await view->progressReader->catchUp();
-        if (read && !findState(*view, id)) {
+        if (read && !view->progress.contains(id)) {
             // The owner may not have written any progress for the job yet.
             read = co_await view->jobsReader->catchUp();
         }
         if (!read) {
             readResult = read;
         }
-        if (findState(*view, id)) {
+        if (view->progress.contains(id)) {
             co_return view;
         }
+        const auto accepted = view->accepted.find(id);
+        if (accepted != view->accepted.end() && (known == nullptr || !view->isVoid(accepted->second))) {
+            known = view;
+        }
     }
-    co_return nullptr;
+    const bool mayBeBehind = !readResult && candidates.size() > 1;
+    co_return mayBeBehind ? nullptr : known;
 }
 
 std::shared_ptr<Event> JobGateway::Private::startReading(PartitionView &view)
@@ -285,53 +341,118 @@
     co_return result;
 }
 
-net::awaitable<std::optional<CallerReply>> JobGateway::Private::findConflict(QueueConfig queue, JobId id, steady_clock::time_point deadline)
+CallerReply JobGateway::Private::refuseSubmission(
+    const JobId &id, const QueueConfig &queue, bool isUnsettled, const char *reason, const std::string &error)
+{
+    this->logUnstored(isUnsettled ? "job_unsettled" : "job_refused", id, queue, reason, AppendResult{AppendOutcome::NotStored, error});
+    return CallerReply{isUnsettled ? CallerOutcome::MayBeAccepted : CallerOutcome::NotAccepted, {}, 0, reason, storeRetryAfter};
+}
+
+net::awaitable<std::optional<CallerReply>> JobGateway::Private::makePlacementCurrent(
+    QueueConfig queue, Revision revision, JobId id, steady_clock::time_point deadline, JobPlacement &placement)
+{
+    QueuePlacement wanted = this->placementOf(queue);
+    wanted.revision = revision;
+    const std::string address = addressOf(queue.host, queue.pathPrefix);
+    while (true) {
+        const std::vector<QueuePlacement> history = this->placements->historyOf(queue);
+        // The order of several that earlier versions have recorded is not known.
+        const bool hasCurrent = history.size() == 1 || (!history.empty() && history.back().revision > 0);
+        if (hasCurrent && history.back().partition == wanted.partition) {
+            placement = JobPlacement{address, history.back().revision};
+            co_return std::nullopt;
+        }
+        const bool isUnsettled = this->findUnsettledView(queue, id) != nullptr;
+        if (hasCurrent && history.back().revision > 0 && history.back().revision >= revision) {
+            co_return this->refuseSubmission(id, queue, isUnsettled, "the queue has moved, and the configuration has not been read", {});
+        }
+        const std::vector<QueuePlacement> added{wanted};
+        const bool isRecorded = co_await this->placements->record(added, deadline);
+        // Placements that other gateways have recorded meanwhile precede this one in the store, or have a later revision.
+        const Result<void> refreshed = co_await this->placements->refresh();
+        if (!isRecorded || !refreshed) {
+            co_return this->refuseSubmission(id, queue, isUnsettled, "the store does not accept the placement of the queue", {});
+        }
+    }
+}
+
+net::awaitable<bool> JobGateway::Private::sealEarlierPlacements(QueueConfig queue, steady_clock::time_point deadline)
+{
+    std::vector<QueuePlacement> earlier = this->placements->historyOf(queue);
+    earlier.pop_back();
+    for (const QueuePlacement &placement : earlier) {
+        if (placement.partition >= this->settings.partitions) {
+            continue;
+        }
+        PartitionView &view = *this->views[static_cast<std::size_t>(placement.partition)];
+        const JobPlacement sealed{addressOf(queue.host, queue.pathPrefix), placement.revision};
+        constexpr std::int64_t streamEnd = std::numeric_limits<std::int64_t>::max();
+        if (view.isSealed(sealed, streamEnd)) {
+            continue;
+        }
+        Result<void> read = co_await view.jobsReader->catchUp();
+        if (read && !view.isSealed(sealed, streamEnd)) {
+            const bool isStored = co_await this->placements->seal(placement.partition, sealed, deadline);
+            if (!isStored) {
+                co_return false;
+            }
+            read = co_await view.jobsReader->catchUp();
+        }
+        if (!read || !view.isSealed(sealed, streamEnd)) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+net::awaitable<std::optional<CallerReply>> JobGateway::Private::findConflict(
+    QueueConfig queue, Revision revision, JobId id, steady_clock::time_point deadline, JobPlacement &placement)
 {
     // This process may not have read the newest configuration, but whichever process has stored the job has made its placement durable before.
     const Result<void> refreshed = co_await this->placements->refresh();
-    const std::vector<PartitionView *> candidates = this->findViews(queue);
-    const bool isUnsettled = std::any_of(candidates.begin(), candidates.end(), [&id](PartitionView *view) {
-        view->appender->settle(view->jobsReader->currentAsOf());
-        return view->appender->isUnsettled(id.value);
-    });
     if (!refreshed) {
-        const char *reason = "the store cannot be read";
-        this->logUnstored(
-            isUnsettled ? "job_unsettled" : "job_refused", id, queue, reason, AppendResult{AppendOutcome::NotStored, describe(refreshed.error())});
-        co_return CallerReply{isUnsettled ? CallerOutcome::MayBeAccepted : CallerOutcome::NotAccepted, {}, 0, reason, storeRetryAfter};
+        const bool isUnsettled = this->findUnsettledView(queue, id) != nullptr;
+        co_return this->refuseSubmission(id, queue, isUnsettled, "the store cannot be read", describe(refreshed.error()));
     }
-    if (candidates.size() > 1) {
+    if (this->findViews(queue).size() > 1) {
         // The queue has moved. A repeated submission must not create a second job.
         Result<void> readResult;
         const PartitionView *known = co_await this->findJob(queue, id, readResult);
         if (known != nullptr) {
             co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
         }
-        if (!readResult) {
-            const char *reason = "the store cannot be read, so an earlier submission cannot be ruled out";
-            this->logUnstored("job_unsettled", id, queue, reason, AppendResult{AppendOutcome::Unknown, describe(readResult.error())});
-            co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
-        }
-        const bool isUnsettledElsewhere = std::any_of(std::next(candidates.begin()), candidates.end(), [&id](PartitionView *view) {
-            view->appender->settle(view->jobsReader->currentAsOf());
-            return view->appender->isUnsettled(id.value);
-        });
-        if (isUnsettledElsewhere) {
-            const char *reason = "the store gave no answer to another attempt in an earlier partition of the queue";
-            this->logUnstored("job_unsettled", id, queue, reason, AppendResult{AppendOutcome::Unknown, {}, 0, 0, true});
-            co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
-        }
     }
-    const QueuePlacement placement = this->placementOf(queue);
-    if (this->placements->isRecorded(placement)) {
+    std::optional<CallerReply> refused = co_await this->makePlacementCurrent(queue, revision, id, deadline, placement);
+    if (refused) {
+        co_return refused;
+    }
+    const std::vector<PartitionView *> candidates = this->findViews(queue);
+    if (candidates.size() == 1) {
         co_return std::nullopt;
     }
-    const std::vector<QueuePlacement> added{placement};
-    const bool isRecorded = co_await this->placements->record(added, deadline);
-    if (!isRecorded) {
-        const char *reason = "the store does not accept the placement of the queue";
-        this->logUnstored(isUnsettled ? "job_unsettled" : "job_refused", id, queue, reason, AppendResult{});
-        co_return CallerReply{isUnsettled ? CallerOutcome::MayBeAccepted : CallerOutcome::NotAccepted, {}, 0, reason, storeRetryAfter};
+    const bool areSealed = co_await this->sealEarlierPlacements(queue, deadline);
+    if (!areSealed) {
+        const char *reason = "the store does not confirm the end of an earlier placement of the queue";
+        co_return this->refuseSubmission(id, queue, this->findUnsettledView(queue, id) != nullptr, reason, {});
+    }
+    Result<void> readResult;
+    const PartitionView *known = co_await this->findJob(queue, id, readResult);
+    if (known != nullptr) {
+        co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
+    }
+    if (!readResult) {
+        const char *reason = "the store cannot be read, so an earlier submission cannot be ruled out";
+        this->logUnstored("job_unsettled", id, queue, reason, AppendResult{AppendOutcome::Unknown, describe(readResult.error())});
+        co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
+    }
+    const bool isUnsettledElsewhere = std::any_of(std::next(candidates.begin()), candidates.end(), [&id](PartitionView *view) {
+        view->appender->settle(view->jobsReader->currentAsOf());
+        return view->appender->isUnsettled(id.value);
+    });
+    if (isUnsettledElsewhere) {
+        const char *reason = "the store gave no answer to another attempt in an earlier partition of the queue";
+        this->logUnstored("job_unsettled", id, queue, reason, AppendResult{AppendOutcome::Unknown, {}, 0, 0, true});
+        co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
     }
     co_return std::nullopt;
 }
@@ -342,15 +463,17 @@
     if (!spec) {
         co_return CallerReply{CallerOutcome::Invalid, {}, 0, describe(spec.error()), {}};
     }
+    const Revision revision = this->config->revision;
     PartitionView &view = *this->findViews(queue).front();
     if (findState(view, id)) {
         co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
     }
-    const std::optional<CallerReply> conflict = co_await this->findConflict(queue, id, deadline);
+    JobPlacement placement;
+    const std::optional<CallerReply> conflict = co_await this->findConflict(queue, revision, id, deadline, placement);
     if (conflict) {
         co_return *conflict;
     }
-    AcceptedJob job{id, queue.id, queue.service, wallNow(), std::move(*spec), queue.terms()};
+    AcceptedJob job{id, queue.id, queue.service, wallNow(), std::move(*spec), queue.terms(), placement};
     StoredRecord record{id.value, encodeAcceptedJob(job), -1};
     if (!this->store.accepts(record)) {
         const char *field = 2 * job.spec.payload.size() > record.value.size() ? "spec" : "steps";
@@ -362,7 +485,7 @@
     const AppendResult appended = co_await this->append(view, std::move(record), isStored, deadline);
     switch (appended.outcome) {
     case AppendOutcome::Durable:
-        view.accepted.emplace(id, queue.id);
+        view.accepted.emplace(id, KnownSubmission{queue.id, placement, -1});
         this->log.emit("job_accepted",
             {{"job", id.value}, {"queue", queue.id.value}, {"service", queue.service.value}, {"revision", this->config->revision},
                 {"steps", static_cast<std::int64_t>(job.spec.steps.size())}});
@@ -400,18 +523,31 @@
     if (view == nullptr) {
         co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
     }
-    StoredRecord record{cancellationKey(id), "1", -1};
-    const auto isStored = [view, id] {
-        return view->cancelled.contains(id);
-    };
-    const AppendResult appended = co_await this->append(*view, std::move(record), isStored, deadline);
-    const bool isDurable = appended.outcome == AppendOutcome::Durable;
+    // Without the owner's record the job may still be moved on to another partition of the queue.
+    const bool isAdmitted = view->progress.contains(id);
+    if (!isAdmitted && !readResult) {
+        const bool isUnsettled = view->appender->isUnsettled(cancellationKey(id));
+        co_return CallerReply{isUnsettled ? CallerOutcome::MayBeAccepted : CallerOutcome::Unavailable, {}, 0, "the store cannot be read", storeRetryAfter};
+    }
+    AppendResult appended;
+    bool isDurable = true;
+    for (PartitionView *target : isAdmitted ? std::vector{view} : this->findViews(queue)) {
+        StoredRecord record{cancellationKey(id), "1", -1};
+        const auto isStored = [target, id] {
+            return target->cancelled.contains(id);
+        };
+        appended = co_await this->append(*target, std::move(record), isStored, deadline);
+        isDurable = appended.outcome == AppendOutcome::Durable;
+        if (!isDurable) {
+            break;
+        }
+        target->cancelled.insert(id);
+    }
     this->log.emit("job_cancel",
         {{"job", id.value}, {"queue", queue.id.value}, {"durable", isDurable}, {"error", appended.reason}, {"sends", std::int64_t(appended.sends)},
             {"unanswered", std::int64_t(appended.unansweredSends)}, {"earlier_attempt", appended.hasEarlierAttempt}},
         EventPriority::Essential);
     if (isDurable) {
-        view->cancelled.insert(id);
         co_return CallerReply{CallerOutcome::Cancelled, {}, 0, {}, {}};
     }
     const bool isUnknown = appended.outcome == AppendOutcome::Unknown;
@@ -442,9 +578,13 @@
 
 net::awaitable<CallerReply> JobGateway::Private::readQueue(QueueConfig queue)
 {
-    std::size_t pending = 0;
-    const std::vector<PartitionView *> candidates = this->findViews(queue);
-    for (PartitionView *view : candidates) {
+    const Result<void> refreshed = co_await this->placements->refresh();
+    if (!refreshed) {
+        this->log.emit("count_stale", {{"queue", queue.id.value}});
+    }
+    const std::string address = addressOf(queue.host, queue.pathPrefix);
+    std::set<JobId> pending;
+    for (PartitionView *view : this->findViews(queue)) {
         const Result<void> read = co_await view->progressReader->catchUp();
         const Result<void> jobs = co_await view->jobsReader->catchUp();
         if (!read || !jobs) {
@@ -453,10 +593,13 @@
         for (const auto &[id, accepted] : view->accepted) {
             const auto known = view->progress.find(id);
             const bool hasBegun = known != view->progress.end() && known->second.state != JobState::Queued;
-            pending += accepted == queue.id && !hasBegun && !view->cancelled.contains(id) ? 1 : 0;
+            const bool isOfQueue = accepted.queue == queue.id || (accepted.placement && accepted.placement->address == address);
+            if (isOfQueue && !hasBegun && !view->cancelled.contains(id)) {
+                pending.insert(id);
+            }
         }
     }
-    co_return CallerReply{CallerOutcome::Pending, {}, pending, {}, {}};
+    co_return CallerReply{CallerOutcome::Pending, {}, pending.size(), {}, {}};
 }
 
 void JobGateway::Private::recordMovedQueues(const FleetConfig &next)
@@ -466,12 +609,13 @@
     }
     std::vector<QueuePlacement> moved;
     for (const QueueConfig &queue : this->config->queues) {
-        const QueuePlacement before = this->placementOf(queue);
+        QueuePlacement before = this->placementOf(queue);
+        before.revision = this->config->revision;
         const bool hasMoved = std::any_of(next.queues.begin(), next.queues.end(), [this, &queue, &before](const QueueConfig &updated) {
             const bool isSameAddress = updated.host == queue.host && updated.pathPrefix == queue.pathPrefix;
             return (updated.id == queue.id || isSameAddress) && this->placementOf(updated).partition != before.partition;
         });
-        if (hasMoved && !this->placements->isRecorded(before)) {
+        if (hasMoved && !this->placements->isKnown(before)) {
             moved.push_back(before);
         }
     }
--- a/src/scheduler/movedqueue_test.cpp
+++ b/src/scheduler/movedqueue_test.cpp
@@ -42,7 +42,10 @@
     {
         std::size_t stored = 0;
         for (std::int32_t partition = 0; partition < this->settings.partitions; ++partition) {
-            stored += this->store.partitions[{Stream::Jobs, partition}].records.empty() ? 0 : 1;
+            const std::vector<StoredRecord> &records = this->store.partitions[{Stream::Jobs, partition}].records;
+            stored += std::any_of(records.begin(), records.end(), [](const StoredRecord &record) {
+                return parseKey(record.key).kind == KeyKind::Job;
+            });
         }
         return stored;
     }
--- a/src/scheduler/queueplacements.cpp
+++ b/src/scheduler/queueplacements.cpp
@@ -1,6 +1,11 @@
 // Reading and writing of the queues' placements.
 #include "queueplacements.h"
 
+#include <algorithm>
+#include <random>
+
+#include "clocks.h"
+
 namespace MangoCourse {
 
 namespace {
@@ -12,13 +17,17 @@
 constexpr std::int32_t placementPartition = 0;
 // The store is considered unreachable once reads have failed for this long.
 constexpr milliseconds unreachableAfter{500};
+constexpr milliseconds sealTimeout{1000};
+constexpr milliseconds sealRetryDelay{60};
 
 }
 
 QueuePlacements::QueuePlacements(net::io_context &context, RecordStore &store, EventLog &log)
     : context(context)
+    , store(store)
     , log(log)
     , appender(std::make_shared<BatchAppender>(context, store, Stream::QueuePlacements, placementPartition))
+    , sealWriter(std::to_string(std::random_device()()) + "-" + std::to_string(wallNow().time_since_epoch().count()))
     , reader(context, store, Stream::QueuePlacements, placementPartition,
           StreamReader::Handlers{[this] {
                                      this->placements.clear();
@@ -73,6 +82,61 @@
     return partitions;
 }
 
+std::vector<QueuePlacement> QueuePlacements::historyOf(const std::string &address) const
+{
+    return this->history([&address](const QueuePlacement &placement) {
+        return !placement.pathPrefix.empty() && addressOf(placement.host, placement.pathPrefix) == address;
+    });
+}
+
+std::vector<QueuePlacement> QueuePlacements::historyOf(const QueueConfig &queue) const
+{
+    return this->history([&queue](const QueuePlacement &placement) {
+        const bool isSameAddress = placement.host == queue.host && placement.pathPrefix == queue.pathPrefix;
+        return isSameAddress || (placement.pathPrefix.empty() && placement.queue == queue.id);
+    });
+}
+
+std::vector<QueuePlacement> QueuePlacements::history(const std::function<bool(const QueuePlacement &)> &isMember) const
+{
+    std::vector<QueuePlacement> members;
+    for (const auto &[key, placement] : this->placements) {
+        if (isMember(placement)) {
+            members.push_back(placement);
+        }
+    }
+    std::stable_sort(members.begin(), members.end(), [](const QueuePlacement &left, const QueuePlacement &right) {
+        return left.revision < right.revision;
+    });
+    // The order of those without a revision is unknown; the one that goes on comes last.
+    const auto firstRevised = std::find_if(members.begin(), members.end(), [](const QueuePlacement &placement) {
+        return placement.revision > 0;
+    });
+    if (firstRevised != members.end()) {
+        std::stable_partition(members.begin(), firstRevised, [partition = firstRevised->partition](const QueuePlacement &placement) {
+            return placement.partition != partition;
+        });
+    }
+    std::vector<QueuePlacement> merged;
+    for (QueuePlacement &placement : members) {
+        if (!merged.empty() && merged.back().partition == placement.partition) {
+            merged.back() = std::move(placement);
+        } else {
+            merged.push_back(std::move(placement));
+        }
+    }
+    return merged;
+}
+
+bool QueuePlacements::isKnown(const QueuePlacement &placement) const
+{
+    return std::any_of(this->placements.begin(), this->placements.end(), [&placement](const auto &entry) {
+        QueuePlacement known = entry.second;
+        known.revision = placement.revision;
+        return known == placement;
+    });
+}
+
 bool QueuePlacements::isRecorded(const QueuePlacement &placement) const
 {
     return this->placements.contains(queuePlacementKey(placement));
@@ -101,6 +165,26 @@
     co_return isDurable;
 }
 
+net::awaitable<bool> QueuePlacements::seal(std::int32_t partition, JobPlacement sealed, steady_clock::time_point deadline)
+{
+    const std::string writer = this->sealWriter + "-" + std::to_string(++this->sealCount);
+    // A repeat, or an attempt that is carried out late, appends nothing: a second record would hide the offset of the first.
+    const ProducerStamp stamp{"seal-" + writer, 0, 0};
+    while (steady_clock::now() < deadline) {
+        std::vector<StoredRecord> records{StoredRecord{sealKey(sealed, writer), "1", -1}};
+        const Result<void> appended = co_await this->store.append(Stream::Jobs, partition, std::move(records), stamp, sealTimeout);
+        this->log.emit("placement_sealed",
+            {{"address", sealed.address}, {"revision", sealed.revision}, {"partition", std::int64_t(partition)}, {"durable", appended.has_value()},
+                {"error", appended ? std::string() : describe(appended.error())}},
+            EventPriority::Essential);
+        if (appended) {
+            co_return true;
+        }
+        co_await sleepFor(this->context, sealRetryDelay);
+    }
+    co_return false;
+}
+
 net::awaitable<bool> QueuePlacements::remove(std::vector<QueuePlacement> removed, steady_clock::time_point deadline)
 {
     std::vector<StoredRecord> records;
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -1,6 +1,7 @@
 // CBOR encoding of records with the JSON library.
 #include "recordcodec.h"
 
+#include <array>
 #include <charconv>
 #include <limits>
 #include <stdexcept>
@@ -16,6 +17,8 @@
 
 constexpr char cancellationPrefix = '!';
 constexpr const char *executorPrefix = "@x/";
+constexpr const char *sealPrefix = "@s/";
+constexpr std::size_t addressDigits = 16;
 constexpr char partPrefix = '+';
 constexpr std::size_t maxJobIdBytes = 64;
 constexpr std::int64_t maxFailures = 1'000'000;
@@ -186,8 +189,11 @@
     const Recurrence &schedule = job.spec.recurrence;
     Json fields = Json::array({job.queue.value, job.service.value, job.acceptedAt.time_since_epoch().count(), job.spec.payload, std::move(steps),
         schedule.count, schedule.first.time_since_epoch().count(), schedule.interval.count()});
-    if (job.terms) {
-        fields.push_back(termsToJson(*job.terms));
+    if (job.terms || job.placement) {
+        fields.push_back(job.terms ? termsToJson(*job.terms) : Json());
+    }
+    if (job.placement) {
+        fields.push_back(Json::array({job.placement->address, job.placement->revision}));
     }
     return toBytes(fields);
 }
@@ -210,10 +216,13 @@
             job.spec.steps.push_back(stepFromJson(step));
         }
         job.spec.recurrence = Recurrence{toCount(json.at(5)), toWallTime(json.at(6)), milliseconds(toWhole(json.at(7)))};
-        // Records of earlier versions end here.
-        if (json.size() > 8) {
+        // Records of earlier versions end here, or after the terms.
+        if (json.size() > 8 && !json.at(8).is_null()) {
             job.terms = termsFromJson(json.at(8));
         }
+        if (json.size() > 9) {
+            job.placement = JobPlacement{toName(json.at(9).at(0)), toWhole(json.at(9).at(1))};
+        }
         if (const Result<void> checked = validate(job.spec); !checked) {
             return tl::unexpected(checked.error());
         }
@@ -477,6 +486,15 @@
         const bool isValid = error == std::errc{} && end == slash && parsed.executor.incarnation >= 0 && slash != rest.data() + rest.size();
         parsed.kind = isValid ? KeyKind::Executor : KeyKind::Unknown;
         parsed.executor.id = ExecutorId{isValid ? std::string(slash + 1, rest.data() + rest.size()) : std::string()};
+    } else if (key.starts_with(sealPrefix)) {
+        const std::size_t first = std::string_view(sealPrefix).size();
+        const std::size_t slash = first + addressDigits;
+        const char *last = key.data() + key.size();
+        const bool hasAddress = key.size() > slash && key[slash] == '/';
+        const auto [end, error] = hasAddress ? std::from_chars(key.data() + slash + 1, last, parsed.sealed.revision) : std::from_chars(last, last, parsed.part);
+        const bool isValid = error == std::errc{} && end != last && *end == '/' && parsed.sealed.revision >= 0;
+        parsed.kind = isValid ? KeyKind::Seal : KeyKind::Unknown;
+        parsed.sealed.address = isValid ? key.substr(first, addressDigits) : std::string();
     } else if (key.starts_with(partPrefix)) {
         const char *first = key.data() + 1;
         const char *slash = key.data() + std::min(key.find('/'), key.size());
@@ -493,22 +511,42 @@
     return parsed;
 }
 
+std::string addressOf(const std::string &host, const std::string &pathPrefix)
+{
+    constexpr int hexadecimal = 16;
+    std::array<char, addressDigits> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), stableHash(host + '\0' + pathPrefix), hexadecimal).ptr;
+    const std::string text(digits.data(), end);
+    return std::string(addressDigits - text.size(), '0') + text;
+}
+
+std::string sealKey(const JobPlacement &sealed, const std::string &writer)
+{
+    return sealPrefix + sealed.address + "/" + std::to_string(sealed.revision) + "/" + writer;
+}
+
 std::string queuePlacementKey(const QueuePlacement &placement)
 {
     const std::string name = placement.queue.value + '\0' + placement.host + '\0' + placement.pathPrefix;
-    return std::to_string(placement.partition) + "/" + std::to_string(stableHash(name));
+    const std::string key = std::to_string(placement.partition) + "/" + std::to_string(stableHash(name));
+    return placement.revision == 0 ? key : key + "/" + std::to_string(placement.revision);
 }
 
 std::string encodeQueuePlacement(const QueuePlacement &placement)
 {
-    return toBytes(Json::array({placement.partition, placement.queue.value, placement.host, placement.pathPrefix}));
+    Json fields = Json::array({placement.partition, placement.queue.value, placement.host, placement.pathPrefix});
+    if (placement.revision != 0) {
+        fields.push_back(placement.revision);
+    }
+    return toBytes(fields);
 }
 
 Result<QueuePlacement> decodeQueuePlacement(std::string_view bytes)
 {
     return decode("queue placement", [&]() -> Result<QueuePlacement> {
         const Json json = fromBytes(bytes);
-        return QueuePlacement{toCount(json.at(0)), QueueId{toName(json.at(1))}, toText(json.at(2)), toText(json.at(3))};
+        return QueuePlacement{toCount(json.at(0)), QueueId{toName(json.at(1))}, toText(json.at(2)), toText(json.at(3)),
+            json.size() > 4 ? toWhole(json.at(4)) : 0};
     });
 }
 
--- a/src/scheduler/recordcodec.h
+++ b/src/scheduler/recordcodec.h
@@ -39,6 +39,8 @@
     Owner,
     // A part of the progress of a large job.
     ProgressPart,
+    // The end of a queue's placement in the partition.
+    Seal,
     // A key that no version of the scheduler writes.
     Unknown,
 };
@@ -49,6 +51,8 @@
     ExecutorKey executor;
     // Number of the part, for KeyKind::ProgressPart.
     std::int64_t part = 0;
+    // For KeyKind::Seal.
+    JobPlacement sealed;
 };
 
 inline constexpr const char *ownerKey = "@owner";
@@ -65,12 +69,21 @@
 std::string encodePoolReport(const PoolReport &report);
 Result<PoolReport> decodePoolReport(std::string_view bytes);
 
+// Key of a record that seals a placement: jobs that are stored in the partition later under this placement, or an earlier one of the same address, are
+// not run there. No key is written twice, so that the offset of the first seal is never lost. `writer`: differs for each seal.
+std::string sealKey(const JobPlacement &sealed, const std::string &writer);
+
+// Returns the address of a queue in the form of JobPlacement.
+std::string addressOf(const std::string &host, const std::string &pathPrefix);
+
 // A partition that may hold jobs of a queue. The host and the path prefix for callers are empty if the configuration no longer has the queue.
 struct QueuePlacement {
     std::int32_t partition = 0;
     QueueId queue;
     std::string host;
     std::string pathPrefix;
+    // Revision of the configuration that has sent the queue to the partition; 0 in records of earlier versions.
+    std::int64_t revision = 0;
 
     bool operator==(const QueuePlacement &) const = default;
 };
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -69,13 +69,31 @@
     return hasMoved && wallNow() - job.acceptedAt < heldJobTime + maxClockDifference;
 }
 
-void ShardOwner::Private::addJob(const AcceptedJob &job)
+bool ShardOwner::Private::isSealed(const JobPlacement &placement, std::int64_t offset) const
 {
-    this->queueOfJob.emplace(job.id, job.queue);
-    const bool isAssigned = std::any_of(this->pools.begin(), this->pools.end(), [&job](const auto &entry) {
-        return entry.second->hasJob(job.id);
+    return std::any_of(this->seals.begin(), this->seals.end(), [&placement, offset](const auto &entry) {
+        const auto &[sealed, sealOffset] = entry.second;
+        return sealed.address == placement.address && sealed.revision >= placement.revision && sealOffset < offset;
     });
-    if (!isAssigned && !this->progress.contains(job.id) && this->mayBeStoredElsewhere(job)) {
+}
+
+void ShardOwner::Private::addJob(const AcceptedJob &job, std::int64_t offset)
+{
+    this->queueOfJob.emplace(job.id, job.queue);
+    const bool isAssigned = this->findPoolOf(job.id) != nullptr;
+    const bool livesHere = isAssigned || this->progress.contains(job.id) || this->unassignedJobs.contains(job.id);
+    if (!livesHere && job.placement && this->isSealed(*job.placement, offset)) {
+        const bool isNew = this->voidJobs.insert_or_assign(job.id, job).second;
+        if (isNew) {
+            this->owner.log.emit("job_void",
+                {{"job", job.id.value}, {"queue", job.queue.value}, {"partition", std::int64_t(this->partition)}, {"token", this->token},
+                    {"revision", job.placement->revision}, {"offset", offset}},
+                EventPriority::Essential);
+        }
+        return;
+    }
+    this->voidJobs.erase(job.id);
+    if (!livesHere && !job.placement && this->mayBeStoredElsewhere(job)) {
         const bool isNew = this->heldJobs.try_emplace(job.id, bootNow() + heldJobTime, job).second;
         if (isNew) {
             this->owner.log.emit("job_held",
@@ -101,8 +119,10 @@
     AcceptedJob assigned = job;
     assigned.service = known == this->progress.end() ? job.service : known->second.service;
     if (this->config && !this->config->services.contains(assigned.service)) {
+        // The pool of a service has one owner, which is that of its partition.
         const QueueConfig *queue = this->config->find(job.queue);
-        assigned.service = queue != nullptr ? queue->service : assigned.service;
+        const bool isOwnService = queue != nullptr && partitionOf(queue->service, this->owner.settings.partitions) == this->partition;
+        assigned.service = isOwnService ? queue->service : assigned.service;
     }
     PoolScheduler *pool = this->findOrCreatePool(assigned.service);
     if (pool == nullptr) {
@@ -129,6 +149,14 @@
 void ShardOwner::Private::applyJobRecord(const StoredRecord &record)
 {
     const ParsedKey key = parseKey(record.key);
+    if (key.kind == KeyKind::Seal) {
+        if (record.value.empty()) {
+            this->seals.erase(record.key);
+        } else {
+            this->seals.emplace(record.key, std::pair(key.sealed, record.offset));
+        }
+        return;
+    }
     if (record.value.empty()) {
         return;
     }
@@ -141,7 +169,7 @@
         this->owner.log.emit("job_unreadable", {{"job", record.key}, {"offset", record.offset}, {"reason", describe(job.error())}}, EventPriority::Essential);
         return;
     }
-    this->addJob(*job);
+    this->addJob(*job, record.offset);
 }
 
 void ShardOwner::Private::markFenced(const char *source)
@@ -227,7 +255,7 @@
     const std::map<JobId, AcceptedJob> unassignedJobs = std::move(this->d->unassignedJobs);
     this->d->unassignedJobs.clear();
     for (const auto &[id, job] : unassignedJobs) {
-        this->d->addJob(job);
+        this->d->addJob(job, -1);
     }
     this->d->planRequested.notify();
 }
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -52,6 +52,12 @@
     std::map<JobId, AcceptedJob> unassignedJobs;
     // Jobs that another gateway may have stored in a later partition of their queue at the same time, and when that will be known.
     std::map<JobId, std::pair<TimePoint, AcceptedJob>> heldJobs;
+    // Submissions that were stored after their placement had been sealed, and that are to be moved to the current placement.
+    std::map<JobId, AcceptedJob> voidJobs;
+    // Where submissions have been moved to, for cancellations that follow.
+    std::map<JobId, std::int32_t> movedJobs;
+    // Sealed placements in this partition by their keys, and the offsets of the seals.
+    std::map<std::string, std::pair<JobPlacement, std::int64_t>> seals;
     std::map<JobId, JobProgress> progress;
     std::set<JobId> cancelled;
     // Queues of all jobs of the partition, also of those that have ended and are kept for their callers.
@@ -77,7 +83,9 @@
     PoolScheduler *findOrCreatePool(const ServiceId &service);
     // Returns the pool that has the job, or nullptr.
     PoolScheduler *findPoolOf(const JobId &job);
-    void addJob(const AcceptedJob &job);
+    // `offset`: of the submission in the partition's stream; -1 if it has been decided that the job lives here.
+    void addJob(const AcceptedJob &job, std::int64_t offset);
+    bool isSealed(const JobPlacement &placement, std::int64_t offset) const;
     // Adds the job to the pool of its service, unless it is in a pool already.
     void assignJob(const AcceptedJob &job);
     // Returns true if the job's queue has moved to another partition and the job is so new that a gateway which has read the move may store it there
@@ -131,12 +139,21 @@
     // Looks for held jobs in the other partitions of their queues. Those that are found there are deleted here, the others are scheduled.
     net::awaitable<void> settleHeldJobs();
     net::awaitable<void> settle(AcceptedJob job);
+    // Moves a void submission to the current placement of its queue, unless another partition has the job.
+    net::awaitable<void> moveOn(AcceptedJob job);
+    // Returns true if an earlier placement has the job; nothing if that is not known yet.
+    net::awaitable<Result<std::optional<bool>>> isInEarlierPlacement(JobId job, QueuePlacement placement);
+    net::awaitable<Result<bool>> isStoredIn(JobId job, std::int32_t partition);
+    net::awaitable<void> forwardCancellations();
+    void logMoved(const AcceptedJob &job, std::int32_t partition, const char *reason);
     // Logs why a held job cannot be settled yet; it is tried again.
     void logHeld(const AcceptedJob &job, const std::string &reason);
     // Returns the first other partition of the job's queue that holds the job, or nothing.
     net::awaitable<Result<std::optional<std::int32_t>>> findElsewhere(AcceptedJob job);
     net::awaitable<void> maintainPlacements();
     net::awaitable<void> reviewPlacements();
+    // Deletes the seals of placements that are no longer recorded.
+    net::awaitable<void> removeSeals(std::vector<QueuePlacement> removed);
     net::awaitable<bool> persistOnce();
     net::awaitable<void> renewLeases(PoolScheduler *pool, ExecutorKey key, std::shared_ptr<Event> renewalRequested);
     net::awaitable<void> send(PoolScheduler *pool, StartOrder order);
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -767,6 +767,172 @@
                 co_await this->settle(job);
             }
         }
+        const std::map<JobId, AcceptedJob> voidJobs = this->state.voidJobs;
+        for (const auto &[id, job] : voidJobs) {
+            if (!this->isEnded()) {
+                co_await this->moveOn(job);
+            }
+        }
+        if (!this->isEnded()) {
+            co_await this->forwardCancellations();
+        }
+    }
+}
+
+void ShardOwner::Tasks::logMoved(const AcceptedJob &job, std::int32_t partition, const char *reason)
+{
+    this->state.owner.log.emit("job_moved",
+        {{"job", job.id.value}, {"queue", job.queue.value}, {"partition", std::int64_t(this->state.partition)}, {"token", this->state.token},
+            {"to", std::int64_t(partition)}, {"reason", reason}},
+        EventPriority::Essential);
+}
+
+net::awaitable<Result<bool>> ShardOwner::Tasks::isStoredIn(JobId job, std::int32_t partition)
+{
+    // The submission of a job that has ended is deleted after its state has been stored.
+    for (const Stream stream : {Stream::Jobs, Stream::Progress}) {
+        Result<StreamBatch> batch = co_await this->state.owner.store.readSnapshot(stream, partition);
+        if (!batch) {
+            co_return tl::unexpected(batch.error());
+        }
+        const bool isFound = std::any_of(batch->records.begin(), batch->records.end(), [&job](const StoredRecord &record) {
+            return record.key == job.value && !record.value.empty();
+        });
+        if (isFound) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+net::awaitable<Result<std::optional<bool>>> ShardOwner::Tasks::isInEarlierPlacement(JobId job, QueuePlacement placement)
+{
+    const JobPlacement sealed{addressOf(placement.host, placement.pathPrefix), placement.revision};
+    Result<StreamBatch> submissions = co_await this->state.owner.store.readSnapshot(Stream::Jobs, placement.partition);
+    if (!submissions) {
+        co_return tl::unexpected(submissions.error());
+    }
+    std::optional<std::int64_t> sealOffset;
+    for (const StoredRecord &record : submissions->records) {
+        const ParsedKey key = parseKey(record.key);
+        const bool isSeal = key.kind == KeyKind::Seal && key.sealed.address == sealed.address && key.sealed.revision >= sealed.revision;
+        if (isSeal && !record.value.empty()) {
+            sealOffset = std::min(sealOffset.value_or(record.offset), record.offset);
+        }
+    }
+    if (!sealOffset) {
+        const auto deadline = std::chrono::steady_clock::now() + placementTimeout;
+        co_await this->state.owner.placements->seal(placement.partition, sealed, deadline);
+        co_return std::optional<bool>();
+    }
+    // A record after the seal is void there, too.
+    const bool isSubmitted = std::any_of(submissions->records.begin(), submissions->records.end(), [&job, &sealOffset](const StoredRecord &record) {
+        return record.key == job.value && !record.value.empty() && record.offset < *sealOffset;
+    });
+    if (isSubmitted) {
+        co_return std::optional<bool>(true);
+    }
+    Result<StreamBatch> states = co_await this->state.owner.store.readSnapshot(Stream::Progress, placement.partition);
+    if (!states) {
+        co_return tl::unexpected(states.error());
+    }
+    co_return std::optional<bool>(std::any_of(states->records.begin(), states->records.end(), [&job](const StoredRecord &record) {
+        return record.key == job.value && !record.value.empty();
+    }));
+}
+
+net::awaitable<void> ShardOwner::Tasks::moveOn(AcceptedJob job)
+{
+    if (!this->state.owner.placements) {
+        co_return;
+    }
+    const Result<void> refreshed = co_await this->state.owner.placements->refresh();
+    if (!refreshed) {
+        this->logHeld(job, describe(refreshed.error()));
+        co_return;
+    }
+    const std::vector<QueuePlacement> history = this->state.owner.placements->historyOf(job.placement->address);
+    std::int32_t place = this->state.partition;
+    const char *reason = "no placement of its queue is left";
+    bool isElsewhere = history.empty();
+    for (std::size_t number = 0; number + 1 < history.size() && !isElsewhere; ++number) {
+        if (history[number].partition == this->state.partition) {
+            continue;
+        }
+        const Result<std::optional<bool>> found = co_await this->isInEarlierPlacement(job.id, history[number]);
+        if (!found || !*found) {
+            this->logHeld(job, found ? "an earlier placement was not sealed" : describe(found.error()));
+            co_return;
+        }
+        isElsewhere = **found;
+        place = isElsewhere ? history[number].partition : place;
+        reason = "an earlier placement has the job";
+    }
+    if (!isElsewhere && history.back().partition != this->state.partition) {
+        place = history.back().partition;
+        const Result<bool> found = co_await this->isStoredIn(job.id, place);
+        if (!found) {
+            this->logHeld(job, describe(found.error()));
+            co_return;
+        }
+        reason = *found ? "the current placement has the job" : "it was stored after its queue had moved";
+        if (!*found) {
+            const auto queue = std::find_if(this->state.config->queues.begin(), this->state.config->queues.end(), [&](const QueueConfig &candidate) {
+                const bool isSameAddress = addressOf(candidate.host, candidate.pathPrefix) == job.placement->address;
+                return isSameAddress && partitionOf(candidate.service, this->state.owner.settings.partitions) == place;
+            });
+            if (queue == this->state.config->queues.end()) {
+                this->logHeld(job, "the configuration that moved its queue has not been read");
+                co_return;
+            }
+            AcceptedJob moved = job;
+            moved.queue = queue->id;
+            moved.service = queue->service;
+            moved.placement->revision = history.back().revision;
+            std::vector<StoredRecord> records{StoredRecord{job.id.value, encodeAcceptedJob(moved), -1}};
+            const Result<void> appended = co_await this->state.owner.store.append(Stream::Jobs, place, std::move(records), std::nullopt, appendTimeout);
+            if (!appended) {
+                this->logHeld(job, describe(appended.error()));
+                co_return;
+            }
+        }
+        isElsewhere = true;
+    }
+    if (this->isEnded() || this->state.voidJobs.erase(job.id) == 0) {
+        co_return;
+    }
+    this->logMoved(job, place, isElsewhere ? reason : "its queue has moved back");
+    if (!isElsewhere) {
+        this->state.assignJob(job);
+        this->state.planRequested.notify();
+        co_return;
+    }
+    this->state.movedJobs[job.id] = place;
+    co_await this->forwardCancellations();
+    this->state.queueOfJob.erase(job.id);
+    std::vector<JobId> removed{job.id};
+    co_await this->deleteSubmissions(std::move(removed));
+}
+
+net::awaitable<void> ShardOwner::Tasks::forwardCancellations()
+{
+    const std::map<JobId, std::int32_t> movedJobs = this->state.movedJobs;
+    for (const auto &[id, partition] : movedJobs) {
+        if (!this->state.cancelled.contains(id) || partition == this->state.partition) {
+            continue;
+        }
+        std::vector<StoredRecord> cancellation{StoredRecord{cancellationKey(id), "1", -1}};
+        bool isForwarded = false;
+        while (!isForwarded && !this->isEnded()) {
+            const Result<void> appended
+                = co_await this->state.owner.store.append(Stream::Jobs, partition, cancellation, std::nullopt, appendTimeout);
+            isForwarded = appended.has_value();
+            if (!isForwarded) {
+                this->state.owner.log.emit("cancellation_delayed", {{"job", id.value}, {"to", std::int64_t(partition)}, {"reason", describe(appended.error())}});
+                co_await sleepFor(this->state.owner.context, retryDelay);
+            }
+        }
+        this->state.cancelled.erase(id);
     }
 }
 
@@ -800,7 +966,7 @@
     for (const QueueId &id : used) {
         const QueueConfig *queue = config.find(id);
         QueuePlacement placement{partition, id, queue == nullptr ? "" : queue->host, queue == nullptr ? "" : queue->pathPrefix};
-        if (!placements.isRecorded(placement)) {
+        if (!placements.isKnown(placement)) {
             missing.push_back(std::move(placement));
         }
     }
@@ -823,11 +989,40 @@
         co_return;
     }
     const bool isAdded = co_await placements.record(std::move(missing), deadline);
+    const std::vector<QueuePlacement> removedPlacements = unused;
     const bool isRemoved = co_await placements.remove(std::move(unused), deadline);
+    if (isRemoved) {
+        co_await this->removeSeals(removedPlacements);
+    }
     this->state.owner.log.emit(
         "placements_changed", {{"partition", std::int64_t(partition)}, {"added", added}, {"removed", removed}, {"durable", isAdded && isRemoved}});
 }
 
+net::awaitable<void> ShardOwner::Tasks::removeSeals(std::vector<QueuePlacement> removed)
+{
+    std::vector<StoredRecord> deleted;
+    for (const QueuePlacement &placement : removed) {
+        const std::string address = addressOf(placement.host, placement.pathPrefix);
+        const std::vector<QueuePlacement> history = this->state.owner.placements->historyOf(address);
+        const bool isUsedAgain = std::any_of(history.begin(), history.end(), [&placement](const QueuePlacement &other) {
+            return other.partition == placement.partition;
+        });
+        for (const auto &[key, seal] : this->state.seals) {
+            if (seal.first.address == address && !isUsedAgain) {
+                deleted.push_back(StoredRecord{key, {}, -1});
+            }
+        }
+    }
+    if (deleted.empty()) {
+        co_return;
+    }
+    const Result<void> appended
+        = co_await this->state.owner.store.append(Stream::Jobs, this->state.partition, std::move(deleted), std::nullopt, appendTimeout);
+    if (!appended) {
+        this->state.owner.log.emit("deletion_delayed", {{"partition", std::int64_t(this->state.partition)}, {"reason", describe(appended.error())}});
+    }
+}
+
 net::awaitable<void> ShardOwner::Tasks::persist()
 {
     while (!this->isEnded()) {
--- a/src/scheduler/streamreader.cpp
+++ b/src/scheduler/streamreader.cpp
@@ -1,6 +1,8 @@
 // Incremental reading of streams.
 #include "streamreader.h"
 
+#include <algorithm>
+
 #include "clocks.h"
 
 namespace MangoCourse {
@@ -44,11 +46,23 @@
     if (!batch) {
         co_return tl::unexpected(batch.error());
     }
+    // The snapshot is read in pages. What was stored while it was read is left to the read that follows, so that no record is delivered before an earlier
+    // one.
+    const bool hasLaterRecords = std::erase_if(batch->records, [next = batch->next](const StoredRecord &record) {
+        return record.offset >= next;
+    }) > 0;
+    std::sort(batch->records.begin(), batch->records.end(), [](const StoredRecord &left, const StoredRecord &right) {
+        return left.offset < right.offset;
+    });
     this->handlers.reset();
     for (const StoredRecord &record : batch->records) {
         this->handlers.apply(record);
     }
     this->nextOffset = batch->next;
+    if (hasLaterRecords) {
+        Result<void> read = co_await this->readToEnd(std::chrono::milliseconds::zero());
+        co_return read;
+    }
     this->deliveredUpTo = sentAt;
     co_return Result<void>{};
 }
