--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -24,6 +24,17 @@
     return spec.recurrence.first + static_cast<std::int64_t>(occurrence) * spec.recurrence.interval;
 }
 
+std::int64_t StepState::countFailedRuns() const
+{
+    std::set<std::int64_t> runs;
+    std::int64_t forgotten = 0;
+    for (const Item &item : this->items) {
+        runs.insert(item.failedRuns.begin(), item.failedRuns.end());
+        forgotten = std::max(forgotten, item.failures - static_cast<std::int64_t>(item.failedRuns.size()));
+    }
+    return static_cast<std::int64_t>(runs.size()) + forgotten;
+}
+
 Executor *PoolScheduler::Private::find(const ExecutorKey &key)
 {
     const auto found = this->executors.find(key);
@@ -389,8 +400,7 @@
     ++item.failures;
     std::int64_t failures = item.failures;
     if (spec.isGang) {
-        StepState &step = entry.occurrences[static_cast<std::size_t>(end.item.occurrence)].steps[static_cast<std::size_t>(end.item.step)];
-        failures = ++step.gangFailures;
+        failures = entry.occurrences[static_cast<std::size_t>(end.item.occurrence)].steps[static_cast<std::size_t>(end.item.step)].countFailedRuns();
     }
     if (failures >= entry.maxAttempts) {
         item.phase = ItemPhase::Failed;
--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -177,6 +177,43 @@
     EXPECT_EQ(firstViolation(plain), "") << "seed 23319";
 }
 
+// Guards against a gang that is given up after one attempt because several of its members have failed in it, also after a takeover.
+TEST_F(PoolProgressTest, FailuresOfSeveralMembersInOneRunAreOneFailedAttemptOfTheGang)
+{
+    this->setDiscovered({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    StepSpec gang;
+    gang.count = 2;
+    gang.isGang = true;
+    gang.resources = Resources{40000, gigabyte, 0};
+    gang.estimate = 1000ms;
+    this->add(this->job("gang", gang));
+    std::map<std::string, std::int64_t> ends;
+    const auto failAll = [this, &ends](const SchedulerOrders &orders) {
+        for (const StartOrder &order : orders.starts) {
+            const std::string holder = order.executor.id.value;
+            this->report(holder, {}, {ReportedEnd{++ends[holder], order.run.item, order.run.run, RunEnd::Failed, {}}});
+        }
+    };
+    const SchedulerOrders first = this->planAndConfirm();
+    ASSERT_EQ(first.starts.size(), 2U);
+    failAll(first);
+    this->plan();
+    EXPECT_EQ(this->savedProgress.at(JobId{"gang"}).state, JobState::Running) << "the queue allows two attempts";
+    this->scheduler = this->makeScheduler(2, 100'000, TimePoint{});
+    this->setDiscovered({executor("one"), executor("two")});
+    this->report("one");
+    this->report("two");
+    this->add(this->job("gang", gang), &this->savedProgress.at(JobId{"gang"}));
+    this->advance(600ms);
+    const SchedulerOrders second = this->planAndConfirm();
+    ASSERT_EQ(second.starts.size(), 2U);
+    failAll(second);
+    this->plan();
+    EXPECT_EQ(this->savedProgress.at(JobId{"gang"}).state, JobState::Failed);
+}
+
 // Guards against executors that get one run at a time, each time of a job that fails everywhere, while other work waits.
 TEST_F(PoolProgressTest, ItemsThatFailOnSeveralExecutorsDoNotCountAgainstThem)
 {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -264,9 +264,6 @@
             item->lastRun = std::max(item->lastRun, run);
         }
         StepState &step = entry.occurrences[static_cast<std::size_t>(known.occurrence)].steps[static_cast<std::size_t>(known.step)];
-        if (entry.job.spec.steps[static_cast<std::size_t>(known.step)].isGang) {
-            step.gangFailures += known.failures;
-        }
         if (known.isDone && item->phase != ItemPhase::Done) {
             item->phase = ItemPhase::Done;
             ++step.done;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -224,7 +224,9 @@
 struct StepState {
     std::vector<Item> items;
     std::int32_t done = 0;
-    std::int64_t gangFailures = 0;
+
+    // Returns the number of runs of a gang that have failed; several members may have failed in the same run.
+    std::int64_t countFailedRuns() const;
     // What the placement policy has said about executors.
     std::map<ExecutorId, PolicyVerdict> verdicts;
     // Executors that the request in progress names, with their incarnations; empty if there is none.
