Play calls to an executor's earlier boot in the soak and the histories; one copy of the seals

The soak restarted executors after seconds, when nothing was on its way to them any more, and no test let a superseded owner's calls reach a boot that the new owner had not called.

A superseded owner may go on until its term ends, and its fencing token is unknown to a boot that the new owner has not called. The rule which record is void stands once, in PlacementSeals. Cancellations that no job follows are deleted like those of ended jobs.

--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -183,8 +183,8 @@
     // `tokens` are shared by all schedulers of the owner, as an executor may change pools. Run numbers start above `runNumberBase`, which rises with
     // each takeover. Until `previousLeasesExpireAt`, runs of a previous owner may be active on executors that do not answer. Returns InvalidArgument if
     // the lease length is not positive or exceeds the maximum, or if there are no tokens.
-    static Result<std::unique_ptr<PoolScheduler>> create(ServiceId service, SchedulerSettings settings, std::shared_ptr<FencingTokens> tokens,
-        std::int64_t runNumberBase, TimePoint previousLeasesExpireAt);
+    static Result<std::unique_ptr<PoolScheduler>> create(
+        ServiceId service, SchedulerSettings settings, std::shared_ptr<FencingTokens> tokens, std::int64_t runNumberBase, TimePoint previousLeasesExpireAt);
     // As above, with tokens of its own for the ownership token.
     static Result<std::unique_ptr<PoolScheduler>> create(
         ServiceId service, SchedulerSettings settings, std::int64_t ownershipToken, std::int64_t runNumberBase, TimePoint previousLeasesExpireAt);
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -254,8 +254,7 @@
     }
     // An acknowledgement that the executor has received is not repeated: its next incarnation would forget ends of its own up to that number.
     executor->sentEnd = hasEnds && this->d->canAcknowledge(*executor, now) ? executor->persistedEnd : 0;
-    RenewalPlan plan{
-        executor->info, LeaseRenewal{this->d->tokens->current(key.id), executor->sentEnd, std::nullopt, milliseconds::zero()}, renewalRetryDelay};
+    RenewalPlan plan{executor->info, LeaseRenewal{this->d->tokens->current(key.id), executor->sentEnd, std::nullopt, milliseconds::zero()}, renewalRetryDelay};
     if (executor->sentEnd > 0) {
         this->d->tokens->raise(key.id);
     }
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -262,7 +262,8 @@
     run.phase = RunPhase::Starting;
     run.isStartInFlight = true;
     run.startedAt = TimePoint{};
-    StartRun order{id, number, this->tokens->current(executor.info.id), this->computeLeaseExpiry(executor, round.now, round.expiresAt), entry.job.spec.payload, {}, {}};
+    StartRun order{
+        id, number, this->tokens->current(executor.info.id), this->computeLeaseExpiry(executor, round.now, round.expiresAt), entry.job.spec.payload, {}, {}};
     if (spec.isCheckpointing) {
         order.checkpoint = item.checkpoint;
     }
--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -177,6 +177,16 @@
     EXPECT_EQ(firstViolation(plain), "") << "seed 23319";
 }
 
+// Guards against starts of a superseded owner at an incarnation that the new owner has not called yet; docs/incidents/0009, "What remains".
+TEST(PoolHistory, SeedsThatFailIfCallsOfSupersededOwnersReachTheNextIncarnation)
+{
+    for (const std::uint32_t seed : {101611U, 101766U}) {
+        History history(seed, World::Plain, Connections::OutlivingOwners);
+        history.run(plainLength);
+        EXPECT_EQ(firstViolation(history), "") << "seed " << seed;
+    }
+}
+
 // Guards against a gang that is given up after one attempt because several of its members have failed in it, also after a takeover.
 TEST_F(PoolProgressTest, FailuresOfSeveralMembersInOneRunAreOneFailedAttemptOfTheGang)
 {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -27,8 +27,8 @@
     return create(std::move(service), settings, std::make_shared<FencingTokens>(ownershipToken), runNumberBase, previousLeasesExpireAt);
 }
 
-Result<std::unique_ptr<PoolScheduler>> PoolScheduler::create(ServiceId service, SchedulerSettings settings, std::shared_ptr<FencingTokens> tokens,
-    std::int64_t runNumberBase, TimePoint previousLeasesExpireAt)
+Result<std::unique_ptr<PoolScheduler>> PoolScheduler::create(
+    ServiceId service, SchedulerSettings settings, std::shared_ptr<FencingTokens> tokens, std::int64_t runNumberBase, TimePoint previousLeasesExpireAt)
 {
     if (!tokens) {
         return makeError(ErrorCode::InvalidArgument, "must be given", "tokens");
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <limits>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -59,24 +58,16 @@
     std::unordered_map<JobId, KnownJob> progress;
     // Jobs accepted by this or any other gateway.
     std::unordered_map<JobId, KnownSubmission> accepted;
-    // Sealed placements by their keys, and the offsets of the seals.
-    std::map<std::string, std::pair<JobPlacement, std::int64_t>> seals;
+    PlacementSeals seals;
     std::set<JobId> cancelled;
     std::shared_ptr<BatchAppender> appender;
     std::unique_ptr<StreamReader> progressReader;
     std::unique_ptr<StreamReader> jobsReader;
 
-    bool isSealed(const JobPlacement &placement, std::int64_t offset) const
-    {
-        return std::any_of(this->seals.begin(), this->seals.end(), [&placement, offset](const auto &entry) {
-            const auto &[sealed, sealOffset] = entry.second;
-            return sealed.address == placement.address && sealed.revision >= placement.revision && sealOffset < offset;
-        });
-    }
     // Returns true if the submission was stored after its placement was sealed, so that the owner moves it on.
     bool isVoid(const KnownSubmission &submission) const
     {
-        return submission.placement && this->isSealed(*submission.placement, submission.offset);
+        return submission.placement && this->seals.isSealed(*submission.placement, submission.offset);
     }
 };
 
@@ -173,13 +164,8 @@
                                },
             [raw](const StoredRecord &record) {
                 const ParsedKey key = parseKey(record.key);
-                if (key.kind == KeyKind::Seal) {
-                    if (record.value.empty()) {
-                        raw->seals.erase(record.key);
-                    } else {
-                        raw->seals.emplace(record.key, std::pair(key.sealed, record.offset));
-                    }
-                } else if (record.value.empty()) {
+                raw->seals.apply(record);
+                if (record.value.empty()) {
                     raw->accepted.erase(key.job);
                 } else if (key.kind == KeyKind::Cancellation) {
                     raw->cancelled.insert(key.job);
@@ -341,8 +327,7 @@
     co_return result;
 }
 
-CallerReply JobGateway::Private::refuseSubmission(
-    const JobId &id, const QueueConfig &queue, bool isUnsettled, const char *reason, const std::string &error)
+CallerReply JobGateway::Private::refuseSubmission(const JobId &id, const QueueConfig &queue, bool isUnsettled, const char *reason, const std::string &error)
 {
     this->logUnstored(isUnsettled ? "job_unsettled" : "job_refused", id, queue, reason, AppendResult{AppendOutcome::NotStored, error});
     return CallerReply{isUnsettled ? CallerOutcome::MayBeAccepted : CallerOutcome::NotAccepted, {}, 0, reason, storeRetryAfter};
@@ -386,19 +371,18 @@
         }
         PartitionView &view = *this->views[static_cast<std::size_t>(placement.partition)];
         const JobPlacement sealed{addressOf(queue.host, queue.pathPrefix), placement.revision};
-        constexpr std::int64_t streamEnd = std::numeric_limits<std::int64_t>::max();
-        if (view.isSealed(sealed, streamEnd)) {
+        if (view.seals.isSealed(sealed)) {
             continue;
         }
         Result<void> read = co_await view.jobsReader->catchUp();
-        if (read && !view.isSealed(sealed, streamEnd)) {
+        if (read && !view.seals.isSealed(sealed)) {
             const bool isStored = co_await this->placements->seal(placement.partition, sealed, deadline);
             if (!isStored) {
                 co_return false;
             }
             read = co_await view.jobsReader->catchUp();
         }
-        if (!read || !view.isSealed(sealed, streamEnd)) {
+        if (!read || !view.seals.isSealed(sealed)) {
             co_return false;
         }
     }
--- a/src/scheduler/queueplacements.cpp
+++ b/src/scheduler/queueplacements.cpp
@@ -22,6 +22,38 @@
 
 }
 
+void PlacementSeals::apply(const StoredRecord &record)
+{
+    const ParsedKey key = parseKey(record.key);
+    if (key.kind != KeyKind::Seal) {
+        return;
+    }
+    if (record.value.empty()) {
+        this->seals.erase(record.key);
+    } else {
+        this->seals.emplace(record.key, Seal{key.sealed, record.offset});
+    }
+}
+
+bool PlacementSeals::isSealed(const JobPlacement &placement, std::optional<std::int64_t> offset) const
+{
+    return std::any_of(this->seals.begin(), this->seals.end(), [&placement, &offset](const auto &entry) {
+        const Seal &seal = entry.second;
+        return seal.sealed.address == placement.address && seal.sealed.revision >= placement.revision && (!offset || seal.offset < *offset);
+    });
+}
+
+std::vector<std::string> PlacementSeals::keysOf(const std::string &address) const
+{
+    std::vector<std::string> keys;
+    for (const auto &[key, seal] : this->seals) {
+        if (seal.sealed.address == address) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
 QueuePlacements::QueuePlacements(net::io_context &context, RecordStore &store, EventLog &log)
     : context(context)
     , store(store)
--- a/src/scheduler/queueplacements.h
+++ b/src/scheduler/queueplacements.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,6 +16,25 @@
 
 namespace MangoCourse {
 
+// The seals in one partition's stream of jobs; see QueuePlacements.
+class PlacementSeals
+{
+public:
+    // Applies a record of the stream; one that is no seal has no effect.
+    void apply(const StoredRecord &record);
+    // Returns true if the placement, or a later one of its address, was sealed before the offset. Without an offset: at all.
+    bool isSealed(const JobPlacement &placement, std::optional<std::int64_t> offset = std::nullopt) const;
+    // Returns the keys of the seals of the address.
+    std::vector<std::string> keysOf(const std::string &address) const;
+
+private:
+    struct Seal {
+        JobPlacement sealed;
+        std::int64_t offset = -1;
+    };
+    std::map<std::string, Seal> seals;
+};
+
 // A job is stored in the partition of the service that its queue has when the job is accepted, and stays there when the queue moves to another service.
 // The placement of the queue in the partition is made durable before the first such job, so that every process finds the jobs of every queue.
 //
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -545,8 +545,8 @@
 {
     return decode("queue placement", [&]() -> Result<QueuePlacement> {
         const Json json = fromBytes(bytes);
-        return QueuePlacement{toCount(json.at(0)), QueueId{toName(json.at(1))}, toText(json.at(2)), toText(json.at(3)),
-            json.size() > 4 ? toWhole(json.at(4)) : 0};
+        return QueuePlacement{
+            toCount(json.at(0)), QueueId{toName(json.at(1))}, toText(json.at(2)), toText(json.at(3)), json.size() > 4 ? toWhole(json.at(4)) : 0};
     });
 }
 
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -69,20 +69,12 @@
     return hasMoved && wallNow() - job.acceptedAt < heldJobTime + maxClockDifference;
 }
 
-bool ShardOwner::Private::isSealed(const JobPlacement &placement, std::int64_t offset) const
-{
-    return std::any_of(this->seals.begin(), this->seals.end(), [&placement, offset](const auto &entry) {
-        const auto &[sealed, sealOffset] = entry.second;
-        return sealed.address == placement.address && sealed.revision >= placement.revision && sealOffset < offset;
-    });
-}
-
 void ShardOwner::Private::addJob(const AcceptedJob &job, std::int64_t offset)
 {
     this->queueOfJob.emplace(job.id, job.queue);
     const bool isAssigned = this->findPoolOf(job.id) != nullptr;
     const bool livesHere = isAssigned || this->progress.contains(job.id) || this->unassignedJobs.contains(job.id);
-    if (!livesHere && job.placement && this->isSealed(*job.placement, offset)) {
+    if (!livesHere && job.placement && this->seals.isSealed(*job.placement, offset)) {
         const bool isNew = this->voidJobs.insert_or_assign(job.id, job).second;
         if (isNew) {
             this->owner.log.emit("job_void",
@@ -149,15 +141,8 @@
 void ShardOwner::Private::applyJobRecord(const StoredRecord &record)
 {
     const ParsedKey key = parseKey(record.key);
-    if (key.kind == KeyKind::Seal) {
-        if (record.value.empty()) {
-            this->seals.erase(record.key);
-        } else {
-            this->seals.emplace(record.key, std::pair(key.sealed, record.offset));
-        }
-        return;
-    }
-    if (record.value.empty()) {
+    this->seals.apply(record);
+    if (record.value.empty() || key.kind == KeyKind::Seal) {
         return;
     }
     if (key.kind == KeyKind::Cancellation) {
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -56,10 +56,11 @@
     std::map<JobId, AcceptedJob> voidJobs;
     // Where submissions have been moved to, for cancellations that follow.
     std::map<JobId, std::int32_t> movedJobs;
-    // Sealed placements in this partition by their keys, and the offsets of the seals.
-    std::map<std::string, std::pair<JobPlacement, std::int64_t>> seals;
+    PlacementSeals seals;
     std::map<JobId, JobProgress> progress;
     std::set<JobId> cancelled;
+    // Since when cancellations have been known of which the partition has no job; another partition may have it.
+    std::map<JobId, TimePoint> strayCancellations;
     // Queues of all jobs of the partition, also of those that have ended and are kept for their callers.
     std::map<JobId, QueueId> queueOfJob;
     // Since when this owner has known that the partition holds no jobs of the queue of a placement, by the placement's key.
@@ -85,7 +86,6 @@
     PoolScheduler *findPoolOf(const JobId &job);
     // `offset`: of the submission in the partition's stream; -1 if it has been decided that the job lives here.
     void addJob(const AcceptedJob &job, std::int64_t offset);
-    bool isSealed(const JobPlacement &placement, std::int64_t offset) const;
     // Adds the job to the pool of its service, unless it is in a pool already.
     void assignJob(const AcceptedJob &job);
     // Returns true if the job's queue has moved to another partition and the job is so new that a gateway which has read the move may store it there
@@ -141,11 +141,15 @@
     net::awaitable<void> settle(AcceptedJob job);
     // Moves a void submission to the current placement of its queue, unless another partition has the job.
     net::awaitable<void> moveOn(AcceptedJob job);
-    // Returns true if an earlier placement has the job; nothing if that is not known yet.
+    // Returns true if an earlier placement has the job. Seals the placement first if it is not; the answer is nothing then.
     net::awaitable<Result<std::optional<bool>>> isInEarlierPlacement(JobId job, QueuePlacement placement);
+    // Returns true if the partition has a record of the job or of its state.
     net::awaitable<Result<bool>> isStoredIn(JobId job, std::int32_t partition);
+    // Passes on the cancellations of jobs that have been moved to another partition.
     net::awaitable<void> forwardCancellations();
     void logMoved(const AcceptedJob &job, std::int32_t partition, const char *reason);
+    // Returns the cancellations that no job has followed for so long that none will.
+    std::vector<JobId> takeStrayCancellations();
     // Logs why a held job cannot be settled yet; it is tried again.
     void logHeld(const AcceptedJob &job, const std::string &reason);
     // Returns the first other partition of the job's queue that holds the job, or nothing.
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -668,6 +668,9 @@
                 expired.push_back(id);
             }
         }
+        for (JobId &id : this->takeStrayCancellations()) {
+            finalIds.push_back(std::move(id));
+        }
         // Submissions of expired jobs are deleted again, because a repeated submission may have been stored since.
         finalIds.insert(finalIds.end(), expired.begin(), expired.end());
         co_await this->deleteSubmissions(std::move(finalIds));
@@ -681,6 +684,25 @@
     }
 }
 
+std::vector<JobId> ShardOwner::Tasks::takeStrayCancellations()
+{
+    std::vector<JobId> expired;
+    const TimePoint now = bootNow();
+    for (const JobId &id : this->state.cancelled) {
+        const bool isKnown = this->state.progress.contains(id) || this->state.queueOfJob.contains(id) || this->state.findPoolOf(id) != nullptr;
+        if (isKnown) {
+            this->state.strayCancellations.erase(id);
+        } else if (now - this->state.strayCancellations.try_emplace(id, now).first->second > this->state.owner.settings.statusRetention + statusExpiryMargin) {
+            expired.push_back(id);
+        }
+    }
+    for (const JobId &id : expired) {
+        this->state.strayCancellations.erase(id);
+        this->state.cancelled.erase(id);
+    }
+    return expired;
+}
+
 net::awaitable<Result<std::optional<std::int32_t>>> ShardOwner::Tasks::findElsewhere(AcceptedJob job)
 {
     const QueueConfig *queue = this->state.config->find(job.queue);
@@ -694,18 +716,12 @@
     }
     partitions.erase(this->state.partition);
     for (const std::int32_t partition : partitions) {
-        // The submission of a job that has ended may be deleted, its state is kept for longer.
-        for (const Stream stream : {Stream::Jobs, Stream::Progress}) {
-            Result<StreamBatch> batch = co_await this->state.owner.store.readSnapshot(stream, partition);
-            if (!batch) {
-                co_return tl::unexpected(batch.error());
-            }
-            const bool isFound = std::any_of(batch->records.begin(), batch->records.end(), [&job](const StoredRecord &record) {
-                return record.key == job.id.value && !record.value.empty();
-            });
-            if (isFound) {
-                co_return std::optional<std::int32_t>(partition);
-            }
+        const Result<bool> isFound = co_await this->isStoredIn(job.id, partition);
+        if (!isFound) {
+            co_return tl::unexpected(isFound.error());
+        }
+        if (*isFound) {
+            co_return std::optional<std::int32_t>(partition);
         }
     }
     co_return std::optional<std::int32_t>();
@@ -812,22 +828,18 @@
     if (!submissions) {
         co_return tl::unexpected(submissions.error());
     }
-    std::optional<std::int64_t> sealOffset;
+    PlacementSeals seals;
     for (const StoredRecord &record : submissions->records) {
-        const ParsedKey key = parseKey(record.key);
-        const bool isSeal = key.kind == KeyKind::Seal && key.sealed.address == sealed.address && key.sealed.revision >= sealed.revision;
-        if (isSeal && !record.value.empty()) {
-            sealOffset = std::min(sealOffset.value_or(record.offset), record.offset);
-        }
+        seals.apply(record);
     }
-    if (!sealOffset) {
+    if (!seals.isSealed(sealed)) {
         const auto deadline = std::chrono::steady_clock::now() + placementTimeout;
         co_await this->state.owner.placements->seal(placement.partition, sealed, deadline);
         co_return std::optional<bool>();
     }
     // A record after the seal is void there, too.
-    const bool isSubmitted = std::any_of(submissions->records.begin(), submissions->records.end(), [&job, &sealOffset](const StoredRecord &record) {
-        return record.key == job.value && !record.value.empty() && record.offset < *sealOffset;
+    const bool isSubmitted = std::any_of(submissions->records.begin(), submissions->records.end(), [&](const StoredRecord &record) {
+        return record.key == job.value && !record.value.empty() && !seals.isSealed(sealed, record.offset);
     });
     if (isSubmitted) {
         co_return std::optional<bool>(true);
@@ -924,11 +936,11 @@
         std::vector<StoredRecord> cancellation{StoredRecord{cancellationKey(id), "1", -1}};
         bool isForwarded = false;
         while (!isForwarded && !this->isEnded()) {
-            const Result<void> appended
-                = co_await this->state.owner.store.append(Stream::Jobs, partition, cancellation, std::nullopt, appendTimeout);
+            const Result<void> appended = co_await this->state.owner.store.append(Stream::Jobs, partition, cancellation, std::nullopt, appendTimeout);
             isForwarded = appended.has_value();
             if (!isForwarded) {
-                this->state.owner.log.emit("cancellation_delayed", {{"job", id.value}, {"to", std::int64_t(partition)}, {"reason", describe(appended.error())}});
+                this->state.owner.log.emit(
+                    "cancellation_delayed", {{"job", id.value}, {"to", std::int64_t(partition)}, {"reason", describe(appended.error())}});
                 co_await sleepFor(this->state.owner.context, retryDelay);
             }
         }
@@ -1007,17 +1019,14 @@
         const bool isUsedAgain = std::any_of(history.begin(), history.end(), [&placement](const QueuePlacement &other) {
             return other.partition == placement.partition;
         });
-        for (const auto &[key, seal] : this->state.seals) {
-            if (seal.first.address == address && !isUsedAgain) {
-                deleted.push_back(StoredRecord{key, {}, -1});
-            }
+        for (const std::string &key : isUsedAgain ? std::vector<std::string>() : this->state.seals.keysOf(address)) {
+            deleted.push_back(StoredRecord{key, {}, -1});
         }
     }
     if (deleted.empty()) {
         co_return;
     }
-    const Result<void> appended
-        = co_await this->state.owner.store.append(Stream::Jobs, this->state.partition, std::move(deleted), std::nullopt, appendTimeout);
+    const Result<void> appended = co_await this->state.owner.store.append(Stream::Jobs, this->state.partition, std::move(deleted), std::nullopt, appendTimeout);
     if (!appended) {
         this->state.owner.log.emit("deletion_delayed", {{"partition", std::int64_t(this->state.partition)}, {"reason", describe(appended.error())}});
     }
--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -30,6 +30,8 @@
 # Longest faults of the two sources.
 LONGEST_FAULT_S = 5.0
 LONGEST_FURTHER_FAULT_S = 8.0
+# An executor that restarts is back within this time, so that calls to its earlier boot are still on their way.
+MAX_DARK_S = 0.8
 STOP_SERIES_INTERVAL_S = 0.4
 
 
@@ -49,7 +51,9 @@
         self.further_random = random.Random("further faults %d" % seed)
         self.executor_random = random.Random("executor faults %d" % seed)
         self.refusal_random = random.Random("refusals %d" % seed)
+        self.restart_random = random.Random("restarts %d" % seed)
         self.has_refusals = arguments.refusals
+        self.has_restarts = arguments.restarts
         random.seed(seed)
         self.checker = InvariantChecker()
         self.store = Store(PARTITION_COUNT, self.checker)
@@ -194,6 +198,27 @@
                                                              [[503], [429], [503, 429]], executor_proxy.reset),
         }
 
+    def find_restart_kinds(self, generator, process, executor, executor_proxy):
+        def crash(target):
+            target.keeps_calls = True
+            target.crash()
+
+        def restart(target):
+            target.restart()
+            target.keeps_calls = False
+
+        def restart_after(targets, seconds):
+            for target in targets:
+                crash(target)
+                self.recoveries.append((time.monotonic() + seconds, lambda target=target: restart(target)))
+            return no_recovery
+
+        pool = [target for target in self.executors if target.service == executor.service]
+        return {
+            "executor restarts": lambda: restart_after([executor], generator.uniform(0.1, MAX_DARK_S)),
+            "half of a pool restarts": lambda: restart_after(generator.sample(pool, len(pool) // 2), generator.uniform(0.1, MAX_DARK_S)),
+        }
+
     def end_faults(self):
         """Ends the faults whose time is over."""
         for entry in [entry for entry in self.recoveries if entry[0] < time.monotonic()]:
@@ -241,6 +266,8 @@
                    [self.further_random, self.find_further_kinds, LONGEST_FURTHER_FAULT_S, started_at + 4.0]]
         if self.has_refusals:
             sources.append([self.refusal_random, self.find_refusal_kinds, LONGEST_FAULT_S, started_at + 4.0])
+        if self.has_restarts:
+            sources.append([self.restart_random, self.find_restart_kinds, LONGEST_FAULT_S, started_at + 4.0])
         length_s = 4.0 + self.length_random.uniform(*SERIES_S)
         while remaining_s > 0:
             # A rest too short for a series of its own belongs to this one.
@@ -251,6 +278,8 @@
             executor_sources = [[self.executor_random, self.find_executor_kinds, LONGEST_FURTHER_FAULT_S, time.monotonic()]]
             if self.has_refusals:
                 executor_sources.append([self.refusal_random, self.find_executor_refusal_kinds, LONGEST_FAULT_S, time.monotonic()])
+            if self.has_restarts:
+                executor_sources.append([self.restart_random, self.find_restart_kinds, LONGEST_FAULT_S, time.monotonic()])
             self.inject_series(time.monotonic() + self.length_random.uniform(*SERIES_S), executor_sources)
             self.pause_faults()
             for source in sources:
@@ -372,6 +401,7 @@
     parser.add_argument("--processes", type=int, default=5)
     parser.add_argument("--executors", type=int, default=8)
     parser.add_argument("--refusals", action="store_true", help="adds faults that lose answers and refuse the calls that follow, and callers that repeat")
+    parser.add_argument("--restarts", action="store_true", help="adds executors that restart under their ids and carry out calls to their earlier boots")
     parser.add_argument("--logs", help="directory for the logs of failed seeds")
     arguments = parser.parse_args()
     seeds = []
--- a/src/standin_fleet/fleet.py
+++ b/src/standin_fleet/fleet.py
@@ -21,6 +21,8 @@
 FINITE_RUN_S = (0.1, 0.8)
 LASTING_RUN_S = (4.0, 30.0)
 MAX_ORDER_DELAY_S = 3.5
+# Longest time after a restart at which a call to the boot before is carried out.
+MAX_STRAY_DELAY_S = 0.7
 # A producer's repeat of one of so many last appends gets its first answer again.
 REMEMBERED_APPENDS = 5
 
@@ -261,6 +263,8 @@
         self.unhealthy_statuses = []
         # "none", "lose-answers" (an order is carried out without an answer) or "late" (so too, and seconds after it came).
         self.order_fault = "none"
+        # Calls that come while the executor is down are carried out by its next boot, without an answer.
+        self.keeps_calls = False
         self.restart()
         threading.Thread(target=self.update_loop, daemon=True).start()
 
@@ -335,7 +339,20 @@
     def is_sound(self):
         return self.is_up and self.is_listed and not self.unhealthy_statuses and self.order_fault == "none" and not self.faults and self.late_calls == 0
 
+    def carry_out_by_next_boot(self, path, request):
+        with self.lock:
+            while not self.is_up:
+                self.lock.wait(0.1)
+        time.sleep(random.uniform(0.0, MAX_STRAY_DELAY_S))
+        if self.is_up:
+            self.add_trace("", path, "carried out by the next boot", "%s %s run %s acknowledged %s" % (
+                self.name, request.get("task", ""), request.get("run", ""), request.get("last_seen", "")))
+            self.carry_out(path, request)
+
     def respond(self, path, _query, body, call):
+        if not self.is_up and self.keeps_calls:
+            self.carry_out_by_next_boot(path, json.loads(body))
+            return None
         if not self.is_up:
             return None
         if self.unhealthy_statuses:
