Acknowledge ends that come soon after one another together

Ruled out: acknowledging in the poll that waits (it is what made the next boot forget ends); longer polls (calls would outlive a takeover longer). Change: an executor that still has work is asked again 50 ms after it has listed an end, not 10, so that one call acknowledges more ends.

--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -28,6 +28,7 @@
 constexpr int planRestFactor = 3;
 constexpr milliseconds maxPlanDelay{40};
 constexpr milliseconds renewalDelay{10};
+constexpr milliseconds acknowledgementDelay{50};
 // Maximum time to wait until reported ends can be acknowledged before the executor is asked again.
 constexpr milliseconds maxAcknowledgementWait{400};
 constexpr milliseconds idleRenewalInterval{3000};
@@ -530,7 +531,10 @@
         }
         pool->onReport(key, report, sentAt, bootNow(), wallNow());
         this->state.planRequested.notify();
-        co_await sleepFor(this->state.owner.context, report.outcome == OrderOutcome::Done ? renewalDelay : plan->retryDelay);
+        // Ends that come soon after one another are acknowledged together, as each acknowledgement takes a call.
+        const bool hasEndsAndWork = !report.ended.empty() && !report.running.empty();
+        const milliseconds nextDelay = hasEndsAndWork ? acknowledgementDelay : renewalDelay;
+        co_await sleepFor(this->state.owner.context, report.outcome == OrderOutcome::Done ? nextDelay : plan->retryDelay);
         const TimePoint deadline = bootNow() + maxAcknowledgementWait;
         while (!this->isEnded() && pool->hasUnacknowledgeableEnds(key, bootNow()) && bootNow() < deadline) {
             co_await renewalRequested->waitFor(maxAcknowledgementWait);
