--- a/src/libmangocourse/poolrestarts.cpp
+++ b/src/libmangocourse/poolrestarts.cpp
@@ -54,8 +54,11 @@
     if (now < executor.acknowledgeableFrom || this->unsettledStarts.contains(executor.info.id)) {
         return false;
     }
-    return std::none_of(executor.runs.begin(), executor.runs.end(), [](const auto &entry) {
-        return entry.second.isStartInFlight || !entry.second.isConfirmed;
+    // A report that was sent after the answer to a start proves that this incarnation has answered it. It may list neither the run nor its end, as the
+    // number of ends in it is limited.
+    return std::none_of(executor.runs.begin(), executor.runs.end(), [&executor](const auto &entry) {
+        const Run &run = entry.second;
+        return run.isStartInFlight || (run.isStartUnanswered && !run.isConfirmed) || mayBeOnNextIncarnation(executor, run);
     });
 }
 
@@ -138,6 +141,7 @@
     Run &run = this->addRun(executor, start.item, start.number, now);
     run.phase = start.isInFlight ? RunPhase::Starting : RunPhase::Unacknowledged;
     run.isStartInFlight = start.isInFlight;
+    run.isStartUnanswered = true;
     run.startedAt = TimePoint{};
     run.startableUntil = this->longestLeaseEnd(now);
     executor.leaseEnd = std::max(executor.leaseEnd, after(run.startableUntil, adoptedLeaseMargin));
--- a/src/libmangocourse/poolrestarts_test.cpp
+++ b/src/libmangocourse/poolrestarts_test.cpp
@@ -287,6 +287,17 @@
     EXPECT_TRUE(this->plan().starts.empty()) << "the next incarnation has not been asked";
 }
 
+// Guards against an executor that has more ends than it lists at once: those that it does not list belong to runs that no report has shown.
+TEST_F(PoolRestartsTest, ListedEndsAreAcknowledgedThoughOtherAnsweredStartsAreNotListed)
+{
+    this->answer(this->orders[0], OrderOutcome::Done);
+    this->answer(this->orders[1], OrderOutcome::Done);
+    this->advance(10ms);
+    this->report("one", {}, {ReportedEnd{57, this->orders[0].run.item, 1, RunEnd::Done, {}}});
+    this->plan();
+    EXPECT_EQ(this->renewal("one")->renewal.acknowledgedEnd, 57);
+}
+
 // Guards against a renewal that waits at the next incarnation, which then forgets each end up to the number in it.
 TEST_F(PoolRestartsTest, WaitingRenewalAcknowledgesNothing)
 {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -460,6 +460,7 @@
         if (run->phase == RunPhase::Starting) {
             run->phase = RunPhase::Unacknowledged;
         }
+        run->isStartUnanswered = true;
         executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, milliseconds(500)));
         this->d->emitEvent("start_unanswered", order.item, *executor, order.run, "an attempt got no reply, the item may run");
         return;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -45,6 +45,8 @@
     std::chrono::milliseconds clockBeforeOrders{};
     // The start order has neither been answered nor given up.
     bool isStartInFlight = false;
+    // The start order was given up without an answer, or was sent to an earlier incarnation.
+    bool isStartUnanswered = false;
     // The run is known to belong to this incarnation.
     bool isConfirmed = false;
     TimePoint stopSentAt{};
