Divide the pool scheduler, the gateway and the partition's owner by topic

Change: the owner's records and the jobs of moved queues stand in shardownerrecords.cpp and shardownerplacements.cpp, submissions in gatewaysubmission.cpp with the gateway's state in jobgateway_pvt.h, executors in poolexecutors.cpp, and the types of the pool's state in poolstate_pvt.h. Functions are moved, not changed.

--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -1,17 +1,7 @@
 // Handles callers' requests by reading and appending records in the store.
-#include "jobgateway.h"
+#include "jobgateway_pvt.h"
 
 #include <algorithm>
-#include <deque>
-#include <map>
-#include <set>
-#include <unordered_map>
-
-#include "batchappender.h"
-#include "clocks.h"
-#include "event.h"
-#include "recordcodec.h"
-#include "streamreader.h"
 
 namespace MangoCourse {
 
@@ -24,14 +14,10 @@
 // Part of the caller's timeout that is reserved for transmitting the reply.
 constexpr milliseconds replyMargin{150};
 constexpr milliseconds maxRequestTimeout{10'000};
-// Retry delay that callers are given while the store cannot be reached.
-constexpr milliseconds storeRetryAfter{1000};
 // A gateway that has not reached the store for this long reports that it is not ready.
 constexpr milliseconds storeContactTimeout{1500};
 // A request that is sent this long after a configuration was published must not be handled by an older one.
 constexpr milliseconds maxConfigAge{2000};
-// The placement of a queue that was seen to move is made durable within this time.
-constexpr std::chrono::seconds placementTimeout{30};
 
 bool isJobId(std::string_view text)
 {
@@ -40,104 +26,8 @@
     });
 }
 
-struct KnownJob {
-    QueueId queue;
-    JobState state = JobState::Queued;
-};
-
-// A submission in the store.
-struct KnownSubmission {
-    QueueId queue;
-    std::optional<JobPlacement> placement;
-    std::int64_t offset = -1;
-};
-
-// The gateway's view of one partition.
-struct PartitionView {
-    // What the owner has stored; it proves that a job lives in the partition.
-    std::unordered_map<JobId, KnownJob> progress;
-    // Jobs accepted by this or any other gateway.
-    std::unordered_map<JobId, KnownSubmission> accepted;
-    PlacementSeals seals;
-    std::set<JobId> cancelled;
-    std::shared_ptr<BatchAppender> appender;
-    std::unique_ptr<StreamReader> progressReader;
-    std::unique_ptr<StreamReader> jobsReader;
-
-    // Returns true if the submission was stored after its placement was sealed, so that the owner moves it on.
-    bool isVoid(const KnownSubmission &submission) const
-    {
-        return submission.placement && this->seals.isSealed(*submission.placement, submission.offset);
-    }
-};
-
 }
 
-class JobGateway::Private
-{
-public:
-    Private(net::io_context &context, RecordStore &store, EventLog &log, Metrics &metrics, const NodeSettings &settings,
-        std::shared_ptr<QueuePlacements> placements)
-        : context(context)
-        , store(store)
-        , log(log)
-        , metrics(metrics)
-        , settings(settings)
-        , placements(std::move(placements))
-    {
-    }
-
-    net::io_context &context;
-    RecordStore &store;
-    EventLog &log;
-    Metrics &metrics;
-    NodeSettings settings;
-    std::shared_ptr<QueuePlacements> placements;
-    std::shared_ptr<const FleetConfig> config;
-    std::optional<TimePoint> configCurrentAsOf;
-    std::vector<std::unique_ptr<PartitionView>> views;
-    steady_clock::time_point lastStoreContact{};
-    bool isDraining = false;
-
-    std::unique_ptr<PartitionView> makeView(std::int32_t partition);
-    // Returns true if a newer configuration may have to be in force by now.
-    bool isConfigOutdated() const;
-    // Returns the reply to a request that only an older configuration may allow or deny; nothing if the request depends on no configuration.
-    std::optional<CallerReply> findOutdatedReply(const QueueConfig *queue, const CallerRequest &request);
-    QueuePlacement placementOf(const QueueConfig &queue) const;
-    // Returns the partitions that are known to hold jobs of the queue; the one of its current service comes first.
-    std::vector<PartitionView *> findViews(const QueueConfig &queue);
-    // Returns the partition that may still get a record of the job, after its streams have been read without one; nullptr if there is none.
-    PartitionView *findUnsettledView(const QueueConfig &queue, const JobId &id);
-    net::awaitable<CallerReply> submit(QueueConfig queue, JobId id, CallerRequest request, steady_clock::time_point deadline);
-    net::awaitable<CallerReply> cancel(QueueConfig queue, JobId id, steady_clock::time_point deadline);
-    net::awaitable<CallerReply> readJob(QueueConfig queue, JobId id);
-    net::awaitable<CallerReply> readQueue(QueueConfig queue);
-    // Returns the partition that has the job. Only the owner's record proves that; without one, all partitions that may have the job are read to their ends.
-    net::awaitable<PartitionView *> findJob(QueueConfig queue, JobId id, Result<void> &readResult);
-    static std::optional<JobState> findState(const PartitionView &view, const JobId &id);
-    // Appends a record of which earlier appends may be unsettled. If the store refuses this one, what it holds decides.
-    net::awaitable<AppendResult> append(PartitionView &view, StoredRecord record, std::function<bool()> isStored, steady_clock::time_point deadline);
-    // Reads the partition to its end. The event tells that this was tried.
-    std::shared_ptr<Event> startReading(PartitionView &view);
-    // Returns the reply to a submission that cannot be stored now, or that another attempt may have stored; nothing if it can be stored under the
-    // placement that is set then.
-    net::awaitable<std::optional<CallerReply>> findConflict(
-        QueueConfig queue, Revision revision, JobId id, steady_clock::time_point deadline, JobPlacement &placement);
-    // Makes the queue's placement in the partition of its service the current one. Returns the reply if that is not possible.
-    net::awaitable<std::optional<CallerReply>> makePlacementCurrent(
-        QueueConfig queue, Revision revision, JobId id, steady_clock::time_point deadline, JobPlacement &placement);
-    // Seals all placements of the queue but the current one. Returns false if that is not confirmed before the deadline.
-    net::awaitable<bool> sealEarlierPlacements(QueueConfig queue, steady_clock::time_point deadline);
-    CallerReply refuseSubmission(const JobId &id, const QueueConfig &queue, bool isUnsettled, const char *reason, const std::string &error);
-    // Makes the placements durable of the queues that the next configuration moves, as earlier versions store jobs without doing so.
-    void recordMovedQueues(const FleetConfig &next);
-    static net::awaitable<void> recordPlacements(
-        net::io_context &context, std::shared_ptr<QueuePlacements> placements, EventLog &log, std::vector<QueuePlacement> moved);
-    // Logs a submission that was not confirmed, with what tells its causes apart.
-    void logUnstored(std::string_view event, const JobId &id, const QueueConfig &queue, const char *reason, const AppendResult &appended);
-};
-
 std::unique_ptr<PartitionView> JobGateway::Private::makeView(std::int32_t partition)
 {
     auto view = std::make_unique<PartitionView>();
@@ -327,164 +217,6 @@
     co_return result;
 }
 
-CallerReply JobGateway::Private::refuseSubmission(const JobId &id, const QueueConfig &queue, bool isUnsettled, const char *reason, const std::string &error)
-{
-    this->logUnstored(isUnsettled ? "job_unsettled" : "job_refused", id, queue, reason, AppendResult{AppendOutcome::NotStored, error});
-    return CallerReply{isUnsettled ? CallerOutcome::MayBeAccepted : CallerOutcome::NotAccepted, {}, 0, reason, storeRetryAfter};
-}
-
-net::awaitable<std::optional<CallerReply>> JobGateway::Private::makePlacementCurrent(
-    QueueConfig queue, Revision revision, JobId id, steady_clock::time_point deadline, JobPlacement &placement)
-{
-    QueuePlacement wanted = this->placementOf(queue);
-    wanted.revision = revision;
-    const std::string address = addressOf(queue.host, queue.pathPrefix);
-    while (true) {
-        const std::vector<QueuePlacement> history = this->placements->historyOf(queue);
-        // The order of several that earlier versions have recorded is not known.
-        const bool hasCurrent = history.size() == 1 || (!history.empty() && history.back().revision > 0);
-        if (hasCurrent && history.back().partition == wanted.partition) {
-            placement = JobPlacement{address, history.back().revision};
-            co_return std::nullopt;
-        }
-        const bool isUnsettled = this->findUnsettledView(queue, id) != nullptr;
-        if (hasCurrent && history.back().revision > 0 && history.back().revision >= revision) {
-            co_return this->refuseSubmission(id, queue, isUnsettled, "the queue has moved, and the configuration has not been read", {});
-        }
-        const std::vector<QueuePlacement> added{wanted};
-        const bool isRecorded = co_await this->placements->record(added, deadline);
-        // Placements that other gateways have recorded meanwhile precede this one in the store, or have a later revision.
-        const Result<void> refreshed = co_await this->placements->refresh();
-        if (!isRecorded || !refreshed) {
-            co_return this->refuseSubmission(id, queue, isUnsettled, "the store does not accept the placement of the queue", {});
-        }
-    }
-}
-
-net::awaitable<bool> JobGateway::Private::sealEarlierPlacements(QueueConfig queue, steady_clock::time_point deadline)
-{
-    std::vector<QueuePlacement> earlier = this->placements->historyOf(queue);
-    earlier.pop_back();
-    for (const QueuePlacement &placement : earlier) {
-        if (placement.partition >= this->settings.partitions) {
-            continue;
-        }
-        PartitionView &view = *this->views[static_cast<std::size_t>(placement.partition)];
-        const JobPlacement sealed{addressOf(queue.host, queue.pathPrefix), placement.revision};
-        if (view.seals.isSealed(sealed)) {
-            continue;
-        }
-        Result<void> read = co_await view.jobsReader->catchUp();
-        if (read && !view.seals.isSealed(sealed)) {
-            const bool isStored = co_await this->placements->seal(placement.partition, sealed, deadline);
-            if (!isStored) {
-                co_return false;
-            }
-            read = co_await view.jobsReader->catchUp();
-        }
-        if (!read || !view.seals.isSealed(sealed)) {
-            co_return false;
-        }
-    }
-    co_return true;
-}
-
-net::awaitable<std::optional<CallerReply>> JobGateway::Private::findConflict(
-    QueueConfig queue, Revision revision, JobId id, steady_clock::time_point deadline, JobPlacement &placement)
-{
-    // This process may not have read the newest configuration, but whichever process has stored the job has made its placement durable before.
-    const Result<void> refreshed = co_await this->placements->refresh();
-    if (!refreshed) {
-        const bool isUnsettled = this->findUnsettledView(queue, id) != nullptr;
-        co_return this->refuseSubmission(id, queue, isUnsettled, "the store cannot be read", describe(refreshed.error()));
-    }
-    if (this->findViews(queue).size() > 1) {
-        // The queue has moved. A repeated submission must not create a second job.
-        Result<void> readResult;
-        const PartitionView *known = co_await this->findJob(queue, id, readResult);
-        if (known != nullptr) {
-            co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
-        }
-    }
-    std::optional<CallerReply> refused = co_await this->makePlacementCurrent(queue, revision, id, deadline, placement);
-    if (refused) {
-        co_return refused;
-    }
-    const std::vector<PartitionView *> candidates = this->findViews(queue);
-    if (candidates.size() == 1) {
-        co_return std::nullopt;
-    }
-    const bool areSealed = co_await this->sealEarlierPlacements(queue, deadline);
-    if (!areSealed) {
-        const char *reason = "the store does not confirm the end of an earlier placement of the queue";
-        co_return this->refuseSubmission(id, queue, this->findUnsettledView(queue, id) != nullptr, reason, {});
-    }
-    Result<void> readResult;
-    const PartitionView *known = co_await this->findJob(queue, id, readResult);
-    if (known != nullptr) {
-        co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
-    }
-    if (!readResult) {
-        const char *reason = "the store cannot be read, so an earlier submission cannot be ruled out";
-        this->logUnstored("job_unsettled", id, queue, reason, AppendResult{AppendOutcome::Unknown, describe(readResult.error())});
-        co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
-    }
-    const bool isUnsettledElsewhere = std::any_of(std::next(candidates.begin()), candidates.end(), [&id](PartitionView *view) {
-        view->appender->settle(view->jobsReader->currentAsOf());
-        return view->appender->isUnsettled(id.value);
-    });
-    if (isUnsettledElsewhere) {
-        const char *reason = "the store gave no answer to another attempt in an earlier partition of the queue";
-        this->logUnstored("job_unsettled", id, queue, reason, AppendResult{AppendOutcome::Unknown, {}, 0, 0, true});
-        co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
-    }
-    co_return std::nullopt;
-}
-
-net::awaitable<CallerReply> JobGateway::Private::submit(QueueConfig queue, JobId id, CallerRequest request, steady_clock::time_point deadline)
-{
-    Result<JobSpec> spec = request.decodeJob();
-    if (!spec) {
-        co_return CallerReply{CallerOutcome::Invalid, {}, 0, describe(spec.error()), {}};
-    }
-    const Revision revision = this->config->revision;
-    PartitionView &view = *this->findViews(queue).front();
-    if (findState(view, id)) {
-        co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
-    }
-    JobPlacement placement;
-    const std::optional<CallerReply> conflict = co_await this->findConflict(queue, revision, id, deadline, placement);
-    if (conflict) {
-        co_return *conflict;
-    }
-    AcceptedJob job{id, queue.id, queue.service, wallNow(), std::move(*spec), queue.terms(), placement};
-    StoredRecord record{id.value, encodeAcceptedJob(job), -1};
-    if (!this->store.accepts(record)) {
-        const char *field = 2 * job.spec.payload.size() > record.value.size() ? "spec" : "steps";
-        co_return CallerReply{CallerOutcome::Invalid, {}, 0, std::string(field) + ": must be shorter, the job exceeds the store's limit for records", {}};
-    }
-    const auto isStored = [&view, id] {
-        return findState(view, id).has_value();
-    };
-    const AppendResult appended = co_await this->append(view, std::move(record), isStored, deadline);
-    switch (appended.outcome) {
-    case AppendOutcome::Durable:
-        view.accepted.emplace(id, KnownSubmission{queue.id, placement, -1});
-        this->log.emit("job_accepted",
-            {{"job", id.value}, {"queue", queue.id.value}, {"service", queue.service.value}, {"revision", this->config->revision},
-                {"steps", static_cast<std::int64_t>(job.spec.steps.size())}});
-        co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
-    case AppendOutcome::NotStored:
-        this->logUnstored("job_refused", id, queue, "the store does not accept records", appended);
-        co_return CallerReply{CallerOutcome::NotAccepted, {}, 0, "the store does not accept records", storeRetryAfter};
-    case AppendOutcome::Unknown:
-        break;
-    }
-    const char *reason = appended.unansweredSends > 0 ? "the store gave no answer" : "the store gave no answer to another attempt";
-    this->logUnstored("job_unsettled", id, queue, reason, appended);
-    co_return CallerReply{CallerOutcome::MayBeAccepted, {}, 0, reason, {}};
-}
-
 void JobGateway::Private::logUnstored(std::string_view event, const JobId &id, const QueueConfig &queue, const char *reason, const AppendResult &appended)
 {
     this->log.emit(event,
@@ -586,44 +318,6 @@
     co_return CallerReply{CallerOutcome::Pending, {}, pending.size(), {}, {}};
 }
 
-void JobGateway::Private::recordMovedQueues(const FleetConfig &next)
-{
-    if (!this->config) {
-        return;
-    }
-    std::vector<QueuePlacement> moved;
-    for (const QueueConfig &queue : this->config->queues) {
-        QueuePlacement before = this->placementOf(queue);
-        before.revision = this->config->revision;
-        const bool hasMoved = std::any_of(next.queues.begin(), next.queues.end(), [this, &queue, &before](const QueueConfig &updated) {
-            const bool isSameAddress = updated.host == queue.host && updated.pathPrefix == queue.pathPrefix;
-            return (updated.id == queue.id || isSameAddress) && this->placementOf(updated).partition != before.partition;
-        });
-        if (hasMoved && !this->placements->isKnown(before)) {
-            moved.push_back(before);
-        }
-    }
-    if (!moved.empty()) {
-        net::co_spawn(this->context, recordPlacements(this->context, this->placements, this->log, std::move(moved)), net::detached);
-    }
-}
-
-net::awaitable<void> JobGateway::Private::recordPlacements(
-    net::io_context &context, std::shared_ptr<QueuePlacements> placements, EventLog &log, std::vector<QueuePlacement> moved)
-{
-    const auto deadline = steady_clock::now() + placementTimeout;
-    bool isRecorded = false;
-    while (!isRecorded && steady_clock::now() < deadline) {
-        isRecorded = co_await placements->record(moved, deadline);
-        if (!isRecorded) {
-            co_await sleepFor(context, storeRetryAfter);
-        }
-    }
-    if (!isRecorded) {
-        log.emit("placements_unrecorded", {{"queues", std::int64_t(moved.size())}}, EventPriority::Essential);
-    }
-}
-
 JobGateway::JobGateway(std::unique_ptr<Private> impl)
     : d(std::move(impl))
 {
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -12,6 +12,11 @@
 
 namespace MangoCourse {
 
+inline constexpr std::chrono::milliseconds appendTimeout{1200};
+inline constexpr std::chrono::milliseconds retryDelay{80};
+// Final states are kept for this long after the status retention, because submissions may be repeated, or stored late, during this time.
+inline constexpr std::chrono::milliseconds statusExpiryMargin{60'000};
+
 class ShardOwner::Private
 {
 public:
