--- a/src/include/mangocourse/fleetconfig.h
+++ b/src/include/mangocourse/fleetconfig.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <mangocourse/clientaccounts.h>
 #include <mangocourse/job.h>
 #include <mangocourse/processsettings.h>
 
@@ -32,6 +33,8 @@
     std::chrono::milliseconds targetLatency{};
     std::chrono::milliseconds requestTimeout{};
     std::optional<PlacementPolicy> policy;
+    // Callers need no key, even if the configuration has client accounts.
+    bool isPublic = false;
 
     // Returns the terms of jobs that the queue accepts now.
     JobTerms terms() const
@@ -56,6 +59,8 @@
     Revision revision = 0;
     std::vector<QueueConfig> queues;
     std::map<ServiceId, ServiceConfig> services;
+    // Absent if callers need no keys.
+    std::optional<ClientAccounts> accounts;
 
     // Returns the queue of the host with the longest prefix of `path`, or nullptr.
     const QueueConfig *match(std::string_view host, std::string_view path) const
--- a/src/include/mangocourse/job.h
+++ b/src/include/mangocourse/job.h
@@ -17,6 +17,7 @@
 using QueueId = Id<struct QueueTag>;
 using ExecutorId = Id<struct ExecutorTag>;
 using MachineId = Id<struct MachineTag>;
+using AccountId = Id<struct AccountTag>;
 
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
@@ -119,7 +120,6 @@
     bool operator==(const JobTerms &) const = default;
 };
 
-// A submission as it is stored, with the queue that accepted it, the service that runs it, and the time of acceptance.
 // The placement of a queue under which a job is stored.
 struct JobPlacement {
     // Identifies what callers name the queue by: its host and path prefix.
@@ -130,6 +130,7 @@
     bool operator==(const JobPlacement &) const = default;
 };
 
+// A submission as it is stored, with the queue that accepted it, the service that runs it, and the time of acceptance.
 struct AcceptedJob {
     JobId id;
     QueueId queue;
@@ -139,6 +140,8 @@
     // Absent in records of earlier versions.
     std::optional<JobTerms> terms{};
     std::optional<JobPlacement> placement{};
+    // The client account that submitted the job; empty for jobs of public queues and in records of earlier versions.
+    AccountId account{};
 };
 
 // Job states that callers can see.
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -66,6 +66,8 @@
     std::vector<ItemProgress> items;
     // The terms of the job, unless its submission holds them.
     std::optional<JobTerms> terms{};
+    // The client account of the job; empty if it has none.
+    AccountId account{};
     // Number of items of each step, to divide the items of a large job into records; not part of what is stored.
     std::vector<std::int32_t> itemsOfSteps{};
 
--- a/src/scheduler/callerrequest.h
+++ b/src/scheduler/callerrequest.h
@@ -24,6 +24,8 @@
     CallerAction action = CallerAction::Read;
     std::string host;
     std::string path;
+    // The caller's API key; empty if there is none.
+    std::string apiKey;
     // Decodes the submitted job. Called only after the queue has been found.
     std::function<Result<JobSpec>()> decodeJob;
     // Time for which the caller waits for the reply.
@@ -37,6 +39,10 @@
     Pending,
     NoSuchQueue,
     NoSuchJob,
+    // The queue needs a key, and the request has none that the configuration knows.
+    Unauthorized,
+    // The ID of the submission is that of another account's job.
+    IdTaken,
     Invalid,
     // Nothing was stored and nothing will run.
     NotAccepted,
