--- a/src/scheduler/shardownerrecords.cpp
+++ b/src/scheduler/shardownerrecords.cpp
@@ -55,8 +55,6 @@
 
 }
 
-}
-
 void ShardOwner::Tasks::logUnstorable(const StoredRecord &record, const std::string &reason)
 {
     this->state.owner.log.emit("progress_unstorable",
@@ -413,4 +411,5 @@
         co_await this->persistOnce();
     }
 }
+
 }
