--- a/src/include/mangocourse/ownerchoice.h
+++ b/src/include/mangocourse/ownerchoice.h
@@ -19,8 +19,16 @@
     // How long there have been too few stronger owners, and the delay before this process joins, which lets stronger processes join first.
     std::chrono::milliseconds neededFor{};
     std::chrono::milliseconds joinDelay{};
+    // How long this process has been a member, and how often it has left the owners to make room for stronger ones since it last saw enough of them.
+    std::chrono::milliseconds memberFor{};
+    std::int32_t resignations = 0;
+    // A stronger owner has been seen since this process started.
+    bool hasSeenStrongerOwner = false;
 };
 
+// Returns true if the view has an owner that is stronger than this process.
+bool hasStrongerOwner(const OwnerView &view);
+
 // Returns true if there are too few stronger owners without this process.
 bool isOwnerNeeded(const OwnerView &view);
 
@@ -34,8 +42,9 @@
 // Returns the membership change of this process. One owner handles a whole burst of a queue, so on a machine with a small CPU share
 // starts would wait for the CPU. A process stands by while there are enough stronger owners, and joins once there have been too few of
 // them for `joinDelay`. When all processes restart at once, weak owners may join before the strong ones; so an owner leaves
-// as soon as one stronger owner exists, because only then does the store reassign its pools to the stronger owners. It leaves only once:
-// if too few stronger owners remain, it rejoins and stays.
+// as soon as one stronger owner exists, because only then does the store reassign its pools to the stronger owners. If too few stronger
+// owners remain, it rejoins. A stronger process that owns nothing is not among the owners, although it may have come back and wait for pools; so
+// a weak owner that knows of stronger processes leaves again after a while, each time later.
 OwnerAction chooseOwnerAction(const OwnerView &view);
 
 }
--- a/src/libmangocourse/ownerchoice.cpp
+++ b/src/libmangocourse/ownerchoice.cpp
@@ -11,10 +11,10 @@
 constexpr std::ptrdiff_t sufficientStrongerOwners = 3;
 // An owner is stronger if its share is at least this many times that of this process.
 constexpr std::int32_t strongerShareRatio = 2;
-
-}
-
-namespace {
+// A weak owner makes room for stronger processes after this time, which doubles with each time that it was in vain. A handover interrupts its pools for
+// some 100 ms.
+constexpr std::chrono::milliseconds firstYieldDelay{4000};
+constexpr std::chrono::milliseconds maxYieldDelay{60'000};
 
 std::ptrdiff_t countStrongerOwners(const OwnerView &view)
 {
@@ -23,6 +23,17 @@
     });
 }
 
+std::chrono::milliseconds yieldDelay(const OwnerView &view)
+{
+    constexpr std::int32_t maxDoublings = 4;
+    return std::min(firstYieldDelay * (1 << std::clamp(view.resignations, 0, maxDoublings)), maxYieldDelay);
+}
+
+}
+
+bool hasStrongerOwner(const OwnerView &view)
+{
+    return countStrongerOwners(view) > 0;
 }
 
 bool isOwnerNeeded(const OwnerView &view)
@@ -34,8 +45,9 @@
 {
     const bool isNeeded = isOwnerNeeded(view);
     if (view.isMember) {
-        const bool hasStrongerOwner = countStrongerOwners(view) > 0 && !view.hasRejoined;
-        return isNeeded && !hasStrongerOwner ? OwnerAction::Stay : OwnerAction::Leave;
+        const bool yieldsToNewcomer = hasStrongerOwner(view) && !view.hasRejoined;
+        const bool isYieldDue = view.hasSeenStrongerOwner && view.memberFor >= yieldDelay(view);
+        return isNeeded && !yieldsToNewcomer && !isYieldDue ? OwnerAction::Stay : OwnerAction::Leave;
     }
     return isNeeded && view.neededFor >= view.joinDelay ? OwnerAction::Join : OwnerAction::StandBy;
 }
--- a/src/libmangocourse/ownerchoice_test.cpp
+++ b/src/libmangocourse/ownerchoice_test.cpp
@@ -42,6 +42,23 @@
     EXPECT_EQ(chooseOwnerAction(rejoined), OwnerAction::Stay);
 }
 
+// After the store has refused the strong owners for a while, weak ones hold all partitions, and the strong ones, which own nothing, are not listed.
+TEST(OwnerChoiceTest, WeakOwnerMakesRoomForStrongerProcessesThatOwnNothing)
+{
+    OwnerView weak = makeView(120, true, {120, 120, 120});
+    weak.memberFor = 30s;
+    EXPECT_EQ(chooseOwnerAction(weak), OwnerAction::Stay) << "no stronger process is known";
+    weak.hasSeenStrongerOwner = true;
+    EXPECT_EQ(chooseOwnerAction(weak), OwnerAction::Leave);
+    weak.memberFor = 3s;
+    EXPECT_EQ(chooseOwnerAction(weak), OwnerAction::Stay) << "too soon";
+    weak.resignations = 3;
+    weak.memberFor = 30s;
+    EXPECT_EQ(chooseOwnerAction(weak), OwnerAction::Stay) << "it was in vain three times";
+    weak.memberFor = 60s;
+    EXPECT_EQ(chooseOwnerAction(weak), OwnerAction::Leave);
+}
+
 TEST(OwnerChoiceTest, ProcessesWithSimilarSharesAllJoin)
 {
     EXPECT_EQ(chooseOwnerAction(makeView(250, false, {250, 250, 250, 250})), OwnerAction::Join);
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -110,6 +110,9 @@
         this->join();
     } else if (action == OwnerAction::Leave) {
         this->hasResigned = true;
+        ++this->resignations;
+        this->owner.log.emit("owners_resigned", {{"share", std::int64_t(this->owner.settings.cpuMillicores)}, {"times", std::int64_t(this->resignations)}},
+            EventPriority::Essential);
         co_await this->resign();
     }
     const bool isWaiting = !this->isMember && this->neededSince;
@@ -125,19 +128,25 @@
             view.otherShares.push_back(holder.cpuMillicores);
         }
     }
+    this->hasSeenStrongerOwner = this->hasSeenStrongerOwner || hasStrongerOwner(view);
+    view.hasSeenStrongerOwner = this->hasSeenStrongerOwner;
     if (isOwnerNeeded(view)) {
         this->neededSince = this->neededSince.value_or(bootNow());
         view.neededFor = std::chrono::duration_cast<milliseconds>(bootNow() - *this->neededSince);
     } else {
         this->neededSince.reset();
         this->hasResigned = false;
+        this->resignations = 0;
     }
+    view.resignations = this->resignations;
+    view.memberFor = std::chrono::duration_cast<milliseconds>(this->isMember ? bootNow() - this->joinedAt : Duration{});
     return view;
 }
 
 void Ownership::join()
 {
     this->isMember = true;
+    this->joinedAt = bootNow();
     this->owner.log.emit("owners_joined", {{"share", std::int64_t(this->owner.settings.cpuMillicores)}}, EventPriority::Essential);
     net::co_spawn(
         this->owner.context,
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -64,6 +64,10 @@
     std::optional<TimePoint> neededSince;
     // True after this process has left the group in favour of processes with a larger share, until enough of them have been seen to own pools.
     bool hasResigned = false;
+    // Number of times that it has left in a row without such owners appearing.
+    std::int32_t resignations = 0;
+    bool hasSeenStrongerOwner = false;
+    TimePoint joinedAt{};
     Event memberStopped;
     std::function<void(bool isReachable)> onStoreContact;
 };
