--- a/src/libmangocourse/ownerchoice.cpp
+++ b/src/libmangocourse/ownerchoice.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-// This many stronger owners suffice without this process; with fewer owners, one failure would interrupt too many pools at once.
-constexpr std::ptrdiff_t sufficientStrongerOwners = 3;
+// This many stronger owners suffice without this process. The store deals partitions evenly among all members, so weak ones that join take busy pools
+// from strong owners; with a single strong owner, its failure would interrupt all pools at once.
+constexpr std::ptrdiff_t sufficientStrongerOwners = 2;
 // An owner is stronger if its share is at least this many times that of this process.
 constexpr std::int32_t strongerShareRatio = 2;
 // A weak owner makes room for stronger processes after this time, which doubles with each time that it was in vain. A handover interrupts its pools for
