Let a weak planner resign, and leave a vacancy of the planner to stronger processes

Change: a planner that sees a stronger process own pools resigns 4 s after it began, each time twice as late; where a stronger process was seen, weaker ones wait for their takeover delay before they offer themselves. The decisions are in ownerchoice.h. Event planner_resigned.

--- a/src/include/mangocourse/ownerchoice.h
+++ b/src/include/mangocourse/ownerchoice.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace MangoCourse {
@@ -47,4 +48,22 @@
 // a weak owner that knows of stronger processes leaves again after a while, each time later.
 OwnerAction chooseOwnerAction(const OwnerView &view);
 
+// What a process knows that plans the fleet or may do so. One process plans at a time, and on a machine with a small CPU share its reports are out of
+// date when a burst begins.
+struct PlannerView {
+    // Time since a process with a larger share was last seen to own pools; nothing if none has been seen.
+    std::optional<std::chrono::milliseconds> strongerOwnerSeenFor;
+    // How long this process has planned, and how often it has resigned as the planner.
+    std::chrono::milliseconds planningFor{};
+    std::int32_t resignations = 0;
+    // How long nobody has planned, and the time for which a vacancy is left to stronger processes.
+    std::chrono::milliseconds vacantFor{};
+    std::chrono::milliseconds joinDelay{};
+};
+
+// Returns true if the planner makes room for a stronger process.
+bool shouldResignAsPlanner(const PlannerView &view);
+// Returns true if the process offers itself as the planner while nobody plans.
+bool shouldJoinPlanners(const PlannerView &view);
+
 }
--- a/src/libmangocourse/ownerchoice.cpp
+++ b/src/libmangocourse/ownerchoice.cpp
@@ -16,6 +16,8 @@
 // some 100 ms.
 constexpr std::chrono::milliseconds firstYieldDelay{4000};
 constexpr std::chrono::milliseconds maxYieldDelay{60'000};
+// A stronger process that was seen to own pools this recently can plan as well. Owners are looked up about once a second.
+constexpr std::chrono::milliseconds maxStrongerOwnerAge{2500};
 
 std::ptrdiff_t countStrongerOwners(const OwnerView &view)
 {
@@ -24,10 +26,10 @@
     });
 }
 
-std::chrono::milliseconds yieldDelay(const OwnerView &view)
+std::chrono::milliseconds yieldDelay(std::int32_t resignations)
 {
     constexpr std::int32_t maxDoublings = 4;
-    return std::min(firstYieldDelay * (1 << std::clamp(view.resignations, 0, maxDoublings)), maxYieldDelay);
+    return std::min(firstYieldDelay * (1 << std::clamp(resignations, 0, maxDoublings)), maxYieldDelay);
 }
 
 }
@@ -47,10 +49,22 @@
     const bool isNeeded = isOwnerNeeded(view);
     if (view.isMember) {
         const bool yieldsToNewcomer = hasStrongerOwner(view) && !view.hasRejoined;
-        const bool isYieldDue = view.hasSeenStrongerOwner && view.memberFor >= yieldDelay(view);
+        const bool isYieldDue = view.hasSeenStrongerOwner && view.memberFor >= yieldDelay(view.resignations);
         return isNeeded && !yieldsToNewcomer && !isYieldDue ? OwnerAction::Stay : OwnerAction::Leave;
     }
     return isNeeded && view.neededFor >= view.joinDelay ? OwnerAction::Join : OwnerAction::StandBy;
 }
 
+bool shouldResignAsPlanner(const PlannerView &view)
+{
+    const bool hasStrongerProcess = view.strongerOwnerSeenFor && *view.strongerOwnerSeenFor <= maxStrongerOwnerAge;
+    return hasStrongerProcess && view.planningFor >= yieldDelay(view.resignations);
+}
+
+bool shouldJoinPlanners(const PlannerView &view)
+{
+    const bool hasStrongerProcess = view.strongerOwnerSeenFor && *view.strongerOwnerSeenFor <= maxStrongerOwnerAge;
+    return !hasStrongerProcess || view.vacantFor >= view.joinDelay;
+}
+
 }
--- a/src/libmangocourse/ownerchoice_test.cpp
+++ b/src/libmangocourse/ownerchoice_test.cpp
@@ -81,5 +81,28 @@
     EXPECT_EQ(chooseOwnerAction(makeView(120, false, {0, 0, 0})), OwnerAction::Join);
 }
 
+// The store refused all strong processes for a while, and a weak one planned for the rest of the day on reports that were 1.5 s old.
+TEST(OwnerChoiceTest, WeakPlannerResignsOnceAStrongerProcessOwnsPools)
+{
+    PlannerView view{1s, 5s};
+    EXPECT_TRUE(shouldResignAsPlanner(view));
+    view.planningFor = 3s;
+    EXPECT_FALSE(shouldResignAsPlanner(view)) << "too soon";
+    view.planningFor = 5s;
+    view.resignations = 1;
+    EXPECT_FALSE(shouldResignAsPlanner(view)) << "it was in vain once";
+    EXPECT_FALSE(shouldResignAsPlanner(PlannerView{3s, 60s})) << "the stronger process was seen too long ago";
+    EXPECT_FALSE(shouldResignAsPlanner(PlannerView{std::nullopt, 60s}));
+}
+
+TEST(OwnerChoiceTest, WeakProcessLeavesAVacancyOfThePlannerToStrongerOnes)
+{
+    PlannerView view{1s, 0ms, 0, 200ms, 760ms};
+    EXPECT_FALSE(shouldJoinPlanners(view));
+    view.vacantFor = 760ms;
+    EXPECT_TRUE(shouldJoinPlanners(view));
+    EXPECT_TRUE(shouldJoinPlanners(PlannerView{std::nullopt, 0ms, 0, 0ms, 500ms})) << "no process is stronger";
+}
+
 }
 }
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -128,8 +128,10 @@
             view.otherShares.push_back(holder.cpuMillicores);
         }
     }
-    this->hasSeenStrongerOwner = this->hasSeenStrongerOwner || hasStrongerOwner(view);
-    view.hasSeenStrongerOwner = this->hasSeenStrongerOwner;
+    if (hasStrongerOwner(view)) {
+        this->strongerOwnerSeenAt = bootNow();
+    }
+    view.hasSeenStrongerOwner = this->strongerOwnerSeenAt.has_value();
     if (isOwnerNeeded(view)) {
         this->neededSince = this->neededSince.value_or(bootNow());
         view.neededFor = std::chrono::duration_cast<milliseconds>(bootNow() - *this->neededSince);
@@ -240,4 +242,9 @@
     return this->owned;
 }
 
+std::optional<TimePoint> Ownership::lastStrongerOwner() const
+{
+    return this->strongerOwnerSeenAt;
+}
+
 }
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -35,6 +35,8 @@
     // Returns true if any owned partition has a pool.
     bool ownsPools() const;
     const std::map<std::int32_t, std::shared_ptr<ShardOwner>> &shards() const;
+    // Returns the last time at which a process with a larger CPU share was seen to own pools.
+    std::optional<TimePoint> lastStrongerOwner() const;
 
 private:
     void apply(const MembershipConfirmation &confirmation);
@@ -66,7 +68,8 @@
     bool hasResigned = false;
     // Number of times that it has left in a row without such owners appearing.
     std::int32_t resignations = 0;
-    bool hasSeenStrongerOwner = false;
+    // Last time at which a stronger owner was seen.
+    std::optional<TimePoint> strongerOwnerSeenAt;
     TimePoint joinedAt{};
     Event memberStopped;
     std::function<void(bool isReachable)> onStoreContact;
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -128,6 +128,9 @@
     std::optional<TimePoint> planFollowedSince;
     // Time since which this process has been a member of the planners' group without being the planner.
     std::optional<TimePoint> notPlanningSince;
+    std::int32_t plannerResignations = 0;
+    std::optional<TimePoint> plannerVacantSince;
+    TimePoint planningSince{};
     SeenOrders seenOrders;
     std::map<ServiceId, PoolReport> lastReports;
     std::map<ServiceId, steady_clock::time_point> reportedAt;
@@ -141,6 +144,9 @@
     bool knowsRecentOrders() const;
     // Stands by until no other process is the planner, then joins the planners' group.
     net::awaitable<void> joinPlanners();
+    PlannerView plannerView() const;
+    // Leaves the planners' group if a stronger process can plan.
+    void reviewPlanner();
     void applyPlan(const StoredRecord &record);
     net::awaitable<void> followPlan();
     net::awaitable<void> reportPools();
@@ -182,6 +188,9 @@
 void SchedulerProcess::Private::setPlanningToken(std::int64_t token)
 {
     this->log->emit(token != 0 ? "planning_gained" : "planning_lost", {{"token", token}}, EventPriority::Essential);
+    if (this->planningToken == 0) {
+        this->planningSince = bootNow();
+    }
     this->planningToken = token;
     if (this->planningDuty) {
         this->planningDuty->stop();
@@ -216,6 +225,32 @@
     if (this->planningDuty) {
         this->planningDuty->setOrderDeadline(this->plannerMember.confirmedUntil());
     }
+    this->reviewPlanner();
+}
+
+PlannerView SchedulerProcess::Private::plannerView() const
+{
+    const auto since = [](TimePoint time) {
+        return std::chrono::duration_cast<milliseconds>(bootNow() - time);
+    };
+    PlannerView view;
+    view.strongerOwnerSeenFor = this->ownership.lastStrongerOwner() ? std::optional(since(*this->ownership.lastStrongerOwner())) : std::nullopt;
+    view.planningFor = this->planningToken == 0 ? milliseconds::zero() : since(this->planningSince);
+    view.resignations = this->plannerResignations;
+    view.vacantFor = this->plannerVacantSince ? since(*this->plannerVacantSince) : milliseconds::zero();
+    view.joinDelay = this->platform->settings().takeoverDelay();
+    return view;
+}
+
+void SchedulerProcess::Private::reviewPlanner()
+{
+    if (this->planningToken == 0 || this->platform->settings().hasSufficientCpu() || !shouldResignAsPlanner(this->plannerView())) {
+        return;
+    }
+    ++this->plannerResignations;
+    this->log->emit("planner_resigned", {{"token", this->planningToken}, {"times", std::int64_t(this->plannerResignations)}}, EventPriority::Essential);
+    this->setPlanningToken(0);
+    this->plannerMember.stop();
 }
 
 void SchedulerProcess::Private::handlePlannersContact(bool isReachable)
@@ -256,9 +291,15 @@
         });
         if (hasOtherHolder) {
             hasDeferred = false;
+            this->plannerVacantSince.reset();
             co_await sleepFor(this->context, interval);
             continue;
         }
+        this->plannerVacantSince = this->plannerVacantSince.value_or(bootNow());
+        if (!shouldJoinPlanners(this->plannerView())) {
+            co_await sleepFor(this->context, idlePollInterval);
+            continue;
+        }
         if (!this->knowsRecentOrders() && !hasDeferred) {
             // Waits for one interval, so that a process that has followed the plan for longer can join first: it knows which machines received
             // orders recently.
@@ -270,6 +311,7 @@
             break;
         }
         this->notPlanningSince.reset();
+        this->plannerVacantSince.reset();
         co_await this->plannerMember.run();
         if (!this->isStopping) {
             co_await this->plannerMember.leave();
