--- a/src/scheduler/nodesettings.h
+++ b/src/scheduler/nodesettings.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds stopGrace{6000};
     // Time for which callers can ask for the final state of a job.
     std::chrono::milliseconds statusRetention{120'000};
+    // Time after the last confirmed read of the configuration during which its keys are accepted.
+    std::chrono::milliseconds revocationBound{5000};
     // Minimum time between the orders of two different planners for the same machine.
     std::chrono::milliseconds planLease{3000};
     // Minimum membership time that the store accepts.
--- a/src/scheduler/operatorfeed.cpp
+++ b/src/scheduler/operatorfeed.cpp
@@ -13,6 +13,8 @@
 // less than the gateway's maximum age.
 constexpr milliseconds feedPollTimeout{500};
 constexpr milliseconds retryDelay{150};
+// Records of one key that are kept from one read for the case that newer ones cannot be decoded.
+constexpr std::size_t maxUndecodedRecords = 8;
 
 }
 
@@ -25,26 +27,30 @@
           StreamReader::Handlers{[] {
                                  },
               [this](const StoredRecord &record) {
-                  // Only the newest record of each key counts. Older ones are not decoded, because configurations are large.
-                  this->undecodedRecords.insert_or_assign(record.key, record);
+                  // Only the newest readable record of each key counts. Older ones are not decoded, because configurations are large.
+                  std::vector<StoredRecord> &records = this->undecodedRecords[record.key];
+                  if (records.size() == maxUndecodedRecords) {
+                      records.erase(records.begin());
+                  }
+                  records.push_back(record);
               }})
 {
 }
 
-void OperatorFeed::apply(const StoredRecord &record)
+bool OperatorFeed::apply(const StoredRecord &record)
 {
     if (record.value.empty()) {
-        return;
+        return true;
     }
     Result<OperatorRecord> decoded = this->platform.decodeOperatorRecord(record.key, record.value);
     if (!decoded) {
         this->log.emit(
             "operator_record_unreadable", {{"key", record.key}, {"offset", record.offset}, {"reason", describe(decoded.error())}}, EventPriority::Essential);
-        return;
+        return false;
     }
     if (auto *config = std::get_if<FleetConfig>(&*decoded)) {
         if (this->currentConfig && this->currentConfig->revision >= config->revision) {
-            return;
+            return true;
         }
         this->log.emit("config_in_force", {{"revision", config->revision}, {"offset", record.offset}, {"queues", std::int64_t(config->queues.size())}},
             EventPriority::Essential);
@@ -59,6 +65,7 @@
         knownWave = std::move(*wave);
         this->handlers.onWave(knownWave);
     }
+    return true;
 }
 
 net::awaitable<void> OperatorFeed::run()
@@ -66,8 +73,11 @@
     bool wasReachable = true;
     while (!this->isStopped) {
         const Result<void> read = co_await this->reader.follow(feedPollTimeout);
-        for (const auto &[key, record] : std::exchange(this->undecodedRecords, {})) {
-            this->apply(record);
+        for (const auto &[key, records] : std::exchange(this->undecodedRecords, {})) {
+            auto record = records.rbegin();
+            while (record != records.rend() && !this->apply(*record)) {
+                ++record;
+            }
         }
         const bool isReachable = read.has_value();
         if (isReachable != wasReachable) {
--- a/src/scheduler/operatorfeed.h
+++ b/src/scheduler/operatorfeed.h
@@ -32,7 +32,8 @@
     std::map<WaveId, MaintenanceWave> waves() const;
 
 private:
-    void apply(const StoredRecord &record);
+    // Returns false if the record cannot be decoded.
+    bool apply(const StoredRecord &record);
 
     net::io_context &context;
     PlatformAdapter &platform;
@@ -40,8 +41,8 @@
     Handlers handlers;
     std::shared_ptr<const FleetConfig> currentConfig;
     std::map<WaveId, MaintenanceWave> knownWaves;
-    // Newest record of each key that has not been decoded yet.
-    std::map<std::string, StoredRecord> undecodedRecords;
+    // Records of each key that have not been decoded yet, the oldest first.
+    std::map<std::string, std::vector<StoredRecord>> undecodedRecords;
     StreamReader reader;
     bool isStopped = false;
 };
--- a/src/scheduler/schedulerprocess_test.h
+++ b/src/scheduler/schedulerprocess_test.h
@@ -66,7 +66,11 @@
     }
     Result<OperatorRecord> decodeOperatorRecord(const std::string &, const std::string &value) const override
     {
-        return OperatorRecord(this->configs.at(value));
+        const auto found = this->configs.find(value);
+        if (found == this->configs.end()) {
+            return makeError(ErrorCode::Decode, "is malformed", "tenants[0].name");
+        }
+        return OperatorRecord(found->second);
     }
     Result<ExecutorInfo> decodeExecutor(const std::string &, const std::string &) const override
     {
