--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -66,6 +66,10 @@
     }
     JobEntry &entry = this->d->jobs[job.id];
     entry.job = job;
+    if (progress != nullptr && !progress->account.isEmpty()) {
+        // The previous version moves submissions without their account.
+        entry.job.account = progress->account;
+    }
     const auto age = std::max(milliseconds::zero(), wallNow - job.acceptedAt);
     entry.addedAt = now - std::chrono::duration_cast<Duration>(age);
     entry.occurrences.resize(static_cast<std::size_t>(job.spec.occurrences()));
@@ -374,7 +378,11 @@
             continue;
         }
         JobProgress progress{id, entry->job.queue, entry->job.service, entry->state, entry->hasStartIntent, entry->endedAt, {}};
-        if (entry->isOpen() && !entry->isSubmittedWithTerms) {
+        progress.account = entry->job.account;
+        if (!progress.account.isEmpty()) {
+            // Records with an account always have the terms.
+            progress.terms = entry->job.terms.value_or(JobTerms{});
+        } else if (entry->isOpen() && !entry->isSubmittedWithTerms) {
             progress.terms = entry->job.terms;
         }
         for (const StepSpec &step : entry->job.spec.steps) {
--- a/src/libmangocourse/poolterms_test.cpp
+++ b/src/libmangocourse/poolterms_test.cpp
@@ -110,5 +110,30 @@
     EXPECT_EQ(this->stateOf("a"), JobState::Running);
 }
 
+// Guards against states without the terms, which the previous version cannot read beside an account, and against states that lose the account with the
+// deletion of the submission.
+TEST_F(PoolTermsTest, StatesOfAnAccountsJobHaveTheAccountAndTheTermsToTheEnd)
+{
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    AcceptedJob accepted = this->jobWithTerms("a", JobTerms{0, 1});
+    accepted.account = AccountId{"north"};
+    this->add(accepted);
+    this->failOnce(1);
+    EXPECT_EQ(this->stateOf("a"), JobState::Failed);
+    const JobProgress final = this->savedProgress.at(JobId{"a"});
+    EXPECT_EQ(final.account, accepted.account);
+    EXPECT_EQ(final.terms, accepted.terms);
+    // A submission that the previous version has moved lacks the account.
+    JobProgress open = final;
+    open.state = JobState::Running;
+    this->takeOver(this->config);
+    this->add(this->jobWithTerms("a", JobTerms{0, 2}), &open);
+    this->stateOf("a");
+    this->failOnce(2);
+    this->stateOf("a");
+    EXPECT_EQ(this->savedProgress.at(JobId{"a"}).account, accepted.account);
+}
+
 }
 }
--- a/src/scheduler/oddrecords_test.cpp
+++ b/src/scheduler/oddrecords_test.cpp
@@ -63,9 +63,9 @@
     second.dependsOn = {0};
     second.estimate = 5s;
     const AcceptedJob job{JobId{"00000000000000aa"}, QueueId{"q"}, ServiceId{"s"}, WallTime(5ms),
-        JobSpec{"p", {step, second}, Recurrence{2, WallTime(7ms), 9ms}}, JobTerms{1, 2, 1.5, 600ms, true}};
-    const JobProgress progress{
-        JobId{"00000000000000aa"}, QueueId{"q"}, ServiceId{"s"}, JobState::Running, true, WallTime(5ms), {ItemProgress{1, 2, 3, true, 2, {5, 7}}}};
+        JobSpec{"p", {step, second}, Recurrence{2, WallTime(7ms), 9ms}}, JobTerms{1, 2, 1.5, 600ms, true}, JobPlacement{"0123456789abcdef", 7}, AccountId{"a"}};
+    const JobProgress progress{JobId{"00000000000000aa"}, QueueId{"q"}, ServiceId{"s"}, JobState::Running, true, WallTime(5ms),
+        {ItemProgress{1, 2, 3, true, 2, {5, 7}}}, {}, AccountId{"a"}};
     PlannerState state;
     state.number = 7;
     state.evacuations.push_back(Evacuation{MachineId{"m"}, ExecutorId{"x"}, 5, EvacuationPurpose::Move, {}, ServiceId{"s"}, true, 6});
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -189,11 +189,17 @@
     const Recurrence &schedule = job.spec.recurrence;
     Json fields = Json::array({job.queue.value, job.service.value, job.acceptedAt.time_since_epoch().count(), job.spec.payload, std::move(steps),
         schedule.count, schedule.first.time_since_epoch().count(), schedule.interval.count()});
-    if (job.terms || job.placement) {
+    const bool hasAccount = !job.account.isEmpty();
+    if (job.terms || job.placement || hasAccount) {
         fields.push_back(job.terms ? termsToJson(*job.terms) : Json());
     }
-    if (job.placement) {
-        fields.push_back(Json::array({job.placement->address, job.placement->revision}));
+    if (job.placement || hasAccount) {
+        // The previous version does not read a record whose tenth element is null.
+        const JobPlacement placement = job.placement.value_or(JobPlacement{});
+        fields.push_back(Json::array({placement.address, placement.revision}));
+    }
+    if (hasAccount) {
+        fields.push_back(job.account.value);
     }
     return toBytes(fields);
 }
@@ -223,6 +229,13 @@
         if (json.size() > 9) {
             job.placement = JobPlacement{toName(json.at(9).at(0)), toWhole(json.at(9).at(1))};
         }
+        if (json.size() > 10) {
+            job.account = AccountId{toName(json.at(10))};
+            // The encoder writes an empty placement ahead of the account if there is none.
+            if (job.placement->address.empty()) {
+                job.placement.reset();
+            }
+        }
         if (const Result<void> checked = validate(job.spec); !checked) {
             return tl::unexpected(checked.error());
         }
@@ -238,8 +251,13 @@
     }
     Json fields = Json::array({static_cast<int>(progress.state), progress.queue.value, progress.service.value, progress.endedAt.time_since_epoch().count(),
         std::move(items), progress.mayHaveStarted});
-    if (progress.terms) {
-        fields.push_back(termsToJson(*progress.terms));
+    const bool hasAccount = !progress.account.isEmpty();
+    if (progress.terms || hasAccount) {
+        // The previous version takes the seventh element for the terms and does not read a record in which it is null.
+        fields.push_back(termsToJson(progress.terms.value_or(JobTerms{})));
+    }
+    if (hasAccount) {
+        fields.push_back(progress.account.value);
     }
     return toBytes(fields);
 }
@@ -258,6 +276,9 @@
         if (json.size() > 6) {
             progress.terms = termsFromJson(json.at(6));
         }
+        if (json.size() > 7) {
+            progress.account = AccountId{toName(json.at(7))};
+        }
         for (const Json &item : json.at(4)) {
             ItemProgress known{toCount(item.at(0)), toCount(item.at(1)), toCount(item.at(2)), toWhole(item.at(3)) != 0,
                 static_cast<std::int32_t>(toWhole(item.at(4), 0, maxFailures)), {}};
