Refuse callers without a key and keep jobs with their account

Cause: callers with unknown and revoked keys were served, and any caller could read and cancel any job. Change: the gateway decides about the key before it reads the store for a job, and answers 401, or 503 if its configuration is too old to tell. With accounts, a gateway reads the partition to its end before it appends a submission, as a record of the same key replaces another account's job.

--- a/src/scheduler/gatewaysubmission.cpp
+++ b/src/scheduler/gatewaysubmission.cpp
@@ -12,6 +12,8 @@
 
 // The placement of a queue that was seen to move is made durable within this time.
 constexpr std::chrono::seconds placementTimeout{30};
+// From this number on, entries of submissions that are settled are removed.
+constexpr std::size_t maxSentSubmissions = 1000;
 
 }
 
@@ -78,7 +80,7 @@
 }
 
 net::awaitable<std::optional<CallerReply>> JobGateway::Private::findConflict(
-    QueueConfig queue, Revision revision, JobId id, steady_clock::time_point deadline, JobPlacement &placement)
+    QueueConfig queue, Revision revision, JobId id, CallerIdentity caller, steady_clock::time_point deadline, JobPlacement &placement)
 {
     // This process may not have read the newest configuration, but whichever process has stored the job has made its placement durable before.
     const Result<void> refreshed = co_await this->placements->refresh();
@@ -91,7 +93,7 @@
         Result<void> readResult;
         const PartitionView *known = co_await this->findJob(queue, id, readResult);
         if (known != nullptr) {
-            co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
+            co_return this->replyToRepeat(*known, id, queue, caller);
         }
     }
     std::optional<CallerReply> refused = co_await this->makePlacementCurrent(queue, revision, id, deadline, placement);
@@ -110,7 +112,7 @@
     Result<void> readResult;
     const PartitionView *known = co_await this->findJob(queue, id, readResult);
     if (known != nullptr) {
-        co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
+        co_return this->replyToRepeat(*known, id, queue, caller);
     }
     if (!readResult) {
         const char *reason = "the store cannot be read, so an earlier submission cannot be ruled out";
@@ -129,7 +131,8 @@
     co_return std::nullopt;
 }
 
-net::awaitable<CallerReply> JobGateway::Private::submit(QueueConfig queue, JobId id, CallerRequest request, steady_clock::time_point deadline)
+net::awaitable<CallerReply> JobGateway::Private::submit(
+    QueueConfig queue, JobId id, CallerRequest request, CallerIdentity caller, steady_clock::time_point deadline)
 {
     Result<JobSpec> spec = request.decodeJob();
     if (!spec) {
@@ -138,14 +141,17 @@
     const Revision revision = this->config->revision;
     PartitionView &view = *this->findViews(queue).front();
     if (findState(view, id)) {
-        co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
+        co_return this->replyToRepeat(view, id, queue, caller);
     }
     JobPlacement placement;
-    const std::optional<CallerReply> conflict = co_await this->findConflict(queue, revision, id, deadline, placement);
+    std::optional<CallerReply> conflict = co_await this->findConflict(queue, revision, id, caller, deadline, placement);
+    if (!conflict && caller.hasAccounts) {
+        conflict = co_await this->findOwnedJob(queue, id, caller, deadline);
+    }
     if (conflict) {
         co_return *conflict;
     }
-    AcceptedJob job{id, queue.id, queue.service, wallNow(), std::move(*spec), queue.terms(), placement};
+    AcceptedJob job{id, queue.id, queue.service, wallNow(), std::move(*spec), queue.terms(), placement, caller.account};
     StoredRecord record{id.value, encodeAcceptedJob(job), -1};
     if (!this->store.accepts(record)) {
         const char *field = 2 * job.spec.payload.size() > record.value.size() ? "spec" : "steps";
@@ -154,10 +160,28 @@
     const auto isStored = [&view, id] {
         return findState(view, id).has_value();
     };
+    if (caller.hasAccounts) {
+        if (view.sent.size() >= maxSentSubmissions) {
+            std::erase_if(view.sent, [&view](const auto &entry) {
+                return !view.isSent(entry.first);
+            });
+        }
+        SentSubmission &sent = view.sent[id];
+        sent.queue = queue.id;
+        sent.account = caller.account;
+        ++sent.active;
+    }
     const AppendResult appended = co_await this->append(view, std::move(record), isStored, deadline);
+    if (caller.hasAccounts) {
+        --view.sent[id].active;
+    }
     switch (appended.outcome) {
     case AppendOutcome::Durable:
-        view.accepted.emplace(id, KnownSubmission{queue.id, placement, -1});
+        view.accepted.emplace(id, KnownSubmission{queue.id, placement, -1, caller.account});
+        if (!this->mayUse(view, id, queue, caller, "submit")) {
+            // Another account's submission, at another gateway, was stored first.
+            co_return CallerReply{CallerOutcome::IdTaken, {}, 0, "the ID is that of another job", {}};
+        }
         this->log.emit("job_accepted",
             {{"job", id.value}, {"queue", queue.id.value}, {"service", queue.service.value}, {"revision", this->config->revision},
                 {"steps", static_cast<std::int64_t>(job.spec.steps.size())}});
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds maxRequestTimeout{10'000};
 // A gateway that has not reached the store for this long reports that it is not ready.
 constexpr milliseconds storeContactTimeout{1500};
-// A request that is sent this long after a configuration was published must not be handled by an older one.
-constexpr milliseconds maxConfigAge{2000};
 
 bool isJobId(std::string_view text)
 {
@@ -46,7 +44,11 @@
                     raw->progress.erase(key.job);
                     raw->accepted.erase(key.job);
                 } else if (const auto known = decodeProgress(key.job, record.value)) {
-                    raw->progress[key.job] = KnownJob{known->queue, known->state};
+                    KnownJob &job = raw->progress[key.job];
+                    const auto submitted = raw->accepted.find(key.job);
+                    // The previous version stores states without the account, which a job keeps for its whole life.
+                    const AccountId earlier = job.account.isEmpty() && submitted != raw->accepted.end() ? submitted->second.account : job.account;
+                    job = KnownJob{known->queue, known->state, known->account.isEmpty() ? earlier : known->account};
                 }
             }});
     view->jobsReader = std::make_unique<StreamReader>(this->context, this->store, Stream::Jobs, partition,
@@ -60,7 +62,7 @@
                 } else if (key.kind == KeyKind::Cancellation) {
                     raw->cancelled.insert(key.job);
                 } else if (const auto job = decodeAcceptedJob(key.job, record.value)) {
-                    raw->accepted.emplace(key.job, KnownSubmission{job->queue, job->placement, record.offset});
+                    raw->accepted.emplace(key.job, KnownSubmission{job->queue, job->placement, record.offset, job->account});
                 }
             }});
     return view;
@@ -68,10 +70,15 @@
 
 bool JobGateway::Private::isConfigOutdated() const
 {
-    return this->configCurrentAsOf && bootNow() - *this->configCurrentAsOf > maxConfigAge;
+    return this->configAge() > ConfigAgeBounds{}.confirmation;
 }
 
-std::optional<CallerReply> JobGateway::Private::findOutdatedReply(const QueueConfig *queue, const CallerRequest &request)
+std::optional<std::chrono::nanoseconds> JobGateway::Private::configAge() const
+{
+    return this->configCurrentAsOf ? std::optional<std::chrono::nanoseconds>(bootNow() - *this->configCurrentAsOf) : std::nullopt;
+}
+
+std::optional<CallerReply> JobGateway::Private::findOutdatedReply(const QueueConfig *queue, const CallerRequest &request, const CallerIdentity &caller)
 {
     const std::string jobText = queue != nullptr ? request.path.substr(queue->pathPrefix.size()) : std::string();
     const bool isSubmission = request.action == CallerAction::Submit;
@@ -84,9 +91,10 @@
     if (isSubmission && isJobId(jobText)) {
         const JobId id{jobText};
         const std::vector<PartitionView *> candidates = this->findViews(*queue);
-        const bool mayBeAccepted = std::any_of(candidates.begin(), candidates.end(), [&id](PartitionView *view) {
+        const bool mayBeAccepted = std::any_of(candidates.begin(), candidates.end(), [&](PartitionView *view) {
             view->appender->settle(view->jobsReader->currentAsOf());
-            return findState(*view, id) || view->appender->isUnsettled(id.value);
+            const JobOwner owner = view->ownerOf(id, *queue);
+            return (findState(*view, id) || view->appender->isUnsettled(id.value)) && mayUseJob(caller, owner.account, owner.isOfQueue);
         });
         if (mayBeAccepted) {
             reply.outcome = CallerOutcome::MayBeAccepted;
@@ -225,7 +233,7 @@
         EventPriority::Essential);
 }
 
-net::awaitable<CallerReply> JobGateway::Private::cancel(QueueConfig queue, JobId id, steady_clock::time_point deadline)
+net::awaitable<CallerReply> JobGateway::Private::cancel(QueueConfig queue, JobId id, CallerIdentity caller, steady_clock::time_point deadline)
 {
     Result<void> readResult;
     PartitionView *view = co_await this->findJob(queue, id, readResult);
@@ -236,7 +244,10 @@
         // A submission that may still be stored is cancelled ahead of it.
         view = this->findUnsettledView(queue, id);
     }
-    if (view == nullptr) {
+    if (view != nullptr) {
+        co_await this->readOwner(*view, id, caller);
+    }
+    if (view == nullptr || !this->mayUse(*view, id, queue, caller, "cancel")) {
         co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
     }
     // Without the owner's record the job may still be moved on to another partition of the queue.
@@ -271,7 +282,7 @@
         isUnknown ? CallerOutcome::MayBeAccepted : CallerOutcome::Unavailable, {}, 0, "the store did not confirm the cancellation", storeRetryAfter};
 }
 
-net::awaitable<CallerReply> JobGateway::Private::readJob(QueueConfig queue, JobId id)
+net::awaitable<CallerReply> JobGateway::Private::readJob(QueueConfig queue, JobId id, CallerIdentity caller)
 {
     Result<void> readResult;
     PartitionView *view = co_await this->findJob(queue, id, readResult);
@@ -282,6 +293,10 @@
         this->log.emit("job_unknown", {{"job", id.value}, {"queue", queue.id.value}}, EventPriority::Essential);
         co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
     }
+    co_await this->readOwner(*view, id, caller);
+    if (!this->mayUse(*view, id, queue, caller, "read")) {
+        co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
+    }
     std::optional<JobState> state = findState(*view, id);
     if (state && !isFinal(*state)) {
         // If the store cannot be read, the previously known state is returned: states only advance.
@@ -382,8 +397,17 @@
     const auto deadline = start + std::max(timeout - replyMargin, timeout / 2);
     const std::shared_ptr<const FleetConfig> config = this->d->config;
     const QueueConfig *queue = config->match(request.host, request.path);
+    CallerIdentity caller;
+    if (queue != nullptr) {
+        const ConfigAgeBounds bounds{.revocation = this->d->settings.revocationBound};
+        const CallerAuthorization authorization = authorizeCaller(*config, *queue, request.apiKey, this->d->configAge(), bounds);
+        if (authorization.verdict != CallerVerdict::Allowed) {
+            co_return this->d->refuseCaller(queue, request, authorization);
+        }
+        caller = authorization.caller;
+    }
     if (this->d->isConfigOutdated()) {
-        if (std::optional<CallerReply> reply = this->d->findOutdatedReply(queue, request)) {
+        if (std::optional<CallerReply> reply = this->d->findOutdatedReply(queue, request, caller)) {
             co_return std::move(*reply);
         }
     }
@@ -403,15 +427,15 @@
     const JobId id{jobText};
     switch (request.action) {
     case CallerAction::Submit:
-        reply = co_await this->d->submit(*queue, id, std::move(request), deadline);
+        reply = co_await this->d->submit(*queue, id, std::move(request), caller, deadline);
         break;
     case CallerAction::Read:
         action = "read";
-        reply = co_await this->d->readJob(*queue, id);
+        reply = co_await this->d->readJob(*queue, id, caller);
         break;
     case CallerAction::Cancel:
         action = "cancel";
-        reply = co_await this->d->cancel(*queue, id, deadline);
+        reply = co_await this->d->cancel(*queue, id, caller, deadline);
         break;
     }
     const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - start);
--- a/src/scheduler/jobgateway_pvt.h
+++ b/src/scheduler/jobgateway_pvt.h
@@ -5,6 +5,8 @@
 #include <set>
 #include <unordered_map>
 
+#include <mangocourse/callerauthorization.h>
+
 #include "batchappender.h"
 #include "clocks.h"
 #include "event.h"
@@ -20,6 +22,8 @@
 struct KnownJob {
     QueueId queue;
     JobState state = JobState::Queued;
+    // Empty if the job belongs to nobody.
+    AccountId account;
 };
 
 // A submission in the store.
@@ -27,6 +31,21 @@
     QueueId queue;
     std::optional<JobPlacement> placement;
     std::int64_t offset = -1;
+    AccountId account{};
+};
+
+// The account whose submission of a job this process has sent to the store, while it may not have been read back.
+struct SentSubmission {
+    QueueId queue;
+    AccountId account;
+    // Submissions in progress.
+    int active = 0;
+};
+
+// To whom a job belongs, and whether it was submitted to a given queue.
+struct JobOwner {
+    AccountId account;
+    bool isOfQueue = true;
 };
 
 // The gateway's view of one partition.
@@ -37,6 +56,8 @@
     std::unordered_map<JobId, KnownSubmission> accepted;
     PlacementSeals seals;
     std::set<JobId> cancelled;
+    // Kept only with client accounts.
+    std::map<JobId, SentSubmission> sent;
     std::shared_ptr<BatchAppender> appender;
     std::unique_ptr<StreamReader> progressReader;
     std::unique_ptr<StreamReader> jobsReader;
@@ -46,6 +67,13 @@
     {
         return submission.placement && this->seals.isSealed(*submission.placement, submission.offset);
     }
+    // Returns true if a submission of the job that this process has sent is in progress, or may be stored without having been read back.
+    bool isSent(const JobId &id) const
+    {
+        const auto found = this->sent.find(id);
+        return found != this->sent.end() && (found->second.active > 0 || this->appender->isUnsettled(id.value));
+    }
+    JobOwner ownerOf(const JobId &id, const QueueConfig &queue) const;
 };
 
 class JobGateway::Private
@@ -77,16 +105,30 @@
     std::unique_ptr<PartitionView> makeView(std::int32_t partition);
     // Returns true if a newer configuration may have to be in force by now.
     bool isConfigOutdated() const;
+    // Returns the time since the configuration was last confirmed; nothing if it does not expire.
+    std::optional<std::chrono::nanoseconds> configAge() const;
     // Returns the reply to a request that only an older configuration may allow or deny; nothing if the request depends on no configuration.
-    std::optional<CallerReply> findOutdatedReply(const QueueConfig *queue, const CallerRequest &request);
+    std::optional<CallerReply> findOutdatedReply(const QueueConfig *queue, const CallerRequest &request, const CallerIdentity &caller);
+    // Logs and counts a request that its key does not allow, and returns the reply.
+    CallerReply refuseCaller(const QueueConfig *queue, const CallerRequest &request, const CallerAuthorization &authorization);
+    // Returns true if the caller may use the job that the partition has. Logs it if not.
+    bool mayUse(const PartitionView &view, const JobId &id, const QueueConfig &queue, const CallerIdentity &caller, const char *action);
+    // Reads the submission of a job whose state was stored without an account, as the previous version does, if the account matters.
+    net::awaitable<void> readOwner(PartitionView &view, JobId id, CallerIdentity caller);
+    // Returns the reply to a repeated submission of a job that the partition has.
+    CallerReply replyToRepeat(const PartitionView &view, const JobId &id, const QueueConfig &queue, const CallerIdentity &caller);
+    // Returns the reply to a submission whose ID is, or may be, that of another account's job; nothing if the ID is free.
+    net::awaitable<std::optional<CallerReply>> findOwnedJob(QueueConfig queue, JobId id, CallerIdentity caller, std::chrono::steady_clock::time_point deadline);
+    std::optional<CallerReply> findSentJob(const QueueConfig &queue, const JobId &id, const CallerIdentity &caller);
     QueuePlacement placementOf(const QueueConfig &queue) const;
     // Returns the partitions that are known to hold jobs of the queue; the one of its current service comes first.
     std::vector<PartitionView *> findViews(const QueueConfig &queue);
     // Returns the partition that may still get a record of the job, after its streams have been read without one; nullptr if there is none.
     PartitionView *findUnsettledView(const QueueConfig &queue, const JobId &id);
-    net::awaitable<CallerReply> submit(QueueConfig queue, JobId id, CallerRequest request, std::chrono::steady_clock::time_point deadline);
-    net::awaitable<CallerReply> cancel(QueueConfig queue, JobId id, std::chrono::steady_clock::time_point deadline);
-    net::awaitable<CallerReply> readJob(QueueConfig queue, JobId id);
+    net::awaitable<CallerReply> submit(
+        QueueConfig queue, JobId id, CallerRequest request, CallerIdentity caller, std::chrono::steady_clock::time_point deadline);
+    net::awaitable<CallerReply> cancel(QueueConfig queue, JobId id, CallerIdentity caller, std::chrono::steady_clock::time_point deadline);
+    net::awaitable<CallerReply> readJob(QueueConfig queue, JobId id, CallerIdentity caller);
     net::awaitable<CallerReply> readQueue(QueueConfig queue);
     // Returns the partition that has the job. Only the owner's record proves that; without one, all partitions that may have the job are read to their ends.
     net::awaitable<PartitionView *> findJob(QueueConfig queue, JobId id, Result<void> &readResult);
@@ -99,7 +141,7 @@
     // Returns the reply to a submission that cannot be stored now, or that another attempt may have stored; nothing if it can be stored under the
     // placement that is set then.
     net::awaitable<std::optional<CallerReply>> findConflict(
-        QueueConfig queue, Revision revision, JobId id, std::chrono::steady_clock::time_point deadline, JobPlacement &placement);
+        QueueConfig queue, Revision revision, JobId id, CallerIdentity caller, std::chrono::steady_clock::time_point deadline, JobPlacement &placement);
     // Makes the queue's placement in the partition of its service the current one. Returns the reply if that is not possible.
     net::awaitable<std::optional<CallerReply>> makePlacementCurrent(
         QueueConfig queue, Revision revision, JobId id, std::chrono::steady_clock::time_point deadline, JobPlacement &placement);
--- a/src/scheduler/staleconfig_test.cpp
+++ b/src/scheduler/staleconfig_test.cpp
@@ -130,6 +130,20 @@
     EXPECT_EQ(this->ask(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
 }
 
+// Guards against a malformed configuration that keeps the one before it from taking effect, which is read together with it.
+TEST_F(StaleConfigTest, LastReadableConfigurationIsInForceThoughAMalformedOneFollows)
+{
+    this->configs["2"] = *this->config;
+    this->configs["2"].revision = 2;
+    this->configs["2"].accounts = *ClientAccounts::create({ClientAccount{AccountId{"north"}, 1.0, {}, {"n-1"}}});
+    this->publish("2");
+    this->publish("malformed");
+    this->publish("malformed, too");
+    this->runUntil([this] {
+        return this->ask(CallerAction::Read, this->job).outcome == CallerOutcome::Unauthorized;
+    });
+}
+
 TEST_F(StaleConfigTest, GatewayStaysReadyWithoutNewOperatorRecords)
 {
     const auto deadline = std::chrono::steady_clock::now() + 2 * configBound;
