Play client accounts whose keys change in the fault soak

Cause: no test with real processes checked that changed keys take effect in time. The check asks random processes with valid, withdrawn, unknown and missing keys, for other accounts' jobs, and on a public queue. It reports keys that were withdrawn more than 3 s ago and give access, and valid ones that are answered 401, while nothing has disturbed the processes for 3 s; and access with a key that was never published, or to another account's job, at any time.

--- a/src/standin_fleet/callers.py
+++ b/src/standin_fleet/callers.py
@@ -152,6 +152,9 @@
 class Caller(threading.Thread):
     """Submits jobs, queries their states and cancels some, over keep-alive connections."""
 
+    # Set if the configuration has client accounts.
+    accounts = None
+
     def __init__(self, number, seed, processes, checker, stop):
         super().__init__(daemon=True)
         self.number = number
@@ -162,12 +165,19 @@
         self.connections = {}
         self.lasting_jobs = []
 
-    def call(self, method, path, body=None, timeout_s=2.0, process=None):
-        """Sends a request to the process, or to a random one; returns the status and the body, or None if no answer arrived."""
+    def call(self, method, path, body=None, timeout_s=2.0, process=None, key=None):
+        """Sends a request to the process, or to a random one; returns the status and the body, or None if no answer arrived.
+
+        With accounts it has the given key, or that of the job's account.
+        """
         process = process or self.random.choice(self.processes)
         connection = self.connections.pop(process.host, None) or http.client.HTTPConnection(process.host, FRONT_PORT, timeout=timeout_s)
+        headers = {"Content-Type": "application/json", "X-Deadline-Ms": str(int(timeout_s * 1000)), "Host": "soak"}
+        if self.accounts:
+            key = self.accounts.key_for(path) if key is None else key
+            headers.update({"Authorization": "Bearer " + key} if key else {})
         try:
-            connection.request(method, path, body, {"Content-Type": "application/json", "X-Deadline-Ms": str(int(timeout_s * 1000)), "Host": "soak"})
+            connection.request(method, path, body, headers)
             response = connection.getresponse()
             content = response.read()
             self.connections[process.host] = connection
--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -16,6 +16,7 @@
 import time
 from collections import Counter
 
+from accounts import AccountCheck, Accounts, OPEN_PREFIX
 from callers import Caller, PARTITION_COUNT, Process, Proxy, RepeatingCaller
 from faults import LossAndRefusal
 from fleet import Executor, Store
@@ -54,6 +55,8 @@
         self.restart_random = random.Random("restarts %d" % seed)
         self.has_refusals = arguments.refusals
         self.has_restarts = arguments.restarts
+        self.accounts = Accounts(seed) if arguments.accounts else None
+        self.publish_lock = threading.Lock()
         random.seed(seed)
         self.checker = InvariantChecker()
         self.store = Store(PARTITION_COUNT, self.checker)
@@ -73,17 +76,33 @@
         self.faults = []
         self.recoveries = []
         self.disturbed_at = time.monotonic()
-        self.observer = Caller(98, seed, self.processes, self.checker, self.stop)
+        self.observer = self.make_caller(Caller, 98, seed)
+        self.account_check = AccountCheck(self, self.accounts, self.make_caller(Caller, 97, seed)) if self.accounts else None
         self.waiting_work_check = WaitingWorkCheck(self)
 
     def publish_configuration(self):
         """Publishes the next version; all but the first differ from the one before in a queue that nobody uses and in the target latency."""
+        with self.publish_lock:
+            self.publish_next_version()
+
+    def publish_next_version(self):
         self.version += 1
         prefixes = dict(SERVICE_BY_PREFIX, **({"/spare-%d/" % self.version: "shop"} if self.version > 1 else {}))
         routes = [{"name": "r" + prefix.strip("/"), "host": "soak", "path_prefix": prefix, "service": service, "max_attempts": MAX_ATTEMPTS, "slack_factor": 2,
                    "target_latency_ms": 600 + self.version - 1} for prefix, service in prefixes.items()]
         services = [{"name": service, "rejects_overload": True, "max_conns": 64} for service in SERVICE_BY_PREFIX.values()]
-        self.store.append_record("keyed.op", "config", {"version": self.version, "routes": routes, "services": services})
+        configuration = {"version": self.version, "routes": routes, "services": services}
+        if self.accounts:
+            routes.append(dict(routes[0], name="ropen", path_prefix=OPEN_PREFIX, public=True))
+            configuration["tenants"] = self.accounts.encode()
+        self.store.append_record("keyed.op", "config", configuration)
+        if self.accounts:
+            self.accounts.note_published(configuration["tenants"])
+
+    def make_caller(self, kind, number, seed):
+        caller = kind(number, seed, self.processes, self.checker, self.stop)
+        caller.accounts = self.accounts
+        return caller
 
     def measure_calm(self, now):
         """Returns for how many seconds no fault has started, ended or been active, with all processes up and no order on its way."""
@@ -288,17 +307,22 @@
             length_s = self.length_random.uniform(*SERIES_S)
 
     def run(self):
-        callers = [Caller(number, self.random.randrange(10 ** 6), self.processes, self.checker, self.stop) for number in range(4)]
+        callers = [self.make_caller(Caller, number, self.random.randrange(10 ** 6)) for number in range(4)]
         if self.has_refusals:
-            callers += [RepeatingCaller(number, self.refusal_random.randrange(10 ** 6), self.processes, self.checker, self.stop) for number in range(16, 20)]
+            callers += [self.make_caller(RepeatingCaller, number, self.refusal_random.randrange(10 ** 6)) for number in range(16, 20)]
         self.waiting_work_check.start()
         time.sleep(2.0)
         for caller in callers:
             caller.start()
+        if self.account_check:
+            self.account_check.start()
         self.inject_faults()
         self.stop.set()
         for caller in callers:
             caller.join(12)
+        if self.account_check:
+            self.account_check.is_stopped.set()
+            self.account_check.join(12)
         self.check_jobs()
         self.waiting_work_check.is_stopped.set()
         for process in self.processes:
@@ -307,7 +331,7 @@
 
     def check_jobs(self):
         """Polls accepted jobs until all are final, or run if they last, or SETTLE_TIMEOUT_S is over; reports lost jobs and refused ones that ran."""
-        caller = Caller(99, 1, self.processes, self.checker, self.stop)
+        caller = self.make_caller(Caller, 99, 1)
         deadline = time.monotonic() + SETTLE_TIMEOUT_S
         accepted = {job: record for job, record in self.checker.jobs.items() if record.get("accepted")}
         lasting = {job: record for job, record in accepted.items() if record["is_lasting"] and not record.get("cancel_sent")}
@@ -376,6 +400,8 @@
         checker.report_violation("IDLE: only %d jobs were accepted" % accepted)
     if soak.waiting_work_check.judged_s < MAX_WAIT_S:
         checker.report_violation("IDLE: only %.1f s of calm were judged" % soak.waiting_work_check.judged_s)
+    if soak.account_check and not {200, 401, 410} <= set(soak.account_check.answers):
+        checker.report_violation("IDLE: the check of keys got only these answers: %s" % soak.account_check.answers)
     kinds = Counter(line.split(" s: ")[1].split(":")[0] for line in checker.violations)
     print("seed %d: %d jobs accepted, %d items done, %d faults, longest wait in %.0f s of calm %.1f s, longest answer of the store there %.2f s, %d promises broken%s"
           % (seed, accepted, len(checker.completed), len(soak.faults), soak.waiting_work_check.judged_s, soak.waiting_work_check.longest_wait_s,
@@ -402,6 +428,7 @@
     parser.add_argument("--executors", type=int, default=8)
     parser.add_argument("--refusals", action="store_true", help="adds faults that lose answers and refuse the calls that follow, and callers that repeat")
     parser.add_argument("--restarts", action="store_true", help="adds executors that restart under their ids and carry out calls to their earlier boots")
+    parser.add_argument("--accounts", action="store_true", help="adds client accounts whose keys change during the run")
     parser.add_argument("--logs", help="directory for the logs of failed seeds")
     arguments = parser.parse_args()
     seeds = []
--- a/src/standin_fleet/faultsoak_test.py
+++ b/src/standin_fleet/faultsoak_test.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from accounts import Accounts
 from fleet import Store
 from judge import InvariantChecker
 
@@ -26,6 +27,37 @@
         return self.verdicts.pop(0) if self.verdicts else None
 
 
+class AccountsTest(unittest.TestCase):
+    def setUp(self):
+        self.accounts = Accounts(1)
+        self.published = self.accounts.encode()
+        self.accounts.note_published(self.published)
+        self.keys = {tenant["name"]: tenant["api_keys"] for tenant in self.published}
+        self.accounts.change()
+        self.accounts.note_published(self.accounts.encode())
+        self.withdrawn, self.at = next(iter(self.accounts.withdrawn.items()))
+
+    def judge(self, key, status, after_s, calm_s=100.0):
+        return self.accounts.judge(key, status, self.at + after_s, self.at + after_s, calm_s)
+
+    def test_keys_that_were_never_published_give_no_access_at_any_time(self):
+        self.assertIsNotNone(self.judge("other", 200, 0.0, 0.0))
+        self.assertIsNone(self.judge("other", 401, 0.0))
+
+    def test_withdrawn_keys_give_access_for_the_time_that_a_change_may_take(self):
+        self.assertIsNone(self.judge(self.withdrawn, 200, 2.9))
+        self.assertIsNotNone(self.judge(self.withdrawn, 200, 3.1))
+        self.assertIsNone(self.judge(self.withdrawn, 200, 5.0, calm_s=2.0))
+        self.assertIsNone(self.judge(self.withdrawn, 401, 0.1))
+
+    def test_valid_keys_are_not_denied_once_a_change_must_be_in_force(self):
+        added = next(key for key in self.accounts.added if not any(key in keys for keys in self.keys.values()))
+        self.assertIsNone(self.judge(added, 401, 2.9))
+        self.assertIsNotNone(self.judge(added, 401, 3.1))
+        self.assertIsNone(self.judge(added, 503, 3.1))
+        self.assertIsNone(self.judge(added, 401, 5.0, calm_s=2.0))
+
+
 class JudgeTest(unittest.TestCase):
     def setUp(self):
         self.checker = InvariantChecker()
