--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -110,6 +110,9 @@
         this->join();
     } else if (action == OwnerAction::Leave) {
         this->hasResigned = true;
+        ++this->resignations;
+        this->owner.log.emit("owners_resigned", {{"share", std::int64_t(this->owner.settings.cpuMillicores)}, {"times", std::int64_t(this->resignations)}},
+            EventPriority::Essential);
         co_await this->resign();
     }
     const bool isWaiting = !this->isMember && this->neededSince;
@@ -125,19 +128,27 @@
             view.otherShares.push_back(holder.cpuMillicores);
         }
     }
+    if (hasStrongerOwner(view)) {
+        this->strongerOwnerSeenAt = bootNow();
+    }
+    view.hasSeenStrongerOwner = this->strongerOwnerSeenAt.has_value();
     if (isOwnerNeeded(view)) {
         this->neededSince = this->neededSince.value_or(bootNow());
         view.neededFor = std::chrono::duration_cast<milliseconds>(bootNow() - *this->neededSince);
     } else {
         this->neededSince.reset();
         this->hasResigned = false;
+        this->resignations = 0;
     }
+    view.resignations = this->resignations;
+    view.memberFor = std::chrono::duration_cast<milliseconds>(this->isMember ? bootNow() - this->joinedAt : Duration{});
     return view;
 }
 
 void Ownership::join()
 {
     this->isMember = true;
+    this->joinedAt = bootNow();
     this->owner.log.emit("owners_joined", {{"share", std::int64_t(this->owner.settings.cpuMillicores)}}, EventPriority::Essential);
     net::co_spawn(
         this->owner.context,
@@ -231,4 +242,9 @@
     return this->owned;
 }
 
+std::optional<TimePoint> Ownership::lastStrongerOwner() const
+{
+    return this->strongerOwnerSeenAt;
+}
+
 }
