Keep jobs of private queues from callers without an account

A caller without a key could read, cancel and repeat a job without an account of a private queue through a public queue of the same partition, as a job of nobody was open to everybody. Callers without an account now get such a job only if its queue is public or no longer configured.

With accounts, a submission reads only the submissions if the states were read within the last 2 s.

Renames what was called owner of a job, as the owner is a scheduling process.

--- a/src/include/mangocourse/callerauthorization.h
+++ b/src/include/mangocourse/callerauthorization.h
@@ -41,13 +41,24 @@
     const char *reason = "";
 };
 
+// What decides who may use a job.
+struct JobAccount {
+    // Empty if the job belongs to nobody.
+    AccountId account;
+    // The job was submitted to the queue that the request names.
+    bool isOfQueue = true;
+    // The job was submitted to a queue that is configured and not public.
+    bool isOfPrivateQueue = false;
+};
+
 // Decides about a request to the queue of the configuration. `configAge`: absent if the configuration does not expire. Submissions additionally need a
 // configuration that is confirmed, whatever their key is.
 CallerAuthorization authorizeCaller(const FleetConfig &config, const QueueConfig &queue, std::string_view apiKey,
     std::optional<std::chrono::nanoseconds> configAge, const ConfigAgeBounds &bounds);
 
-// Returns true if the caller may read, cancel and repeat a job of the account; a job without an account belongs to nobody. `isOfQueue`: the job was
-// submitted to the queue that the request names. A public queue gives access to its own jobs only, as other queues may share its partition.
-bool mayUseJob(const CallerIdentity &caller, const AccountId &owner, bool isOfQueue);
+// Returns true if the caller may read, cancel and repeat the job. With accounts, an account has access to its own jobs and to jobs without an account. A
+// caller without an account has access to jobs of the public queue that the request names, and to jobs without an account whose queue is public or no
+// longer configured: the partition may hold jobs of private queues, too.
+bool mayUseJob(const CallerIdentity &caller, const JobAccount &job);
 
 }
--- a/src/libmangocourse/callerauthorization.cpp
+++ b/src/libmangocourse/callerauthorization.cpp
@@ -25,12 +25,15 @@
     return CallerAuthorization{CallerVerdict::Denied, {}, apiKey.empty() ? "the request has no key" : "the key is unknown"};
 }
 
-bool mayUseJob(const CallerIdentity &caller, const AccountId &owner, bool isOfQueue)
+bool mayUseJob(const CallerIdentity &caller, const JobAccount &job)
 {
-    if (!caller.hasAccounts || owner.isEmpty()) {
+    if (!caller.hasAccounts) {
         return true;
     }
-    return caller.account.isEmpty() ? isOfQueue : caller.account == owner;
+    if (!caller.account.isEmpty()) {
+        return job.account.isEmpty() || job.account == caller.account;
+    }
+    return !job.isOfPrivateQueue && (job.account.isEmpty() || job.isOfQueue);
 }
 
 }
--- a/src/libmangocourse/callerauthorization_test.cpp
+++ b/src/libmangocourse/callerauthorization_test.cpp
@@ -63,13 +63,17 @@
 TEST(CallerAuthorization, JobsBelongToTheirAccountOrToNobody)
 {
     const CallerIdentity north{true, AccountId{"north"}};
-    EXPECT_TRUE(mayUseJob(north, AccountId{"north"}, false));
-    EXPECT_FALSE(mayUseJob(north, AccountId{"south"}, true));
-    EXPECT_TRUE(mayUseJob(north, AccountId{}, true));
-    EXPECT_TRUE(mayUseJob(CallerIdentity{}, AccountId{"north"}, false));
+    EXPECT_TRUE(mayUseJob(north, JobAccount{AccountId{"north"}, false}));
+    EXPECT_FALSE(mayUseJob(north, JobAccount{AccountId{"south"}, true}));
+    EXPECT_TRUE(mayUseJob(north, JobAccount{AccountId{}, true}));
+    EXPECT_TRUE(mayUseJob(CallerIdentity{}, JobAccount{AccountId{"north"}, false, true}));
     // A queue that has become public gives access to its jobs, but not to those of other queues in its partition.
-    EXPECT_TRUE(mayUseJob(CallerIdentity{true, {}}, AccountId{"north"}, true));
-    EXPECT_FALSE(mayUseJob(CallerIdentity{true, {}}, AccountId{"north"}, false));
+    EXPECT_TRUE(mayUseJob(CallerIdentity{true, {}}, JobAccount{AccountId{"north"}, true}));
+    EXPECT_FALSE(mayUseJob(CallerIdentity{true, {}}, JobAccount{AccountId{"north"}, false}));
+    EXPECT_TRUE(mayUseJob(north, JobAccount{AccountId{}, false, true}));
+    EXPECT_TRUE(mayUseJob(CallerIdentity{true, {}}, JobAccount{AccountId{}, false, false}));
+    EXPECT_FALSE(mayUseJob(CallerIdentity{true, {}}, JobAccount{AccountId{}, false, true}));
+    EXPECT_FALSE(mayUseJob(CallerIdentity{true, {}}, JobAccount{AccountId{}, true, true}));
 }
 
 }
--- a/src/scheduler/gatewayaccounts_test.cpp
+++ b/src/scheduler/gatewayaccounts_test.cpp
@@ -164,6 +164,22 @@
     EXPECT_EQ((this->store.partitions[{Stream::Jobs, 0}].records.size()), 1U);
 }
 
+// Guards against a public queue through which callers without a key use jobs of private queues that have no account, such as those of earlier versions.
+TEST_F(GatewayAccountsTest, PublicQueueGivesNoAccessToJobsWithoutAnAccountOfPrivateQueues)
+{
+    AcceptedJob accepted{JobId{"00000000000000aa"}, QueueId{"counter"}, ServiceId{"desk"}, wallNow(), JobSpec{"work", {StepSpec{}}, {}}};
+    this->store.partitions[{Stream::Jobs, 0}].records.push_back(StoredRecord{accepted.id.value, encodeAcceptedJob(accepted), 0});
+    EXPECT_EQ(this->ask(*this->gateway, CallerAction::Read, "", this->openJob), CallerOutcome::NoSuchJob);
+    EXPECT_EQ(this->ask(*this->gateway, CallerAction::Cancel, "", this->openJob), CallerOutcome::NoSuchJob);
+    EXPECT_EQ(this->ask(*this->other, CallerAction::Submit, "", this->openJob), CallerOutcome::IdTaken);
+    EXPECT_EQ((this->store.partitions[{Stream::Jobs, 0}].records.size()), 1U);
+    FleetConfig next = this->withAccounts;
+    next.revision = 3;
+    next.queues.front().id = QueueId{"desk"};
+    this->publish(next);
+    EXPECT_EQ(this->ask(*this->gateway, CallerAction::Read, "", this->openJob), CallerOutcome::State) << "the queue was renamed";
+}
+
 TEST_F(GatewayAccountsTest, JobsOfEarlierVersionsBelongToNobody)
 {
     AcceptedJob accepted{JobId{"00000000000000aa"}, QueueId{"counter"}, ServiceId{"desk"}, wallNow(), JobSpec{"work", {StepSpec{}}, {}}};
@@ -235,6 +251,7 @@
     EXPECT_EQ(this->submit(*this->gateway, "n-1"), CallerOutcome::MayBeAccepted) << "an earlier attempt is stored";
     EXPECT_EQ(this->submit(*this->gateway, "s-1"), CallerOutcome::NotAccepted);
     EXPECT_EQ(this->submit(*this->gateway, "new"), CallerOutcome::MayBeAccepted) << "the key may be a new one of the same account";
+    EXPECT_EQ(this->submit(*this->gateway, ""), CallerOutcome::Unavailable) << "no account has submitted the job without a key";
     EXPECT_EQ(this->ask(*this->gateway, CallerAction::Submit, "new", "/counter/00000000000000cc"), CallerOutcome::NotAccepted);
     EXPECT_EQ(this->read(*this->gateway, "new"), CallerOutcome::Unavailable);
     this->gateway->setConfigCurrentAsOf(bootNow() - this->settings.revocationBound - 100ms);
@@ -254,5 +271,70 @@
     EXPECT_EQ((this->store.partitions[{Stream::Jobs, 0}].records.size()), 2U);
 }
 
+// Guards against an answer about another account's job while its submission, which alone has the account, cannot be read.
+TEST_F(GatewayAccountsTest, JobWhoseAccountCannotBeReadIsUnavailable)
+{
+    const JobProgress progress{JobId{"00000000000000aa"}, QueueId{"counter"}, ServiceId{"desk"}, JobState::Running, true, {}, {}};
+    this->store.partitions[{Stream::Progress, 0}].records.push_back(StoredRecord{progress.id.value, encodeProgress(progress), 0});
+    EXPECT_EQ(this->read(*this->gateway, "n-1"), CallerOutcome::State);
+    this->store.behaviour = StoreBehaviour::Refusing;
+    EXPECT_EQ(this->read(*this->gateway, "s-1"), CallerOutcome::Unavailable);
+    EXPECT_EQ(this->cancel(*this->gateway, "s-1"), CallerOutcome::Unavailable);
+}
+
+// Guards against a submission of an account that replaces one in progress of a public queue, whose caller is told that it is accepted.
+TEST_F(GatewayAccountsTest, SubmissionInProgressOfAPublicQueueIsNotReplacedThroughAnotherQueue)
+{
+    std::optional<CallerOutcome> first;
+    std::optional<CallerOutcome> second;
+    this->askInBackground(*this->gateway, this->request(CallerAction::Submit, "", this->openJob), first);
+    this->askInBackground(*this->gateway, this->request(CallerAction::Submit, "n-1", this->job), second);
+    this->runUntil([&] {
+        return first && second;
+    });
+    EXPECT_EQ(*first, CallerOutcome::Accepted);
+    EXPECT_EQ(*second, CallerOutcome::IdTaken);
+}
+
+// Guards against two reads for each submission where the states are known already, and against relying on states that are too old.
+TEST_F(GatewayAccountsTest, StatesThatWereReadRecentlyAreNotReadAgainBeforeASubmission)
+{
+    ASSERT_EQ(this->submit(*this->gateway, "n-1"), CallerOutcome::Accepted);
+    this->store.unansweredReads = Stream::Progress;
+    EXPECT_EQ(this->ask(*this->gateway, CallerAction::Submit, "n-1", "/counter/00000000000000bb"), CallerOutcome::Accepted);
+    this->runFor(2100ms);
+    EXPECT_EQ(this->ask(*this->gateway, CallerAction::Submit, "n-1", "/counter/00000000000000cc"), CallerOutcome::NotAccepted);
+}
+
+// Guards against a cancellation of a moved queue's job that also cancels another account's job of the same ID in the earlier partition.
+TEST_F(GatewayAccountsTest, CancellationIsNotStoredWhereTheIdIsThatOfAnotherAccountsJob)
+{
+    this->settings.partitions = 8;
+    this->gateway = this->makeGateway();
+    FleetConfig next = this->withAccounts;
+    next.revision = 3;
+    next.queues.front().service = ServiceId{"shop"};
+    this->gateway->setConfig(std::make_shared<const FleetConfig>(next));
+    this->runFor(50ms);
+    ASSERT_EQ(this->submit(*this->gateway, "n-1"), CallerOutcome::Accepted);
+    std::vector<StoredRecord> &earlier = this->store.partitions[{Stream::Jobs, partitionOf(ServiceId{"desk"}, 8)}].records;
+    const AcceptedJob foreign{
+        JobId{"00000000000000aa"}, QueueId{"other"}, ServiceId{"desk"}, wallNow(), JobSpec{"work", {StepSpec{}}, {}}, {}, {}, AccountId{"south"}};
+    earlier.push_back(StoredRecord{foreign.id.value, encodeAcceptedJob(foreign), static_cast<std::int64_t>(earlier.size())});
+    const std::size_t before = earlier.size();
+    EXPECT_EQ(this->cancel(*this->gateway, "n-1"), CallerOutcome::Cancelled);
+    EXPECT_EQ(earlier.size(), before);
+    EXPECT_EQ((this->store.partitions[{Stream::Jobs, partitionOf(ServiceId{"shop"}, 8)}].records.size()), 2U);
+}
+
+// Guards against a settings file whose bound for old keys is below the age that a healthy gateway's configuration has.
+TEST_F(GatewayAccountsTest, RevocationBoundIsNotBelowThatOfTheConfirmation)
+{
+    this->settings.revocationBound = 100ms;
+    this->gateway = this->makeGateway();
+    this->gateway->setConfigCurrentAsOf(bootNow() - 1s);
+    EXPECT_EQ(this->submit(*this->gateway, "n-1"), CallerOutcome::Accepted);
+}
+
 }
 }
--- a/src/scheduler/gatewaysubmission.cpp
+++ b/src/scheduler/gatewaysubmission.cpp
@@ -146,7 +146,7 @@
     JobPlacement placement;
     std::optional<CallerReply> conflict = co_await this->findConflict(queue, revision, id, caller, deadline, placement);
     if (!conflict && caller.hasAccounts) {
-        conflict = co_await this->findOwnedJob(queue, id, caller, deadline);
+        conflict = co_await this->findTakenId(queue, id, caller, deadline);
     }
     if (conflict) {
         co_return *conflict;
@@ -178,7 +178,7 @@
     switch (appended.outcome) {
     case AppendOutcome::Durable:
         view.accepted.emplace(id, KnownSubmission{queue.id, placement, -1, caller.account});
-        if (!this->mayUse(view, id, queue, caller, "submit")) {
+        if (!this->mayUse(view, id, queue, caller, CallerAction::Submit)) {
             // Another account's submission, at another gateway, was stored first.
             co_return CallerReply{CallerOutcome::IdTaken, {}, 0, "the ID is that of another job", {}};
         }
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -93,8 +93,7 @@
         const std::vector<PartitionView *> candidates = this->findViews(*queue);
         const bool mayBeAccepted = std::any_of(candidates.begin(), candidates.end(), [&](PartitionView *view) {
             view->appender->settle(view->jobsReader->currentAsOf());
-            const JobOwner owner = view->ownerOf(id, *queue);
-            return (findState(*view, id) || view->appender->isUnsettled(id.value)) && mayUseJob(caller, owner.account, owner.isOfQueue);
+            return (findState(*view, id) || view->appender->isUnsettled(id.value)) && mayUseJob(caller, view->accountOf(id, *queue, *this->config));
         });
         if (mayBeAccepted) {
             reply.outcome = CallerOutcome::MayBeAccepted;
@@ -189,18 +188,21 @@
     co_return mayBeBehind ? nullptr : known;
 }
 
-std::shared_ptr<Event> JobGateway::Private::startReading(PartitionView &view)
+std::shared_ptr<Event> JobGateway::Private::startReading(PartitionView &view, bool includesStates)
 {
     const auto readEnded = std::make_shared<Event>(this->context);
     net::co_spawn(
         this->context,
-        [&view, readEnded]() -> net::awaitable<void> {
-            Result<void> read = co_await view.progressReader->catchUp();
+        [&view, readEnded, includesStates]() -> net::awaitable<void> {
+            Result<void> read;
+            if (includesStates) {
+                read = co_await view.progressReader->catchUp();
+            }
             if (read) {
                 read = co_await view.jobsReader->catchUp();
             }
             // The record of a job that has ended may be deleted, so the jobs alone do not tell.
-            if (read) {
+            if (read && includesStates) {
                 view.appender->settle(view.jobsReader->currentAsOf());
             }
             readEnded->notify();
@@ -245,9 +247,12 @@
         view = this->findUnsettledView(queue, id);
     }
     if (view != nullptr) {
-        co_await this->readOwner(*view, id, caller);
+        const bool isAccountRead = co_await this->readAccount(*view, queue, id, caller);
+        if (!isAccountRead) {
+            co_return CallerReply{CallerOutcome::Unavailable, {}, 0, "the store cannot be read", storeRetryAfter};
+        }
     }
-    if (view == nullptr || !this->mayUse(*view, id, queue, caller, "cancel")) {
+    if (view == nullptr || !this->mayUse(*view, id, queue, caller, CallerAction::Cancel)) {
         co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
     }
     // Without the owner's record the job may still be moved on to another partition of the queue.
@@ -259,6 +264,10 @@
     AppendResult appended;
     bool isDurable = true;
     for (PartitionView *target : isAdmitted ? std::vector{view} : this->findViews(queue)) {
+        // Another partition of the queue may have a job of the same ID that belongs to another account.
+        if (target != view && !this->mayUse(*target, id, queue, caller, CallerAction::Cancel)) {
+            continue;
+        }
         StoredRecord record{cancellationKey(id), "1", -1};
         const auto isStored = [target, id] {
             return target->cancelled.contains(id);
@@ -293,8 +302,11 @@
         this->log.emit("job_unknown", {{"job", id.value}, {"queue", queue.id.value}}, EventPriority::Essential);
         co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
     }
-    co_await this->readOwner(*view, id, caller);
-    if (!this->mayUse(*view, id, queue, caller, "read")) {
+    const bool isAccountRead = co_await this->readAccount(*view, queue, id, caller);
+    if (!isAccountRead) {
+        co_return CallerReply{CallerOutcome::Unavailable, {}, 0, "the store cannot be read", storeRetryAfter};
+    }
+    if (!this->mayUse(*view, id, queue, caller, CallerAction::Read)) {
         co_return CallerReply{CallerOutcome::NoSuchJob, {}, 0, "no such job", {}};
     }
     std::optional<JobState> state = findState(*view, id);
@@ -399,7 +411,8 @@
     const QueueConfig *queue = config->match(request.host, request.path);
     CallerIdentity caller;
     if (queue != nullptr) {
-        const ConfigAgeBounds bounds{.revocation = this->d->settings.revocationBound};
+        // A healthy gateway's configuration may be as old as the bound of its confirmation.
+        const ConfigAgeBounds bounds{.revocation = std::max(this->d->settings.revocationBound, ConfigAgeBounds{}.confirmation)};
         const CallerAuthorization authorization = authorizeCaller(*config, *queue, request.apiKey, this->d->configAge(), bounds);
         if (authorization.verdict != CallerVerdict::Allowed) {
             co_return this->d->refuseCaller(queue, request, authorization);
@@ -423,18 +436,16 @@
     if (!isJobId(jobText)) {
         co_return CallerReply{CallerOutcome::Invalid, {}, 0, "job: must be 16 hexadecimal digits", {}};
     }
-    const char *action = "submit";
+    const char *action = actionName(request.action);
     const JobId id{jobText};
     switch (request.action) {
     case CallerAction::Submit:
         reply = co_await this->d->submit(*queue, id, std::move(request), caller, deadline);
         break;
     case CallerAction::Read:
-        action = "read";
         reply = co_await this->d->readJob(*queue, id, caller);
         break;
     case CallerAction::Cancel:
-        action = "cancel";
         reply = co_await this->d->cancel(*queue, id, caller, deadline);
         break;
     }
--- a/src/scheduler/jobgateway_pvt.h
+++ b/src/scheduler/jobgateway_pvt.h
@@ -42,12 +42,6 @@
     int active = 0;
 };
 
-// To whom a job belongs, and whether it was submitted to a given queue.
-struct JobOwner {
-    AccountId account;
-    bool isOfQueue = true;
-};
-
 // The gateway's view of one partition.
 struct PartitionView {
     // What the owner has stored; it proves that a job lives in the partition.
@@ -73,9 +67,13 @@
         const auto found = this->sent.find(id);
         return found != this->sent.end() && (found->second.active > 0 || this->appender->isUnsettled(id.value));
     }
-    JobOwner ownerOf(const JobId &id, const QueueConfig &queue) const;
+    // Returns what decides whether a request to the queue may use the job. A job that is unknown here belongs to nobody.
+    JobAccount accountOf(const JobId &id, const QueueConfig &queue, const FleetConfig &config) const;
 };
 
+// Returns the name that logs and metrics have for the action.
+const char *actionName(CallerAction action);
+
 class JobGateway::Private
 {
 public:
@@ -112,13 +110,16 @@
     // Logs and counts a request that its key does not allow, and returns the reply.
     CallerReply refuseCaller(const QueueConfig *queue, const CallerRequest &request, const CallerAuthorization &authorization);
     // Returns true if the caller may use the job that the partition has. Logs it if not.
-    bool mayUse(const PartitionView &view, const JobId &id, const QueueConfig &queue, const CallerIdentity &caller, const char *action);
-    // Reads the submission of a job whose state was stored without an account, as the previous version does, if the account matters.
-    net::awaitable<void> readOwner(PartitionView &view, JobId id, CallerIdentity caller);
+    bool mayUse(const PartitionView &view, const JobId &id, const QueueConfig &queue, const CallerIdentity &caller, CallerAction action);
+    // Reads the submission of a job whose state was stored without an account, as the previous version does, if the account matters. Returns false if
+    // the store cannot be read, so that the account is unknown.
+    net::awaitable<bool> readAccount(PartitionView &view, QueueConfig queue, JobId id, CallerIdentity caller);
     // Returns the reply to a repeated submission of a job that the partition has.
     CallerReply replyToRepeat(const PartitionView &view, const JobId &id, const QueueConfig &queue, const CallerIdentity &caller);
     // Returns the reply to a submission whose ID is, or may be, that of another account's job; nothing if the ID is free.
-    net::awaitable<std::optional<CallerReply>> findOwnedJob(QueueConfig queue, JobId id, CallerIdentity caller, std::chrono::steady_clock::time_point deadline);
+    net::awaitable<std::optional<CallerReply>> findTakenId(QueueConfig queue, JobId id, CallerIdentity caller, std::chrono::steady_clock::time_point deadline);
+    // Returns the reply to a submission whose ID is that of a submission that this process has sent, may not have read back, and that the caller must
+    // not replace; nothing if there is none.
     std::optional<CallerReply> findSentJob(const QueueConfig &queue, const JobId &id, const CallerIdentity &caller);
     QueuePlacement placementOf(const QueueConfig &queue) const;
     // Returns the partitions that are known to hold jobs of the queue; the one of its current service comes first.
@@ -136,8 +137,8 @@
     // Appends a record of which earlier appends may be unsettled. If the store refuses this one, what it holds decides.
     net::awaitable<AppendResult> append(
         PartitionView &view, StoredRecord record, std::function<bool()> isStored, std::chrono::steady_clock::time_point deadline);
-    // Reads the partition to its end. The event tells that this was tried.
-    std::shared_ptr<Event> startReading(PartitionView &view);
+    // Reads the partition to its end, or only its submissions. The event tells that this was tried.
+    std::shared_ptr<Event> startReading(PartitionView &view, bool includesStates = true);
     // Returns the reply to a submission that cannot be stored now, or that another attempt may have stored; nothing if it can be stored under the
     // placement that is set then.
     net::awaitable<std::optional<CallerReply>> findConflict(
