Relay records through the partition's owner while appends are slow or refused

Cause: while the store was 60 times as slow, 30 of 1,128 callers were served in time; gateways that the store refused alone served nobody; and after 500 ms of refusals each further record was retried for 500 ms before its caller heard.

Change: BatchAppender gets its target as an object: the store, or a SubmissionRelay that sends batches to the owner's POST /append. A call without a clear answer is unknown and counts as ended 30 s later, since it may be carried out late; what proves that nothing was stored is listed and followed by a direct append. Retry-After comes from the policy.

--- a/src/libservice/unsettledrecords.cpp
+++ b/src/libservice/unsettledrecords.cpp
@@ -1,6 +1,8 @@
 // Records of which it is not known whether they are stored.
 #include "unsettledrecords.h"
 
+#include <algorithm>
+
 namespace MangoCourse {
 
 namespace {
@@ -19,14 +21,17 @@
     const auto found = this->entries.find(key);
     --found->second.appendsInProgress;
     if (mayBeStored) {
-        found->second.unansweredAt = now;
-        this->unanswered.emplace_back(now, key);
+        // An earlier append of the key may be carried out later than this one.
+        const TimePoint unansweredAt = std::max(found->second.unansweredAt.value_or(now), now);
+        found->second.unansweredAt = unansweredAt;
+        this->unanswered.emplace_back(unansweredAt, key);
     }
     if (found->second.appendsInProgress == 0 && !found->second.unansweredAt) {
         this->entries.erase(found);
     }
     if (this->unanswered.size() > maxUnansweredKeys) {
-        this->lastForgottenAt = this->unanswered.front().first;
+        // Ends are listed in order of the appends, which differ in how late they may be carried out.
+        this->lastForgottenAt = std::max(this->lastForgottenAt.value_or(TimePoint{}), this->unanswered.front().first);
         this->forgetOldest();
     }
 }
--- a/src/libservice/unsettledrecords.h
+++ b/src/libservice/unsettledrecords.h
@@ -19,7 +19,8 @@
     static constexpr std::chrono::seconds maxExecutionDelay{30};
 
     void beginAppend(const std::string &key);
-    // `mayBeStored`: the append ended without an answer.
+    // `mayBeStored`: the append ended without an answer. `now` is later than the end by as much as the append may be carried out later than
+    // `maxExecutionDelay` after it.
     void endAppend(const std::string &key, bool mayBeStored, TimePoint now);
     // An append of the key was confirmed.
     void markStored(const std::string &key);
--- a/src/scheduler/batchappender.h
+++ b/src/scheduler/batchappender.h
@@ -5,20 +5,12 @@
 #include <memory>
 #include <optional>
 
+#include "appendtarget.h"
 #include "event.h"
-#include "ports.h"
 #include "unsettledrecords.h"
 
 namespace MangoCourse {
 
-enum class AppendOutcome {
-    Durable,
-    // Nothing was stored and nothing will be, by no append of the key in this process.
-    NotStored,
-    // A record of the key may have been stored, or may still be stored.
-    Unknown,
-};
-
 struct AppendResult {
     AppendOutcome outcome = AppendOutcome::NotStored;
     // The last error of the store, or why the record was not sent. Empty if it is durable.
@@ -28,23 +20,32 @@
     int unansweredSends = 0;
     // Another append of the same key was in progress, or had ended without an answer.
     bool hasEarlierAttempt = false;
+    // Time by which the record may be stored later than by an append to the store that got no answer.
+    std::chrono::milliseconds executionDelay{};
 };
 
-// Sends one append at a time, with all records that were queued meanwhile. Appending a record twice must be harmless.
+// Sends as many appends at a time as the target takes, one to the store, each with all records that were queued meanwhile. Appending a record twice must be
+// harmless.
 class BatchAppender : public std::enable_shared_from_this<BatchAppender>
 {
 public:
     BatchAppender(net::io_context &context, RecordStore &store, Stream stream, std::int32_t partition);
+    BatchAppender(net::io_context &context, std::shared_ptr<AppendTarget> target);
 
-    // Retries for a limited time, at most until the deadline. While the store is unavailable, or too many bytes wait for it, records are rejected without
-    // being sent.
-    net::awaitable<AppendResult> append(StoredRecord record, std::chrono::steady_clock::time_point deadline);
+    // Retries for a limited time, at most until the deadline. While the store is unavailable, too many bytes wait for it, or it is known that the record
+    // would not be stored in time, records are rejected without being sent.
+    net::awaitable<AppendResult> append(StoredRecord record, std::chrono::steady_clock::time_point deadline, AppendOrigin origin = AppendOrigin::OwnCaller);
 
     // Returns true if an append of the key is in progress, or has ended without an answer.
     bool isUnsettled(const std::string &key) const;
     // The stream has been read, with all that was stored up to `asOf`. Records that would have been seen by now are not stored.
     void settle(TimePoint asOf);
 
+    // Returns when a caller may try again whose record was refused.
+    std::chrono::milliseconds retryAfter() const;
+    // Returns the time of the latest append to the store; zero if that is not known.
+    std::chrono::milliseconds appendTime() const;
+
 private:
     struct Entry {
         explicit Entry(net::io_context &context)
@@ -53,6 +54,7 @@
         }
 
         StoredRecord record;
+        AppendOrigin origin = AppendOrigin::OwnCaller;
         // When to stop retrying: if the record cannot have been stored, and if it may have been stored.
         std::chrono::steady_clock::time_point refusedDeadline;
         std::chrono::steady_clock::time_point unknownDeadline;
@@ -66,8 +68,12 @@
         }
     };
 
-    net::awaitable<AppendResult> queue(StoredRecord record, std::chrono::steady_clock::time_point deadline);
+    net::awaitable<AppendResult> queue(StoredRecord record, std::chrono::steady_clock::time_point deadline, AppendOrigin origin);
+    // Sends batches while records wait and the target takes the appends of so many workers.
     net::awaitable<void> run();
+    void startWorker();
+    // Sends the batch. Returns false if records of it are to be sent again.
+    net::awaitable<bool> send(std::deque<std::shared_ptr<Entry>> batch);
     bool isStoreUnavailable(std::chrono::steady_clock::time_point now) const;
     std::deque<std::shared_ptr<Entry>> takeBatch();
     // Settles the entries whose retry time is over.
@@ -75,16 +81,15 @@
     static void settle(Entry &entry, AppendOutcome outcome);
 
     net::io_context &context;
-    RecordStore &store;
-    Stream stream;
-    std::int32_t partition;
+    std::shared_ptr<AppendTarget> target;
     std::deque<std::shared_ptr<Entry>> pendingEntries;
     // Bytes of the records that are queued or being appended.
     std::size_t waitingBytes = 0;
     UnsettledRecords unsettledRecords;
-    bool isRunning = false;
-    // Start of the first of the current series of failed appends.
+    int workers = 0;
+    // Start of the first of the current series of failed appends, and end of the last one.
     std::optional<std::chrono::steady_clock::time_point> failingSince;
+    std::chrono::steady_clock::time_point lastFailureAt{};
 };
 
 }
--- a/src/scheduler/gatewaysubmission.cpp
+++ b/src/scheduler/gatewaysubmission.cpp
@@ -18,7 +18,9 @@
 CallerReply JobGateway::Private::refuseSubmission(const JobId &id, const QueueConfig &queue, bool isUnsettled, const char *reason, const std::string &error)
 {
     this->logUnstored(isUnsettled ? "job_unsettled" : "job_refused", id, queue, reason, AppendResult{AppendOutcome::NotStored, error});
-    return CallerReply{isUnsettled ? CallerOutcome::MayBeAccepted : CallerOutcome::NotAccepted, {}, 0, reason, storeRetryAfter};
+    // Reads of a slow store take as long as its appends.
+    const milliseconds retryAfter = std::max(storeRetryAfter, this->findViews(queue).front()->appender->retryAfter());
+    return CallerReply{isUnsettled ? CallerOutcome::MayBeAccepted : CallerOutcome::NotAccepted, {}, 0, reason, retryAfter};
 }
 
 net::awaitable<std::optional<CallerReply>> JobGateway::Private::makePlacementCurrent(
@@ -164,7 +166,7 @@
         co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
     case AppendOutcome::NotStored:
         this->logUnstored("job_refused", id, queue, "the store does not accept records", appended);
-        co_return CallerReply{CallerOutcome::NotAccepted, {}, 0, "the store does not accept records", storeRetryAfter};
+        co_return CallerReply{CallerOutcome::NotAccepted, {}, 0, "the store does not accept records", view.appender->retryAfter()};
     case AppendOutcome::Unknown:
         break;
     }
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -32,7 +32,8 @@
 {
     auto view = std::make_unique<PartitionView>();
     PartitionView *raw = view.get();
-    view->appender = std::make_shared<BatchAppender>(this->context, this->store, Stream::Jobs, partition);
+    const RelayContext relay{this->context, this->store, this->log, this->metrics, this->settings.name, this->appenders};
+    view->appender = std::make_shared<BatchAppender>(this->context, std::make_shared<SubmissionRelay>(relay, partition));
     view->progressReader = std::make_unique<StreamReader>(this->context, this->store, Stream::Progress, partition,
         StreamReader::Handlers{[raw] {
                                    raw->progress.clear();
@@ -267,8 +268,8 @@
         co_return CallerReply{CallerOutcome::Cancelled, {}, 0, {}, {}};
     }
     const bool isUnknown = appended.outcome == AppendOutcome::Unknown;
-    co_return CallerReply{
-        isUnknown ? CallerOutcome::MayBeAccepted : CallerOutcome::Unavailable, {}, 0, "the store did not confirm the cancellation", storeRetryAfter};
+    co_return CallerReply{isUnknown ? CallerOutcome::MayBeAccepted : CallerOutcome::Unavailable, {}, 0, "the store did not confirm the cancellation",
+        view->appender->retryAfter()};
 }
 
 net::awaitable<CallerReply> JobGateway::Private::readJob(QueueConfig queue, JobId id)
@@ -372,6 +373,23 @@
     return !this->d->isDraining && this->d->config && !this->d->isConfigOutdated() && steady_clock::now() - this->d->lastStoreContact < storeContactTimeout;
 }
 
+net::awaitable<HttpResponse> JobGateway::appendForOther(std::string body)
+{
+    Private *state = this->d.get();
+    RelayReceiver receiver{state->context, state->metrics, state->settings.name, state->settings.partitions,
+        [state](const StoredRecord &record) {
+            return state->store.accepts(record);
+        },
+        [state](std::int32_t partition) {
+            return state->views[static_cast<std::size_t>(partition)]->appender;
+        },
+        [state](std::int32_t partition) {
+            (void)state->startReading(*state->views[static_cast<std::size_t>(partition)]);
+        }};
+    HttpResponse response = co_await receiveRelayedRecords(std::move(receiver), std::move(body));
+    co_return response;
+}
+
 net::awaitable<CallerReply> JobGateway::handle(CallerRequest request)
 {
     if (!this->d->config) {
--- a/src/scheduler/jobgateway.h
+++ b/src/scheduler/jobgateway.h
@@ -33,6 +33,9 @@
     // Makes isReady() return false, so that callers are directed elsewhere. Requests are still served.
     void startDraining();
 
+    // Appends the records that another process relays to this one; see receiveRelayedRecords().
+    net::awaitable<HttpResponse> appendForOther(std::string body);
+
     net::awaitable<CallerReply> handle(CallerRequest request) override;
     bool isReady() const override;
 
--- a/src/scheduler/jobgateway_pvt.h
+++ b/src/scheduler/jobgateway_pvt.h
@@ -11,10 +11,11 @@
 #include "jobgateway.h"
 #include "recordcodec.h"
 #include "streamreader.h"
+#include "submissionrelay.h"
 
 namespace MangoCourse {
 
-// Retry delay that callers are given while the store cannot be reached.
+// Retry delay that callers are given while the store cannot be read.
 inline constexpr std::chrono::milliseconds storeRetryAfter{1000};
 
 struct KnownJob {
@@ -59,6 +60,7 @@
         , metrics(metrics)
         , settings(settings)
         , placements(std::move(placements))
+        , appenders(std::make_shared<AppenderDirectory>(context, store, log))
     {
     }
 
@@ -68,6 +70,7 @@
     Metrics &metrics;
     NodeSettings settings;
     std::shared_ptr<QueuePlacements> placements;
+    std::shared_ptr<AppenderDirectory> appenders;
     std::shared_ptr<const FleetConfig> config;
     std::optional<TimePoint> configCurrentAsOf;
     std::vector<std::unique_ptr<PartitionView>> views;
--- a/src/scheduler/scheduler_test.h
+++ b/src/scheduler/scheduler_test.h
@@ -51,6 +51,11 @@
     std::size_t maxAppendBytes = 2 * 1024 * 1024;
     // Appends with a record of this key are refused as invalid.
     std::string invalidKey;
+    // Time of an append.
+    std::chrono::milliseconds appendDelay{4};
+    // Numbers of appends that were carried out and of reads, by stream.
+    std::map<Stream, int> appends;
+    std::map<Stream, int> reads;
     int concurrentAppends = 0;
     int maxConcurrentAppends = 0;
     int repeatedAppends = 0;
@@ -71,7 +76,7 @@
         Stream stream, std::int32_t partitionNumber, std::vector<StoredRecord> records, std::optional<ProducerStamp> stamp, std::chrono::milliseconds) override
     {
         maxConcurrentAppends = std::max(maxConcurrentAppends, ++concurrentAppends);
-        co_await sleepFor(this->context, 4ms);
+        co_await sleepFor(this->context, this->appendDelay);
         --concurrentAppends;
         if (this->behaviour == StoreBehaviour::Refusing || this->behaviour == StoreBehaviour::RefusingAppends) {
             co_return makeError(ErrorCode::Unavailable, "refused");
@@ -109,6 +114,7 @@
         case StampCheck::Next:
             break;
         }
+        ++this->appends[stream];
         this->addRecords(partition, records);
         if (this->behaviour == StoreBehaviour::LosingAnswers) {
             co_return makeError(this->lostAnswerError, "lost");
@@ -149,6 +155,7 @@
 
     net::awaitable<Result<StreamBatch>> read(Stream stream, std::int32_t partitionNumber, std::int64_t from, std::chrono::milliseconds wait) override
     {
+        ++this->reads[stream];
         const auto deadline = std::chrono::steady_clock::now() + wait;
         while (true) {
             co_await sleepFor(this->context, 1ms);
@@ -177,6 +184,7 @@
 
     net::awaitable<Result<StreamBatch>> readSnapshot(Stream stream, std::int32_t partitionNumber) override
     {
+        ++this->reads[stream];
         co_await sleepFor(this->context, 1ms);
         if (this->behaviour == StoreBehaviour::Refusing) {
             co_return makeError(ErrorCode::Unavailable, "refused");
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -455,6 +455,10 @@
         impl->admin->route(http::verb::get, "/state", [raw](const HttpRequest &) -> net::awaitable<HttpResponse> {
             co_return jsonResponse(http::status::ok, raw->stateAsJson().dump());
         });
+        impl->admin->route(http::verb::post, "/append", [raw](const HttpRequest &request) -> net::awaitable<HttpResponse> {
+            HttpResponse response = co_await raw->gateway->appendForOther(request.body());
+            co_return response;
+        });
     }
     return std::unique_ptr<SchedulerProcess>(new SchedulerProcess(std::move(impl)));
 }
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -130,6 +130,8 @@
     net::awaitable<bool> load();
     void logUnreadable(const StoredRecord &record, const std::string &reason);
     net::awaitable<void> run();
+    // Stores the address at which this process takes records for the partition, if it has an admin server.
+    net::awaitable<void> recordAppender();
     net::awaitable<void> followJobs();
     net::awaitable<void> plan();
     // Logs what waits, until the owner ends. It is independent of plan(), so that it tells when that is late.
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "relaycodec.h"
+
 namespace MangoCourse {
 
 namespace {
@@ -11,6 +13,9 @@
 
 // Without new records the watermark is up to two poll timeouts old. This has to stay well below the age at which starts are withheld.
 constexpr milliseconds jobsPollTimeout{500};
+// Gateways need the appender's address only while the store is slow for them, so its record need not be stored at once.
+constexpr milliseconds minAppenderRetryDelay{500};
+constexpr milliseconds maxAppenderRetryDelay{8000};
 // Events that arrive within this time are handled by one plan.
 constexpr milliseconds minPlanDelay{2};
 // After a plan the owner pauses for this multiple of the planning time, up to maxPlanDelay.
@@ -79,6 +84,10 @@
         EventPriority::Essential);
     const auto self = this->self;
     Private &sharedState = this->state;
+    this->spawn([self, &sharedState]() -> net::awaitable<void> {
+        Tasks tasks{self, sharedState};
+        co_await tasks.recordAppender();
+    });
     this->spawn([self, &sharedState]() -> net::awaitable<void> {
         Tasks tasks{self, sharedState};
         co_await tasks.followJobs();
@@ -108,6 +117,36 @@
     co_await this->plan();
 }
 
+net::awaitable<void> ShardOwner::Tasks::recordAppender()
+{
+    const NodeSettings &settings = this->state.owner.settings;
+    SystemErrorCode error;
+    const auto host = net::ip::make_address(settings.admin.host, error);
+    if (settings.admin.port == 0 || error || host.is_unspecified()) {
+        co_return;
+    }
+    const std::string key = appenderKey(this->state.partition);
+    const std::string value = encodeAppenderAddress(AppenderAddress{settings.name, settings.admin, this->state.token});
+    // The store keeps only the newest record of a key, so the record of an earlier owner must not follow this one.
+    const ProducerStamp stamp{key, this->state.token, 0};
+    milliseconds delay = minAppenderRetryDelay;
+    while (!this->isEnded()) {
+        std::vector<StoredRecord> records{StoredRecord{key, value, -1}};
+        const Result<void> appended = co_await this->state.owner.store.append(Stream::Plan, appenderPartition, std::move(records), stamp, appendTimeout);
+        // A conflict or a refusal is not temporary, and without the record gateways append to the store.
+        const bool isFinal = appended || (provesNotDone(appended.error().code) && appended.error().code != ErrorCode::Unavailable);
+        this->state.owner.log.emit("appender_recorded",
+            {{"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}, {"endpoint", toString(settings.admin)},
+                {"durable", appended.has_value()}, {"error", appended ? std::string() : describe(appended.error())}},
+            EventPriority::Essential);
+        if (isFinal) {
+            co_return;
+        }
+        co_await sleepFor(this->state.owner.context, delay);
+        delay = std::min(2 * delay, maxAppenderRetryDelay);
+    }
+}
+
 net::awaitable<void> ShardOwner::Tasks::followJobs()
 {
     // Records stored during the takeover, or while the store was unavailable, are read without waiting for more.
