Keep the relay open while appends are slow for the appender as well

Cause: at the onset of a slow spell the appender's append exceeds its time-out; each gateway then closed its relay and returned to the slow store. A pause of the gateway itself started a relay of at least 500 ms, and a relay through an appender that alone is slow never ended.

Change: a failed call closes the relay only if the appender reports no append time or a short one. After slow appends, unlike refusals, the first fast report ends the relay, and an unanswered append counts alone only if it was slow. The store is tried after 30 to 45 s, by gateway, without a fast report. The played world of 37 gateways has time-outs. Retry delays call the series "degraded".

The tests of the pause, of the broken connection and of the attempt after 30 s fail without their rules.

--- a/src/include/mangocourse/submissionrelay.h
+++ b/src/include/mangocourse/submissionrelay.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -30,7 +31,8 @@
 //
 // A partition carries out one append at a time, so that the wait of a gateway grows with the number of gateways that append. A gateway whose appends
 // are slow or refused therefore relays its records. It tries the store again once the appender reports fast appends, after a time that doubles with each
-// attempt that fails: a store that is slow for all must not get an append from each gateway.
+// attempt that fails: a store that is slow for all must not get an append from each gateway. If only the appender is slow, the attempt after 30 to 45 s
+// ends the relay.
 class RelayPolicy
 {
 public:
@@ -45,12 +47,17 @@
     // One slow or refused append may be due to a pause of this process or to a broken connection.
     static constexpr int appendsInRow = 2;
 
+    RelayPolicy() = default;
+    // `seed`: differs by gateway and partition, so that the attempts that do not depend on the appender's reports are spread over time.
+    explicit RelayPolicy(std::uint64_t seed);
+
     AppendRoute route(TimePoint now) const;
 
     void beginDirect(TimePoint now);
     // `startedAt`: the time that was passed to beginDirect().
     void endDirect(AppendAnswer answer, TimePoint startedAt, TimePoint now);
-    // `appendTime`: time of the appender's last append to the store, if it has told.
+    // `appendTime`: time of the appender's last append to the store, if reported. The relay stays open after a failed call if appends are slow for the
+    // appender as well: direct appends of all gateways would make them slower.
     void endRelayed(AppendAnswer answer, std::optional<Duration> appendTime, TimePoint startedAt, TimePoint now);
     // The relay cannot be used until then.
     void closeRelay(TimePoint until);
@@ -66,13 +73,16 @@
     std::chrono::milliseconds retryAfter(AppendRoute route, std::size_t waitingRecords, TimePoint now) const;
 
 private:
-    void startRelaying(TimePoint now);
+    void startRelaying(AppendAnswer answer, TimePoint now);
     bool isProbeDue(TimePoint now) const;
     std::optional<TimePoint> oldestDirect() const;
 
     // True while records are to be relayed.
     bool isRelaying = false;
     TimePoint nextProbeAt{};
+    // When the store is tried whatever the appender reports.
+    TimePoint unconditionalProbeAt{};
+    Duration probeJitter{};
     Duration probeDelay{};
     TimePoint relayClosedUntil{};
     std::optional<TimePoint> lastRelayedAt;
@@ -83,7 +93,7 @@
     int refusedInRow = 0;
     std::optional<TimePoint> refusedAt;
     // Start of the current series of slow, refused and unanswered appends.
-    std::optional<TimePoint> troubledSince;
+    std::optional<TimePoint> degradedSince;
     Duration lastDirectTime{};
     TimePoint lastDirectAt{};
     Duration lastRelayTime{};
--- a/src/libmangocourse/submissionrelay.cpp
+++ b/src/libmangocourse/submissionrelay.cpp
@@ -12,11 +12,14 @@
 // An attempt to return to direct appends costs a slow or refused append.
 constexpr milliseconds minProbeDelay{500};
 constexpr milliseconds maxProbeDelay{8000};
+// Without a report of fast appends the store is tried after this time and a jitter. 37 gateways then take a fifth of a store whose appends take 240 ms.
+constexpr milliseconds unconditionalProbeDelay{30'000};
+constexpr milliseconds maxProbeJitter{15'000};
 // Direct appends that last this long without trouble end the series of attempts.
 constexpr milliseconds stableTime{10'000};
 // Measured times are not used any longer than this.
 constexpr milliseconds measureLifetime{2000};
-// Number of the largest submissions in one append.
+// Estimate of the number of submissions in one append, for the retry delay.
 constexpr std::size_t recordsPerAppend = 200;
 // Slow spells of the store last up to 5 s; callers make up to four more attempts, of 3 s each.
 constexpr milliseconds minRetryAfter{200};
@@ -24,6 +27,11 @@
 
 }
 
+RelayPolicy::RelayPolicy(std::uint64_t seed)
+    : probeJitter(milliseconds(seed % static_cast<std::uint64_t>(maxProbeJitter.count())))
+{
+}
+
 std::optional<TimePoint> RelayPolicy::oldestDirect() const
 {
     const auto oldest = std::min_element(this->directStarts.begin(), this->directStarts.end());
@@ -32,7 +40,8 @@
 
 bool RelayPolicy::isProbeDue(TimePoint now) const
 {
-    return now >= this->nextProbeAt && this->directStarts.empty() && this->appenderTime && *this->appenderTime < fastAppend;
+    const bool isAppenderFast = this->appenderTime && *this->appenderTime < fastAppend;
+    return this->directStarts.empty() && now >= (isAppenderFast ? this->nextProbeAt : this->unconditionalProbeAt);
 }
 
 AppendRoute RelayPolicy::route(TimePoint now) const
@@ -47,13 +56,16 @@
     return oldest && now - *oldest >= verySlowAppend ? AppendRoute::Relayed : AppendRoute::Direct;
 }
 
-void RelayPolicy::startRelaying(TimePoint now)
+void RelayPolicy::startRelaying(AppendAnswer answer, TimePoint now)
 {
     const bool isNewSeries = !this->isRelaying && (!this->relayEndedAt || now - *this->relayEndedAt > stableTime);
     this->probeDelay = isNewSeries ? minProbeDelay : std::clamp<Duration>(2 * this->probeDelay, minProbeDelay, maxProbeDelay);
     this->isRelaying = true;
     this->appenderTime.reset();
-    this->nextProbeAt = now + this->probeDelay;
+    // A slow append may be due to a pause of this process. The appender's first report of fast appends shows that, and ends the relay.
+    const bool isProbedAtOnce = isNewSeries && answer != AppendAnswer::Refused;
+    this->nextProbeAt = isProbedAtOnce ? now : now + this->probeDelay;
+    this->unconditionalProbeAt = now + unconditionalProbeDelay + this->probeJitter;
 }
 
 void RelayPolicy::beginDirect(TimePoint now)
@@ -69,10 +81,10 @@
     }
     const Duration took = now - startedAt;
     if (answer == AppendAnswer::Refused) {
-        this->troubledSince = this->troubledSince.value_or(startedAt);
+        this->degradedSince = this->degradedSince.value_or(startedAt);
         this->refusedAt = now;
         if (++this->refusedInRow >= appendsInRow || this->isRelaying) {
-            this->startRelaying(now);
+            this->startRelaying(answer, now);
         }
         return;
     }
@@ -83,18 +95,18 @@
     const bool isFastEnough = took < (this->isRelaying ? fastAppend : slowAppend);
     if (answer == AppendAnswer::Done && isFastEnough) {
         this->slowInRow = 0;
-        this->troubledSince.reset();
+        this->degradedSince.reset();
         if (this->isRelaying) {
             this->isRelaying = false;
             this->relayEndedAt = now;
         }
         return;
     }
-    this->troubledSince = this->troubledSince.value_or(startedAt);
+    this->degradedSince = this->degradedSince.value_or(startedAt);
     ++this->slowInRow;
-    const bool isEnough = this->slowInRow >= appendsInRow || took >= verySlowAppend || answer == AppendAnswer::Unanswered;
+    const bool isEnough = this->slowInRow >= appendsInRow || took >= verySlowAppend || (answer == AppendAnswer::Unanswered && took >= slowAppend);
     if (isEnough || this->isRelaying) {
-        this->startRelaying(now);
+        this->startRelaying(answer, now);
     }
 }
 
@@ -105,7 +117,8 @@
         this->appenderTime = *appendTime;
         this->lastRelayedAt = now;
     }
-    if (answer != AppendAnswer::Done) {
+    const bool isAppenderSlow = appendTime && *appendTime >= slowAppend;
+    if (answer != AppendAnswer::Done && !isAppenderSlow) {
         // The store may be better than the appender.
         this->closeRelay(now + (answer == AppendAnswer::Refused ? minProbeDelay : 4 * minProbeDelay));
     }
@@ -144,8 +157,8 @@
 {
     const auto appends = static_cast<std::int64_t>(1 + waitingRecords / recordsPerAppend);
     const Duration drained = appends * this->expectedWait(route, now);
-    const Duration troubled = this->troubledSince ? now - *this->troubledSince : Duration::zero();
-    return std::clamp(std::chrono::ceil<milliseconds>(std::max(drained, troubled)), minRetryAfter, maxRetryAfter);
+    const Duration degraded = this->degradedSince ? now - *this->degradedSince : Duration::zero();
+    return std::clamp(std::chrono::ceil<milliseconds>(std::max(drained, degraded)), minRetryAfter, maxRetryAfter);
 }
 
 }
--- a/src/libmangocourse/submissionrelay_test.cpp
+++ b/src/libmangocourse/submissionrelay_test.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
+#include <memory>
 
 namespace MangoCourse {
 namespace {
@@ -130,6 +132,52 @@
     EXPECT_FALSE(this->isRelayed());
 }
 
+// Direct appends of all gateways would fill the store's queue again.
+TEST_F(RelayPolicyTest, RelayStaysOpenIfAppendsAreSlowForTheAppenderToo)
+{
+    for (const AppendAnswer answer : {AppendAnswer::Unanswered, AppendAnswer::Refused}) {
+        this->appendDirectly(400ms);
+        this->relay(900ms, 900ms, answer);
+        EXPECT_TRUE(this->isRelayed());
+    }
+}
+
+// The time of an append includes the pauses of this process.
+TEST_F(RelayPolicyTest, PauseOfThisProcessIsOverWithTheFirstFastReport)
+{
+    this->appendDirectly(350ms);
+    this->relay(10ms, 4ms);
+    EXPECT_FALSE(this->isRelayed());
+    this->appendDirectly(4ms);
+    EXPECT_FALSE(this->isRelayed());
+}
+
+TEST_F(RelayPolicyTest, OneBrokenConnectionDoesNotStartTheRelay)
+{
+    this->appendDirectly(1ms, AppendAnswer::Unanswered);
+    EXPECT_FALSE(this->isRelayed());
+    this->appendDirectly(1ms, AppendAnswer::Unanswered);
+    EXPECT_TRUE(this->isRelayed());
+}
+
+// The appender may be the only process whose appends are slow.
+TEST_F(RelayPolicyTest, StoreIsTriedAfterHalfAMinuteWithoutAFastReport)
+{
+    std::vector<Duration> delays;
+    for (const std::uint64_t seed : {0U, 7000U}) {
+        this->policy = RelayPolicy(seed);
+        this->appendDirectly(400ms);
+        const TimePoint relayedFrom = this->now;
+        while (this->isRelayed() && this->now < relayedFrom + 60s) {
+            this->relay(500ms, 400ms);
+        }
+        delays.push_back(this->now - relayedFrom);
+        this->appendDirectly(4ms);
+        EXPECT_FALSE(this->isRelayed());
+    }
+    EXPECT_EQ(delays, (std::vector<Duration>{30s, 37s})) << "gateways do so at different times";
+}
+
 TEST_F(RelayPolicyTest, RetryDelayFollowsTheAppendTimeTheQueueAndTheDurationOfTheTrouble)
 {
     this->appendDirectly(4ms);
@@ -165,6 +213,9 @@
     static constexpr Duration step = 1ms;
     static constexpr Duration hop = 2ms;
     static constexpr Duration retryDelay = 60ms;
+    static constexpr Duration retryTime = 1200ms;
+    static constexpr Duration callTime = 900ms;
+    static constexpr Duration appendTimeout = 1000ms;
 
     struct Gateway {
         RelayPolicy policy;
@@ -173,22 +224,32 @@
         bool isAppending = false;
         TimePoint retryAt{};
     };
+    struct Call {
+        std::size_t gateway = 0;
+        TimePoint sentAt;
+        std::vector<TimePoint> records;
+        bool isAnswered = false;
+    };
     // An append of a gateway, or of the appender with the records of several calls.
     struct Append {
         std::size_t gateway = 0;
         TimePoint sentAt;
         std::vector<TimePoint> records;
-        std::vector<std::pair<std::size_t, TimePoint>> calls;
+        std::vector<std::shared_ptr<Call>> calls;
+        // The sender does not wait for it any longer.
+        bool isTimedOut = false;
     };
 
     bool hasRelay = true;
     // The store refuses appends when more than 2 s' worth is waiting.
     bool hasLimit = true;
+    bool hasTimeout = true;
     Duration appendTime = 4ms;
     // Waits of the records that were submitted from then on.
     TimePoint measuredFrom = start;
     Duration longestWait{};
     int relayed = 0;
+    int directAppends = 0;
     std::vector<Gateway> members{gateways};
 
     void run(Duration time)
@@ -196,6 +257,7 @@
         const TimePoint end = this->now + time;
         for (; this->now < end; this->now += step) {
             this->submit();
+            this->endLateCalls();
             this->advanceStore();
         }
     }
@@ -208,6 +270,8 @@
     // What the appender has received and not appended.
     std::optional<Append> collected;
     bool isAppenderBusy = false;
+    RelayPolicy appender;
+    std::vector<std::shared_ptr<Call>> calls;
 
     void submit()
     {
@@ -222,14 +286,8 @@
                 continue;
             }
             const bool isRelayed = this->hasRelay && gateway.policy.route(this->now) == AppendRoute::Relayed;
-            if (isRelayed && gateway.relayedCalls < 2) {
-                ++gateway.relayedCalls;
-                this->relayed += static_cast<int>(gateway.waiting.size());
-                this->collected = this->collected.value_or(Append{gateways, {}, {}, {}});
-                this->collected->calls.emplace_back(index, this->now);
-                for (const TimePoint submitted : std::exchange(gateway.waiting, {})) {
-                    this->collected->records.push_back(submitted);
-                }
+            if (isRelayed && gateway.relayedCalls < 2 && this->now >= gateway.retryAt) {
+                this->relay(index);
             } else if (!isRelayed && !gateway.isAppending && this->now >= gateway.retryAt) {
                 if (this->isStoreFull()) {
                     gateway.policy.beginDirect(this->now);
@@ -238,17 +296,78 @@
                     continue;
                 }
                 gateway.isAppending = true;
+                ++this->directAppends;
                 gateway.policy.beginDirect(this->now);
-                this->queue.push_back(Append{index, this->now, std::exchange(gateway.waiting, {}), {}});
+                this->queue.push_back(Append{index, this->now, std::exchange(gateway.waiting, {}), {}, false});
             }
         }
         if (this->collected && !this->isAppenderBusy && !this->isStoreFull()) {
             this->isAppenderBusy = true;
             this->collected->sentAt = this->now;
+            this->appender.beginDirect(this->now);
             this->queue.push_back(*std::exchange(this->collected, std::nullopt));
         }
     }
 
+    void relay(std::size_t index)
+    {
+        Gateway &gateway = this->members[index];
+        ++gateway.relayedCalls;
+        this->relayed += static_cast<int>(gateway.waiting.size());
+        const auto call = std::make_shared<Call>(Call{index, this->now, std::exchange(gateway.waiting, {}), false});
+        if (this->hasTimeout && this->isAppenderBusy && this->appender.expectedWait(AppendRoute::Direct, this->now) > callTime) {
+            this->answer(*call, AppendAnswer::Refused);
+            return;
+        }
+        this->calls.push_back(call);
+        this->collected = this->collected.value_or(Append{gateways, {}, {}, {}, false});
+        this->collected->calls.push_back(call);
+    }
+
+    void answer(Call &call, AppendAnswer answer)
+    {
+        Gateway &gateway = this->members[call.gateway];
+        call.isAnswered = true;
+        --gateway.relayedCalls;
+        const Duration reported = this->appender.directTime(this->now);
+        gateway.policy.endRelayed(answer, reported, call.sentAt, this->now + hop);
+        if (answer == AppendAnswer::Done) {
+            this->confirm(call.records);
+        } else if (answer == AppendAnswer::Unanswered || reported < RelayPolicy::slowAppend) {
+            this->retry(gateway, call.records);
+        }
+    }
+
+    void retry(Gateway &gateway, const std::vector<TimePoint> &records)
+    {
+        gateway.retryAt = this->now + retryDelay;
+        std::copy_if(records.begin(), records.end(), std::back_inserter(gateway.waiting), [this](TimePoint submitted) {
+            return this->now - submitted < retryTime;
+        });
+    }
+
+    // Ends what has taken too long for the sender. The store carries out the appends all the same.
+    void endLateCalls()
+    {
+        if (!this->hasTimeout) {
+            return;
+        }
+        for (const auto &call : this->calls) {
+            if (!call->isAnswered && this->now - call->sentAt >= callTime) {
+                this->answer(*call, AppendAnswer::Unanswered);
+            }
+        }
+        std::erase_if(this->calls, [](const std::shared_ptr<Call> &call) {
+            return call->isAnswered;
+        });
+        for (Append &append : this->queue) {
+            if (!append.isTimedOut && this->now - append.sentAt >= appendTimeout) {
+                append.isTimedOut = true;
+                this->end(append, AppendAnswer::Unanswered);
+            }
+        }
+    }
+
     bool isStoreFull() const
     {
         return this->hasLimit && static_cast<std::int64_t>(this->queue.size()) * this->appendTime > 2s;
@@ -268,20 +387,39 @@
 
     void finish(const Append &append)
     {
-        for (const TimePoint submitted : append.records) {
+        if (!append.isTimedOut) {
+            this->end(append, AppendAnswer::Done);
+        }
+    }
+
+    void confirm(const std::vector<TimePoint> &records)
+    {
+        for (const TimePoint submitted : records) {
             if (submitted >= this->measuredFrom) {
                 this->longestWait = std::max<Duration>(this->longestWait, this->now + hop - submitted);
             }
         }
+    }
+
+    void end(const Append &append, AppendAnswer answer)
+    {
         if (append.gateway < gateways) {
-            this->members[append.gateway].isAppending = false;
-            this->members[append.gateway].policy.endDirect(AppendAnswer::Done, append.sentAt, this->now);
+            Gateway &gateway = this->members[append.gateway];
+            gateway.isAppending = false;
+            gateway.policy.endDirect(answer, append.sentAt, this->now);
+            if (answer == AppendAnswer::Done) {
+                this->confirm(append.records);
+            } else {
+                this->retry(gateway, append.records);
+            }
             return;
         }
         this->isAppenderBusy = false;
-        for (const auto &[index, sentAt] : append.calls) {
-            --this->members[index].relayedCalls;
-            this->members[index].policy.endRelayed(AppendAnswer::Done, this->now - append.sentAt, sentAt, this->now + hop);
+        this->appender.endDirect(answer, append.sentAt, this->now);
+        for (const auto &call : append.calls) {
+            if (!call->isAnswered) {
+                this->answer(*call, answer);
+            }
         }
     }
 };
@@ -291,6 +429,7 @@
     GatewayWorld direct;
     direct.hasRelay = false;
     direct.hasLimit = false;
+    direct.hasTimeout = false;
     direct.run(1s);
     EXPECT_LT(direct.longestWait, 200ms);
     direct.appendTime = 240ms;
@@ -320,5 +459,17 @@
     EXPECT_LT(relayed.longestWait, 200ms);
 }
 
+// The appends that are queued when the store becomes slow take longer than the appender's time-out.
+TEST(RelayPolicyWorld, TimeOutOfTheAppenderDoesNotSendTheGatewaysBackToTheSlowStore)
+{
+    GatewayWorld world;
+    world.run(1s);
+    world.appendTime = 240ms;
+    world.run(1s);
+    world.directAppends = 0;
+    world.run(10s);
+    EXPECT_LE(world.directAppends, 2);
+}
+
 }
 }
