Answer relayed calls in time, also while the append is slow or the owner stops

Cause: the receiver waited for every record past the call's deadline, so that the sender got no answer, and durable records became unknown. Refused records were then appended directly. A stopping owner accepted records and cut them off. A relay's time-out counted as an unavailable store.

Records of other processes that were never sent are not sent after their deadline. While stopping, /append answers 409, and the stop waits for requests in progress. An unanswered relay does not start the series of failed appends. route(), which may start a read, is not const any more.

The answer 409 and the rule for unanswered relays have no test of their own.

--- a/src/libservice/unsettledrecords.cpp
+++ b/src/libservice/unsettledrecords.cpp
@@ -16,13 +16,13 @@
     ++this->entries[key].appendsInProgress;
 }
 
-void UnsettledRecords::endAppend(const std::string &key, bool mayBeStored, TimePoint now)
+void UnsettledRecords::endAppend(const std::string &key, bool mayBeStored, TimePoint endedAt)
 {
     const auto found = this->entries.find(key);
     --found->second.appendsInProgress;
     if (mayBeStored) {
         // An earlier append of the key may be carried out later than this one.
-        const TimePoint unansweredAt = std::max(found->second.unansweredAt.value_or(now), now);
+        const TimePoint unansweredAt = std::max(found->second.unansweredAt.value_or(endedAt), endedAt);
         found->second.unansweredAt = unansweredAt;
         this->unanswered.emplace_back(unansweredAt, key);
     }
--- a/src/libservice/unsettledrecords.h
+++ b/src/libservice/unsettledrecords.h
@@ -19,9 +19,9 @@
     static constexpr std::chrono::seconds maxExecutionDelay{30};
 
     void beginAppend(const std::string &key);
-    // `mayBeStored`: the append ended without an answer. `now` is later than the end by as much as the append may be carried out later than
-    // `maxExecutionDelay` after it.
-    void endAppend(const std::string &key, bool mayBeStored, TimePoint now);
+    // `mayBeStored`: the append ended without an answer. The append is not carried out any more `maxExecutionDelay` after `endedAt`; callers whose append may
+    // take effect later than that after its end pass a correspondingly later time.
+    void endAppend(const std::string &key, bool mayBeStored, TimePoint endedAt);
     // An append of the key was confirmed.
     void markStored(const std::string &key);
     // Removes the keys that a reader of the stream would have delivered if they were stored; it has read what was stored up to `asOf`.
--- a/src/scheduler/appendtarget.cpp
+++ b/src/scheduler/appendtarget.cpp
@@ -22,12 +22,12 @@
     co_return TargetAnswer{std::vector<RecordAnswer>(count, answer), {}};
 }
 
-int StoreTarget::maxConcurrentAppends() const
+int StoreTarget::maxConcurrentAppends()
 {
     return 1;
 }
 
-std::chrono::milliseconds StoreTarget::expectedWait() const
+std::chrono::milliseconds StoreTarget::expectedWait()
 {
     return {};
 }
@@ -37,7 +37,7 @@
     return {};
 }
 
-std::chrono::milliseconds StoreTarget::retryAfter(std::size_t) const
+std::chrono::milliseconds StoreTarget::retryAfter(std::size_t)
 {
     constexpr std::chrono::milliseconds defaultDelay{1000};
     return defaultDelay;
--- a/src/scheduler/appendtarget.h
+++ b/src/scheduler/appendtarget.h
@@ -36,6 +36,8 @@
     std::vector<RecordAnswer> records;
     // Time by which a record of unknown outcome may be stored later than by an append to the store that got no answer.
     std::chrono::milliseconds executionDelay{};
+    // The records were relayed and got no answer, which says nothing about the store.
+    bool isRelayUnanswered = false;
 };
 
 // Takes records of one partition.
@@ -44,13 +46,13 @@
 public:
     virtual ~AppendTarget() = default;
     virtual net::awaitable<TargetAnswer> append(std::vector<StoredRecord> records, AppendOrigin origin, std::chrono::milliseconds timeout) = 0;
-    virtual int maxConcurrentAppends() const = 0;
+    virtual int maxConcurrentAppends() = 0;
     // Returns how long a record would wait that is added now to those that wait; zero if that is not known.
-    virtual std::chrono::milliseconds expectedWait() const = 0;
+    virtual std::chrono::milliseconds expectedWait() = 0;
     // Returns the time of the latest append to the store; zero if that is not known.
     virtual std::chrono::milliseconds appendTime() const = 0;
     // Returns when a caller may try again whose record was refused. `waitingRecords`: in this process.
-    virtual std::chrono::milliseconds retryAfter(std::size_t waitingRecords) const = 0;
+    virtual std::chrono::milliseconds retryAfter(std::size_t waitingRecords) = 0;
 };
 
 // Appends to the store.
@@ -60,10 +62,10 @@
     StoreTarget(RecordStore &store, Stream stream, std::int32_t partition);
 
     net::awaitable<TargetAnswer> append(std::vector<StoredRecord> records, AppendOrigin origin, std::chrono::milliseconds timeout) override;
-    int maxConcurrentAppends() const override;
-    std::chrono::milliseconds expectedWait() const override;
+    int maxConcurrentAppends() override;
+    std::chrono::milliseconds expectedWait() override;
     std::chrono::milliseconds appendTime() const override;
-    std::chrono::milliseconds retryAfter(std::size_t waitingRecords) const override;
+    std::chrono::milliseconds retryAfter(std::size_t waitingRecords) override;
 
 private:
     RecordStore &store;
--- a/src/scheduler/batchappender.cpp
+++ b/src/scheduler/batchappender.cpp
@@ -146,6 +146,19 @@
     });
 }
 
+void BatchAppender::settleOverdue()
+{
+    const auto now = steady_clock::now();
+    std::erase_if(this->pendingEntries, [now](const std::shared_ptr<Entry> &entry) {
+        const bool isOverdue = entry->origin == AppendOrigin::OtherProcess && entry->result.sends == 0 && entry->unknownDeadline <= now;
+        if (isOverdue) {
+            entry->result.reason = "not sent, as its time was over";
+            settle(*entry, AppendOutcome::NotStored);
+        }
+        return isOverdue;
+    });
+}
+
 std::deque<std::shared_ptr<BatchAppender::Entry>> BatchAppender::takeBatch()
 {
     std::deque<std::shared_ptr<Entry>> batch;
@@ -204,7 +217,7 @@
     }
     if (hasSuccess) {
         this->failingSince.reset();
-    } else {
+    } else if (!answer.isRelayUnanswered) {
         this->failingSince = this->failingSince.value_or(sentAt);
         this->lastFailureAt = steady_clock::now();
     }
@@ -219,7 +232,11 @@
 net::awaitable<void> BatchAppender::run()
 {
     while (!this->pendingEntries.empty() && (this->workers == 1 || this->workers <= this->target->maxConcurrentAppends())) {
+        this->settleOverdue();
         std::deque<std::shared_ptr<Entry>> batch = this->takeBatch();
+        if (batch.empty()) {
+            continue;
+        }
         const bool isSettled = co_await this->send(std::move(batch));
         if (!isSettled && !this->pendingEntries.empty()) {
             co_await sleepFor(this->context, retryDelay);
--- a/src/scheduler/batchappender.h
+++ b/src/scheduler/batchappender.h
@@ -78,6 +78,8 @@
     std::deque<std::shared_ptr<Entry>> takeBatch();
     // Settles the entries whose retry time is over.
     void settleExpired();
+    // Settles the entries of other processes that were never sent and whose deadline is over: their callers have been answered.
+    void settleOverdue();
     static void settle(Entry &entry, AppendOutcome outcome);
 
     net::io_context &context;
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -498,6 +498,10 @@
             co_return jsonResponse(http::status::ok, raw->stateAsJson().dump());
         });
         impl->admin->route(http::verb::post, "/append", [raw](const HttpRequest &request) -> net::awaitable<HttpResponse> {
+            if (raw->isStopping) {
+                // Proves to the sender that nothing was stored.
+                co_return errorResponse(http::status::conflict, "the process is stopping");
+            }
             HttpResponse response = co_await raw->gateway->appendForOther(request.body());
             co_return response;
         });
@@ -539,12 +543,16 @@
     if (state.policyDuty) {
         state.policyDuty->stop();
     }
-    while (steady_clock::now() < deadline && (steady_clock::now() - start < callerDrainTime || state.callerFrontend->activeRequests() > 0)) {
+    const auto activeRequests = [&state] {
+        // Requests to the admin server may be records of other processes that are being appended.
+        return state.callerFrontend->activeRequests() + (state.admin ? state.admin->activeRequests() : 0);
+    };
+    while (steady_clock::now() < deadline && (steady_clock::now() - start < callerDrainTime || activeRequests() > 0)) {
         co_await sleepFor(state.context, milliseconds(50));
     }
     state.feed.stop();
     state.callerFrontend->stop();
-    state.log->emit("stopped", {{"active_requests", std::int64_t(state.callerFrontend->activeRequests())}}, EventPriority::Essential);
+    state.log->emit("stopped", {{"active_requests", std::int64_t(activeRequests())}}, EventPriority::Essential);
     state.log->flush();
     state.context.stop();
 }
--- a/src/scheduler/submissionrelay.cpp
+++ b/src/scheduler/submissionrelay.cpp
@@ -2,6 +2,7 @@
 #include "submissionrelay.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "clocks.h"
 #include "event.h"
@@ -41,7 +42,7 @@
 
 TargetAnswer unknownAnswer(std::size_t count, const std::string &reason)
 {
-    return TargetAnswer{std::vector<RecordAnswer>(count, RecordAnswer{AppendOutcome::Unknown, reason, false}), maxRelayDelay};
+    return TargetAnswer{std::vector<RecordAnswer>(count, RecordAnswer{AppendOutcome::Unknown, reason, false}), maxRelayDelay, true};
 }
 
 AppendAnswer summarize(const std::vector<RecordAnswer> &records)
@@ -138,10 +139,11 @@
     : relay(relay)
     , partition(partition)
     , direct(relay.store, Stream::Jobs, partition)
+    , policy(std::hash<std::string>{}(relay.process.value + '/' + std::to_string(partition)))
 {
 }
 
-AppendRoute SubmissionRelay::route() const
+AppendRoute SubmissionRelay::route()
 {
     if (this->policy.route(bootNow()) == AppendRoute::Direct) {
         return AppendRoute::Direct;
@@ -153,12 +155,12 @@
     return address != nullptr && address->process != this->relay.process ? AppendRoute::Relayed : AppendRoute::Direct;
 }
 
-int SubmissionRelay::maxConcurrentAppends() const
+int SubmissionRelay::maxConcurrentAppends()
 {
     return this->route() == AppendRoute::Relayed ? maxConcurrentCalls : 1;
 }
 
-milliseconds SubmissionRelay::expectedWait() const
+milliseconds SubmissionRelay::expectedWait()
 {
     return toMilliseconds(this->policy.expectedWait(this->route(), bootNow()));
 }
@@ -168,7 +170,7 @@
     return toMilliseconds(this->policy.directTime(bootNow()));
 }
 
-milliseconds SubmissionRelay::retryAfter(std::size_t waitingRecords) const
+milliseconds SubmissionRelay::retryAfter(std::size_t waitingRecords)
 {
     return this->policy.retryAfter(this->route(), waitingRecords, bootNow());
 }
@@ -288,13 +290,14 @@
     }
     this->policy.endRelayed(summarize(relayed->records), Duration(relayed->appendTime), startedAt, endedAt);
     TargetAnswer result{std::move(relayed->records), maxRelayDelay};
-    const bool isDirectHopeless = this->policy.isDirectRefused(endedAt) || endedAt - startedAt > maxRefusalTime;
+    const bool isStoreSlow = relayed->appendTime >= RelayPolicy::slowAppend;
+    const bool isDirectFutile = isStoreSlow || this->policy.isDirectRefused(endedAt) || endedAt - startedAt > maxRefusalTime;
     for (RecordAnswer &record : result.records) {
         if (record.outcome == AppendOutcome::NotStored && answer->hasUnansweredAttempt) {
             // The refusal says nothing about the attempt that got no answer.
             record.outcome = AppendOutcome::Unknown;
         }
-        record.isFinal = record.outcome == AppendOutcome::NotStored && isDirectHopeless;
+        record.isFinal = record.outcome == AppendOutcome::NotStored && isDirectFutile;
     }
     this->countRelayed(result.records);
     co_return result;
@@ -328,7 +331,7 @@
     };
     const auto pending = std::make_shared<Pending>(receiver.context);
     pending->missing = batch->records.size();
-    pending->answer.records.resize(batch->records.size());
+    pending->answer.records.resize(batch->records.size(), RecordAnswer{AppendOutcome::Unknown, "the append did not end in time", false});
     const std::shared_ptr<BatchAppender> appender = receiver.appenderOf(batch->partition);
     const bool hasUnsettled = std::any_of(batch->records.begin(), batch->records.end(), [&appender](const StoredRecord &record) {
         return appender->isUnsettled(record.key);
@@ -349,8 +352,9 @@
             },
             net::detached);
     }
-    while (pending->missing > 0) {
-        co_await pending->changed.waitFor(batch->timeout);
+    // The sender's call ends soon after the deadline. Without an answer it would not learn of the records that are durable, nor that appends are slow.
+    while (pending->missing > 0 && std::chrono::steady_clock::now() < deadline) {
+        co_await pending->changed.waitFor(std::chrono::ceil<milliseconds>(deadline - std::chrono::steady_clock::now()));
     }
     for (const RecordAnswer &record : pending->answer.records) {
         receiver.metrics.add("mangocourse_appended_for_others_total", "Records that other processes relayed to this one.",
--- a/src/scheduler/submissionrelay.h
+++ b/src/scheduler/submissionrelay.h
@@ -57,14 +57,14 @@
     SubmissionRelay(const RelayContext &relay, std::int32_t partition);
 
     net::awaitable<TargetAnswer> append(std::vector<StoredRecord> records, AppendOrigin origin, std::chrono::milliseconds timeout) override;
-    int maxConcurrentAppends() const override;
-    std::chrono::milliseconds expectedWait() const override;
+    int maxConcurrentAppends() override;
+    std::chrono::milliseconds expectedWait() override;
     std::chrono::milliseconds appendTime() const override;
-    std::chrono::milliseconds retryAfter(std::size_t waitingRecords) const override;
+    std::chrono::milliseconds retryAfter(std::size_t waitingRecords) override;
 
 private:
     // Returns the route of the next append: the relay is used only if another process is known as the appender. Has the address read if it is needed.
-    AppendRoute route() const;
+    AppendRoute route();
     net::awaitable<TargetAnswer> appendDirectly(std::vector<StoredRecord> records, AppendOrigin origin, std::chrono::milliseconds timeout);
     // Returns nothing if the call proves that no record was stored; the relay is closed for a while then.
     net::awaitable<std::optional<TargetAnswer>> sendToAppender(std::vector<StoredRecord> records, AppenderAddress address, std::chrono::milliseconds timeout);
@@ -95,7 +95,8 @@
     std::function<void(std::int32_t partition)> startReading;
 };
 
-// Appends the records of the request's body and answers for each of them. Any status but 200 says that none was stored.
+// Appends the records of the request's body and answers for each of them, at the latest when the request's time is over: the outcome of appends in progress
+// is unknown then. Any status but 200 says that none was stored.
 net::awaitable<HttpResponse> receiveRelayedRecords(RelayReceiver receiver, std::string body);
 
 }
--- a/src/scheduler/submissionrelay_test.cpp
+++ b/src/scheduler/submissionrelay_test.cpp
@@ -123,6 +123,9 @@
         return this->store.partitions[{Stream::Jobs, 0}].records.size();
     }
 
+    // Body of the latest answer to receive().
+    std::string receivedBody;
+
     unsigned receive(const RelayedBatch &batch)
     {
         std::optional<HttpResponse> response;
@@ -135,6 +138,7 @@
         this->runUntil([&response] {
             return response.has_value();
         });
+        this->receivedBody = response ? response->body() : std::string();
         return response ? response->result_int() : 0;
     }
 };
@@ -316,6 +320,60 @@
     EXPECT_EQ(this->stored(), 1U);
 }
 
+// Without an answer in time the sender would take the appender for dead and return to the slow store.
+TEST_F(SubmissionRelayTest, SlowAppendIsReportedBeforeTheCallOfTheSenderEnds)
+{
+    this->store.appendDelay = 1500ms;
+    const RelayedBatch batch{ProcessId{"owner"}, 0, wallNow(), 900ms, {StoredRecord{"!00000000000000aa", "1", -1}}};
+    const auto startedAt = std::chrono::steady_clock::now();
+    EXPECT_EQ(this->receive(batch), 200U);
+    EXPECT_LT(std::chrono::steady_clock::now() - startedAt, 1300ms);
+    const Result<RelayAnswer> answer = decodeRelayAnswer(this->receivedBody, 1);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->records.front().outcome, AppendOutcome::Unknown);
+    EXPECT_GE(answer->appendTime, 800ms);
+    this->runFor(800ms);
+    EXPECT_EQ(this->stored(), 1U);
+}
+
+// The sender has been answered; its caller has sent the record elsewhere.
+TEST_F(SubmissionRelayTest, RelayedRecordIsNotSentAfterItsDeadline)
+{
+    this->store.appendDelay = 1500ms;
+    const RelayedBatch first{ProcessId{"owner"}, 0, wallNow(), 900ms, {StoredRecord{"!00000000000000aa", "1", -1}}};
+    net::co_spawn(
+        this->context,
+        [this, body = encodeRelayedBatch(first)]() -> net::awaitable<void> {
+            co_await this->owner->appendForOther(body);
+        },
+        net::detached);
+    this->runFor(50ms);
+    const RelayedBatch second{ProcessId{"owner"}, 0, wallNow(), 900ms, {StoredRecord{"!00000000000000bb", "1", -1}}};
+    EXPECT_EQ(this->receive(second), 200U);
+    this->runFor(2500ms);
+    EXPECT_EQ(this->stored(), 1U);
+}
+
+TEST_F(SubmissionRelayTest, RecordIsRefusedWithoutADirectAppendIfTheAppenderReportsSlowOnes)
+{
+    LoopbackServer slow(this->context, [this](const HttpRequest &, int) -> std::optional<LoopbackReply> {
+        ++this->calls;
+        RelayAnswer answer;
+        answer.appendTime = 1000ms;
+        answer.records = {RecordAnswer{AppendOutcome::NotStored, "too late", false}};
+        HttpResponse response(http::status::ok, 11);
+        response.body() = encodeRelayAnswer(answer);
+        return LoopbackReply{response};
+    });
+    this->setAddress(slow.endpoint());
+    this->machine.appendDelay = 400ms;
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job, 3s).outcome, CallerOutcome::Accepted);
+    EXPECT_EQ(this->call(CallerAction::Submit, "/counter/00000000000000bb", 3s).outcome, CallerOutcome::NotAccepted);
+    EXPECT_EQ(this->call(CallerAction::Submit, "/counter/00000000000000cc", 3s).outcome, CallerOutcome::NotAccepted);
+    EXPECT_EQ(this->calls, 2) << "the relay stays open, and no record is sent twice";
+    EXPECT_EQ(this->stored(), 1U);
+}
+
 TEST_F(SubmissionRelayTest, RefusalIsAnsweredAtOnceWhileTheStoreIsKnownToRefuse)
 {
     this->store.behaviour = StoreBehaviour::RefusingAppends;
