Divide the limit of an account between the pools

An account's limit bounds what it has running in all pools together, but each pool has an owner of its own and nothing told the owners of each other's use.

The planner now divides each limit into shares, one for each pool, and stores one record for each account in its partition of the plan stream. An owner starts an item only within its pool's share; it counts starts from the decision on, and executors that may hold unknown runs of an earlier owner as a whole. Reports carry the use and the demand of the limited accounts, and the highest number of a division that the owner has applied and then confirmed that it held the pool. A share is raised only by what no other pool may still act on.

--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -11,6 +11,7 @@
 #include <mangocourse/clock.h>
 #include <mangocourse/execution.h>
 #include <mangocourse/fleetconfig.h>
+#include <mangocourse/quotadivision.h>
 
 namespace MangoCourse {
 
@@ -45,6 +46,12 @@
     // Most instances that any one step needs because of its limit of items per executor.
     std::int32_t spread = 0;
     std::vector<ExecutorUsage> executors;
+    // Highest number of a division that the owner has applied and then confirmed that it held the pool.
+    std::int64_t appliedDivisionNumber = 0;
+    // Every run of a limited account that may be active is in `accounts`.
+    bool isUsageComplete = false;
+    // The limited accounts that use or want something.
+    std::vector<AccountDemand> accounts;
 
     bool operator==(const PoolReport &) const = default;
 };
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -167,6 +167,19 @@
     Resources used;
 };
 
+// One limited account in one pool.
+struct AccountQuota {
+    AccountId account;
+    // unlimitedAmount for a resource that is not limited.
+    Resources share;
+    Resources running;
+    Resources wanted;
+    // Highest division number that the owner has applied.
+    std::int64_t number = 0;
+    // How long work has waited because of the share; zero if none does.
+    std::chrono::milliseconds age{};
+};
+
 // One scheduling decision and its reason, for the log.
 struct SchedulerEvent {
     const char *event;
@@ -206,6 +219,13 @@
     // Sets the machines with upcoming maintenance; each entry applies to incarnations that booted before the given time. Placement of
     // long-running items avoids these machines where possible, as such an item would soon have to move again.
     void setUpcomingMaintenance(std::map<MachineId, WallTime> due);
+    // Sets the divisions of the accounts' limits, as of a read of the plan stream that has reached the end and began after this owner had fenced off its
+    // predecessor. Before the first call no item of a limited account starts.
+    void setDivisions(std::shared_ptr<const QuotaDivisions> divisions);
+    // Returns the limited accounts that use or want something.
+    std::vector<AccountQuota> accountQuotas(TimePoint now) const;
+    // Returns the accounts whose work waits because of their shares and of which a log line is due.
+    std::vector<AccountQuota> takeWaitingQuotas(TimePoint now);
     // Returns the report for the fleet planner. The caller fills in the token and the numbers.
     PoolReport report(TimePoint now) const;
 
--- a/src/include/mangocourse/poolwaiting.h
+++ b/src/include/mangocourse/poolwaiting.h
@@ -46,6 +46,8 @@
     Constraint,
     // Usable executors have room, but no pass of the placement policy.
     NoPass,
+    // The account's share of its limit is in use, or is not known yet.
+    AccountLimit,
     // A usable executor has room and nothing hinders the item.
     NotTried,
     // A start order is in flight, or the executor lists neither the run nor its end.
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -183,6 +183,7 @@
     run.tailLatencyTarget = spec.tailLatencyTarget;
     run.expectedDuration = spec.estimate;
     executor.used += run.resources;
+    this->countRun(run, id);
     executor.bestEffortRuns += run.isBestEffort ? 1 : 0;
     if (executor.runs.size() == 1) {
         // The lease of an idle executor is not renewed, so renewal has to begin now.
@@ -201,6 +202,7 @@
 {
     const ItemId id = run->first;
     executor.used -= run->second.resources;
+    uncountRun(run->second);
     executor.bestEffortRuns -= run->second.isBestEffort ? 1 : 0;
     executor.stoppingRuns -= run->second.phase == RunPhase::Stopping ? 1 : 0;
     executor.runs.erase(run);
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -299,6 +299,9 @@
         this->recordStartIntent(entry);
         return false;
     }
+    if (!this->mayStartWithinQuota(entry, ItemId{entry.job.id, occurrence, step, 0}, round.now)) {
+        return false;
+    }
     const std::size_t startsBefore = this->orders.starts.size();
     for (std::size_t index = 0; index < state.items.size(); ++index) {
         Item &item = state.items[index];
@@ -378,6 +381,12 @@
         if (canSpeculate && (round.isOverloaded || !this->needsSecondRun(entry, id, item, round.now))) {
             continue;
         }
+        if (canSpeculate && !this->fitsQuota(entry, spec)) {
+            continue;
+        }
+        if (!canSpeculate && !this->mayStartWithinQuota(entry, id, round.now)) {
+            break;
+        }
         Executor *executor = this->chooseExecutor(entry, id, item);
         if (executor == nullptr && canSpeculate) {
             // Unlike the items after it, a second copy has no place beside the first.
@@ -486,6 +495,7 @@
     state.notePlan(now, term, watermarks);
     state.orders = SchedulerOrders{};
     state.expireLeases(now, term.confirmedAt);
+    state.updateQuotaUsage(now, term.confirmedAt);
     state.stopEvacuatedRuns(now);
     const bool isStallCheckDue = now - state.stallsCheckedAt >= stallCheckInterval;
     state.stallsCheckedAt = isStallCheckDue ? now : state.stallsCheckedAt;
@@ -538,11 +548,13 @@
     const bool isGang = isOpen && this->d->stepOf(order.run.item).isGang;
     const bool isLeaving = executor->info.isDraining || this->d->isEvacuated(*executor);
     const bool isNeeded = isOpen && (isGang || (run->second.phase == RunPhase::Starting && !isLeaving));
-    if (isNeeded && (isGang || this->d->areWatermarksFresh(watermarks, now))) {
+    const AccountUse *use = run->second.accountUse;
+    const bool exceedsQuota = isNeeded && !isGang && use != nullptr && this->d->quota.isExceededBy(*use, run->second.resources);
+    if (isNeeded && !exceedsQuota && (isGang || this->d->areWatermarksFresh(watermarks, now))) {
         return true;
     }
-    this->d->emitEvent(
-        "start_withheld", order.run.item, *executor, order.run.run, isNeeded ? "the watermarks have become too old" : "the run is no longer needed");
+    const char *neededReason = exceedsQuota ? "the share of the account has become too small" : "the watermarks have become too old";
+    this->d->emitEvent("start_withheld", order.run.item, *executor, order.run.run, isNeeded ? neededReason : "the run is no longer needed");
     this->d->removeRun(*executor, run);
     return false;
 }
--- a/src/libmangocourse/poolreport.cpp
+++ b/src/libmangocourse/poolreport.cpp
@@ -98,6 +98,7 @@
         usage.isReachable = executor.isContacted && executor.failingSince == TimePoint{};
         report.executors.push_back(usage);
     }
+    this->d->reportQuota(report);
     return report;
 }
 
--- a/src/libmangocourse/poolrestarts.cpp
+++ b/src/libmangocourse/poolrestarts.cpp
@@ -83,6 +83,9 @@
 {
     if (Item *item = this->findItem(id)) {
         item->possiblyActiveUntil = std::max(item->possiblyActiveUntil, this->longestLeaseEnd(now));
+        if (!this->jobs.at(id.job).job.account.isEmpty()) {
+            this->heldItems[id] = item->possiblyActiveUntil;
+        }
     }
 }
 
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -29,8 +29,7 @@
     if (settings.leaseLength <= milliseconds::zero() || settings.maxLeaseLength < settings.leaseLength) {
         return makeError(ErrorCode::InvalidArgument, "must be positive and at most maxLeaseLength", "leaseLength");
     }
-    auto impl = std::make_unique<Private>();
-    impl->service = std::move(service);
+    auto impl = std::make_unique<Private>(std::move(service));
     impl->settings = settings;
     impl->tokens = std::move(tokens);
     impl->runNumberBase = runNumberBase;
@@ -57,6 +56,9 @@
         }
     }
     this->d->updatePolicies();
+    if (this->d->quota.setConfig(config)) {
+        this->d->startCounting();
+    }
 }
 
 void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow)
@@ -66,6 +68,7 @@
     }
     JobEntry &entry = this->d->jobs[job.id];
     entry.job = job;
+    entry.accountUse = this->d->quota.find(job.account);
     const auto age = std::max(milliseconds::zero(), wallNow - job.acceptedAt);
     entry.addedAt = now - std::chrono::duration_cast<Duration>(age);
     entry.occurrences.resize(static_cast<std::size_t>(job.spec.occurrences()));
@@ -187,6 +190,7 @@
         executor->isContacted = true;
         this->d->pendingRenewals.insert(key);
     }
+    executor->hasListedAll = executor->hasListedAll || report.isComplete;
     executor->upAt = std::max(executor->upAt, sentAt);
     if (report.hasAcknowledged) {
         executor->acknowledgedEnd = std::max(executor->acknowledgedEnd, executor->sentEnd);
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include <mangocourse/poolscheduler.h>
+#include <mangocourse/quotadivision.h>
 
 #include "capacityindex_pvt.h"
 #include "poolstate_pvt.h"
@@ -38,6 +39,12 @@
 class PoolScheduler::Private
 {
 public:
+    explicit Private(ServiceId service)
+        : service(service)
+        , quota(std::move(service))
+    {
+    }
+
     // Suitability of an executor for an item; the lowest rank is chosen.
     struct CandidateRank {
         bool hasFailedHere = false;
@@ -108,6 +115,23 @@
     std::deque<std::pair<TimePoint, std::int64_t>> arrivals;
     SchedulerOrders orders;
     WaitingWatch waiting;
+    PoolQuota quota;
+    // Items that the next incarnation of an executor may run without a known run; only those of jobs with an account.
+    std::map<ItemId, TimePoint> heldItems;
+
+    // Limits of accounts; see poolquota.cpp.
+    static Resources quotaDemandOf(const StepSpec &spec);
+    // Counts the runs of accounts that have become limited.
+    void startCounting();
+    void countRun(Run &run, const ItemId &id);
+    static void uncountRun(const Run &run);
+    // Returns false if the item, or the gang, has to wait for the limit of its account.
+    bool mayStartWithinQuota(const JobEntry &entry, const ItemId &id, TimePoint now);
+    bool fitsQuota(const JobEntry &entry, const StepSpec &spec) const;
+    // Updates what the pool may have running beside the known runs, and the usage that can be reported.
+    void updateQuotaUsage(TimePoint now, TimePoint confirmedAt);
+    void addUncertainItem(const ItemId &id);
+    void reportQuota(PoolReport &report) const;
 
     // Review of waiting work; see poolwaiting.cpp.
     class Reviewer;
--- a/src/libmangocourse/poolstate_pvt.h
+++ b/src/libmangocourse/poolstate_pvt.h
@@ -56,6 +56,8 @@
     bool isLongRunning = false;
     std::chrono::milliseconds tailLatencyTarget{};
     std::chrono::milliseconds expectedDuration{};
+    // Use of the job's account that the run is counted in, or nullptr.
+    AccountUse *accountUse = nullptr;
 };
 
 // An executor that a previous owner may have used and that this owner has not reached yet.
@@ -77,6 +79,8 @@
     bool hasEnded = false;
     // The executor has accepted the fencing token of this owner.
     bool isContacted = false;
+    // A report since then was complete.
+    bool hasListedAll = false;
     // A previous owner may have used the executor.
     bool mayHoldPreviousRuns = false;
     // Latest time at which a run of a previous owner can be active.
@@ -265,6 +269,8 @@
     std::chrono::milliseconds remainingCriticalPath{};
     // Ratio of actual to estimated run time in the job's queue; owned by the scheduler.
     const double *durationRatio = nullptr;
+    // Use of the job's account, or nullptr if no account is limited.
+    AccountUse *accountUse = nullptr;
 
     bool isOpen() const
     {
--- a/src/libmangocourse/poolwaiting.cpp
+++ b/src/libmangocourse/poolwaiting.cpp
@@ -74,7 +74,7 @@
 {
     static constexpr std::array<std::string_view, waitReasonCount> names{"unexamined", "no-plan", "short-term", "old-watermarks", "unassigned", "not-placeable",
         "intent-not-durable", "previous-runs", "possibly-active", "gang-incomplete", "policy-unanswered", "no-executor", "no-usable-executor", "no-room",
-        "constraint", "no-pass", "not-tried", "run-unlisted"};
+        "constraint", "no-pass", "account-limit", "not-tried", "run-unlisted"};
     return nameOf(reason, names);
 }
 
@@ -441,6 +441,10 @@
     if (this->isPossiblyActive(state, spec, id)) {
         return WaitReason::PossiblyActive;
     }
+    if (!this->pool.fitsQuota(entry, spec)) {
+        line.waitsFor = "account " + entry.job.account.value;
+        return WaitReason::AccountLimit;
+    }
     return std::nullopt;
 }
 
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -195,6 +195,13 @@
     }
 }
 
+void Ownership::updateDivisions()
+{
+    for (auto &[partition, shard] : this->owned) {
+        shard->updateDivisions();
+    }
+}
+
 void Ownership::addWave(const MaintenanceWave &wave)
 {
     if (!this->waves.insert(wave.id).second) {
--- a/src/scheduler/ownership.h
+++ b/src/scheduler/ownership.h
@@ -27,6 +27,8 @@
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint asOf);
     void setEvacuations(const EvacuationList &list);
+    // Passes on what the feed of the divisions has read.
+    void updateDivisions();
     // Marks the wave's machines: until they have been maintained they get no long-running work that can be placed elsewhere.
     void addWave(const MaintenanceWave &wave);
     // Signals that the current evacuations are known. An owner that did not know them could place work on machines that are being evacuated.
--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -5,6 +5,8 @@
 
 #include "clocks.h"
 #include "event.h"
+#include "quotafeed.h"
+#include "quotalog.h"
 #include "recordcodec.h"
 #include "segmentedrecord.h"
 #include "streamreader.h"
@@ -19,6 +21,8 @@
 constexpr const char *statusProducerName = "wave-status";
 constexpr milliseconds appendTimeout{1000};
 constexpr milliseconds retryDelay{120};
+// The divisions of many accounts are divided into appends of this size; one record with the shares of 170 pools has at most 12 KB.
+constexpr std::size_t maxDivisionBytes = 128 * 1024;
 // Maximum time to wait for new pool reports.
 constexpr milliseconds reportPollTimeout{250};
 // Delay between planning cycles.
@@ -64,6 +68,9 @@
     // Number of segments of the stored state.
     std::size_t storedSegments = 0;
     std::unique_ptr<FleetPlanner> planner;
+    std::optional<QuotaDivider> divider;
+    // Divisions that are not durable yet. Later ones must not be stored before them.
+    std::vector<QuotaDivision> unsavedDivisions;
     std::unique_ptr<StreamReader> reportReader;
     // The last published status of each wave: true if it is completed.
     std::map<WaveId, bool> publishedWaves;
@@ -82,6 +89,8 @@
     net::awaitable<void> readMachines();
     net::awaitable<void> runCycle();
     net::awaitable<bool> save();
+    // Divides the accounts' limits and stores what has changed, in the order of the numbers.
+    net::awaitable<void> saveDivisions();
     net::awaitable<void> publishWaveStatus();
     net::awaitable<void> executeMaintenance(Evacuation order);
     net::awaitable<void> executeMove(Evacuation order);
@@ -161,7 +170,20 @@
     }
     SegmentedValue stored(plannerKey);
     this->storedSegments = 0;
+    std::vector<QuotaDivision> divisions;
     for (const StoredRecord &record : batch->records) {
+        if (isQuotaKey(record.key)) {
+            const AccountId account{record.key.substr(std::string_view(quotaKeyPrefix).size())};
+            Result<QuotaDivision> division = decodeQuotaDivision(account, record.value);
+            if (division) {
+                divisions.push_back(std::move(*division));
+            } else if (!record.value.empty()) {
+                // The account counts as not divided, so all that its pools may use is held until they have applied the next division.
+                this->log.emit("quota_unreadable", {{"account", account.value}, {"offset", record.offset}, {"reason", describe(division.error())}},
+                    EventPriority::Essential);
+            }
+            continue;
+        }
         this->storedSegments += record.key != plannerKey ? 1 : 0;
         const std::optional<std::string> value = stored.add(record);
         if (!value) {
@@ -175,9 +197,11 @@
     }
     Result<std::unique_ptr<FleetPlanner>> planner
         = FleetPlanner::create(this->platform.settings().planner, this->savedState, this->machinesHeldByEarlierPlanner());
-    if (!planner) {
+    Result<QuotaDivider> newDivider = QuotaDivider::create(std::move(divisions));
+    if (!planner || !newDivider) {
         co_return false;
     }
+    this->divider = std::move(*newDivider);
     this->planner = std::move(*planner);
     co_return true;
 }
@@ -217,6 +241,35 @@
     co_return isDurable;
 }
 
+net::awaitable<void> PlanningDuty::Private::saveDivisions()
+{
+    if (this->unsavedDivisions.empty()) {
+        this->unsavedDivisions = this->divider->plan(bootNow());
+    }
+    while (!this->unsavedDivisions.empty() && !this->isEnded()) {
+        std::vector<StoredRecord> records;
+        std::size_t bytes = 0;
+        for (const QuotaDivision &division : this->unsavedDivisions) {
+            StoredRecord record{quotaKey(division.account), encodeQuotaDivision(division), -1};
+            bytes += record.key.size() + record.value.size();
+            if (!records.empty() && bytes > maxDivisionBytes) {
+                break;
+            }
+            records.push_back(std::move(record));
+        }
+        const auto count = static_cast<std::ptrdiff_t>(records.size());
+        const bool isDurable = co_await this->append(std::move(records));
+        if (!isDurable) {
+            co_return;
+        }
+        const auto end = this->unsavedDivisions.begin() + count;
+        std::for_each(this->unsavedDivisions.begin(), end, [this](const QuotaDivision &division) {
+            logQuotaDivided(this->log, this->token, division);
+        });
+        this->unsavedDivisions.erase(this->unsavedDivisions.begin(), end);
+    }
+}
+
 net::awaitable<void> PlanningDuty::Private::publishWaveStatus()
 {
     while (!this->isEnded()) {
@@ -337,11 +390,14 @@
         co_await sleepFor(this->context, retryDelay);
         co_return;
     }
-    co_await this->readMachines();
     if (this->feed.config() && this->feed.config()->revision != this->configRevision) {
         this->configRevision = this->feed.config()->revision;
         this->planner->setConfig(*this->feed.config());
+        this->divider->setConfig(*this->feed.config());
     }
+    // A pool that waits for its share must not wait for the list of machines.
+    co_await this->saveDivisions();
+    co_await this->readMachines();
     this->planner->setWaves(this->feed.waves(), wallNow());
     const TimePoint plannedAt = bootNow();
     const PlannerOrders orders = this->planner->plan(plannedAt, wallNow());
@@ -380,6 +436,7 @@
                 }
                 if (const auto report = decodePoolReport(record.value)) {
                     state->planner->setReport(*report, bootNow());
+                    state->divider->setReport(*report, bootNow());
                 } else {
                     state->log.emit("pool_report_unreadable", {{"key", record.key}, {"offset", record.offset}, {"reason", describe(report.error())}},
                         EventPriority::Essential);
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -7,6 +7,7 @@
 #include <stdexcept>
 
 #include "boundedjson.h"
+#include "quotarecords.h"
 
 namespace MangoCourse {
 
@@ -431,8 +432,16 @@
     for (const ExecutorUsage &use : report.executors) {
         executors.push_back(Json::array({use.executor.value, use.incarnation, use.runs, use.longRunning, use.isReachable}));
     }
-    return toBytes(Json::array({report.service.value, report.token, report.number, report.appliedEvacuationNumber, report.longRunningCpu, report.inflow,
-        report.backlog, report.lateBacklog, report.spread, std::move(executors), report.readyCpu}));
+    Json json = Json::array({report.service.value, report.token, report.number, report.appliedEvacuationNumber, report.longRunningCpu, report.inflow,
+        report.backlog, report.lateBacklog, report.spread, std::move(executors), report.readyCpu});
+    if (report.appliedDivisionNumber > 0 || report.isUsageComplete || !report.accounts.empty()) {
+        Json accounts = Json::array();
+        for (const AccountDemand &demand : report.accounts) {
+            accounts.push_back(Json::array({demand.account.value, toJson(demand.running), toJson(demand.wanted), toJson(demand.largest)}));
+        }
+        json.push_back(Json::array({report.appliedDivisionNumber, report.isUsageComplete, std::move(accounts)}));
+    }
+    return toBytes(json);
 }
 
 Result<PoolReport> decodePoolReport(std::string_view bytes)
@@ -455,6 +464,16 @@
         }
         // Reports of earlier versions end here.
         report.readyCpu = json.size() > 10 ? toWhole(json.at(10), 0, maxReportedWork) : 0;
+        // Reports without limited accounts end here.
+        if (json.size() > 11) {
+            const Json &quota = json.at(11);
+            report.appliedDivisionNumber = toWhole(quota.at(0));
+            report.isUsageComplete = quota.at(1).get<bool>();
+            for (const Json &row : quota.at(2)) {
+                report.accounts.push_back(AccountDemand{
+                    AccountId{toName(row.at(0))}, resourcesFromJson(row.at(1)), resourcesFromJson(row.at(2)), resourcesFromJson(row.at(3)), false, false});
+            }
+        }
         return report;
     });
 }
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -16,6 +16,8 @@
 #include "ownership.h"
 #include "planningduty.h"
 #include "policyduty.h"
+#include "quotafeed.h"
+#include "quotalog.h"
 #include "recordcodec.h"
 #include "segmentedrecord.h"
 #include "waitinglog.h"
@@ -84,9 +86,10 @@
                       this->gateway->setConfigCurrentAsOf(asOf);
                   }})
         , placements(std::make_shared<QueuePlacements>(context, this->platform->store(), *this->log))
+        , quotas(std::make_shared<QuotaFeed>(*this->log))
         , policyWanted(context)
         , ownership(OwnerContext{context, this->platform->store(), this->platform->executors(), &this->policyWanted, *this->log, this->metrics,
-                        this->platform->settings(), this->placements},
+                        this->platform->settings(), this->placements, this->quotas},
               [this](bool isReachable) {
                   this->gateway->noteStoreContact(isReachable);
               })
@@ -98,9 +101,11 @@
                       this->handlePlannersContact(isReachable);
                   }})
         , planReader(context, this->platform->store(), Stream::Plan, plannerPartition,
-              StreamReader::Handlers{[] {
+              StreamReader::Handlers{[this] {
+                                         this->quotas->reset();
                                      },
                   [this](const StoredRecord &record) {
+                      this->quotas->apply(record);
                       this->applyPlan(record);
                   }})
     {
@@ -116,6 +121,7 @@
     ExecutorDirectory directory;
     OperatorFeed feed;
     std::shared_ptr<QueuePlacements> placements;
+    std::shared_ptr<QuotaFeed> quotas;
     Event policyWanted;
     Ownership ownership;
     // Absent if there is no placement policy.
@@ -305,6 +311,8 @@
     while (!this->isStopping) {
         const Result<void> read = co_await this->planReader.follow(planPollTimeout);
         if (read) {
+            this->quotas->commit(this->planReader.position());
+            this->ownership.updateDivisions();
             this->ownership.markPlanKnown();
             this->planFollowedSince = this->planFollowedSince.value_or(bootNow());
             co_await sleepFor(this->context, this->ownership.ownsPools() ? planBatchDelay : idlePlanBatchDelay);
@@ -329,8 +337,9 @@
     // During evacuations every change in the runs on the executors is reported at once.
     const bool hasEvacuationChange = report.appliedEvacuationNumber != last.appliedEvacuationNumber
         || (!this->ownership.evacuations().evacuating.empty() && report.executors != last.executors);
-    return isOverdue || hasEvacuationChange || report.token != last.token || report.spread != last.spread || report.longRunningCpu != last.longRunningCpu
-        || differsSignificantly(report.inflow, last.inflow) || differsSignificantly(report.backlog, last.backlog);
+    return isOverdue || hasEvacuationChange || isQuotaReportDue(report, last) || report.token != last.token || report.spread != last.spread
+        || report.longRunningCpu != last.longRunningCpu || differsSignificantly(report.inflow, last.inflow)
+        || differsSignificantly(report.backlog, last.backlog);
 }
 
 net::awaitable<void> SchedulerProcess::Private::reportPools()
@@ -390,27 +399,41 @@
     std::size_t unassigned = 0;
     for (const auto &[partition, shard] : this->ownership.shards()) {
         const std::vector<PoolWaiting> waiting = shard->waiting();
+        const std::vector<std::vector<AccountQuota>> quotas = shard->accountQuotas();
         auto poolWaiting = waiting.begin();
+        auto poolQuotas = quotas.begin();
         for (const auto &[service, summary] : shard->summaries()) {
             pools.push_back({{"service", service.value}, {"partition", partition}, {"token", shard->token()}, {"active", shard->isActive()},
                 {"jobs", summary.jobs}, {"runs", summary.runs}, {"executors", summary.executors}, {"cpu", summary.capacity.cpu}, {"cpu_used", summary.used.cpu},
                 {"waiting", asJson(*poolWaiting++)}});
+            if (!poolQuotas->empty()) {
+                pools.back()["accounts"] = asJson(*poolQuotas);
+            }
+            ++poolQuotas;
         }
         unassigned += shard->unassignedJobs();
     }
-    return {{"process", this->platform->settings().name.value}, {"ready", this->gateway->isReady()},
+    nlohmann::json state = {{"process", this->platform->settings().name.value}, {"ready", this->gateway->isReady()},
         {"revision", this->feed.config() ? this->feed.config()->revision : 0}, {"planning", this->planningToken}, {"unassigned", unassigned}, {"pools", pools}};
+    if (const auto divisions = this->quotas->divisions(); divisions && !divisions->byAccount.empty()) {
+        state["quotas"] = asJson(*divisions);
+    }
+    return state;
 }
 
 void SchedulerProcess::Private::updateGauges()
 {
     clearGauges(this->metrics);
+    clearQuotaGauges(this->metrics);
     std::size_t unassigned = 0;
     for (const auto &[partition, shard] : this->ownership.shards()) {
         const std::vector<PoolWaiting> waiting = shard->waiting();
+        const std::vector<std::vector<AccountQuota>> quotas = shard->accountQuotas();
         auto poolWaiting = waiting.begin();
+        auto poolQuotas = quotas.begin();
         for (const auto &[service, summary] : shard->summaries()) {
             setGauges(this->metrics, service, *poolWaiting++);
+            setQuotaGauges(this->metrics, service, *poolQuotas++);
         }
         unassigned += shard->unassignedJobs();
     }
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -46,6 +46,9 @@
     raw->setEvacuations(this->evacuations, bootNow());
     raw->setUpcomingMaintenance(this->dueMachines);
     raw->setExecutors(this->executors, bootNow());
+    if (this->divisions) {
+        raw->setDivisions(this->divisions);
+    }
     this->pools.emplace(service, std::move(*pool));
     return raw;
 }
@@ -264,6 +267,29 @@
     this->d->planRequested.notify();
 }
 
+void ShardOwner::updateDivisions()
+{
+    const std::shared_ptr<const QuotaFeed> &quotas = this->d->owner.quotas;
+    const bool isCurrent = quotas && this->d->planEndAtTakeover && quotas->position() >= *this->d->planEndAtTakeover;
+    if (!isCurrent || quotas->divisions() == this->d->divisions) {
+        return;
+    }
+    this->d->divisions = quotas->divisions();
+    for (auto &[service, pool] : this->d->pools) {
+        pool->setDivisions(this->d->divisions);
+    }
+    this->d->planRequested.notify();
+}
+
+std::vector<std::vector<AccountQuota>> ShardOwner::accountQuotas() const
+{
+    std::vector<std::vector<AccountQuota>> result;
+    for (const auto &[service, pool] : this->d->pools) {
+        result.push_back(pool->accountQuotas(bootNow()));
+    }
+    return result;
+}
+
 void ShardOwner::setUpcomingMaintenance(const std::map<MachineId, WallTime> &dueMachines)
 {
     this->d->dueMachines = dueMachines;
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -13,6 +13,7 @@
 #include "nodesettings.h"
 #include "ports.h"
 #include "queueplacements.h"
+#include "quotafeed.h"
 
 namespace MangoCourse {
 
@@ -28,6 +29,8 @@
     const NodeSettings &settings;
     // Shared with the process's gateway; nullptr if the placements of queues are not maintained.
     std::shared_ptr<QueuePlacements> placements{};
+    // Shared with the reader of the plan stream; without it no item of a limited account starts.
+    std::shared_ptr<const QuotaFeed> quotas{};
 };
 
 // Schedules one partition. Does no harm after a successor has taken over: its records and orders are fenced by the token, and no lease that it grants
@@ -53,6 +56,8 @@
     // Sets the list of executors. `asOf` is the time up to which their published status has been read.
     void setExecutors(const std::vector<ExecutorInfo> &executors, TimePoint asOf);
     void setEvacuations(const EvacuationList &list);
+    // Passes the divisions of the accounts' limits on to the pools, once they are as new as the plan stream was when this owner had set its fence.
+    void updateDivisions();
     // Sets the machines with upcoming maintenance; see PoolScheduler::setUpcomingMaintenance() for the times.
     void setUpcomingMaintenance(const std::map<MachineId, WallTime> &dueMachines);
 
@@ -74,6 +79,8 @@
     std::vector<std::pair<ServiceId, PoolSummary>> summaries() const;
     // Returns what waits in each pool, in the order of summaries().
     std::vector<PoolWaiting> waiting() const;
+    // Returns the limited accounts of each pool, in the order of summaries().
+    std::vector<std::vector<AccountQuota>> accountQuotas() const;
     // Returns the number of jobs whose service is not in the configuration.
     std::size_t unassignedJobs() const;
 
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -48,6 +48,9 @@
     std::vector<ExecutorInfo> executors;
     TimePoint executorWatermark{};
     EvacuationList evacuations;
+    // End of the plan stream when this owner had set its fence. Everything that an earlier owner has confirmed is before it.
+    std::optional<std::int64_t> planEndAtTakeover;
+    std::shared_ptr<const QuotaDivisions> divisions;
     std::map<MachineId, WallTime> dueMachines;
     // Executor incarnations whose use is durably recorded.
     std::map<ExecutorKey, ExecutorLocation> recordedExecutors;
@@ -131,6 +134,8 @@
     void logUnreadable(const StoredRecord &record, const std::string &reason);
     net::awaitable<void> run();
     net::awaitable<void> followJobs();
+    // Finds the end of the plan stream after the fence has been set.
+    net::awaitable<void> findPlanEnd();
     net::awaitable<void> plan();
     // Logs what waits, until the owner ends. It is independent of plan(), so that it tells when that is late.
     net::awaitable<void> reviewWaiting();
--- a/src/scheduler/shardownerreview.cpp
+++ b/src/scheduler/shardownerreview.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "quotalog.h"
 #include "waitinglog.h"
 
 namespace MangoCourse {
@@ -84,6 +85,9 @@
         }
         for (const auto &[service, pool] : this->state.pools) {
             logReview(this->state.owner.log, service, this->state.token, pool->reviewWaiting(now, wallNow()));
+            for (const AccountQuota &quota : pool->takeWaitingQuotas(now)) {
+                logQuotaWaiting(this->state.owner.log, service, this->state.token, quota);
+            }
         }
         this->reviewUnassignedJobs(unassigned);
     }
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "planningduty.h"
+
 namespace MangoCourse {
 
 namespace {
@@ -44,6 +46,12 @@
         }
         co_await sleepFor(this->state.owner.context, retryDelay);
     }
+    if (this->state.owner.quotas) {
+        this->spawn([self = this->self, &sharedState = this->state]() -> net::awaitable<void> {
+            Tasks tasks{self, sharedState};
+            co_await tasks.findPlanEnd();
+        });
+    }
     this->state.awaited = "there is no configuration";
     while (!this->isEnded() && !this->state.config) {
         co_await sleepFor(this->state.owner.context, retryDelay);
@@ -108,6 +116,22 @@
     co_await this->plan();
 }
 
+net::awaitable<void> ShardOwner::Tasks::findPlanEnd()
+{
+    while (!this->isEnded()) {
+        const std::int64_t position = this->state.owner.quotas->position();
+        if (position >= 0) {
+            const Result<StreamBatch> batch = co_await this->state.owner.store.read(Stream::Plan, plannerPartition, position, milliseconds::zero());
+            if (batch) {
+                this->state.planEndAtTakeover = batch->end;
+                this->self->updateDivisions();
+                co_return;
+            }
+        }
+        co_await sleepFor(this->state.owner.context, retryDelay);
+    }
+}
+
 net::awaitable<void> ShardOwner::Tasks::followJobs()
 {
     // Records stored during the takeover, or while the store was unavailable, are read without waiting for more.
--- a/src/scheduler/streamreader.cpp
+++ b/src/scheduler/streamreader.cpp
@@ -29,6 +29,11 @@
     return this->nextOffset >= 0;
 }
 
+std::int64_t StreamReader::position() const
+{
+    return this->nextOffset;
+}
+
 TimePoint StreamReader::currentAsOf() const
 {
     return this->deliveredUpTo;
--- a/src/scheduler/streamreader.h
+++ b/src/scheduler/streamreader.h
@@ -28,6 +28,8 @@
     net::awaitable<Result<void>> follow(std::chrono::milliseconds wait);
 
     bool isLoaded() const;
+    // Returns the offset of the next record; -1 if nothing has been read yet.
+    std::int64_t position() const;
 
     // Returns the time up to which all stored records have been delivered, in boot time, which includes suspension of the machine. Returns the
     // clock's epoch if nothing has been read yet.
