--- a/src/libmangocourse/quotadivision.cpp
+++ b/src/libmangocourse/quotadivision.cpp
@@ -14,6 +14,22 @@
 // An item that no plan has asked about for this long is no longer waiting. The longest time between two plans is half a second.
 constexpr milliseconds heldItemExpiry{1200};
 
+// Returns true if the work item may start beside what is in use.
+bool fitsBeside(const AccountUse &use, const Resources &inUse, const Resources &demand)
+{
+    const Amounts used = toAmounts(inUse);
+    const Amounts added = toAmounts(demand);
+    const Amounts share = toAmounts(use.share);
+    const Amounts limit = toAmounts(use.limit);
+    for (std::size_t kind = 0; kind < resourceKinds; ++kind) {
+        const bool mayRunAlone = added[kind] > limit[kind] && used[kind] == 0 && share[kind] >= limit[kind];
+        if (added[kind] > 0 && used[kind] + added[kind] > share[kind] && !mayRunAlone) {
+            return false;
+        }
+    }
+    return true;
+}
+
 }
 
 Resources shareOf(const QuotaDivision *division, const Resources *own, const ServiceId &pool, std::int64_t pools)
@@ -161,17 +177,7 @@
         // The share or the use is not known.
         return false;
     }
-    const Amounts used = toAmounts(this->usedOf(use));
-    const Amounts added = toAmounts(demand);
-    const Amounts share = toAmounts(use.share);
-    const Amounts limit = toAmounts(use.limit);
-    for (std::size_t kind = 0; kind < resourceKinds; ++kind) {
-        const bool mayRunAlone = added[kind] > limit[kind] && used[kind] == 0 && share[kind] >= limit[kind];
-        if (added[kind] > 0 && used[kind] + added[kind] > share[kind] && !mayRunAlone) {
-            return false;
-        }
-    }
-    return true;
+    return fitsBeside(use, this->usedOf(use), demand);
 }
 
 bool PoolQuota::mayStart(AccountUse &use, const ItemId &item, const Resources &demand, TimePoint now)
@@ -189,10 +195,7 @@
         }
         return true;
     }
-    AccountUse empty = use;
-    empty.running = Resources{};
-    empty.uncertain = Resources{};
-    if (!this->fits(empty, demand)) {
+    if (!this->divisions || this->isCapacityUnknown || !fitsBeside(use, this->unknownCapacity, demand)) {
         return false;
     }
     if (!isHeldKnown) {
