Let every want be served, and end turns for items that cannot start

A want of up to 1/64 of the limit beyond a share was never served, also if the other pools were idle. The tolerance now applies only if the wants exceed the limit together.

A turn ended only after the share had covered the largest item, so that an item beside lasting runs took the shares of the other pools for ever. A turn now ends 5 s after it was given, covered or not; if the limit is contended and the item needs more than an equal part, a pause as long follows.

A resource that became limited on a divided account stayed held without a bound by pools whose share of it was zero: each pool now gets a bound. Numbers that pools have applied are not used again if the newest record is unreadable.

--- a/src/libmangocourse/quotadivider.cpp
+++ b/src/libmangocourse/quotadivider.cpp
@@ -105,7 +105,7 @@
     const auto pools = std::max<std::int64_t>(1, static_cast<std::int64_t>(this->configuredPools.size()));
     std::vector<QuotaRow> rows;
     for (auto &[pool, state] : account.pools) {
-        QuotaRow row{&pool, &state, this->configuredPools.contains(pool), false, {}, {}, {}, state.share, state.running};
+        QuotaRow row{&pool, &state, this->configuredPools.contains(pool), false, false, {}, {}, {}, state.share, state.running};
         if (state.bounds.empty()) {
             state.bounds.push_back(QuotaBound{});
         }
@@ -196,9 +196,14 @@
     if (!isChanged) {
         return std::nullopt;
     }
+    bool isNewlyLimited = false;
+    for (std::size_t kind = 0; kind < resourceKinds; ++kind) {
+        isNewlyLimited = isNewlyLimited || (limit[kind] > 0 && divided[kind] == 0);
+    }
     const std::int64_t number = ++this->lastNumber;
     for (QuotaRow &row : rows) {
-        if (row.share != row.state->share || (row.isConfigured && !row.state->isListed)) {
+        // Earlier bounds do not limit a resource that is limited for the first time, so they have to be replaced even if the share stays zero.
+        if (isNewlyLimited || row.share != row.state->share || (row.isConfigured && !row.state->isListed)) {
             row.state->share = row.share;
             row.state->bounds.push_back(QuotaBound{number, row.share});
             row.state->isListed = true;
@@ -266,6 +271,8 @@
 void QuotaDivider::setReport(const PoolReport &report, TimePoint now)
 {
     Private &state = *this->d;
+    // The record with the highest number may have been unreadable for this planner.
+    state.lastNumber = std::max(state.lastNumber, report.appliedDivisionNumber);
     PoolContact &contact = state.contacts[report.service];
     if (std::pair(report.token, report.number) <= std::pair(contact.token, contact.number)) {
         return;
--- a/src/libmangocourse/quotashares.cpp
+++ b/src/libmangocourse/quotashares.cpp
@@ -1,4 +1,4 @@
-// QuotaTargets of a division, and the shares on the way to them.
+// The targets of a division, and the changes of the shares on the way to them.
 #include "quotashares_pvt.h"
 
 #include <numeric>
@@ -11,6 +11,8 @@
 
 // A pool keeps what its largest waiting item needs for this long, if the items of other pools need it too.
 constexpr milliseconds turnTime{2000};
+// A turn in which the share does not get large enough ends after this time, because runs that hold the rest may never end.
+constexpr milliseconds uncoveredTurnTime{5000};
 // Differences of up to this part of the limit are not worth a new division.
 constexpr std::int64_t toleratedPart = 64;
 // Halvings of the interval in the search for the level of the shares.
@@ -52,21 +54,51 @@
 
 }
 
+void QuotaTargets::endTurn(QuotaRow &row, TimePoint now, bool isCovered) const
+{
+    QuotaPool &state = *row.state;
+    if (isCovered && now - state.coveredSince >= turnTime) {
+        state.waitingSince = now;
+        state.pausedUntil = now + turnTime;
+    }
+    if (isCovered) {
+        state.uncoveredTurnSince = TimePoint{};
+    } else if (state.uncoveredTurnSince != TimePoint{} && now - state.uncoveredTurnSince >= uncoveredTurnTime) {
+        state.waitingSince = now;
+        state.uncoveredTurnSince = TimePoint{};
+        state.pausedUntil = now + uncoveredTurnTime;
+    }
+    row.isPaused = now < state.pausedUntil && this->needsTurn(row);
+}
+
+bool QuotaTargets::needsTurn(const QuotaRow &row) const
+{
+    const auto pools = static_cast<std::int64_t>(this->rows.size());
+    for (std::size_t kind = 0; kind < resourceKinds; ++kind) {
+        if (this->limit[kind] > 0 && row.needed[kind] > this->limit[kind] / pools) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool QuotaTargets::giveTurns(TimePoint now)
 {
+    const bool isContended = !this->isWithinLimit(1.0);
     std::vector<QuotaRow *> order;
     for (QuotaRow &row : this->rows) {
         QuotaPool &state = *row.state;
         if (row.needed == Amounts{}) {
             state.waitingSince = TimePoint{};
             state.coveredSince = TimePoint{};
+            state.uncoveredTurnSince = TimePoint{};
             continue;
         }
         state.waitingSince = state.waitingSince == TimePoint{} ? now : state.waitingSince;
         const bool isCovered = covers(state.share, row.needed, this->limit);
         state.coveredSince = !isCovered ? TimePoint{} : state.coveredSince == TimePoint{} ? now : state.coveredSince;
-        if (isCovered && now - state.coveredSince >= turnTime) {
-            state.waitingSince = now;
+        if (isContended) {
+            this->endTurn(row, now, isCovered);
         }
         order.push_back(&row);
     }
@@ -77,17 +109,23 @@
         return std::pair(isOutOfTurn(left), left->state->waitingSince) < std::pair(isOutOfTurn(right), right->state->waitingSince);
     });
     Amounts given{};
-    bool isContended = false;
+    bool isReviewNeeded = false;
     for (QuotaRow *row : order) {
         Amounts sum = given;
         for (std::size_t kind = 0; kind < resourceKinds; ++kind) {
             sum[kind] += row->needed[kind];
         }
-        row->hasTurn = covers(this->limit, sum, this->limit);
-        isContended = isContended || !row->hasTurn;
+        row->hasTurn = !row->isPaused && covers(this->limit, sum, this->limit);
         given = row->hasTurn ? sum : given;
+        QuotaPool &state = *row->state;
+        if (!row->hasTurn || !isContended) {
+            state.uncoveredTurnSince = TimePoint{};
+        } else if (state.coveredSince == TimePoint{} && state.uncoveredTurnSince == TimePoint{}) {
+            state.uncoveredTurnSince = now;
+        }
+        isReviewNeeded = isReviewNeeded || !row->hasTurn || (isContended && this->needsTurn(*row));
     }
-    return isContended;
+    return isReviewNeeded;
 }
 
 Amounts QuotaTargets::grant(const QuotaRow &row, double level) const
@@ -141,7 +179,7 @@
     }
 }
 
-void QuotaTargets::divide()
+void QuotaTargets::fill()
 {
     double level = 1.0;
     if (!this->isWithinLimit(level)) {
@@ -155,9 +193,38 @@
     for (QuotaRow &row : this->rows) {
         row.target = this->grant(row, level);
     }
+}
+
+void QuotaTargets::divide()
+{
+    this->fill();
+    bool isReduced = false;
+    for (QuotaRow &row : this->rows) {
+        if (!row.isPaused || covers(row.target, row.needed, this->limit)) {
+            continue;
+        }
+        // A part of what the largest item needs would lie idle.
+        const QuotaPool &state = *row.state;
+        for (std::size_t kind = 0; kind < resourceKinds; ++kind) {
+            const std::int64_t running = std::min(state.running[kind], row.wanted[kind]);
+            row.wanted[kind] = std::clamp(state.wanted[kind] - state.largest[kind], running, row.wanted[kind]);
+        }
+        isReduced = true;
+    }
+    if (isReduced) {
+        this->fill();
+    }
     this->spreadRest();
 }
 
+bool ShareUpdate::fitsLimit(std::size_t kind) const
+{
+    const std::int64_t sum = sumOf(this->rows, [kind](const QuotaRow &row) {
+        return row.wanted[kind];
+    });
+    return sum <= this->limit[kind];
+}
+
 bool ShareUpdate::isShort(const QuotaRow &row) const
 {
     if (row.hasTurn && !covers(row.share, row.needed, this->limit)) {
@@ -165,7 +232,8 @@
     }
     for (std::size_t kind = 0; kind < resourceKinds; ++kind) {
         const std::int64_t gain = std::min(row.target[kind], row.wanted[kind]) - row.share[kind];
-        if (this->limit[kind] > 0 && gain > this->limit[kind] / toleratedPart) {
+        // Without contention nothing else would ever give the pool the small rest that it waits for.
+        if (this->limit[kind] > 0 && gain > 0 && (gain > this->limit[kind] / toleratedPart || this->fitsLimit(kind))) {
             return true;
         }
     }
@@ -231,7 +299,7 @@
         const auto raiseRow = [&](QuotaRow &row) {
             const std::int64_t room = this->limit[kind] - (held - row.held[kind]);
             const std::int64_t raised = std::min(row.target[kind], room);
-            const bool isWorthwhile = raised == row.target[kind] || raised - row.share[kind] > this->limit[kind] / toleratedPart
+            const bool isWorthwhile = raised >= std::min(row.target[kind], row.wanted[kind]) || raised - row.share[kind] > this->limit[kind] / toleratedPart
                 || (row.share[kind] < row.needed[kind] && raised >= row.needed[kind]);
             if (raised <= row.share[kind] || !isWorthwhile) {
                 return;
--- a/src/libmangocourse/quotashares_pvt.h
+++ b/src/libmangocourse/quotashares_pvt.h
@@ -24,6 +24,9 @@
     // Since when its largest waiting item waits for its turn, and since when the share has been large enough for it.
     TimePoint waitingSince{};
     TimePoint coveredSince{};
+    // Since when it has had its turn without a share that is large enough, and until when it gets no other turn.
+    TimePoint uncoveredTurnSince{};
+    TimePoint pausedUntil{};
 };
 
 // One pool in the division of one account.
@@ -32,12 +35,14 @@
     QuotaPool *state = nullptr;
     bool isConfigured = false;
     bool hasTurn = false;
+    // Its turn has ended a short while ago.
+    bool isPaused = false;
     // What the largest waiting item needs, and what the pool wants, at most the limit.
     Amounts needed{};
     Amounts wanted{};
     Amounts target{};
     Amounts share{};
-    // QuotaBound of what the pool may have running.
+    // What the pool may have running: the largest of its share and of the bounds that its owner may still act on.
     Amounts held{};
 };
 
@@ -51,11 +56,17 @@
     {
     }
 
-    // Returns true if some largest item gets no room, so that the turns have to go on.
+    // In its turn a pool gets at least what its largest waiting item needs. A turn is followed by a pause as long, so that the other pools get their
+    // parts even if the item cannot start. Returns true if the turns have to be given again later.
     bool giveTurns(TimePoint now);
     void divide();
 
 private:
+    void endTurn(QuotaRow &row, TimePoint now, bool isCovered) const;
+    // Returns true if the pool needs more for its largest waiting item than an equal part of the limit.
+    bool needsTurn(const QuotaRow &row) const;
+    // Sets the targets to the same fraction of the limit for all pools, at most what they want.
+    void fill();
     Amounts grant(const QuotaRow &row, double level) const;
     bool isWithinLimit(double level) const;
     void spreadRest();
@@ -84,6 +95,8 @@
     void raise();
 
 private:
+    // Returns true if all pools together want no more of the resource than the limit.
+    bool fitsLimit(std::size_t kind) const;
     bool isShort(const QuotaRow &row) const;
 
     std::vector<QuotaRow> &rows;
