Count uncertain starts as use, and end reservations for items that never fit

An item that did not fit beside lasting runs kept the other items of its account from starting for ever. The reservation now ends after 4 s, is held for all items of a step, and is not given to the step again for 4 s.

Any start of unknown fate made the whole use of the pool incomplete, so shares did not move; such starts are now reported as use. Steps that no executor can hold are not reported as wanted. Runs of earlier owners count until the ownership is confirmed after the end of their leases, as in expireLeases().

The report names the divisions that have last changed a share of the pool, for the decision when a report is due.

--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -52,6 +52,8 @@
     bool isUsageComplete = false;
     // The limited accounts that use or want something.
     std::vector<AccountDemand> accounts;
+    // Number of the confirmed divisions that have last changed a share of this pool. Not part of the record.
+    std::int64_t shareNumber = 0;
 
     bool operator==(const PoolReport &) const = default;
 };
--- a/src/include/mangocourse/quotadivision.h
+++ b/src/include/mangocourse/quotadivision.h
@@ -47,7 +47,7 @@
 // What a pool reports about one limited account.
 struct AccountDemand {
     AccountId account;
-    // Of the last usage that the owner has confirmed.
+    // Runs, and starts whose fate is unknown, of the last usage that the owner has confirmed.
     Resources running;
     // Running and ready work items, at most the capacity of the pool.
     Resources wanted;
@@ -60,7 +60,8 @@
     bool operator==(const AccountDemand &) const = default;
 };
 
-// Decides on the divisions; used by one planner at a time.
+// Decides on the divisions; used by one planner at a time. If the largest waiting items of all pools do not fit into the limit together, the pools take
+// turns: in its turn a pool's share is at least what its largest waiting item needs.
 class QuotaDivider
 {
 public:
@@ -75,7 +76,7 @@
     void setReport(const PoolReport &report, TimePoint now);
     // Returns the divisions that have changed, in ascending order of their numbers. They must become durable in this order before the next call.
     std::vector<QuotaDivision> plan(TimePoint now);
-    // Returns the divisions that stored() and plan() have made known.
+    // Returns the divisions that create() was given or plan() has made since.
     const std::map<AccountId, QuotaDivision> &divisions() const;
 
 private:
@@ -95,10 +96,13 @@
     // The limit that the share is a part of; unlimitedAmount for a resource that is not limited.
     Resources limit;
     bool isLimited = false;
-    // An item that fits the share but not beside what is running.
+    // An item that fits the share but not beside what is running. It stands for all items of its step.
     ItemId heldItem;
     TimePoint heldSince{};
     TimePoint heldSeenAt{};
+    // The last held item that has not started in the time for which the others had to wait for it.
+    ItemId releasedItem;
+    TimePoint releasedAt{};
     // Since when work has waited because of the share, and when the next line about it is due.
     TimePoint waitingSince{};
     TimePoint nextLineAt{};
@@ -109,7 +113,9 @@
 struct QuotaUsage {
     // Highest division number that was applied.
     std::int64_t number = 0;
-    // Every run that may be active is known.
+    // Number of the divisions that have last changed a share of this pool.
+    std::int64_t shareNumber = 0;
+    // Every run that may be active is in `running`.
     bool isComplete = false;
     std::map<AccountId, Resources> running;
 };
@@ -141,7 +147,7 @@
 
     // Returns true if the work item may start beside what the account has running.
     bool fits(const AccountUse &use, const Resources &demand) const;
-    // As fits(). An item that has been refused for a while although it fits the empty share goes before the account's other items.
+    // As fits(). An item that has been refused for a while although it fits the empty share goes before the account's other items for some seconds.
     bool mayStart(AccountUse &use, const ItemId &item, const Resources &demand, TimePoint now);
     // Returns true if the share has become too small for a run that is counted but has not been sent.
     bool isExceededBy(const AccountUse &use, const Resources &demand) const;
@@ -155,11 +161,14 @@
 
 private:
     void applyShare(const AccountId &account, AccountUse &use) const;
+    // Returns true if a share of this pool differs from the present divisions.
+    bool hasOtherShare(const QuotaDivisions &newDivisions) const;
     bool updateAll();
     Resources usedOf(const AccountUse &use) const;
 
     ServiceId service;
     bool hasLimits = false;
+    std::int64_t shareNumber = 0;
     std::int64_t pools = 1;
     std::map<AccountId, Resources> limits;
     std::shared_ptr<const QuotaDivisions> divisions;
--- a/src/libmangocourse/poolquota.cpp
+++ b/src/libmangocourse/poolquota.cpp
@@ -41,6 +41,20 @@
     return Resources{std::min(one.cpu, other.cpu), std::min(one.memory, other.memory), std::min(one.accelerators, other.accelerators)};
 }
 
+// Returns the different capacities of the executors that take new work.
+std::vector<Resources> capacitiesOf(const std::map<ExecutorKey, Executor> &executors)
+{
+    std::vector<Resources> capacities;
+    for (const auto &[key, executor] : executors) {
+        const Resources &capacity = executor.info.capacity;
+        const bool isKnown = std::find(capacities.begin(), capacities.end(), capacity) != capacities.end();
+        if (executor.isListed && !executor.info.isDraining && !isKnown) {
+            capacities.push_back(capacity);
+        }
+    }
+    return capacities;
+}
+
 Resources capacityOf(const std::map<ExecutorKey, Executor> &executors)
 {
     Resources capacity;
@@ -114,8 +128,10 @@
 
 void PoolScheduler::Private::updateQuotaUsage(TimePoint now, TimePoint confirmedAt)
 {
-    std::erase_if(this->heldItems, [now](const auto &entry) {
-        return entry.second <= now;
+    // After a pause of the process, leases that have ended by now may have been renewed by another owner.
+    const TimePoint knownUntil = std::min(now, confirmedAt);
+    std::erase_if(this->heldItems, [knownUntil](const auto &entry) {
+        return entry.second <= knownUntil;
     });
     if (!this->quota.isActive()) {
         return;
@@ -123,13 +139,13 @@
     this->quota.clearUncertain();
     for (const auto &[key, executor] : this->executors) {
         const bool hasAnswered = executor.isContacted && executor.hasListedAll;
-        const bool mayHoldUnknown = executor.mayHoldPreviousRuns && !hasAnswered && now < executor.previousRunsEndAt;
+        const bool mayHoldUnknown = executor.mayHoldPreviousRuns && !hasAnswered && knownUntil < executor.previousRunsEndAt;
         if (mayHoldUnknown || !executor.orphans.empty()) {
             this->quota.addUnknownCapacity(executor.info.capacity);
         }
     }
     for (const auto &[key, previous] : this->previousExecutors) {
-        if (!this->executors.contains(key) && !this->arePreviousRunsOver(key, previous, now)) {
+        if (!this->executors.contains(key) && !this->arePreviousRunsOver(key, previous, knownUntil)) {
             this->quota.addUnknownCapacity(std::nullopt);
         }
     }
@@ -140,7 +156,7 @@
     }
     for (const auto &[id, until] : this->heldItems) {
         const Item *item = this->findItem(id);
-        if (item != nullptr && item->runningOn.empty() && item->possiblyActiveUntil > now) {
+        if (item != nullptr && item->runningOn.empty() && item->possiblyActiveUntil > knownUntil) {
             this->addUncertainItem(id);
         }
     }
@@ -155,7 +171,16 @@
     const QuotaUsage &usage = this->quota.confirmedUsage();
     report.appliedDivisionNumber = usage.number;
     report.isUsageComplete = usage.isComplete && this->quota.isUsageComplete();
+    report.shareNumber = usage.shareNumber;
     std::map<const AccountUse *, Wanted> wanted;
+    const Resources capacity = capacityOf(this->executors);
+    const std::vector<Resources> capacities = capacitiesOf(this->executors);
+    const auto canEverStart = [&capacity, &capacities](const StepSpec &spec) {
+        const bool fitsExecutor = std::any_of(capacities.begin(), capacities.end(), [&spec](const Resources &each) {
+            return each.covers(demandOf(spec));
+        });
+        return fitsExecutor && (!spec.isGang || capacity.covers(quotaDemandOf(spec)));
+    };
     for (const JobId &id : this->openJobs) {
         const JobEntry &entry = this->jobs.at(id);
         if (entry.accountUse == nullptr || !entry.accountUse->isLimited) {
@@ -171,7 +196,8 @@
                 const auto waiting = std::count_if(items.begin(), items.end(), [](const Item &item) {
                     return item.phase == ItemPhase::Waiting;
                 });
-                if (waiting > 0) {
+                // Other pools must not give up their shares for work that this pool cannot run.
+                if (waiting > 0 && canEverStart(spec)) {
                     Wanted &sum = wanted[entry.accountUse];
                     addItems(sum.amount, demandOf(spec), waiting);
                     sum.largest = largerOf(sum.largest, quotaDemandOf(spec));
@@ -179,7 +205,6 @@
             }
         }
     }
-    const Resources capacity = capacityOf(this->executors);
     for (const auto &[account, use] : this->quota.uses()) {
         const auto running = usage.running.find(account);
         AccountDemand demand{account, running == usage.running.end() ? Resources{} : running->second, use.running, {}, false, false};
--- a/src/libmangocourse/poolquota_test.cpp
+++ b/src/libmangocourse/poolquota_test.cpp
@@ -93,6 +93,23 @@
     EXPECT_EQ(this->scheduler->report(this->now).appliedDivisionNumber, 2);
 }
 
+// Other pools would give up their shares for work that never starts.
+TEST_F(PoolQuotaSchedulerTest, ItemsThatNoExecutorCanHoldAreNotReported)
+{
+    this->setDiscovered({executor("one")});
+    this->report("one");
+    this->divide(4000);
+    AcceptedJob huge = this->accountJob("huge");
+    huge.spec.steps.front().resources.cpu = 1'000'000;
+    this->add(huge);
+    this->add(this->accountJob("gang", 1000, true));
+    this->add(this->accountJob("job", 2));
+    this->planAndConfirm();
+    const PoolReport report = this->scheduler->report(this->now);
+    ASSERT_EQ(report.accounts.size(), 1U);
+    EXPECT_EQ(report.accounts.front().largest.cpu, 4000);
+}
+
 // A gang that starts in part holds its share while its other members wait for more.
 TEST_F(PoolQuotaSchedulerTest, GangStartsAsAWholeOrNotAtAll)
 {
--- a/src/libmangocourse/quotadivision.cpp
+++ b/src/libmangocourse/quotadivision.cpp
@@ -11,9 +11,17 @@
 
 // An item that is refused for this long goes before the account's other items, which would otherwise take what ends.
 constexpr milliseconds reservationDelay{1000};
+// The reservation ends after this time, because the runs beside which the item does not fit may never end. For as long again no item of the step is
+// reserved for.
+constexpr milliseconds reservationTime{4000};
 // An item that no plan has asked about for this long is no longer waiting. The longest time between two plans is half a second.
 constexpr milliseconds heldItemExpiry{1200};
 
+bool isOfSameStep(const ItemId &one, const ItemId &other)
+{
+    return one.job == other.job && one.occurrence == other.occurrence && one.step == other.step;
+}
+
 // Returns true if the work item may start beside what is in use.
 bool fitsBeside(const AccountUse &use, const Resources &inUse, const Resources &demand)
 {
@@ -75,10 +83,38 @@
 
 bool PoolQuota::setDivisions(std::shared_ptr<const QuotaDivisions> newDivisions)
 {
+    if (newDivisions && newDivisions != this->divisions && this->hasOtherShare(*newDivisions)) {
+        this->shareNumber = newDivisions->number;
+    }
     this->divisions = std::move(newDivisions);
     return this->updateAll();
 }
 
+bool PoolQuota::hasOtherShare(const QuotaDivisions &newDivisions) const
+{
+    using ByAccount = std::map<AccountId, std::shared_ptr<const QuotaDivision>>;
+    // The limit belongs to it: a resource that was not limited may get a share of zero.
+    const auto shareIn = [this](const ByAccount &byAccount, const AccountId &account) -> std::optional<std::pair<Resources, Resources>> {
+        const auto division = byAccount.find(account);
+        if (division == byAccount.end()) {
+            return std::nullopt;
+        }
+        const auto share = division->second->shares.find(this->service);
+        return std::pair(division->second->limit, share == division->second->shares.end() ? Resources{} : share->second.share);
+    };
+    const ByAccount none;
+    const ByAccount &before = this->divisions ? this->divisions->byAccount : none;
+    const auto isOther = [&](const auto &entry) {
+        const auto known = before.find(entry.first);
+        const bool isSameRecord = known != before.end() && known->second == entry.second;
+        return !isSameRecord && shareIn(before, entry.first) != shareIn(newDivisions.byAccount, entry.first);
+    };
+    return std::any_of(newDivisions.byAccount.begin(), newDivisions.byAccount.end(), isOther)
+        || std::any_of(before.begin(), before.end(), [&newDivisions](const auto &entry) {
+               return !newDivisions.byAccount.contains(entry.first);
+           });
+}
+
 bool PoolQuota::updateAll()
 {
     const bool hasDividedLimit
@@ -157,7 +193,7 @@
 
 bool PoolQuota::isUsageComplete() const
 {
-    return !this->isCapacityUnknown && this->unknownCapacity == Resources{} && !this->hasUncertainStarts;
+    return !this->isCapacityUnknown && this->unknownCapacity == Resources{};
 }
 
 Resources PoolQuota::usedOf(const AccountUse &use) const
@@ -185,12 +221,16 @@
     if (!use.isLimited) {
         return true;
     }
+    if (!use.heldItem.job.isEmpty() && now - use.heldSince >= reservationDelay + reservationTime) {
+        use.releasedItem = std::exchange(use.heldItem, ItemId{});
+        use.releasedAt = now;
+    }
     const bool isHeldKnown = !use.heldItem.job.isEmpty() && now - use.heldSeenAt <= heldItemExpiry;
-    if (isHeldKnown && use.heldItem != item && now - use.heldSince >= reservationDelay) {
+    if (isHeldKnown && !isOfSameStep(use.heldItem, item) && now - use.heldSince >= reservationDelay) {
         return false;
     }
     if (this->fits(use, demand)) {
-        if (use.heldItem == item) {
+        if (isOfSameStep(use.heldItem, item)) {
             use.heldItem = ItemId{};
         }
         return true;
@@ -198,11 +238,12 @@
     if (!this->divisions || this->isCapacityUnknown || !fitsBeside(use, this->unknownCapacity, demand)) {
         return false;
     }
-    if (!isHeldKnown) {
+    const bool isReleased = isOfSameStep(use.releasedItem, item) && now - use.releasedAt < reservationTime;
+    if (!isHeldKnown && !isReleased) {
         use.heldItem = item;
         use.heldSince = now;
     }
-    if (use.heldItem == item) {
+    if (isOfSameStep(use.heldItem, item)) {
         use.heldSeenAt = now;
     }
     return false;
@@ -210,6 +251,9 @@
 
 bool PoolQuota::isExceededBy(const AccountUse &use, const Resources &demand) const
 {
+    if (!use.isLimited) {
+        return false;
+    }
     AccountUse others = use;
     others.running -= demand;
     return !this->fits(others, demand);
@@ -224,10 +268,12 @@
     if (this->unconfirmed) {
         return;
     }
-    QuotaUsage usage{this->appliedNumber(), this->divisions != nullptr && this->isUsageComplete(), {}};
+    QuotaUsage usage{this->appliedNumber(), this->shareNumber, this->divisions != nullptr && this->isUsageComplete(), {}};
     for (const auto &[account, use] : this->accounts) {
-        if (use.running != Resources{}) {
-            usage.running.emplace(account, use.running);
+        Resources bound = use.running;
+        bound += use.uncertain;
+        if (bound != Resources{}) {
+            usage.running.emplace(account, bound);
         }
     }
     this->unconfirmed.emplace(now, std::move(usage));
