Divide limits while machines are called

Divisions waited until all orders of a plan had an outcome; a call to a machine takes up to 1.5 s. The planner now reads reports and saves divisions while it waits.

--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t maxDivisionBytes = 128 * 1024;
 // Maximum time to wait for new pool reports.
 constexpr milliseconds reportPollTimeout{250};
+// Maximum time to wait for new pool reports while orders are being given.
+constexpr milliseconds orderReportPollTimeout{100};
 // Delay between planning cycles.
 constexpr milliseconds planDelay{20};
 // Intervals for reading the list of machines: while the planner has pending work, and otherwise.
@@ -95,7 +97,7 @@
     net::awaitable<void> executeMaintenance(Evacuation order);
     net::awaitable<void> executeMove(Evacuation order);
     net::awaitable<void> executeOrder(Evacuation order, TimePoint plannedAt);
-    // Executes the orders, several at a time, and returns once each has an outcome.
+    // Executes the orders, several at a time, and returns once each has an outcome. Follows the reports and saves divisions meanwhile.
     net::awaitable<void> executeOrders(PlannerOrders orders, TimePoint plannedAt);
     void logNeeds();
     void handleOutcome(const char *event, const Evacuation &order, MachineOutcome outcome);
@@ -378,8 +380,18 @@
     for (std::size_t count = activeSenders; count > 0; --count) {
         net::co_spawn(this->context, sendOrders, net::detached);
     }
+    // A call to a machine takes up to 1.5 s, and pools that wait for their shares must not wait for it.
     while (activeSenders > 0) {
-        co_await senderDone.waitFor(maxOrderDelay);
+        co_await senderDone.waitFor(planDelay);
+        if (activeSenders == 0 || this->isEnded()) {
+            continue;
+        }
+        const Result<void> read = co_await this->reportReader->follow(orderReportPollTimeout);
+        if (read) {
+            co_await this->saveDivisions();
+        } else {
+            co_await senderDone.waitFor(retryDelay);
+        }
     }
 }
 
--- a/src/scheduler/planningduty_test.cpp
+++ b/src/scheduler/planningduty_test.cpp
@@ -2,6 +2,8 @@
 #include "schedulerprocess_test.h"
 
 #include "planningduty.h"
+#include "quotafeed.h"
+#include "recordcodec.h"
 
 namespace MangoCourse {
 namespace {
@@ -173,5 +175,64 @@
     EXPECT_EQ(statuses.back().value, "completed");
 }
 
+class SlowMachine : public OneMachine
+{
+public:
+    using OneMachine::OneMachine;
+
+    net::awaitable<MachineOutcome> maintain(const MachineId &, const WaveId &, std::int64_t) override
+    {
+        this->isInCall = true;
+        co_await sleepFor(this->context, 1500ms);
+        this->isInCall = false;
+        co_return MachineOutcome::Done;
+    }
+
+    bool isInCall = false;
+};
+
+// A pool would wait for its share as long as a call to a machine takes.
+TEST_F(SchedulerTest, LimitsAreDividedWhileAMachineIsCalled)
+{
+    SlowMachine machinePort(this->context);
+    CallerService *service = nullptr;
+    const AccountId account{"tenant"};
+    FleetConfig limited = *this->config;
+    limited.services.at(ServiceId{"desk"}).isStandby = true;
+    for (const char *pool : {"near", "far"}) {
+        limited.services.emplace(ServiceId{pool}, ServiceConfig{ServiceId{pool}, {}, 64, true, false});
+    }
+    limited.accounts = std::move(*ClientAccounts::create({ClientAccount{account, 1.0, Resources{16000, 0, 0}, {"key"}}}));
+    std::map<std::string, FleetConfig> configs{{"1", limited}};
+    std::vector<StoredRecord> &operatorRecords = this->store.partitions[{Stream::Operator, 0}].records;
+    operatorRecords.push_back(StoredRecord{"config", "1", 0});
+    operatorRecords.push_back(StoredRecord{"wave", "1", 1});
+    this->store.membership = Membership{5, {OwnedPartition{Stream::Plan, plannerPartition}}};
+    const auto process = std::move(*SchedulerProcess::create(
+        this->context, this->metrics, std::make_unique<PlatformWithWave>(machinePort, this->store, this->executors, this->settings, configs, service)));
+    process->start();
+    this->runUntil([&machinePort] {
+        return machinePort.isInCall;
+    });
+    const std::vector<StoredRecord> &plan = this->store.partitions[{Stream::Plan, plannerPartition}].records;
+    const auto divisions = [&plan] {
+        return std::count_if(plan.begin(), plan.end(), [](const StoredRecord &record) {
+            return isQuotaKey(record.key);
+        });
+    };
+    const auto before = divisions();
+    PoolReport report;
+    report.service = ServiceId{"far"};
+    report.token = 1;
+    report.number = 1;
+    report.isUsageComplete = true;
+    report.accounts.push_back(AccountDemand{account, {}, Resources{16000, 0, 0}, Resources{1000, 0, 0}});
+    this->store.partitions[{Stream::Plan, reportPartition}].records.push_back(StoredRecord{"far", encodePoolReport(report), 0});
+    this->runUntil([&divisions, before] {
+        return divisions() > before;
+    });
+    EXPECT_TRUE(machinePort.isInCall);
+}
+
 }
 }
