Report small rises of a short pool, and divisions only if they change a share

A pool that was short reported a rise of less than a quarter only after 1.5 s; it now reports any rise, at most every 360 ms. Each division of any account made every pool report; now only a changed share or limit does, and other divisions are confirmed with the next report.

--- a/src/scheduler/quotalog.cpp
+++ b/src/scheduler/quotalog.cpp
@@ -15,6 +15,9 @@
 constexpr const char *wantedGauge = "mangocourse_account_wanted_millicores";
 constexpr const char *waitingGauge = "mangocourse_account_waiting_seconds";
 
+// A pool that is short reports a small rise of its want after this time. A rise by a quarter is reported at once.
+constexpr std::chrono::milliseconds riseInterval{360};
+
 nlohmann::json asJson(const Resources &resources)
 {
     return {{"cpu", resources.cpu}, {"mem_mb", resources.memory}, {"gpu", resources.accelerators}};
@@ -33,9 +36,10 @@
     return rises(now.cpu, before.cpu) || rises(now.memory, before.memory) || rises(now.accelerators, before.accelerators);
 }
 
-bool isDue(const AccountDemand &now, const AccountDemand &before)
+bool isDue(const AccountDemand &now, const AccountDemand &before, std::chrono::milliseconds sinceLast)
 {
-    const bool isShorter = now.isShort && (!before.isShort || now.largest != before.largest || hasRisen(now.wanted, before.wanted));
+    const bool hasRisenAtAll = !before.wanted.covers(now.wanted) && sinceLast >= riseInterval;
+    const bool isShorter = now.isShort && (!before.isShort || now.largest != before.largest || hasRisenAtAll || hasRisen(now.wanted, before.wanted));
     // Others wait for what runs beyond the share.
     const bool isExcessLower = before.isOverShare && now.running != before.running;
     return isShorter || isExcessLower || hasHalved(now.wanted, before.wanted);
@@ -43,9 +47,10 @@
 
 }
 
-bool isQuotaReportDue(const PoolReport &report, const PoolReport &last)
+bool isQuotaReportDue(const PoolReport &report, const PoolReport &last, std::chrono::milliseconds sinceLast)
 {
-    if (report.appliedDivisionNumber != last.appliedDivisionNumber || report.isUsageComplete != last.isUsageComplete) {
+    // Divisions that do not change a share of this pool are confirmed with the next report.
+    if (report.shareNumber != last.shareNumber || report.isUsageComplete != last.isUsageComplete) {
         return true;
     }
     // Both lists are in the order of the accounts.
@@ -53,17 +58,17 @@
     const AccountDemand none;
     for (const AccountDemand &now : report.accounts) {
         while (before != last.accounts.end() && before->account < now.account) {
-            if (isDue(none, *before++)) {
+            if (isDue(none, *before++, sinceLast)) {
                 return true;
             }
         }
         const bool isKnown = before != last.accounts.end() && before->account == now.account;
-        if (isDue(now, isKnown ? *before++ : none)) {
+        if (isDue(now, isKnown ? *before++ : none, sinceLast)) {
             return true;
         }
     }
-    return std::any_of(before, last.accounts.end(), [&none](const AccountDemand &gone) {
-        return isDue(none, gone);
+    return std::any_of(before, last.accounts.end(), [&none, sinceLast](const AccountDemand &gone) {
+        return isDue(none, gone, sinceLast);
     });
 }
 
--- a/src/scheduler/quotalog.h
+++ b/src/scheduler/quotalog.h
@@ -1,6 +1,7 @@
 // Reports, log lines, gauges and the state dump about the limits of accounts.
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <vector>
 
@@ -14,8 +15,8 @@
 
 namespace MangoCourse {
 
-// Returns true if the planner should learn at once of what has changed since the last report.
-bool isQuotaReportDue(const PoolReport &report, const PoolReport &last);
+// Returns true if the planner should learn at once of what has changed since the last report, which was sent `sinceLast` ago.
+bool isQuotaReportDue(const PoolReport &report, const PoolReport &last, std::chrono::milliseconds sinceLast);
 
 void logQuotaWaiting(EventLog &log, const ServiceId &service, std::int64_t token, const AccountQuota &quota);
 void logQuotaDivided(EventLog &log, std::int64_t token, const QuotaDivision &division);
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -371,7 +371,8 @@
         return true;
     }
     const PoolReport &last = before->second;
-    const bool isOverdue = steady_clock::now() - this->reportedAt.at(report.service) > maxReportInterval;
+    const auto sinceLast = std::chrono::duration_cast<milliseconds>(steady_clock::now() - this->reportedAt.at(report.service));
+    const bool isOverdue = sinceLast > maxReportInterval;
     // Ignores differences of up to a quarter of the larger value or 64'000, whichever is more. The unit is core-ms, or core-ms per second for the inflow.
     const auto differsSignificantly = [](std::int64_t one, std::int64_t other) {
         return std::abs(one - other) > std::max<std::int64_t>(std::max(one, other) / 4, 64'000);
@@ -379,7 +380,7 @@
     // During evacuations every change in the runs on the executors is reported at once.
     const bool hasEvacuationChange = report.appliedEvacuationNumber != last.appliedEvacuationNumber
         || (!this->ownership.evacuations().evacuating.empty() && report.executors != last.executors);
-    return isOverdue || hasEvacuationChange || isQuotaReportDue(report, last) || report.token != last.token || report.spread != last.spread
+    return isOverdue || hasEvacuationChange || isQuotaReportDue(report, last, sinceLast) || report.token != last.token || report.spread != last.spread
         || report.longRunningCpu != last.longRunningCpu || differsSignificantly(report.inflow, last.inflow)
         || differsSignificantly(report.backlog, last.backlog);
 }
