Order the client accounts of a full pool by weighted dominant shares

Cause: one account's burst of jobs took the room of all others, since jobs were ordered by slack only. Change: while open jobs belong to at least two accounts, the account with the lowest dominant share by weight goes first within a rank class and gives way after each item. Jobs beyond weight jobs per second go behind.

--- a/src/bench/poolbench.cpp
+++ b/src/bench/poolbench.cpp
@@ -1,4 +1,4 @@
-// poolbench: microbenchmarks of the pool scheduler's decisions, by number of executors and of open jobs.
+// poolbench: microbenchmarks of the pool scheduler's decisions, by number of executors, of open jobs and of client accounts.
 #include <benchmark/benchmark.h>
 
 #include <deque>
@@ -22,7 +22,9 @@
 class SaturatedPool
 {
 public:
-    SaturatedPool(int executors, int openJobs)
+    // With 0 accounts the jobs have none.
+    SaturatedPool(int executors, int openJobs, int accounts = 0)
+        : accounts(accounts)
     {
         FleetConfig config;
         config.revision = 1;
@@ -122,6 +124,9 @@
         job.queue = QueueId{"counter"};
         job.service = ServiceId{"desk"};
         job.acceptedAt = this->wall;
+        if (this->accounts > 0) {
+            job.account = AccountId{"account-" + std::to_string(this->jobCount % this->accounts)};
+        }
         StepSpec step;
         step.count = itemsPerJob;
         step.resources = Resources{milliCoresPerItem, 1024, 0};
@@ -160,6 +165,7 @@
     std::deque<RunningItem> running;
     std::map<ExecutorKey, std::map<ItemId, std::int64_t>> runningByExecutor;
     std::map<ExecutorKey, std::int64_t> lastEndNumbers;
+    int accounts = 0;
     int jobCount = 0;
     TimePoint now{100s};
     WallTime wall{1'000'000s};
@@ -176,6 +182,25 @@
     state.counters["per_item"] = benchmark::Counter(static_cast<double>(pool.started - before), benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
 }
 
+// As itemUnderLoad, with client accounts that compete.
+void itemOfAccount(benchmark::State &state)
+{
+    SaturatedPool pool(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)), static_cast<int>(state.range(2)));
+    const std::int64_t before = pool.started;
+    for ([[maybe_unused]] auto round : state) {
+        pool.step();
+    }
+    state.counters["per_item"] = benchmark::Counter(static_cast<double>(pool.started - before), benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+}
+
+void planOfAccounts(benchmark::State &state)
+{
+    SaturatedPool pool(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)), static_cast<int>(state.range(2)));
+    for ([[maybe_unused]] auto round : state) {
+        benchmark::DoNotOptimize(pool.plan());
+    }
+}
+
 void planWithNothingToDo(benchmark::State &state)
 {
     SaturatedPool pool(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
@@ -202,8 +227,22 @@
     benchmark->MinTime(0.2);
 }
 
+void applyAccounts(benchmark::internal::Benchmark *benchmark)
+{
+    for (const int executors : {80, 300}) {
+        for (const int jobs : {100, 1000}) {
+            for (const int accounts : {0, 1, 20, 700}) {
+                benchmark->Args({executors, jobs, accounts});
+            }
+        }
+    }
+    benchmark->MinTime(0.2);
+}
+
 BENCHMARK(itemUnderLoad)->Apply(applySizes)->Unit(benchmark::kMicrosecond);
 BENCHMARK(planWithNothingToDo)->Apply(applySizes)->Unit(benchmark::kMicrosecond);
+BENCHMARK(itemOfAccount)->Apply(applyAccounts)->Unit(benchmark::kMicrosecond);
+BENCHMARK(planOfAccounts)->Apply(applyAccounts)->Unit(benchmark::kMicrosecond);
 BENCHMARK(listRead)->Arg(80)->Arg(300)->Arg(2400)->Unit(benchmark::kMicrosecond);
 
 }
--- a/src/include/mangocourse/placementrank.h
+++ b/src/include/mangocourse/placementrank.h
@@ -10,6 +10,8 @@
 struct PlacementRank {
     // 0 for long-running jobs other than best-effort ones, 1 for all others.
     int group = 0;
+    // The job's account has submitted more jobs than its rate allows. Set only while open jobs belong to at least two accounts.
+    bool isBeyondRate = false;
     bool isLate = false;
     std::int32_t priority = 0;
     bool isDeferred = false;
--- a/src/include/mangocourse/poolwaiting.h
+++ b/src/include/mangocourse/poolwaiting.h
@@ -135,10 +135,52 @@
     std::chrono::milliseconds reportAge{};
 };
 
+// Why the work of a client account waits while it competes with other accounts.
+enum class AccountWaitReason {
+    // All its waiting jobs are beyond its rate.
+    BeyondRate,
+    // All its waiting jobs are late or beyond its rate.
+    Late,
+    // Other accounts with waiting work have a lower position.
+    Position,
+    // It is the next account, but its work finds no place.
+    Next,
+};
+std::string_view toString(AccountWaitReason reason);
+
+// A client account with work that waits.
+struct WaitingAccount {
+    // Empty for the jobs without an account.
+    AccountId account;
+    AccountWaitReason reason = AccountWaitReason::Next;
+    double weight = 0;
+    // Dominant share of the pool by weight.
+    double position = 0;
+    // Place among the accounts with waiting work by position, from 1, and their number.
+    std::int32_t rank = 0;
+    std::int32_t accounts = 0;
+    Resources running;
+    std::int32_t waitingJobs = 0;
+    std::int32_t beyondRate = 0;
+    std::int32_t late = 0;
+    // Since its work began to wait, and since its last start; the latter is negative if this owner has started nothing of it.
+    std::chrono::milliseconds age{};
+    std::chrono::milliseconds sinceStart{};
+};
+
+// Totals of a client account.
+struct AccountLoad {
+    AccountId account;
+    Resources running;
+    // As of the last review.
+    std::size_t waitingJobs = 0;
+};
+
 // Lines to log.
 struct WaitingReview {
     std::vector<WaitingItem> items;
     std::vector<UnlistedRun> runs;
+    std::vector<WaitingAccount> accounts;
 };
 
 // Totals for state dumps and metrics.
@@ -146,6 +188,8 @@
     // Numbers of jobs by the reason for which they wait, as of the last review.
     std::array<std::size_t, waitReasonCount> jobs{};
     UsabilityCounts executors{};
+    // Accounts with open jobs or runs; empty if no job has an account.
+    std::vector<AccountLoad> accounts{};
 };
 
 }
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -183,6 +183,8 @@
     run.tailLatencyTarget = spec.tailLatencyTarget;
     run.expectedDuration = spec.estimate;
     executor.used += run.resources;
+    run.share = this->jobs.at(id.job).share;
+    run.share->running += run.resources;
     executor.bestEffortRuns += run.isBestEffort ? 1 : 0;
     if (executor.runs.size() == 1) {
         // The lease of an idle executor is not renewed, so renewal has to begin now.
@@ -201,6 +203,7 @@
 {
     const ItemId id = run->first;
     executor.used -= run->second.resources;
+    run->second.share->running -= run->second.resources;
     executor.bestEffortRuns -= run->second.isBestEffort ? 1 : 0;
     executor.stoppingRuns -= run->second.phase == RunPhase::Stopping ? 1 : 0;
     executor.runs.erase(run);
@@ -263,6 +266,7 @@
     entry.state = state;
     entry.endedAt = wallNow;
     this->openJobs.erase(entry.job.id);
+    this->shares.removeOpenJob(*entry.share);
     this->placeable.erase(&entry);
     this->markChanged(entry);
     this->isUrgent = true;
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds secondRunSilence{200};
 constexpr double secondRunFactor = 2.0;
 constexpr milliseconds secondRunSlack{300};
-// The pool is overloaded if the CPU demand of ready work exceeds its capacity by this factor.
-constexpr double overloadFactor = 1.3;
 // Overload lasts for seconds and stalls are detected late anyway, so neither is checked in each plan.
 constexpr milliseconds overloadCheckInterval{50};
 constexpr milliseconds stallCheckInterval{200};
@@ -325,6 +323,7 @@
             this->index.remove(holder);
         }
     }
+    this->shares.noteStart(*entry.share, round.now);
     return true;
 }
 
@@ -358,12 +357,12 @@
     return static_cast<double>((millisecondsBetween(run.startedAt, now) - secondRunSlack).count()) > secondRunFactor * usual;
 }
 
-bool PoolScheduler::Private::placeStep(JobEntry &entry, std::int32_t number, std::int32_t step, const PlacementRound &round)
+bool PoolScheduler::Private::placeStep(JobEntry &entry, std::int32_t number, std::int32_t step, const PlacementRound &round, PlacementCursor &cursor)
 {
     const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(step)];
     StepState &state = entry.occurrences[static_cast<std::size_t>(number)].steps[static_cast<std::size_t>(step)];
     bool hasUnplacedItems = false;
-    for (std::size_t index = 0; index < state.items.size(); ++index) {
+    for (std::size_t index = cursor.index; index < state.items.size(); ++index) {
         Item &item = state.items[index];
         const bool canSpeculate = spec.isSpeculative && item.phase == ItemPhase::Active && item.runningOn.size() == 1;
         if (item.phase != ItemPhase::Waiting && !canSpeculate) {
@@ -391,14 +390,22 @@
             break;
         }
         this->startOn(*executor, entry, id, item, item.lastRun + 1, round);
+        this->shares.noteStart(*entry.share, round.now);
+        if (round.turn != nullptr && round.turn->isOver()) {
+            cursor.index = index + 1;
+            cursor.isPaused = true;
+            break;
+        }
     }
     return hasUnplacedItems;
 }
 
-bool PoolScheduler::Private::placeJob(JobEntry &entry, const PlacementRound &round)
+bool PoolScheduler::Private::placeJob(JobEntry &entry, const PlacementRound &round, PlacementCursor &cursor)
 {
-    bool hasUnplacedItems = false;
-    for (std::size_t number = 0; number < entry.occurrences.size(); ++number) {
+    cursor.isPaused = false;
+    bool &hasUnplacedItems = cursor.hasUnplacedItems;
+    for (; cursor.occurrence < entry.occurrences.size(); ++cursor.occurrence, cursor.step = 0) {
+        const std::size_t number = cursor.occurrence;
         OccurrenceState &occurrence = entry.occurrences[number];
         if (!occurrence.isOpen) {
             if (dueTime(entry.job.spec, number) > round.wallNow) {
@@ -406,7 +413,8 @@
             }
             this->openOccurrence(entry, number);
         }
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        for (; cursor.step < occurrence.steps.size(); ++cursor.step, cursor.index = 0) {
+            const std::size_t step = cursor.step;
             const StepSpec &spec = entry.job.spec.steps[step];
             StepState &state = occurrence.steps[step];
             if (state.done >= spec.count || !this->isStepReady(entry, occurrence, step)) {
@@ -419,9 +427,18 @@
             if (lacksPolicy || mayRunUnseen) {
                 hasUnplacedItems = true;
             } else if (spec.isGang) {
-                hasUnplacedItems = !this->placeGang(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), round) || hasUnplacedItems;
+                const bool isPlaced = this->placeGang(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), round);
+                hasUnplacedItems = !isPlaced || hasUnplacedItems;
+                if (isPlaced && round.turn != nullptr && round.turn->isOver()) {
+                    ++cursor.step;
+                    cursor.isPaused = true;
+                }
             } else {
-                hasUnplacedItems = this->placeStep(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), round) || hasUnplacedItems;
+                hasUnplacedItems
+                    = this->placeStep(entry, static_cast<std::int32_t>(number), static_cast<std::int32_t>(step), round, cursor) || hasUnplacedItems;
+            }
+            if (cursor.isPaused) {
+                return true;
             }
             if (entry.hasStartIntent && !entry.mayStart) {
                 return true;
@@ -431,30 +448,6 @@
     return hasUnplacedItems;
 }
 
-bool PoolScheduler::Private::isOverloaded() const
-{
-    Resources capacity;
-    for (const auto &[key, executor] : this->executors) {
-        if (executor.isListed && executor.isContacted && !executor.info.isDraining) {
-            capacity += executor.info.capacity;
-        }
-    }
-    double wanted = 0;
-    for (const JobId &id : this->openJobs) {
-        const JobEntry &entry = this->jobs.at(id);
-        if (entry.job.spec.recurrence.count > 0) {
-            continue;
-        }
-        for (std::size_t step = 0; step < entry.job.spec.steps.size(); ++step) {
-            const StepSpec &spec = entry.job.spec.steps[step];
-            if (!spec.isBestEffort && this->isStepReady(entry, entry.occurrences.front(), step)) {
-                wanted += static_cast<double>(spec.resources.cpu) * (spec.count - entry.occurrences.front().steps[step].done);
-            }
-        }
-    }
-    return wanted > overloadFactor * static_cast<double>(capacity.cpu);
-}
-
 bool PoolScheduler::Private::checkOverload(TimePoint now)
 {
     if (this->overloadCheckedAt == TimePoint{} || now - this->overloadCheckedAt >= overloadCheckInterval) {
@@ -464,13 +457,14 @@
     return this->wasOverloaded;
 }
 
-PlacementRank PoolScheduler::Private::rankJob(const JobEntry &entry, TimePoint now, bool isOverloaded)
+PlacementRank PoolScheduler::Private::rankJob(const JobEntry &entry, TimePoint now, bool isOverloaded) const
 {
     const StepSpec &first = entry.job.spec.steps.front();
     const double expected = static_cast<double>(entry.remainingCriticalPath.count()) * durationFactor(entry);
     const auto slack = millisecondsBetween(now, entry.deadline) - milliseconds(static_cast<std::int64_t>(expected));
     PlacementRank rank;
     rank.group = first.isLongRunning && !first.isBestEffort ? 0 : 1;
+    rank.isBeyondRate = rank.group > 0 && entry.isBeyondRate && this->shares.areCompeting();
     rank.isLate = !first.isLongRunning && slack < milliseconds::zero();
     rank.priority = entry.priority;
     // Under overload, started jobs go first; of the others, the newest are the most likely to meet their deadline.
@@ -484,6 +478,7 @@
     Private &state = *this->d;
     const TimePoint expiresAt = term.expiresAt;
     state.notePlan(now, term, watermarks);
+    state.markJobsBeyondRate();
     state.orders = SchedulerOrders{};
     state.expireLeases(now, term.confirmedAt);
     state.stopEvacuatedRuns(now);
@@ -502,16 +497,21 @@
     }
     state.refreshIndex(now);
     const PlacementRound round{now, wallNow, expiresAt, term.confirmedAt, watermarks, state.arePreviousRunsKnown(now), state.checkOverload(now)};
+    if (state.shares.areCompeting()) {
+        state.placeByAccount(round);
+        return std::move(state.orders);
+    }
     std::vector<std::pair<PlacementRank, JobEntry *>> order;
     order.reserve(state.placeable.size());
     for (JobEntry *entry : state.placeable) {
-        order.emplace_back(Private::rankJob(*entry, now, round.isOverloaded), entry);
+        order.emplace_back(state.rankJob(*entry, now, round.isOverloaded), entry);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
         return left.first != right.first ? left.first < right.first : left.second->job.id < right.second->job.id;
     });
     for (const auto &[rank, entry] : order) {
-        const bool hasUnplacedItems = state.placeJob(*entry, round);
+        PlacementCursor cursor;
+        const bool hasUnplacedItems = state.placeJob(*entry, round, cursor);
         if (!hasUnplacedItems) {
             state.placeable.erase(entry);
         }
--- a/src/libmangocourse/poolpolicy.cpp
+++ b/src/libmangocourse/poolpolicy.cpp
@@ -122,7 +122,7 @@
     std::vector<std::pair<PlacementRank, JobEntry *>> entries;
     for (JobEntry *entry : this->pool.placeable) {
         if (entry->hasPolicy) {
-            entries.emplace_back(PoolScheduler::Private::rankJob(*entry, this->now, false), entry);
+            entries.emplace_back(this->pool.rankJob(*entry, this->now, false), entry);
         }
     }
     std::sort(entries.begin(), entries.end(), [](const auto &left, const auto &right) {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -57,6 +57,7 @@
         }
     }
     this->d->updatePolicies();
+    this->d->updateWeights(config);
 }
 
 void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow)
@@ -66,6 +67,8 @@
     }
     JobEntry &entry = this->d->jobs[job.id];
     entry.job = job;
+    entry.share = &this->d->shares.entry(job.account);
+    this->d->unmarkedJobs.push_back(&entry);
     const auto age = std::max(milliseconds::zero(), wallNow - job.acceptedAt);
     entry.addedAt = now - std::chrono::duration_cast<Duration>(age);
     entry.occurrences.resize(static_cast<std::size_t>(job.spec.occurrences()));
@@ -75,6 +78,7 @@
         return;
     }
     this->d->openJobs.insert(job.id);
+    this->d->shares.addOpenJob(*entry.share);
     this->d->markPlaceable(entry);
     this->d->recordArrival(entry, now);
     if (job.spec.recurrence.count == 0) {
@@ -133,6 +137,7 @@
 
 std::vector<JobId> PoolScheduler::removeJobsEndedBefore(WallTime bound)
 {
+    this->d->markJobsBeyondRate();
     std::vector<JobId> removed;
     for (const auto &[id, entry] : this->d->jobs) {
         if (!entry.isOpen() && entry.endedAt < bound && !this->d->changedJobs.contains(id)) {
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include <mangocourse/fairshare.h>
 #include <mangocourse/poolscheduler.h>
 
 #include "capacityindex_pvt.h"
@@ -21,6 +22,29 @@
 // Nothing starts with a lease shorter than this.
 inline constexpr std::chrono::milliseconds minStartLease{400};
 
+// How far the turn of an account goes. After each start the account with the lowest position has its turn.
+struct AccountTurn {
+    const AccountShare *share = nullptr;
+    Resources capacity;
+    // Position of the account that is next; negative if the turn ends with the first start.
+    double nextPosition = 0;
+
+    bool isOver() const
+    {
+        return this->share->position(this->capacity) >= this->nextPosition;
+    }
+};
+
+// Where the placement of a job goes on after its account's turn was over.
+struct PlacementCursor {
+    std::size_t occurrence = 0;
+    std::size_t step = 0;
+    std::size_t index = 0;
+    // Items were passed over that may be placed later.
+    bool hasUnplacedItems = false;
+    bool isPaused = false;
+};
+
 // Parameters common to all placements of one call of plan().
 struct PlacementRound {
     TimePoint now{};
@@ -33,6 +57,8 @@
     // Every run that a previous owner started and that may be active is known.
     bool arePreviousRunsKnown = true;
     bool isOverloaded = false;
+    // Absent if the placement of a job is not to be interrupted.
+    const AccountTurn *turn = nullptr;
 };
 
 class PoolScheduler::Private
@@ -108,6 +134,9 @@
     std::deque<std::pair<TimePoint, std::int64_t>> arrivals;
     SchedulerOrders orders;
     WaitingWatch waiting;
+    AccountShares shares;
+    // Jobs whose place in the rate of their account is not determined yet.
+    std::vector<JobEntry *> unmarkedJobs;
 
     // Review of waiting work; see poolwaiting.cpp.
     class Reviewer;
@@ -209,7 +238,7 @@
     void refreshIndex(TimePoint now);
     void updateIndex(Executor &executor);
     // `isOverloaded`: not all waiting jobs can be served in time.
-    static PlacementRank rankJob(const JobEntry &entry, TimePoint now, bool isOverloaded);
+    PlacementRank rankJob(const JobEntry &entry, TimePoint now, bool isOverloaded) const;
     // Adds an open job to those that may have something to place.
     void markPlaceable(JobEntry &entry);
     bool checkOverload(TimePoint now);
@@ -224,8 +253,9 @@
     // Returns true if a speculative second run is expected to end sooner than the only active run.
     bool needsSecondRun(const JobEntry &entry, const ItemId &id, const Item &item, TimePoint now);
     // Return true if items remain that may be placed later.
-    bool placeJob(JobEntry &entry, const PlacementRound &round);
-    bool placeStep(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
+    // placeJob() and placeStep() pause after a start that ends the turn of the job's account, and go on at the cursor when called again.
+    bool placeJob(JobEntry &entry, const PlacementRound &round, PlacementCursor &cursor);
+    bool placeStep(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round, PlacementCursor &cursor);
     bool placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round);
     void startOn(Executor &executor, JobEntry &entry, const ItemId &id, Item &item, std::int64_t number, const PlacementRound &round);
     std::chrono::milliseconds computeLeaseExpiry(const Executor &executor, TimePoint now, TimePoint expiresAt) const;
@@ -239,7 +269,22 @@
     // Returns true if every run that a previous owner started and that may be active is known.
     bool arePreviousRunsKnown(TimePoint now) const;
     void recordStartIntent(JobEntry &entry);
-    bool isOverloaded() const;
+    bool isOverloaded();
+
+    // Order between client accounts; see poolfairness.cpp.
+    class FairRound;
+    // Places all placeable jobs while open jobs belong to at least two accounts.
+    void placeByAccount(const PlacementRound &round);
+    void updateWeights(const FleetConfig &config);
+    // Determines which of the jobs added since the last call are beyond the rates of their accounts, in the order of their acceptance.
+    void markJobsBeyondRate();
+    // Capacity of the executors that can be counted on.
+    Resources usableCapacity() const;
+    // Notes which accounts want more than their shares of the capacity allow.
+    void noteOverloadedAccounts(const Resources &capacity);
+    // Counts the waiting jobs by account, and returns the lines that are due.
+    std::vector<WaitingAccount> reviewAccounts(TimePoint now);
+    std::vector<AccountLoad> accountLoads() const;
 
     // Placement policy; see poolpolicy.cpp.
     class PolicyRound;
--- a/src/libmangocourse/poolstate_pvt.h
+++ b/src/libmangocourse/poolstate_pvt.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <mangocourse/fairshare.h>
 #include <mangocourse/poolscheduler.h>
 
 namespace MangoCourse {
@@ -56,6 +57,8 @@
     bool isLongRunning = false;
     std::chrono::milliseconds tailLatencyTarget{};
     std::chrono::milliseconds expectedDuration{};
+    // The account that the run counts for; owned by the scheduler.
+    AccountShare *share = nullptr;
 };
 
 // An executor that a previous owner may have used and that this owner has not reached yet.
@@ -265,6 +268,10 @@
     std::chrono::milliseconds remainingCriticalPath{};
     // Ratio of actual to estimated run time in the job's queue; owned by the scheduler.
     const double *durationRatio = nullptr;
+    // The entry of the job's account; owned by the scheduler.
+    AccountShare *share = nullptr;
+    // The job is beyond the rate of its account.
+    bool isBeyondRate = false;
 
     bool isOpen() const
     {
--- a/src/libmangocourse/poolwaiting.cpp
+++ b/src/libmangocourse/poolwaiting.cpp
@@ -202,6 +202,7 @@
     this->updateWatches();
     this->reviewItems();
     this->countJobs();
+    this->result.accounts = this->pool.reviewAccounts(this->now);
     watch.plan.longestGap = Duration::zero();
     return std::move(this->result);
 }
@@ -536,7 +537,7 @@
 
 PoolWaiting PoolScheduler::waiting(TimePoint now) const
 {
-    return PoolWaiting{this->d->waiting.jobsByReason, Private::Reviewer(*this->d, now, WallTime{}).countExecutors()};
+    return PoolWaiting{this->d->waiting.jobsByReason, Private::Reviewer(*this->d, now, WallTime{}).countExecutors(), this->d->accountLoads()};
 }
 
 }
--- a/src/libmangocourse/poolwaiting_pvt.h
+++ b/src/libmangocourse/poolwaiting_pvt.h
@@ -23,6 +23,13 @@
     std::uint64_t review = 0;
 };
 
+// The waiting work of an account, and when the next line about it is due.
+struct AccountWatch {
+    TimePoint nextLineAt{};
+    int lines = 0;
+    std::size_t waitingJobs = 0;
+};
+
 // When the next line about an unlisted run is due.
 struct UnlistedWatch {
     std::int64_t run = 0;
@@ -51,6 +58,7 @@
     std::map<std::pair<ItemId, ExecutorId>, UnlistedWatch> runs;
     // Numbers of waiting jobs as of the last review.
     std::array<std::size_t, waitReasonCount> jobsByReason{};
+    std::map<AccountId, AccountWatch> accounts;
 };
 
 }
--- a/src/scheduler/waitinglog.cpp
+++ b/src/scheduler/waitinglog.cpp
@@ -7,6 +7,8 @@
 
 constexpr const char *waitingGauge = "mangocourse_waiting_jobs";
 constexpr const char *executorGauge = "mangocourse_executors";
+constexpr const char *accountCoresGauge = "mangocourse_account_running_cores";
+constexpr const char *accountJobsGauge = "mangocourse_account_waiting_jobs";
 
 template<typename Enum, typename Counts>
 std::int64_t countOf(const Counts &counts, Enum value)
@@ -32,6 +34,23 @@
     }
 }
 
+// Escapes a label value for the export.
+std::string escaped(const std::string &value)
+{
+    std::string result;
+    for (const char character : value) {
+        if (character == '\n') {
+            result += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            result += '\\';
+        }
+        result += character;
+    }
+    return result;
+}
+
 void logItem(EventLog &log, const ServiceId &service, std::int64_t token, const WaitingItem &line)
 {
     const UsabilityCounts &executors = line.executors;
@@ -68,6 +87,14 @@
                 {"index", std::int64_t(run.item.index)}, {"run", run.run}, {"executor", run.executor.value}, {"token", token}, {"phase", run.phase},
                 {"age_ms", std::int64_t(run.age.count())}, {"report_age_ms", std::int64_t(run.reportAge.count())}});
     }
+    for (const WaitingAccount &line : review.accounts) {
+        log.emit("account_waiting",
+            {{"account", line.account.value}, {"service", service.value}, {"token", token}, {"reason", toString(line.reason)}, {"position", line.position},
+                {"weight", line.weight}, {"rank", std::int64_t(line.rank)}, {"accounts", std::int64_t(line.accounts)}, {"jobs", std::int64_t(line.waitingJobs)},
+                {"beyond_rate", std::int64_t(line.beyondRate)}, {"late", std::int64_t(line.late)}, {"running_cpu", line.running.cpu},
+                {"running_memory", line.running.memory}, {"running_accelerators", line.running.accelerators}, {"age_ms", std::int64_t(line.age.count())},
+                {"since_start_ms", std::int64_t(line.sinceStart.count())}});
+    }
 }
 
 void logExecutorEvent(EventLog &log, std::int64_t token, const SchedulerEvent &event)
@@ -90,13 +117,20 @@
             executors[name] = count;
         }
     });
-    return {{"jobs", jobs}, {"executors", executors}};
+    nlohmann::json result{{"jobs", jobs}, {"executors", executors}};
+    for (const AccountLoad &load : waiting.accounts) {
+        result["accounts"].push_back({{"account", load.account.value}, {"cpu_used", load.running.cpu}, {"memory_used", load.running.memory},
+            {"accelerators_used", load.running.accelerators}, {"waiting", load.waitingJobs}});
+    }
+    return result;
 }
 
 void clearGauges(Metrics &metrics)
 {
     metrics.removeGauge(waitingGauge);
     metrics.removeGauge(executorGauge);
+    metrics.removeGauge(accountCoresGauge);
+    metrics.removeGauge(accountJobsGauge);
 }
 
 void setGauges(Metrics &metrics, const ServiceId &service, const PoolWaiting &waiting)
@@ -108,6 +142,11 @@
     visitCounts<ExecutorUsability>(waiting.executors, [&](const std::string &name, std::int32_t count) {
         metrics.set(executorGauge, "Executors of the pools owned here, by usability.", static_cast<double>(count), pool + ",usability=\"" + name + "\"");
     });
+    for (const AccountLoad &load : waiting.accounts) {
+        const std::string labels = pool + ",account=\"" + escaped(load.account.value) + "\"";
+        metrics.set(accountCoresGauge, "Cores that runs of client accounts reserve.", static_cast<double>(load.running.cpu) / 1000.0, labels);
+        metrics.set(accountJobsGauge, "Jobs of client accounts with a ready item that waits.", static_cast<double>(load.waitingJobs), labels);
+    }
 }
 
 }
