Let the test of starvation submit into a pool that is full

Cause: the jobs of weight 0 and the late ones found room before the pool was full, so the test passed also without the rule that it guards. Change: they are submitted after 2 s of full load, and the load lasts 40 s.

--- a/src/libmangocourse/poolfairness_test.cpp
+++ b/src/libmangocourse/poolfairness_test.cpp
@@ -246,14 +246,14 @@
 TEST_F(PoolFairnessTest, NothingStarvesInAPoolThatIsFullForGood)
 {
     this->setWeights({{"a", 1000}, {"zero", 0}, {"late", 1}});
-    for (int number = 0; number < 10; ++number) {
-        this->submitTimed("zero", step(4000, 500ms));
-        this->submitTimed("late", step(4000, 10ms));
-    }
-    for (int tick = 0; tick < 600; ++tick) {
+    for (int tick = 0; tick < 800; ++tick) {
         for (int number = 0; number < 3; ++number) {
             this->submitTimed("a", step(4000, 500ms));
         }
+        for (int number = 0; tick == 40 && number < 10; ++number) {
+            this->submitTimed("zero", step(4000, 500ms));
+            this->submitTimed("late", step(4000, 10ms));
+        }
         this->run(50ms);
     }
     EXPECT_GE(this->starts["zero"], 2);
