Bound overdue turns and grant them by the wait of jobs

The condition is now the wait of a job and the account's last overdue turn.

A job waits since its work is ready, no longer since it was accepted, so later steps and occurrences are not overdue at once.

--- a/src/include/mangocourse/fairshare.h
+++ b/src/include/mangocourse/fairshare.h
@@ -14,6 +14,9 @@
 inline constexpr double minAccountWeight = 0.001;
 // Weight of accounts that the configuration does not name, and of the jobs without an account.
 inline constexpr double defaultAccountWeight = 1.0;
+// At most one start in this many is an overdue turn. Without a bound, a full pool with fewer starts than accounts per waiting time had overdue turns only,
+// and neither weights nor priorities nor rates had an effect.
+inline constexpr std::uint64_t startsPerOverdueTurn = 10;
 
 // Returns the weight that an account with the configured one counts as having.
 double effectiveWeight(double configured);
@@ -54,6 +57,8 @@
     // Number of the account's last start among all starts of the pool; 0 if there was none.
     std::uint64_t lastStart = 0;
     TimePoint lastStartAt{};
+    // The last overdue turn; see AccountShares::mayGrantOverdueTurn().
+    TimePoint lastOverdueTurnAt{};
     // Ready CPU demand, in thousandths of a core, exceeds the account's share of the pool; kept while the pool is overloaded.
     bool isOverloaded = false;
     std::int64_t wantedCpu = 0;
@@ -79,6 +84,14 @@
     void addOpenJob(AccountShare &share);
     void removeOpenJob(AccountShare &share);
     void noteStart(AccountShare &share, TimePoint now);
+    // Returns true if enough work has started in the usual order since the last overdue turn, which is a start ahead of that order for work that has
+    // waited long.
+    bool mayGrantOverdueTurn() const
+    {
+        return this->starts >= this->startsBeforeOverdueTurn;
+    }
+    // To be called after noteStart() for the same start.
+    void noteOverdueTurn(AccountShare &share, TimePoint now);
 
     // Returns the number of starts of all accounts so far.
     std::uint64_t countStarts() const
@@ -105,6 +118,8 @@
     std::function<double(const AccountId &)> weightOf;
     std::size_t accountsWithJobs = 0;
     std::uint64_t starts = 0;
+    // Number of starts from which on the next overdue turn is allowed.
+    std::uint64_t startsBeforeOverdueTurn = 0;
 };
 
 }
--- a/src/libmangocourse/fairshare.cpp
+++ b/src/libmangocourse/fairshare.cpp
@@ -92,4 +92,10 @@
     share.lastStartAt = now;
 }
 
+void AccountShares::noteOverdueTurn(AccountShare &share, TimePoint now)
+{
+    share.lastOverdueTurnAt = now;
+    this->startsBeforeOverdueTurn = this->starts + startsPerOverdueTurn - 1;
+}
+
 }
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -121,6 +121,9 @@
     if (occurrence.isOpen) {
         return;
     }
+    if (!this->hasWaitingItem(entry)) {
+        entry.waitingSince = TimePoint{};
+    }
     occurrence.isOpen = true;
     occurrence.steps.resize(entry.job.spec.steps.size());
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -226,7 +229,9 @@
     std::erase(item->runningOn, executor.key());
     if (item->runningOn.empty() && item->phase == ItemPhase::Active) {
         item->phase = ItemPhase::Waiting;
-        this->markPlaceable(*this->findJob(id.job));
+        JobEntry &entry = *this->findJob(id.job);
+        entry.waitingSince = TimePoint{};
+        this->markPlaceable(entry);
     }
 }
 
@@ -375,6 +380,7 @@
     if (entry.isOpen() && step.done >= spec.count) {
         this->stepTimes[entry.job.queue].add(spec.estimate, step.longestRun);
         entry.remainingCriticalPath = this->computeCriticalPath(entry);
+        entry.waitingSince = TimePoint{};
         this->markPlaceable(entry);
         this->completeJobIfDone(entry, now, wallNow);
     }
--- a/src/libmangocourse/poolfairness.cpp
+++ b/src/libmangocourse/poolfairness.cpp
@@ -1,4 +1,4 @@
-// Order between client accounts and overload: which account's job is placed next, and what is told about accounts that wait.
+// Order between client accounts and overload: which account's job is placed next, and what is reported about accounts that wait.
 #include "poolscheduler_pvt.h"
 
 #include <algorithm>
@@ -13,9 +13,9 @@
 
 // The pool is overloaded if the CPU demand of ready work exceeds its capacity by this factor, and an account if its demand exceeds its share so.
 constexpr double overloadFactor = 1.3;
-// An account whose waiting work has had no start for this long gets one start before all other finite work. Longer than a burst of 4 s, so that bursts
-// are ordered by rank only.
-constexpr milliseconds longestTurnWait{10000};
+// A job that has waited this long entitles its account to an overdue turn, one start before all other finite work, if the account's last overdue turn is
+// as long ago. Longer than a burst of 4 s, so that bursts are ordered by rank only.
+constexpr milliseconds overdueTurnWait{10000};
 // An account is reported once its work has waited this long, and again after intervals that double up to the last one.
 constexpr milliseconds firstAccountLine{1000};
 constexpr int maxIntervalDoublings = 5;
@@ -63,6 +63,22 @@
     return capacity;
 }
 
+bool PoolScheduler::Private::hasWaitingItem(const JobEntry &entry) const
+{
+    for (const OccurrenceState &occurrence : entry.occurrences) {
+        for (std::size_t step = 0; occurrence.isOpen && step < occurrence.steps.size(); ++step) {
+            const std::vector<Item> &items = occurrence.steps[step].items;
+            const auto isWaiting = [](const Item &item) {
+                return item.phase == ItemPhase::Waiting;
+            };
+            if (this->isStepReady(entry, occurrence, step) && std::any_of(items.begin(), items.end(), isWaiting)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void PoolScheduler::Private::noteOverloadedAccounts(const Resources &capacity)
 {
     double weights = 0;
@@ -120,8 +136,8 @@
         std::uint64_t key = 0;
         std::int64_t slack = 0;
         JobEntry *entry = nullptr;
-        // A turn out of order has tried the job.
-        bool isTried = false;
+        // The job was placed as far as possible in an overdue turn.
+        bool hadOverdueTurn = false;
     };
 
     // An account at its place by position at the beginning of the plan.
@@ -152,7 +168,8 @@
     void sortAccounts();
     void collect();
     void placeOverdueAccounts(std::size_t begin);
-    void placeOverdueAccount(std::vector<Slot *> &waiting);
+    // Returns false if no other account may have an overdue turn in this plan.
+    bool placeOverdueAccount(const std::vector<Slot *> &waiting);
     void placeInOrder(std::size_t end);
     void placeClass(std::size_t begin, std::size_t end);
     // Places jobs of the queue until its account's turn is over; returns false if none are left.
@@ -232,6 +249,9 @@
             // Others cause the overload. The account is served from its share, so its oldest jobs can still be in time.
             rank.slack = -rank.slack;
         }
+        if (entry->waitingSince == TimePoint{}) {
+            entry->waitingSince = this->round.now;
+        }
         // Long-running work keeps the order that it has without accounts.
         const std::uint64_t account = rank.group > 0 ? entry->share->place : 0;
         this->slots.push_back(Slot{(classOf(rank) << accountBits) | account, rank.slack, entry});
@@ -257,51 +277,67 @@
     }
 }
 
-void PoolScheduler::Private::FairRound::placeOverdueAccount(std::vector<Slot *> &waiting)
+bool PoolScheduler::Private::FairRound::placeOverdueAccount(const std::vector<Slot *> &waiting)
 {
-    std::sort(waiting.begin(), waiting.end(), [](const Slot *left, const Slot *right) {
-        return std::tie(left->entry->addedAt, left->entry->job.id) < std::tie(right->entry->addedAt, right->entry->job.id);
-    });
     this->turn.share = waiting.front()->entry->share;
     this->turn.nextPosition = -1;
     Account &account = this->accounts[this->turn.share->place];
     for (Slot *slot : waiting) {
         const bool lackedIntent = !slot->entry->mayStart;
         PlacementCursor cursor;
-        slot->isTried = this->place(*slot->entry, cursor);
+        slot->hadOverdueTurn = this->place(*slot->entry, cursor);
         // The job starts in the plan after its intent is durable.
         const bool awaitsIntent = lackedIntent && slot->entry->hasStartIntent;
         if (this->turn.share->lastStart != account.lastStart) {
             this->updatePosition(account);
-            return;
+            this->pool.shares.noteOverdueTurn(*account.share, this->round.now);
+            return false;
         }
         if (awaitsIntent) {
-            return;
+            return false;
         }
     }
+    return true;
 }
 
 void PoolScheduler::Private::FairRound::placeOverdueAccounts(std::size_t begin)
 {
-    const TimePoint bound = after(this->round.now, -longestTurnWait);
+    if (!this->pool.shares.mayGrantOverdueTurn()) {
+        return;
+    }
+    const TimePoint bound = after(this->round.now, -overdueTurnWait);
     std::map<std::size_t, std::vector<Slot *>> waitingOf;
     for (std::size_t index = begin; index < this->slots.size(); ++index) {
         Slot &slot = this->slots[index];
-        const AccountShare &share = *slot.entry->share;
-        if (slot.entry->addedAt <= bound && share.lastStartAt <= bound) {
-            waitingOf[share.place].push_back(&slot);
+        JobEntry &entry = *slot.entry;
+        if (entry.waitingSince > bound || entry.share->lastOverdueTurnAt > bound) {
+            continue;
+        }
+        if (this->pool.hasWaitingItem(entry)) {
+            waitingOf[entry.share->place].push_back(&slot);
+        } else {
+            // Between two occurrences, or with items that may get a second run only.
+            entry.waitingSince = TimePoint{};
         }
     }
     std::vector<std::vector<Slot *>> overdue;
     for (auto &[account, waiting] : waitingOf) {
+        std::sort(waiting.begin(), waiting.end(), [](const Slot *left, const Slot *right) {
+            return std::tie(left->entry->waitingSince, left->entry->job.id) < std::tie(right->entry->waitingSince, right->entry->job.id);
+        });
         overdue.push_back(std::move(waiting));
     }
-    std::stable_sort(overdue.begin(), overdue.end(), [](const auto &left, const auto &right) {
-        return left.front()->entry->share->lastStart < right.front()->entry->share->lastStart;
+    std::sort(overdue.begin(), overdue.end(), [](const auto &left, const auto &right) {
+        const JobEntry &first = *left.front()->entry;
+        const JobEntry &second = *right.front()->entry;
+        return std::tie(first.share->lastOverdueTurnAt, first.waitingSince, first.share->id)
+            < std::tie(second.share->lastOverdueTurnAt, second.waitingSince, second.share->id);
     });
     this->round.turn = &this->turn;
-    for (std::vector<Slot *> &waiting : overdue) {
-        this->placeOverdueAccount(waiting);
+    for (const std::vector<Slot *> &waiting : overdue) {
+        if (!this->placeOverdueAccount(waiting)) {
+            return;
+        }
     }
 }
 
@@ -325,7 +361,7 @@
     this->turn.share = account.share;
     while (queue.next < queue.end) {
         const Slot &slot = this->slots[queue.next];
-        if (slot.isTried || this->place(*slot.entry, queue.cursor)) {
+        if (slot.hadOverdueTurn || this->place(*slot.entry, queue.cursor)) {
             if (queue.next == queue.begin) {
                 this->prepareStart(*slot.entry);
             }
@@ -451,7 +487,7 @@
             line.reason = index > 0 ? AccountWaitReason::Position : AccountWaitReason::Next;
         }
     }
-    // Accounts that were told less often come first, so that each has its line in time.
+    // Accounts that were reported less often come first, so that each has its line in time.
     std::stable_sort(lines.begin(), lines.end(), [this](const WaitingAccount &left, const WaitingAccount &right) {
         const int leftLines = this->waiting.accounts.at(left.account).lines;
         const int rightLines = this->waiting.accounts.at(right.account).lines;
--- a/src/libmangocourse/poolfairness_test.cpp
+++ b/src/libmangocourse/poolfairness_test.cpp
@@ -261,6 +261,58 @@
     EXPECT_GT(this->starts["a"], 900);
 }
 
+// With fewer starts than accounts per 10 s, overdue turns must not take the place of the order by weight.
+TEST_F(PoolFairnessTest, WeightsCountInAFullPoolWithFewStarts)
+{
+    std::map<std::string, double> weights;
+    for (int account = 10; account < 30; ++account) {
+        weights["a" + std::to_string(account)] = account < 20 ? 1 : 4;
+    }
+    this->setWeights(weights);
+    // 64 items of 32 s each: 2 starts a second, with run times that spread the starts evenly.
+    for (int number = 0; number < 60; ++number) {
+        for (const auto &[account, weight] : weights) {
+            this->runTimes[this->submit(account, step(1000, 32s))] = 20s + 1s * (this->jobCount * 7 % 25);
+        }
+    }
+    this->run(40s, 250ms);
+    this->starts.clear();
+    this->run(160s, 250ms);
+    int light = 0;
+    int heavy = 0;
+    for (const auto &[account, weight] : weights) {
+        (weight > 1 ? heavy : light) += this->starts[account];
+        EXPECT_GE(this->starts[account], 1) << account;
+    }
+    // In whole items, the order by position alone gives 17 and 47 of the 64 places.
+    EXPECT_GT(heavy, 2 * light);
+}
+
+// An account that uses its rate steadily must get its older jobs beyond the rate started, too.
+TEST_F(PoolFairnessTest, SteadyUseOfTheRateDoesNotStarveJobsBeyondIt)
+{
+    this->setWeights({{"a", 1000}, {"b", 1}});
+    std::set<std::string> beyond;
+    for (int tick = 0; tick < 800; ++tick) {
+        for (int number = 0; number < 3; ++number) {
+            this->submitTimed("a", step(4000, 500ms));
+        }
+        if (tick % 20 == 0) {
+            this->submitTimed("b", step(4000, 500ms));
+        }
+        for (int number = 0; tick == 10 && number < 10; ++number) {
+            beyond.insert(this->submitTimed("b", step(4000, 500ms)));
+        }
+        this->run(50ms);
+    }
+    const auto started = std::count_if(this->startOrder.begin(), this->startOrder.end(), [&beyond](const std::string &job) {
+        return beyond.contains(job);
+    });
+    EXPECT_GE(started, 2);
+    EXPECT_LE(started, 4);
+    EXPECT_GE(this->starts["b"], 35);
+}
+
 // Jobs beyond the rate must not pass jobs of others within it, and must run once there is room.
 TEST_F(PoolFairnessTest, JobsBeyondTheRateGoBehindAndRunWhenThereIsRoom)
 {
@@ -354,8 +406,8 @@
     EXPECT_EQ(orders[0], orders[1]);
 }
 
-// An account that waits must be told with its cause, and all of them must be told in time.
-TEST_F(PoolFairnessTest, ReviewTellsWhyAnAccountWaits)
+// An account that waits must be reported with its cause, and all of them must be reported in time.
+TEST_F(PoolFairnessTest, ReviewReportsWhyAnAccountWaits)
 {
     this->submitTimed("a", step(64000, 60s));
     this->run(100ms);
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -298,6 +298,7 @@
         return false;
     }
     const std::size_t startsBefore = this->orders.starts.size();
+    const TimePoint waitingSince = entry.waitingSince;
     for (std::size_t index = 0; index < state.items.size(); ++index) {
         Item &item = state.items[index];
         const ItemId id{entry.job.id, occurrence, step, static_cast<std::int32_t>(index)};
@@ -312,6 +313,7 @@
                 state.items[placed].lastRun = number;
             }
             this->orders.starts.resize(startsBefore);
+            entry.waitingSince = waitingSince;
             return false;
         }
         item.checkpoint = checkpoint;
@@ -324,6 +326,7 @@
         }
     }
     this->shares.noteStart(*entry.share, round.now);
+    entry.waitingSince = TimePoint{};
     return true;
 }
 
@@ -391,6 +394,7 @@
         }
         this->startOn(*executor, entry, id, item, item.lastRun + 1, round);
         this->shares.noteStart(*entry.share, round.now);
+        entry.waitingSince = TimePoint{};
         if (round.turn != nullptr && round.turn->isOver()) {
             cursor.index = index + 1;
             cursor.isPaused = true;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -287,6 +287,8 @@
     void markJobsBeyondRate();
     // Capacity of the executors that can be counted on.
     Resources usableCapacity() const;
+    // Returns true if a ready step of an open occurrence has an item without a run.
+    bool hasWaitingItem(const JobEntry &entry) const;
     // Notes which accounts want more than their shares of the capacity allow.
     void noteOverloadedAccounts(const Resources &capacity);
     // Counts the waiting jobs by account, and returns the lines that are due.
--- a/src/libmangocourse/poolstate_pvt.h
+++ b/src/libmangocourse/poolstate_pvt.h
@@ -274,6 +274,8 @@
     AccountShare *share = nullptr;
     // The job is beyond the rate of its account.
     bool isBeyondRate = false;
+    // While accounts compete: the plan since which work of the job has been ready without a start or an end of a run; unset if that has to be determined.
+    TimePoint waitingSince{};
 
     bool isOpen() const
     {
