Store no intents ahead for deferred jobs of overloaded accounts

Their newest job goes first, so each arrival became the first job of its class and stored a start intent without room for it. No test measures it.

--- a/src/libmangocourse/poolfairness.cpp
+++ b/src/libmangocourse/poolfairness.cpp
@@ -175,8 +175,9 @@
     // Places jobs of the queue until its account's turn is over; returns false if none are left.
     bool placeTurn(Queue &queue);
     // Records the start intent of an account's first job ahead of room for it. Else the room that comes free goes to an account whose next job has a
-    // durable intent already, although its position is higher.
-    void prepareStart(JobEntry &entry);
+    // durable intent already, although its position is higher. Left out are deferred jobs of accounts above their shares: the newest of them is the first,
+    // so each arrival would store an intent.
+    void prepareStart(const Slot &slot);
     // Returns true if the placement of the job is over for this plan.
     bool place(JobEntry &entry, PlacementCursor &cursor);
 
@@ -270,8 +271,13 @@
     return !cursor.isPaused;
 }
 
-void PoolScheduler::Private::FairRound::prepareStart(JobEntry &entry)
+void PoolScheduler::Private::FairRound::prepareStart(const Slot &slot)
 {
+    JobEntry &entry = *slot.entry;
+    const bool isDeferred = ((slot.key >> accountBits) & 1U) != 0;
+    if (isDeferred && entry.share->isOverloaded) {
+        return;
+    }
     if (!entry.mayStart && !entry.hasPolicy && entry.occurrences.front().isOpen && this->pool.placeable.contains(&entry)) {
         this->pool.recordStartIntent(entry);
     }
@@ -363,7 +369,7 @@
         const Slot &slot = this->slots[queue.next];
         if (slot.hadOverdueTurn || this->place(*slot.entry, queue.cursor)) {
             if (queue.next == queue.begin) {
-                this->prepareStart(*slot.entry);
+                this->prepareStart(slot);
             }
             ++queue.next;
             queue.cursor = PlacementCursor{};
