Leave jobs without an account out of the rates

Jobs of public queues, whose callers have no agreed rate, were bound by one job a second together as soon as any account had open jobs. They are now only one group of weight 1 in the order.

JobsWithoutAnAccountFormOneGroup expected one start of 16, which was the effect of that rate. By weight alone both groups get 8, and the test checks that.

--- a/src/libmangocourse/poolfairness.cpp
+++ b/src/libmangocourse/poolfairness.cpp
@@ -47,7 +47,8 @@
         return std::tie(left->job.acceptedAt, left->job.id) < std::tie(right->job.acceptedAt, right->job.id);
     });
     for (JobEntry *entry : this->unmarkedJobs) {
-        entry->isBeyondRate = !entry->share->bucket.take(entry->job.acceptedAt);
+        // Callers of public queues have no agreed rate.
+        entry->isBeyondRate = !entry->share->id.isEmpty() && !entry->share->bucket.take(entry->job.acceptedAt);
     }
     this->unmarkedJobs.clear();
 }
