Let overdue turns of other accounts go on while an intent is stored

An overdue job whose start intent was not durable yet ended the overdue turns of its plan, so a store that takes no records would have held back those of accounts whose jobs have durable intents. All tests of PoolFairnessTest pass.

--- a/src/libmangocourse/poolfairness.cpp
+++ b/src/libmangocourse/poolfairness.cpp
@@ -293,7 +293,7 @@
         const bool lackedIntent = !slot->entry->mayStart;
         PlacementCursor cursor;
         slot->hadOverdueTurn = this->place(*slot->entry, cursor);
-        // The job starts in the plan after its intent is durable.
+        // The job starts in a plan after its intent is durable. Other accounts need not wait for that, as the store may be slow.
         const bool awaitsIntent = lackedIntent && slot->entry->hasStartIntent;
         if (this->turn.share->lastStart != account.lastStart) {
             this->updatePosition(account);
@@ -301,7 +301,7 @@
             return false;
         }
         if (awaitsIntent) {
-            return false;
+            return true;
         }
     }
     return true;
