--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -121,6 +121,9 @@
     if (occurrence.isOpen) {
         return;
     }
+    if (!this->hasWaitingItem(entry)) {
+        entry.waitingSince = TimePoint{};
+    }
     occurrence.isOpen = true;
     occurrence.steps.resize(entry.job.spec.steps.size());
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -196,6 +199,8 @@
     run.expectedDuration = this->expectedItemTime(this->jobs.at(id.job), spec);
     executor.used += run.resources;
     this->countRun(run, id);
+    run.share = this->jobs.at(id.job).share;
+    run.share->running += run.resources;
     executor.bestEffortRuns += run.isBestEffort ? 1 : 0;
     if (executor.runs.size() == 1) {
         // The lease of an idle executor is not renewed, so renewal has to begin now.
@@ -215,6 +220,7 @@
     const ItemId id = run->first;
     executor.used -= run->second.resources;
     uncountRun(run->second);
+    run->second.share->running -= run->second.resources;
     executor.bestEffortRuns -= run->second.isBestEffort ? 1 : 0;
     executor.stoppingRuns -= run->second.phase == RunPhase::Stopping ? 1 : 0;
     executor.runs.erase(run);
@@ -225,7 +231,9 @@
     std::erase(item->runningOn, executor.key());
     if (item->runningOn.empty() && item->phase == ItemPhase::Active) {
         item->phase = ItemPhase::Waiting;
-        this->markPlaceable(*this->findJob(id.job));
+        JobEntry &entry = *this->findJob(id.job);
+        entry.waitingSince = TimePoint{};
+        this->markPlaceable(entry);
     }
 }
 
@@ -282,6 +290,7 @@
     entry.state = state;
     entry.endedAt = wallNow;
     this->openJobs.erase(entry.job.id);
+    this->shares.removeOpenJob(*entry.share);
     this->placeable.erase(&entry);
     this->markChanged(entry);
     this->isUrgent = true;
@@ -373,6 +382,7 @@
     if (entry.isOpen() && step.done >= spec.count) {
         this->stepTimes[entry.job.queue].add(spec.estimate, step.longestRun);
         entry.remainingCriticalPath = this->computeCriticalPath(entry);
+        entry.waitingSince = TimePoint{};
         this->markPlaceable(entry);
         this->completeJobIfDone(entry, now, wallNow);
     }
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -59,6 +59,7 @@
     if (this->d->quota.setConfig(config)) {
         this->d->startCounting();
     }
+    this->d->updateWeights(config);
 }
 
 void PoolScheduler::addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow)
@@ -73,6 +74,8 @@
         entry.job.account = progress->account;
     }
     entry.accountUse = this->d->quota.find(entry.job.account);
+    entry.share = &this->d->shares.entry(entry.job.account);
+    this->d->unmarkedJobs.push_back(&entry);
     const auto age = std::max(milliseconds::zero(), wallNow - job.acceptedAt);
     entry.addedAt = now - std::chrono::duration_cast<Duration>(age);
     entry.occurrences.resize(static_cast<std::size_t>(job.spec.occurrences()));
@@ -82,6 +85,7 @@
         return;
     }
     this->d->openJobs.insert(job.id);
+    this->d->shares.addOpenJob(*entry.share);
     this->d->markPlaceable(entry);
     this->d->recordArrival(entry, now);
     if (job.spec.recurrence.count == 0) {
@@ -140,6 +144,7 @@
 
 std::vector<JobId> PoolScheduler::removeJobsEndedBefore(WallTime bound)
 {
+    this->d->markJobsBeyondRate();
     std::vector<JobId> removed;
     for (const auto &[id, entry] : this->d->jobs) {
         if (!entry.isOpen() && entry.endedAt < bound && !this->d->changedJobs.contains(id)) {
--- a/src/libmangocourse/poolstate_pvt.h
+++ b/src/libmangocourse/poolstate_pvt.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <mangocourse/fairshare.h>
 #include <mangocourse/poolscheduler.h>
 
 namespace MangoCourse {
@@ -58,6 +59,8 @@
     std::chrono::milliseconds expectedDuration{};
     // Use of the job's account that the run is counted in, or nullptr.
     AccountUse *accountUse = nullptr;
+    // The account that the run counts for; owned by the scheduler.
+    AccountShare *share = nullptr;
 };
 
 // An executor that a previous owner may have used and that this owner has not reached yet.
@@ -273,6 +276,12 @@
     const double *durationRatio = nullptr;
     // Use of the job's account, or nullptr if no account is limited.
     AccountUse *accountUse = nullptr;
+    // The entry of the job's account; owned by the scheduler.
+    AccountShare *share = nullptr;
+    // The job is beyond the rate of its account.
+    bool isBeyondRate = false;
+    // While accounts compete: the plan since which work of the job has been ready without a start or an end of a run; unset if that has to be determined.
+    TimePoint waitingSince{};
 
     bool isOpen() const
     {
