Let accounts take turns by jobs instead of items

In a full pool many jobs of many accounts were then begun at the same time and few ended within their objective. Change: an account gives way after a job, or within one once it is a sixteenth of the capacity beyond the next account. Overdue turns are one start, as before. A seal in the progress stream counts as a record with an unknown key (compiler warning).

--- a/src/libmangocourse/poolfairness.cpp
+++ b/src/libmangocourse/poolfairness.cpp
@@ -117,7 +117,7 @@
     return wanted > overloadFactor * static_cast<double>(capacity.cpu);
 }
 
-// The placements of one plan. Within a rank class the account with the lowest position goes first, and gives way after the start that lifts it above
+// The placements of one plan. Within a rank class the account with the lowest position goes first, and gives way after the job whose starts lift it above
 // the next one. The accounts are sorted once; only those that get a start in this plan move, in a heap, so a plan without starts costs no more.
 class PoolScheduler::Private::FairRound
 {
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -404,7 +404,7 @@
         this->startOn(*executor, entry, id, item, item.lastRun + 1, round);
         this->shares.noteStart(*entry.share, round.now);
         entry.waitingSince = TimePoint{};
-        if (round.turn != nullptr && round.turn->isOver()) {
+        if (round.turn != nullptr && round.turn->isOverWithinJob()) {
             cursor.index = index + 1;
             cursor.isPaused = true;
             break;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -35,6 +35,14 @@
     {
         return this->share->position(this->capacity) >= this->nextPosition;
     }
+    // A started job goes on for this fraction of the capacity: if accounts gave way after each item, many jobs would be started and few end in time.
+    static constexpr double jobAllowance = 1.0 / 16;
+    // As isOver(), between two items of a job.
+    bool isOverWithinJob() const
+    {
+        const double allowance = this->nextPosition < 0 ? 0.0 : jobAllowance / this->share->weight;
+        return this->share->position(this->capacity) >= this->nextPosition + allowance;
+    }
 };
 
 // Where the placement of a job goes on after its account's turn was over.
--- a/src/scheduler/shardownerrecords.cpp
+++ b/src/scheduler/shardownerrecords.cpp
@@ -174,6 +174,7 @@
             }
             break;
         case KeyKind::Cancellation:
+        case KeyKind::Seal:
         case KeyKind::Unknown:
             this->logUnreadable(record, "has an unknown key");
             break;
