Learned run times, pool load and the decision on admission

Cause: nothing decides at submission whether a job can still be of use, and run times are taken from the callers' estimates, corrected by one smoothed ratio per queue. Change: RunTimeEstimates keeps the ratio of run time to estimate, as a mean by queue and a histogram by queue, shape and image; it replaces durationRatio. A second run also has to exceed the 95th percentile of its shape. PoolScheduler::load() computes the work ahead by priority, the capacity with machines on their way, the inflow and the accounts beyond their rate; AdmissionControl models the pool as a fluid and decides.

--- a/src/include/mangocourse/execution.h
+++ b/src/include/mangocourse/execution.h
@@ -23,6 +23,8 @@
     ExecutorIncarnations evacuating;
     // Incarnations that an order has ended; discovery may still list them.
     ExecutorIncarnations ended;
+    // Numbers of machines on their way into pools.
+    std::map<ServiceId, std::int32_t> arriving{};
 
     bool operator==(const EvacuationList &) const = default;
 };
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <vector>
 
+#include <mangocourse/admission.h>
 #include <mangocourse/clock.h>
 #include <mangocourse/execution.h>
 #include <mangocourse/fencing.h>
@@ -209,6 +210,11 @@
     // Returns the report for the fleet planner. The caller fills in the token and the numbers.
     PoolReport report(TimePoint now) const;
 
+    // Returns the load for the admission of jobs. The caller fills in the token. Call it at most every 100 ms; it costs little unless the pool queues.
+    PoolLoad load(TimePoint now, WallTime wallNow);
+    // Sets what a previous owner learned about run times.
+    void seedRunTimes(const std::map<QueueId, RunTimeRatio> &ratios);
+
     // Adds a job with its stored progress, or nullptr if there is none. Adding a known job again has no effect. A job's start intent
     // is durable before its first start, so a job without a stored intent has never been started by any owner.
     void addJob(const AcceptedJob &job, const JobProgress *progress, TimePoint now, WallTime wallNow);
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -356,6 +356,9 @@
         if (!evacuation.executor.isEmpty()) {
             list.evacuating[evacuation.executor] = evacuation.incarnation;
         }
+        if (evacuation.purpose == EvacuationPurpose::Move) {
+            ++list.arriving[evacuation.target];
+        }
     }
     return list;
 }
--- a/src/libmangocourse/poolevents.cpp
+++ b/src/libmangocourse/poolevents.cpp
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-// Weight of a new observation in exponentially smoothed ratios.
+// Weight of a new observation in an executor's smoothed slowness.
 constexpr double smoothingWeight = 0.2;
 // An executor that has failed repeatedly is avoided for this long, well below the time within which waiting work has to start.
 constexpr milliseconds failureCooldown{500};
@@ -146,7 +146,7 @@
     entry.maxAttempts = std::max(1, terms.attempts);
     entry.hasPolicy = terms.hasPolicy;
     this->hasPolicyJobs = this->hasPolicyJobs || entry.hasPolicy;
-    entry.durationRatio = &this->durationRatio.try_emplace(entry.job.queue, 1.0).first->second;
+    entry.durationRatio = &this->runTimes.queueRatio(entry.job.queue);
     const auto objective
         = milliseconds(static_cast<std::int64_t>(terms.slackFactor * static_cast<double>(entry.remainingCriticalPath.count()))) + terms.targetLatency;
     entry.deadline = after(entry.addedAt, objective);
@@ -243,16 +243,26 @@
     }
 }
 
-void PoolScheduler::Private::updateDurationRatios(Executor &executor, const Run &run, TimePoint now)
+void PoolScheduler::Private::learnRunTime(Executor &executor, const Run &run, TimePoint now)
 {
     if (run.isLongRunning || run.expectedDuration.count() <= 0 || run.startedAt == TimePoint{}) {
         return;
     }
-    const double actual = std::chrono::duration<double, std::milli>(now - run.startedAt).count();
-    const double ratio = std::clamp(actual / static_cast<double>(run.expectedDuration.count()), 0.1, 20.0);
-    double &queueRatio = this->durationRatio.try_emplace(this->jobs.at(run.item.job).job.queue, 1.0).first->second;
-    executor.slowness += smoothingWeight * (ratio / std::max(queueRatio, 0.1) - executor.slowness);
-    queueRatio += smoothingWeight * (std::min(ratio, 4.0) - queueRatio);
+    const JobEntry &entry = this->jobs.at(run.item.job);
+    const StepSpec &spec = entry.job.spec.steps[static_cast<std::size_t>(run.item.step)];
+    const milliseconds actual = millisecondsBetween(run.startedAt, now);
+    const auto expected = static_cast<double>(this->runTimes.expected(entry.job.queue, spec).count());
+    const double ratio = std::clamp(static_cast<double>(actual.count()) / std::max(expected, 1.0), 0.05, 20.0);
+    executor.slowness += smoothingWeight * (ratio - executor.slowness);
+    // What a slow executor runs says nothing about the work. If most executors seem slow, the estimates are wrong instead.
+    const auto isSlow = [](const auto &known) {
+        return known.second.slowness > slownessThreshold;
+    };
+    const bool isSlowerThanOthers = executor.slowness > slownessThreshold
+        && 2 * std::count_if(this->executors.begin(), this->executors.end(), isSlow) <= static_cast<std::ptrdiff_t>(this->executors.size());
+    if (!isSlowerThanOthers) {
+        this->runTimes.add(entry.job.queue, spec, actual);
+    }
 }
 
 void PoolScheduler::Private::finishJob(JobEntry &entry, JobState state, TimePoint now, WallTime wallNow)
@@ -421,7 +431,7 @@
     const auto run = executor.runs.find(end.item);
     const bool isKnown = run != executor.runs.end() && run->second.number <= end.run;
     if (isKnown && end.end == RunEnd::Done) {
-        this->updateDurationRatios(executor, run->second, now);
+        this->learnRunTime(executor, run->second, now);
     }
     static constexpr const char *names[] = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
     this->emitEvent("run_ended", end.item, executor, end.run, names[static_cast<int>(end.end)]);
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -23,8 +23,8 @@
 constexpr milliseconds stallCheckInterval{200};
 // An executor that has failed repeatedly gets one run at a time, and the next one when that has lasted this long.
 constexpr milliseconds trialTime{800};
-// Executors slower than others by this factor are avoided if there is a choice.
-constexpr double slownessThreshold = 2.0;
+// A run is taken for a straggler only if it has lasted longer than this share of the runs of its shape.
+constexpr double stragglerShare = 0.95;
 
 bool hasLabel(const ExecutorInfo &info, const std::string &label)
 {
@@ -355,7 +355,11 @@
         return false;
     }
     const double usual = static_cast<double>(run.expectedDuration.count()) * durationFactor(entry);
-    return static_cast<double>((millisecondsBetween(run.startedAt, now) - secondRunSlack).count()) > secondRunFactor * usual;
+    const milliseconds lasted = millisecondsBetween(run.startedAt, now) - secondRunSlack;
+    if (static_cast<double>(lasted.count()) <= secondRunFactor * usual) {
+        return false;
+    }
+    return lasted > this->runTimes.quantile(entry.job.queue, this->stepOf(id), stragglerShare).value_or(milliseconds::zero());
 }
 
 bool PoolScheduler::Private::placeStep(JobEntry &entry, std::int32_t number, std::int32_t step, const PlacementRound &round)
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -49,6 +49,10 @@
     for (const QueueConfig &queue : config.queues) {
         this->d->queues.emplace(queue.id, queue);
     }
+    this->d->accountRates.clear();
+    for (const ClientAccount &account : config.accounts ? config.accounts->all() : std::vector<ClientAccount>{}) {
+        this->d->accountRates.emplace(account.id, account.weight);
+    }
     for (const JobId &id : this->d->openJobs) {
         JobEntry &entry = *this->d->findJob(id);
         if (entry.durationRatio == nullptr) {
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include <mangocourse/poolscheduler.h>
+#include <mangocourse/runtimeestimates.h>
 
 #include "capacityindex_pvt.h"
 #include "poolstate_pvt.h"
@@ -101,8 +102,12 @@
     // Jobs whose start intent is not durable yet.
     std::set<JobId> unpersistedStartIntents;
     bool isUrgent = false;
-    // Smoothed ratio of actual to estimated run time by queue.
-    std::map<QueueId, double> durationRatio;
+    RunTimeEstimates runTimes;
+    // Jobs per second that each account may submit; see poolload.cpp.
+    std::map<AccountId, double> accountRates;
+    // Since when ready work has exceeded the capacity.
+    std::optional<TimePoint> queueingSince;
+    std::int64_t loadNumber = 0;
     std::vector<ExecutorKey> endedExecutors;
     // Recently submitted finite work, in core-ms.
     std::deque<std::pair<TimePoint, std::int64_t>> arrivals;
@@ -181,7 +186,8 @@
     void forgetUnsettledStart(const ExecutorKey &sentTo, const StartRun &order, TimePoint now);
     void stopOtherCopies(const ItemId &id, const Executor &except, const char *reason);
     void requestStop(Executor &executor, Run &run, const char *reason);
-    void updateDurationRatios(Executor &executor, const Run &run, TimePoint now);
+    // Learns from the end of a run that is done.
+    void learnRunTime(Executor &executor, const Run &run, TimePoint now);
 
     // Planning
     void expireLeases(TimePoint now, TimePoint confirmedAt);
@@ -241,6 +247,9 @@
     void recordStartIntent(JobEntry &entry);
     bool isOverloaded() const;
 
+    // Load of the pool; see poolload.cpp.
+    class LoadCount;
+
     // Placement policy; see poolpolicy.cpp.
     class PolicyRound;
     static void expirePasses(StepState &state, TimePoint now);
@@ -265,6 +274,9 @@
     const Executor *findIndexed(const ExecutorId &id) const;
 };
 
+// Executors slower than others by this factor are avoided if there is a choice.
+inline constexpr double slownessThreshold = 2.0;
+
 // Soft limit of long-running items of one step on one executor.
 inline constexpr std::int32_t maxItemsOfStepPerExecutor = 2;
 
