Admission at the gateways, by loads that the pools' owners publish

Cause: submissions that cannot end in time are stored, and their callers learn nothing until it is too late. Change: the owner's process publishes the load of each pool that queues in partition 2 of the plan stream, every 100 ms at most, and once more when queueing ends; a new owner starts with the stored ratios and replaces the stored load. Gateways follow the partition in the background while submissions come, and refuse with 503 what cannot end in time. Before a refusal the partition is read to its end, as another gateway may have stored the job; if that fails, or an attempt is unsettled, the job goes on to the append. Ratios at the ends of the histogram are clamped, or their record could not be decoded.

--- a/src/libmangocourse/runtimeestimates.cpp
+++ b/src/libmangocourse/runtimeestimates.cpp
@@ -64,7 +64,8 @@
         for (int bin = 0; bin < axis.size(); ++bin) {
             const double count = this->histogram.at(bin);
             if (count > 0 && left <= count) {
-                return axis.value(bin + std::max(0.0, left) / count);
+                // The ends of the axis are not exact.
+                return std::clamp(axis.value(bin + std::max(0.0, left) / count), minRunTimeRatio, maxRunTimeRatio);
             }
             left -= count;
         }
--- a/src/scheduler/gatewaysubmission.cpp
+++ b/src/scheduler/gatewaysubmission.cpp
@@ -129,6 +129,43 @@
     co_return std::nullopt;
 }
 
+net::awaitable<std::optional<CallerReply>> JobGateway::Private::checkAdmission(QueueConfig queue, JobDemand demand)
+{
+    this->loads->noteSubmission();
+    if (this->findUnsettledView(queue, demand.id) != nullptr) {
+        co_return std::nullopt;
+    }
+    const AdmissionDecision decision = this->loads->decide(demand, bootNow());
+    const std::string label = "reason=\"" + std::string(toString(decision.reason)) + "\"";
+    this->metrics.add("mangocourse_admission_total", "Decisions on the admission of jobs, by reason.", label);
+    if (decision.isAdmitted) {
+        const bool isUnchecked = decision.reason == AdmissionReason::NoView || decision.reason == AdmissionReason::OldView;
+        if (isUnchecked) {
+            this->log.emit("admission_unchecked",
+                {{"job", demand.id.value}, {"queue", queue.id.value}, {"service", queue.service.value}, {"reason", toString(decision.reason)},
+                    {"view_age_ms", std::int64_t(decision.viewAge.count())}});
+        }
+        co_return std::nullopt;
+    }
+    // Another gateway may have stored the job. Without a read that rules this out it is not refused.
+    Result<void> readResult;
+    const PartitionView *known = co_await this->findJob(queue, demand.id, readResult);
+    if (known != nullptr) {
+        co_return CallerReply{CallerOutcome::Accepted, {}, 0, {}, {}};
+    }
+    if (!readResult || this->findUnsettledView(queue, demand.id) != nullptr) {
+        co_return std::nullopt;
+    }
+    const char *reason = "the job cannot end in time";
+    this->log.emit("job_refused",
+        {{"job", demand.id.value}, {"queue", queue.id.value}, {"service", queue.service.value}, {"reason", reason}, {"cause", toString(decision.reason)},
+            {"expected_ms", std::int64_t(decision.expectedEnd.count())}, {"objective_ms", std::int64_t(demand.objective.count())},
+            {"drain_ms", std::int64_t(decision.drainTime.count())}, {"view_age_ms", std::int64_t(decision.viewAge.count())},
+            {"retry_ms", std::int64_t(decision.retryAfter.count())}},
+        EventPriority::Essential);
+    co_return CallerReply{CallerOutcome::NotAccepted, {}, 0, reason, decision.retryAfter};
+}
+
 net::awaitable<CallerReply> JobGateway::Private::submit(QueueConfig queue, JobId id, CallerRequest request, steady_clock::time_point deadline)
 {
     Result<JobSpec> spec = request.decodeJob();
@@ -151,6 +188,10 @@
         const char *field = 2 * job.spec.payload.size() > record.value.size() ? "spec" : "steps";
         co_return CallerReply{CallerOutcome::Invalid, {}, 0, std::string(field) + ": must be shorter, the job exceeds the store's limit for records", {}};
     }
+    const std::optional<CallerReply> notAdmitted = co_await this->checkAdmission(queue, JobDemand::create(job));
+    if (notAdmitted) {
+        co_return *notAdmitted;
+    }
     const auto isStored = [&view, id] {
         return findState(view, id).has_value();
     };
--- a/src/scheduler/jobgateway_pvt.h
+++ b/src/scheduler/jobgateway_pvt.h
@@ -9,6 +9,7 @@
 #include "clocks.h"
 #include "event.h"
 #include "jobgateway.h"
+#include "loadview.h"
 #include "recordcodec.h"
 #include "streamreader.h"
 
@@ -59,6 +60,7 @@
         , metrics(metrics)
         , settings(settings)
         , placements(std::move(placements))
+        , loads(LoadView::create(context, store, log))
     {
     }
 
@@ -68,6 +70,7 @@
     Metrics &metrics;
     NodeSettings settings;
     std::shared_ptr<QueuePlacements> placements;
+    std::shared_ptr<LoadView> loads;
     std::shared_ptr<const FleetConfig> config;
     std::optional<TimePoint> configCurrentAsOf;
     std::vector<std::unique_ptr<PartitionView>> views;
@@ -106,6 +109,9 @@
     // Seals all placements of the queue but the current one. Returns false if that is not confirmed before the deadline.
     net::awaitable<bool> sealEarlierPlacements(QueueConfig queue, std::chrono::steady_clock::time_point deadline);
     CallerReply refuseSubmission(const JobId &id, const QueueConfig &queue, bool isUnsettled, const char *reason, const std::string &error);
+    // Returns the reply to a job that cannot end in time, or that turns out to be known; nothing if it is to be stored. A job of which an earlier attempt
+    // may be stored is never refused.
+    net::awaitable<std::optional<CallerReply>> checkAdmission(QueueConfig queue, JobDemand demand);
     // Makes the placements durable of the queues that the next configuration moves, as earlier versions store jobs without doing so.
     void recordMovedQueues(const FleetConfig &next);
     static net::awaitable<void> recordPlacements(
--- a/src/scheduler/planningduty.h
+++ b/src/scheduler/planningduty.h
@@ -18,6 +18,7 @@
 // Partitions of the plan stream.
 inline constexpr std::int32_t plannerPartition = 0;
 inline constexpr std::int32_t reportPartition = 1;
+inline constexpr std::int32_t loadPartition = 2;
 inline constexpr const char *plannerKey = "planner";
 
 // An order to a machine, as recorded by a planner, and the time at which this process read the record. That time is never before the order was
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -23,7 +23,7 @@
     Jobs,
     // Job progress, appended only by the owner of the partition.
     Progress,
-    // The planner's state in partition 0 and the pool reports in partition 1.
+    // The planner's state in partition 0, the pool reports in partition 1 and the pool loads in partition 2.
     Plan,
     // Records published by the operator. Read only, partition 0 only.
     Operator,
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -6,13 +6,12 @@
 #include <limits>
 #include <stdexcept>
 
-#include "boundedjson.h"
+#include "recordcodec_pvt.h"
 
 namespace MangoCourse {
 
 namespace {
 
-using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr char cancellationPrefix = '!';
@@ -25,67 +24,25 @@
 // The planner that continues from a stored state counts on.
 constexpr std::int64_t maxListNumber = maxWholeNumber / 2;
 
-std::string toBytes(const Json &json)
+// Returns a ratio of run time to estimate.
+double toRatio(const Json &json)
 {
-    std::string bytes;
-    Json::to_cbor(json, nlohmann::detail::output_adapter<char>(bytes));
-    return bytes;
-}
-
-Json fromBytes(std::string_view bytes)
-{
-    return parseBoundedCbor(bytes);
-}
-
-// The functions below throw a standard exception if the value has another type or is out of range; decode() makes an error of it.
-
-std::int64_t toWhole(const Json &json, std::int64_t minimum = 0, std::int64_t maximum = maxWholeNumber)
-{
-    const std::optional<std::int64_t> number = wholeNumber(json, minimum, maximum);
-    if (!number) {
-        throw std::out_of_range("must be a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    const auto ratio = json.get<double>();
+    if (!(ratio >= minRunTimeRatio && ratio <= maxRunTimeRatio)) {
+        throw std::out_of_range("must be a ratio from " + std::to_string(minRunTimeRatio) + " to " + std::to_string(maxRunTimeRatio));
     }
-    return *number;
+    return ratio;
 }
 
-std::int32_t toCount(const Json &json)
+// The resources of a pool, which may exceed those of an executor.
+Json resourcesToJson(const Resources &resources)
 {
-    return static_cast<std::int32_t>(toWhole(json, 0, std::numeric_limits<std::int32_t>::max()));
+    return Json::array({resources.cpu, resources.memory, resources.accelerators});
 }
 
-WallTime toWallTime(const Json &json)
+Resources resourcesFromJson(const Json &json)
 {
-    return WallTime(milliseconds(toWhole(json, 0, maxUnixTime.count())));
-}
-
-// Returns a name, which may be empty.
-std::string toName(const Json &json)
-{
-    const auto &text = json.get_ref<const std::string &>();
-    if (text.size() > maxNameBytes) {
-        throw std::out_of_range("must be a name of at most " + std::to_string(maxNameBytes) + " bytes");
-    }
-    return text;
-}
-
-std::string toText(const Json &json)
-{
-    const auto &text = json.get_ref<const std::string &>();
-    if (text.size() > maxTextBytes) {
-        throw std::out_of_range("must be a text of at most " + std::to_string(maxTextBytes) + " bytes");
-    }
-    return text;
-}
-
-// Calls a function that reads a record. Returns ErrorCode::Decode if a value is missing, has another type or is out of range.
-template<typename Reader>
-auto decode(std::string where, Reader reader) -> decltype(reader())
-{
-    try {
-        return reader();
-    } catch (const std::exception &exception) {
-        return makeError(ErrorCode::Decode, exception.what(), std::move(where));
-    }
+    return Resources{toWhole(json.at(0), 0, maxReportedWork), toWhole(json.at(1), 0, maxReportedWork), toWhole(json.at(2), 0, maxReportedWork)};
 }
 
 constexpr std::size_t bitsPerByte = 8;
@@ -459,6 +416,56 @@
     });
 }
 
+std::string encodePoolLoad(const PoolLoad &load)
+{
+    Json work = Json::array();
+    for (const auto &[priority, amount] : load.workAhead) {
+        work.push_back(Json::array({priority, amount}));
+    }
+    Json ratios = Json::array();
+    for (const auto &[queue, ratio] : load.ratios) {
+        ratios.push_back(Json::array({queue.value, ratio.mean, ratio.median}));
+    }
+    Json accounts = Json::array();
+    for (const AccountId &account : load.accountsBeyondRate) {
+        accounts.push_back(account.value);
+    }
+    return toBytes(Json::array({load.service.value, load.token, load.number, load.at.time_since_epoch().count(), load.isQueueing, load.queueingFor.count(),
+        resourcesToJson(load.capacity), resourcesToJson(load.free), load.isMemoryScarce, load.lateRunning, load.inflow, std::move(work), std::move(ratios),
+        std::move(accounts), load.lateWaiting}));
+}
+
+Result<PoolLoad> decodePoolLoad(std::string_view bytes)
+{
+    return decode("pool load", [&]() -> Result<PoolLoad> {
+        const Json json = fromBytes(bytes);
+        PoolLoad load;
+        load.service = ServiceId{toName(json.at(0))};
+        load.token = toWhole(json.at(1));
+        load.number = toWhole(json.at(2));
+        load.at = toWallTime(json.at(3));
+        load.isQueueing = json.at(4).get<bool>();
+        load.queueingFor = milliseconds(toWhole(json.at(5), 0, maxTimeSpan.count()));
+        load.capacity = resourcesFromJson(json.at(6));
+        load.free = resourcesFromJson(json.at(7));
+        load.isMemoryScarce = json.at(8).get<bool>();
+        load.lateRunning = toWhole(json.at(9), 0, maxReportedWork);
+        load.inflow = toWhole(json.at(10), 0, maxReportedWork);
+        for (const Json &row : json.at(11)) {
+            const auto priority = toWhole(row.at(0), std::numeric_limits<std::int32_t>::min(), std::numeric_limits<std::int32_t>::max());
+            load.workAhead[static_cast<std::int32_t>(priority)] = toWhole(row.at(1), 0, maxReportedWork);
+        }
+        for (const Json &row : json.at(12)) {
+            load.ratios[QueueId{toName(row.at(0))}] = RunTimeRatio{toRatio(row.at(1)), toRatio(row.at(2))};
+        }
+        for (const Json &account : json.at(13)) {
+            load.accountsBeyondRate.insert(AccountId{toName(account)});
+        }
+        load.lateWaiting = toWhole(json.at(14), 0, maxReportedWork);
+        return load;
+    });
+}
+
 std::string cancellationKey(const JobId &job)
 {
     return cancellationPrefix + job.value;
--- a/src/scheduler/recordcodec.h
+++ b/src/scheduler/recordcodec.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include <mangocourse/admission.h>
 #include <mangocourse/error.h>
 #include <mangocourse/fleetconfig.h>
 #include <mangocourse/fleetplanner.h>
@@ -69,6 +70,9 @@
 std::string encodePoolReport(const PoolReport &report);
 Result<PoolReport> decodePoolReport(std::string_view bytes);
 
+std::string encodePoolLoad(const PoolLoad &load);
+Result<PoolLoad> decodePoolLoad(std::string_view bytes);
+
 // Key of a record that seals a placement: jobs that are stored in the partition later under this placement, or an earlier one of the same address, are
 // not run there. No key is written twice, so that the offset of the first seal is never lost. `writer`: differs for each seal.
 std::string sealKey(const JobPlacement &sealed, const std::string &writer);
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -11,6 +11,7 @@
 #include "executordirectory.h"
 #include "httpserver.h"
 #include "jobgateway.h"
+#include "loadpublisher.h"
 #include "metrics.h"
 #include "operatorfeed.h"
 #include "ownership.h"
@@ -90,6 +91,10 @@
               [this](bool isReachable) {
                   this->gateway->noteStoreContact(isReachable);
               })
+        , loadPublisher(context, this->platform->store(), *this->log, this->metrics,
+              [this] {
+                  return this->listOwners();
+              })
         , plannerMember(context, this->platform->store(), *this->log, Group::Planners, this->platform->settings().membershipTimeout(),
               GroupMember::Handlers{[this](const MembershipConfirmation &confirmation) {
                                         this->applyPlannerMembership(confirmation);
@@ -118,6 +123,7 @@
     std::shared_ptr<QueuePlacements> placements;
     Event policyWanted;
     Ownership ownership;
+    LoadPublisher loadPublisher;
     // Absent if there is no placement policy.
     std::shared_ptr<PolicyDuty> policyDuty;
     GroupMember plannerMember;
@@ -147,6 +153,7 @@
     bool isReportDue(const PoolReport &report) const;
 
     net::awaitable<void> followDirectory();
+    std::vector<std::shared_ptr<ShardOwner>> listOwners() const;
     void startPolicyDuty();
     nlohmann::json stateAsJson() const;
     // Sets the gauges of the pools that this process owns now.
@@ -369,17 +376,22 @@
     }
 }
 
+std::vector<std::shared_ptr<ShardOwner>> SchedulerProcess::Private::listOwners() const
+{
+    std::vector<std::shared_ptr<ShardOwner>> owners;
+    for (const auto &[partition, shard] : this->ownership.shards()) {
+        owners.push_back(shard);
+    }
+    return owners;
+}
+
 void SchedulerProcess::Private::startPolicyDuty()
 {
     if (this->platform->policy() == nullptr) {
         return;
     }
     this->policyDuty = PolicyDuty::create(this->context, *this->platform->policy(), *this->log, this->metrics, this->policyWanted, [this] {
-        std::vector<std::shared_ptr<ShardOwner>> owners;
-        for (const auto &[partition, shard] : this->ownership.shards()) {
-            owners.push_back(shard);
-        }
-        return owners;
+        return this->listOwners();
     });
     this->policyDuty->start();
 }
@@ -473,6 +485,7 @@
     net::co_spawn(state->context, state->followDirectory(), net::detached);
     net::co_spawn(state->context, state->followPlan(), net::detached);
     net::co_spawn(state->context, state->reportPools(), net::detached);
+    net::co_spawn(state->context, state->loadPublisher.run(), net::detached);
     state->startPolicyDuty();
 }
 
@@ -485,6 +498,7 @@
     state.gateway->startDraining();
     state.callerFrontend->disableKeepAlive();
     state.isStopping = true;
+    state.loadPublisher.stop();
     if (state.planningToken != 0) {
         state.setPlanningToken(0);
     }
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -352,6 +352,27 @@
     return reports;
 }
 
+std::vector<PoolLoad> ShardOwner::loads()
+{
+    std::vector<PoolLoad> loads;
+    if (!this->isActive()) {
+        return loads;
+    }
+    for (auto &[service, pool] : this->d->pools) {
+        loads.push_back(pool->load(bootNow(), wallNow()));
+        loads.back().token = this->d->token;
+    }
+    return loads;
+}
+
+void ShardOwner::seedRunTimes(const PoolLoad &load)
+{
+    const auto pool = this->d->pools.find(load.service);
+    if (pool != this->d->pools.end()) {
+        pool->second->seedRunTimes(load.ratios);
+    }
+}
+
 std::vector<std::pair<ServiceId, PoolSummary>> ShardOwner::summaries() const
 {
     std::vector<std::pair<ServiceId, PoolSummary>> result;
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -70,6 +70,10 @@
 
     // Returns the reports of all pools for the planner; empty unless the owner is active.
     std::vector<PoolReport> reports() const;
+    // Returns the loads of all pools for the admission of jobs; empty unless the owner is active.
+    std::vector<PoolLoad> loads();
+    // Sets what a previous owner of the pool learned about run times.
+    void seedRunTimes(const PoolLoad &load);
     // Returns the pools by service, for state dumps.
     std::vector<std::pair<ServiceId, PoolSummary>> summaries() const;
     // Returns what waits in each pool, in the order of summaries().
