Size pools ahead of turns that are expected from their reports

Cause: the need of a bursting pool follows the reported rate, which is extrapolated while it rises. Instances arrive 1.5 to 2 s into a turn of 4 s, up to twice as many as needed, and stay for 5 to 10 s after it.

Change: DemandForecast learns from the reports when turns begin and end and how much work they bring. Pools with a stable pattern grow by the time of a move before a turn, do not follow the extrapolation beyond it, and are parked at once when it ends, unless the next turn is too near for moves there and back to pay off. Pools without a pattern are sized as before. PoolReport gets refusedWork, which counts as inflow, at the end of the record.

--- a/src/include/mangocourse/fleetplanner.h
+++ b/src/include/mangocourse/fleetplanner.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,8 @@
     // Most instances that any one step needs because of its limit of items per executor.
     std::int32_t spread = 0;
     std::vector<ExecutorUsage> executors;
+    // Arrival rate of finite work that was refused at submission, in core-ms per second; each job counts once, however often its caller returns.
+    std::int64_t refusedWork = 0;
 
     bool operator==(const PoolReport &) const = default;
 };
@@ -103,6 +106,24 @@
     EvacuationList evacuationList() const;
 };
 
+// What determines the size that a plan computes for a pool.
+enum class NeedReason {
+    // The demand that the pool reports.
+    Reported,
+    // The turn that is about to begin.
+    ExpectedTurn,
+    // The size that the pool always keeps, because nothing else asks for more.
+    Minimum,
+    // The pool has no report, or is a standby pool.
+    Unknown,
+};
+
+constexpr std::string_view toString(NeedReason reason)
+{
+    constexpr std::string_view names[] = {"reported", "expected-turn", "minimum", "unknown"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
 // The size that the last plan computed for a pool, for the log.
 struct PoolNeed {
     ServiceId service;
@@ -115,6 +136,14 @@
     std::int32_t unreachable = 0;
     // Age of the pool's report when the plan was made; negative without a report.
     std::chrono::milliseconds reportAge{};
+    NeedReason reason = NeedReason::Unknown;
+    // Instances that a turn of the pool needs, and the expected time until the next one begins; std::nullopt while the pool has no stable pattern.
+    struct Forecast {
+        std::int32_t turnSize = 0;
+        std::chrono::milliseconds untilRise{};
+        std::chrono::milliseconds spread{};
+    };
+    std::optional<Forecast> forecast;
 };
 
 // Orders for instances that have been drained.
@@ -157,6 +186,8 @@
     std::chrono::milliseconds maintenanceTime{2000};
     // How long a pool has to be larger than needed before its surplus is moved to the standby pool.
     std::chrono::milliseconds parkDelay{4500};
+    // Sizes pools ahead of turns that are expected from the reports.
+    bool usesForecast = true;
 };
 
 // The planner of the whole fleet. Not safe for concurrent use.
--- a/src/libmangocourse/fleetneeds.cpp
+++ b/src/libmangocourse/fleetneeds.cpp
@@ -12,27 +12,21 @@
 
 // Older reports are ignored.
 constexpr milliseconds maxReportAge{2500};
-// Time within which the backlog of finite work should be completed.
-constexpr double targetBacklogSeconds = 1.4;
 // Time allowed for the backlog that has already missed its objective.
 constexpr double lateBacklogSeconds = 12.0;
-// Share of an instance's cores that finite work can use after bin packing.
-constexpr double packingEfficiency = 0.85;
 // Instances that a pool keeps beyond the spread of its steps, for the arrivals of the next second.
 constexpr std::int32_t spareMachines = 1;
 // A pool gives away only instances that it has not needed for this long, as its need dips briefly when that of another pool rises.
 constexpr milliseconds needPeakWindow{900};
-// Sums over the pools of a fleet stay within 32 bits.
-constexpr double maxPoolSize = 1'000'000.0;
 
-// Returns the number of instances that have the given number of cores together. Both amounts are in thousandths of a core.
+}
+
 std::int32_t countMachines(double cores, std::int64_t cpuPerMachine)
 {
+    constexpr double maxPoolSize = 1'000'000.0;
     return static_cast<std::int32_t>(std::min(std::ceil(cores / static_cast<double>(cpuPerMachine)), maxPoolSize));
 }
 
-}
-
 const PoolReport *FleetPlanner::Private::freshReport(const ServiceId &service, TimePoint now) const
 {
     const auto known = this->reports.find(service);
@@ -97,23 +91,35 @@
             pool.minSize = pool.needed;
             continue;
         }
-        // In a pool that keeps up, work stays for about its run time; work that stays longer is queued and raises the second term.
-        const double finite = std::max(static_cast<double>(pool.report->inflow), static_cast<double>(pool.report->backlog) / targetBacklogSeconds);
-        const double late = static_cast<double>(pool.report->lateBacklog) / lateBacklogSeconds;
-        const double cores = static_cast<double>(pool.report->longRunningCpu) + (finite + late) / packingEfficiency;
-        const std::int32_t machines = countMachines(cores, pool.cpuPerMachine);
-        pool.longRunningMachines = countMachines(static_cast<double>(pool.report->longRunningCpu), pool.cpuPerMachine);
-        pool.minSize = std::max(pool.report->spread + spareMachines, 2);
-        pool.needed = std::max(machines, pool.minSize);
-        const double all = (static_cast<double>(pool.report->backlog) + static_cast<double>(pool.report->lateBacklog)) / targetBacklogSeconds;
-        const double atOnce = std::min(all, static_cast<double>(pool.report->readyCpu));
-        const double busyCores = static_cast<double>(pool.report->longRunningCpu) + atOnce / packingEfficiency;
-        pool.busySize = countMachines(busyCores, pool.cpuPerMachine);
+        this->sizeByReport(pool, now);
     }
     scaleNeedsToSupply(pools);
+    this->addExpectedTurns(pools, now);
     return pools;
 }
 
+void FleetPlanner::Private::sizeByReport(PlannedPool &pool, TimePoint now) const
+{
+    const PoolReport &report = *pool.report;
+    pool.expected = this->settings.usesForecast ? this->forecast.expected(pool.service, now) : std::nullopt;
+    // In a pool that keeps up, work stays for about its run time; work that stays longer is queued and raises the second term.
+    const double finite = std::max(finiteInflow(pool, now), static_cast<double>(report.backlog) / targetBacklogSeconds);
+    const double late = static_cast<double>(report.lateBacklog) / lateBacklogSeconds;
+    const double cores = static_cast<double>(report.longRunningCpu) + (finite + late) / packingEfficiency;
+    const std::int32_t machines = countMachines(cores, pool.cpuPerMachine);
+    pool.longRunningMachines = countMachines(static_cast<double>(report.longRunningCpu), pool.cpuPerMachine);
+    pool.minSize = std::max(report.spread + spareMachines, 2);
+    pool.needed = std::max(machines, pool.minSize);
+    pool.reason = machines > pool.minSize ? NeedReason::Reported : NeedReason::Minimum;
+    const double all = (static_cast<double>(report.backlog) + static_cast<double>(report.lateBacklog)) / targetBacklogSeconds;
+    const double atOnce = std::min(all, static_cast<double>(report.readyCpu));
+    const double busyCores = static_cast<double>(report.longRunningCpu) + atOnce / packingEfficiency;
+    pool.busySize = countMachines(busyCores, pool.cpuPerMachine);
+    if (pool.expected) {
+        this->limitByForecast(pool, now);
+    }
+}
+
 void FleetPlanner::Private::scaleNeedsToSupply(std::map<ServiceId, PlannedPool> &pools)
 {
     std::int32_t machines = 0;
@@ -144,7 +150,8 @@
         while (now - recent.front().first > needPeakWindow) {
             recent.pop_front();
         }
-        pool.recentPeak = recent.front().second;
+        // The dip that the window bridges does not come between two turns.
+        pool.recentPeak = pool.expected && !pool.expected->isHigh ? std::max(pool.needed, pool.reserved) : recent.front().second;
     }
 }
 
--- a/src/libmangocourse/fleetplanner.cpp
+++ b/src/libmangocourse/fleetplanner.cpp
@@ -290,7 +290,7 @@
 
 void FleetPlanner::Private::growPool(PlannedPool &pool, std::map<ServiceId, PlannedPool> &pools, TimePoint now)
 {
-    while (pool.size() < pool.needed) {
+    while (pool.size() < std::min(pool.needed, pool.growLimit)) {
         PlannedPool *donor = nullptr;
         for (auto &[service, other] : pools) {
             const bool canGive = &other != &pool && !other.up.empty() && (other.isStandby || (other.report != nullptr && other.size() > other.recentPeak));
@@ -327,18 +327,22 @@
     if (standby == nullptr) {
         return;
     }
+    // Surplus that a turn of another pool needs soon moves there directly instead of through the standby pool.
+    std::int32_t kept = countNeededSoon(pools);
     for (auto &[service, pool] : pools) {
-        const std::int32_t usedSize = std::max(pool.needed, pool.busySize);
+        const std::int32_t usedSize = std::max({pool.needed, pool.busySize, pool.reserved});
         const bool hasSurplus = !pool.isStandby && pool.report != nullptr && pool.size() > usedSize;
         if (!hasSurplus) {
             this->surplusSince.erase(service);
             continue;
         }
         const TimePoint since = this->surplusSince.try_emplace(service, now).first->second;
-        if (now - since < this->settings.parkDelay) {
+        if (now - since < this->settings.parkDelay && !this->isParkedAtOnce(pool, now)) {
             continue;
         }
-        while (pool.size() > usedSize && this->hasDonorMachine(pool, now)) {
+        const std::int32_t keptHere = std::min(kept, pool.size() - usedSize);
+        kept -= keptHere;
+        while (pool.size() > usedSize + keptHere && this->hasDonorMachine(pool, now)) {
             const MachineId machine = this->takeDonorMachine(pool);
             this->evacuate(machine, EvacuationPurpose::Move, {}, standby->service, now);
         }
@@ -381,6 +385,11 @@
 
 void FleetPlanner::setConfig(const FleetConfig &config)
 {
+    for (const auto &[service, known] : this->d->config.services) {
+        if (!config.services.contains(service)) {
+            this->d->forecast.remove(service);
+        }
+    }
     this->d->config = config;
 }
 
@@ -425,6 +434,9 @@
     }
     known.report = report;
     known.receivedAt = now;
+    if (this->d->settings.usesForecast) {
+        this->d->forecast.addSample(report.service, report.inflow + report.refusedWork, now);
+    }
     known.indexByExecutor.clear();
     for (std::size_t index = 0; index < report.executors.size(); ++index) {
         known.indexByExecutor.emplace(report.executors[index].executor, index);
@@ -470,12 +482,20 @@
     for (const auto &[service, pool] : pools) {
         const auto report = state.reports.find(service);
         const bool isKnown = report != state.reports.end();
-        PoolNeed need{service, pool.needed, pool.size()};
+        PoolNeed need;
+        need.service = service;
+        need.needed = pool.needed;
+        need.size = pool.size();
         need.leaving = pool.leaving;
         need.unreachable = pool.unreachable;
         need.inflow = isKnown ? report->second.report.inflow : 0;
         need.backlog = isKnown ? report->second.report.backlog : 0;
         need.reportAge = isKnown ? std::chrono::duration_cast<milliseconds>(now - report->second.receivedAt) : milliseconds(-1);
+        need.reason = pool.reason;
+        if (pool.expected) {
+            const auto untilRise = std::chrono::duration_cast<milliseconds>(pool.expected->nextRise - now);
+            need.forecast = PoolNeed::Forecast{pool.turnSize, untilRise, std::chrono::duration_cast<milliseconds>(pool.expected->spread)};
+        }
         state.needs.push_back(std::move(need));
     }
     state.startMaintenance(pools, now, wallNow);
--- a/src/libmangocourse/fleetplanner_pvt.h
+++ b/src/libmangocourse/fleetplanner_pvt.h
@@ -1,10 +1,13 @@
-// Implementation of FleetPlanner, shared by fleetplanner.cpp (evacuations and orders) and fleetneeds.cpp (pool sizes).
+// Implementation of FleetPlanner, shared by fleetplanner.cpp (evacuations and orders) and fleetneeds.cpp (pool sizes) and
+// fleetforecast.cpp (sizes ahead of expected turns).
 #pragma once
 
 #include <deque>
+#include <limits>
 #include <unordered_map>
 #include <unordered_set>
 
+#include <mangocourse/demandforecast.h>
 #include <mangocourse/fleetplanner.h>
 
 namespace MangoCourse {
@@ -48,6 +51,17 @@
     // Size that the pool keeps when instances are scarce.
     std::int32_t minSize = 0;
     const PoolReport *report = nullptr;
+    NeedReason reason = NeedReason::Unknown;
+    // Absent while the pool has no stable pattern; the fields below then have no effect.
+    std::optional<ExpectedDemand> expected;
+    // Instances that a turn needs.
+    std::int32_t turnSize = 0;
+    // Instances beyond which the pool does not grow, as later ones would find no work that is still in time.
+    std::int32_t growLimit = std::numeric_limits<std::int32_t>::max();
+    // Instances that are neither parked nor given away, as the next turn needs them too soon for moves there and back to pay off.
+    std::int32_t reserved = 0;
+    // Instances that a turn in a while needs and the pool does not have, while it is too early to move them.
+    std::int32_t needsSoon = 0;
     // Instances that the pool can give away, the one with the fewest runs last; computed on first use.
     std::optional<std::vector<DonorMachine>> donorMachines;
 
@@ -57,6 +71,15 @@
     }
 };
 
+// Time within which the backlog of finite work should be completed.
+inline constexpr double targetBacklogSeconds = 1.4;
+// Share of an instance's cores that finite work can use after bin packing.
+inline constexpr double packingEfficiency = 0.85;
+
+// Returns the number of instances that have the given number of cores together. Both amounts are in thousandths of a core. The result is at most
+// 1,000,000, so that sums over the pools of a fleet stay within 32 bits.
+std::int32_t countMachines(double cores, std::int64_t cpuPerMachine);
+
 class FleetPlanner::Private
 {
 public:
@@ -79,6 +102,7 @@
     // Sliding-window maximum of each pool's need: times ascend, needs strictly descend.
     std::map<ServiceId, std::deque<std::pair<TimePoint, std::int32_t>>> needPeaks;
     std::vector<PoolNeed> needs;
+    DemandForecast forecast;
     // The instances in state.evacuations, for fast lookup.
     std::unordered_set<MachineId> evacuating;
     std::map<MachineId, TimePoint> evacuatingSince;
@@ -87,6 +111,21 @@
     std::map<MachineId, TimePoint> heldUntil;
 
     std::map<ServiceId, PlannedPool> buildPools(TimePoint now) const;
+    // Computes what the pool needs for the demand that its owner reports.
+    void sizeByReport(PlannedPool &pool, TimePoint now) const;
+    // Returns the arrival rate of finite work; if the pool has a pattern, without what the extrapolation of a rising rate adds beyond it, and
+    // extrapolated when the rate falls at the end of a turn.
+    static double finiteInflow(const PlannedPool &pool, TimePoint now);
+    // Sets the limits that follow from the present or next turn of a pool with a pattern. Requires the reported need.
+    void limitByForecast(PlannedPool &pool, TimePoint now) const;
+    // Raises the needs of the pools whose turns are about to begin, within what the reported needs leave.
+    void addExpectedTurns(std::map<ServiceId, PlannedPool> &pools, TimePoint now) const;
+    // Returns how long before a turn its instances start to move.
+    Duration leadTime(const ExpectedDemand &expected) const;
+    // Returns true if the pool is quiet and its surplus can move before the next turn, and back, at less cost than it has by standing idle.
+    bool isParkedAtOnce(const PlannedPool &pool, TimePoint now) const;
+    // Returns how many instances of all the pools' surplus are better kept where they are until the turns that begin soon.
+    static std::int32_t countNeededSoon(const std::map<ServiceId, PlannedPool> &pools);
     // When the needs exceed the fleet, scales what each pool needs above its minimum by the same factor.
     static void scaleNeedsToSupply(std::map<ServiceId, PlannedPool> &pools);
     void updateNeedPeaks(std::map<ServiceId, PlannedPool> &pools, TimePoint now);
--- a/src/scheduler/recordcodec.cpp
+++ b/src/scheduler/recordcodec.cpp
@@ -432,7 +432,7 @@
         executors.push_back(Json::array({use.executor.value, use.incarnation, use.runs, use.longRunning, use.isReachable}));
     }
     return toBytes(Json::array({report.service.value, report.token, report.number, report.appliedEvacuationNumber, report.longRunningCpu, report.inflow,
-        report.backlog, report.lateBacklog, report.spread, std::move(executors), report.readyCpu}));
+        report.backlog, report.lateBacklog, report.spread, std::move(executors), report.readyCpu, report.refusedWork}));
 }
 
 Result<PoolReport> decodePoolReport(std::string_view bytes)
@@ -455,6 +455,7 @@
         }
         // Reports of earlier versions end here.
         report.readyCpu = json.size() > 10 ? toWhole(json.at(10), 0, maxReportedWork) : 0;
+        report.refusedWork = json.size() > 11 ? toWhole(json.at(11), 0, maxReportedWork) : 0;
         return report;
     });
 }
--- a/src/scheduler/recordcodec_test.cpp
+++ b/src/scheduler/recordcodec_test.cpp
@@ -48,6 +48,7 @@
     report.service = ServiceId{"s"};
     report.lateBacklog = 5;
     report.readyCpu = 12;
+    report.refusedWork = 13;
     report.executors.push_back(ExecutorUsage{ExecutorId{"x"}, 5, 1, 1, false});
     EXPECT_EQ(*decodePoolReport(encodePoolReport(report)), report);
     for (const char *bad : {"", "\xff", "\x80", "\x81\x01", "text"}) {
