--- a/src/scheduler/planningduty.cpp
+++ b/src/scheduler/planningduty.cpp
@@ -2,6 +2,7 @@
 #include "planningduty.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "clocks.h"
 #include "event.h"
@@ -15,6 +16,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr const char *sizeGauge = "mangocourse_pool_instances";
+constexpr const char *nextTurnGauge = "mangocourse_pool_next_turn_seconds";
 constexpr const char *producerName = "planner";
 constexpr const char *statusProducerName = "wave-status";
 constexpr milliseconds appendTimeout{1000};
@@ -70,8 +73,8 @@
     // The status that is being published. It is repeated until it is durable, so that no earlier one can be stored after it.
     std::optional<std::pair<WaveId, bool>> unconfirmedStatus;
     std::int64_t statusSequence = 0;
-    // The last logged need of each pool: needed and actual size.
-    std::map<ServiceId, std::pair<std::int32_t, std::int32_t>> loggedNeeds;
+    // The last logged need of each pool: needed and actual size, reason, and whether there is a forecast.
+    std::map<ServiceId, std::tuple<std::int32_t, std::int32_t, NeedReason, bool>> loggedNeeds;
 
     bool isEnded() const
     {
@@ -253,15 +256,18 @@
 void PlanningDuty::Private::logNeeds()
 {
     for (const PoolNeed &need : this->planner->needs()) {
-        const std::pair sizes(need.needed, need.size);
-        if (this->loggedNeeds[need.service] == sizes) {
+        const std::tuple state(need.needed, need.size, need.reason, need.forecast.has_value());
+        const auto [logged, isNew] = this->loggedNeeds.try_emplace(need.service, state);
+        if (!isNew && logged->second == state) {
             continue;
         }
-        this->loggedNeeds[need.service] = sizes;
+        logged->second = state;
+        const PoolNeed::Forecast forecast = need.forecast.value_or(PoolNeed::Forecast{-1, milliseconds(-1), milliseconds(-1)});
         this->log.emit("pool_need",
             {{"service", need.service.value}, {"needed", std::int64_t(need.needed)}, {"size", std::int64_t(need.size)}, {"inflow", need.inflow},
                 {"backlog", need.backlog}, {"leaving", std::int64_t(need.leaving)}, {"unreachable", std::int64_t(need.unreachable)},
-                {"report_age_ms", std::int64_t(need.reportAge.count())}});
+                {"report_age_ms", std::int64_t(need.reportAge.count())}, {"reason", toString(need.reason)}, {"turn_size", std::int64_t(forecast.turnSize)},
+                {"next_turn_ms", std::int64_t(forecast.untilRise.count())}, {"spread_ms", std::int64_t(forecast.spread.count())}});
     }
 }
 
@@ -412,6 +418,32 @@
     return this->d->isEnded();
 }
 
+void PlanningDuty::setGauges(Metrics &metrics) const
+{
+    if (!this->d->planner) {
+        return;
+    }
+    for (const PoolNeed &need : this->d->planner->needs()) {
+        const std::string pool = "service=\"" + need.service.value + "\"";
+        const auto setSize = [&metrics, &pool](const char *kind, std::int32_t size) {
+            metrics.set(sizeGauge, "Instances of each pool in the last plan, by kind.", size, pool + ",kind=\"" + kind + "\"");
+        };
+        setSize("needed", need.needed);
+        setSize("present", need.size);
+        if (need.forecast) {
+            setSize("turn", need.forecast->turnSize);
+            const double seconds = std::chrono::duration<double>(need.forecast->untilRise).count();
+            metrics.set(nextTurnGauge, "Time until the next expected turn of a pool with a stable pattern.", seconds, pool);
+        }
+    }
+}
+
+void clearPlanGauges(Metrics &metrics)
+{
+    metrics.removeGauge(sizeGauge);
+    metrics.removeGauge(nextTurnGauge);
+}
+
 void PlanningDuty::setOrderDeadline(TimePoint orderDeadline)
 {
     this->d->orderDeadline = orderDeadline;
--- a/src/scheduler/planningduty.h
+++ b/src/scheduler/planningduty.h
@@ -9,6 +9,7 @@
 #include <mangocourse/fleetplanner.h>
 
 #include "eventlog.h"
+#include "metrics.h"
 #include "nodesettings.h"
 #include "operatorfeed.h"
 #include "ports.h"
@@ -29,6 +30,9 @@
 
 using SeenOrders = std::map<MachineId, SeenOrder>;
 
+// Removes what PlanningDuty::setGauges() has set.
+void clearPlanGauges(Metrics &metrics);
+
 // Plans until stop(). Records and orders carry the token, so that an earlier planner cannot interfere.
 class PlanningDuty : public std::enable_shared_from_this<PlanningDuty>
 {
@@ -45,6 +49,8 @@
     bool hasEnded() const;
     // Sets the boot time after which no order is given. The boot clock includes the time for which the machine is suspended.
     void setOrderDeadline(TimePoint orderDeadline);
+    // Sets the gauges of the sizes and forecasts of all pools.
+    void setGauges(Metrics &metrics) const;
 
 private:
     class Private;
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -405,6 +405,10 @@
 void SchedulerProcess::Private::updateGauges()
 {
     clearGauges(this->metrics);
+    clearPlanGauges(this->metrics);
+    if (this->planningDuty) {
+        this->planningDuty->setGauges(this->metrics);
+    }
     std::size_t unassigned = 0;
     for (const auto &[partition, shard] : this->ownership.shards()) {
         const std::vector<PoolWaiting> waiting = shard->waiting();
