Learn the forecast from reports that are sent only on change

Cause: owners report an unchanged rate every 1.5 s, so that the samples of a rising or falling rate outnumber those of a steady one, and the limit of 1.5 s between samples was exceeded in quiet pools.

Change: rates count by how long they hold, samples may be 2.5 s apart, a fall counts without a second report, and the expected rate limits growth for 1.8 s. The test reports as owners do.

--- a/src/libmangocourse/demandforecast.cpp
+++ b/src/libmangocourse/demandforecast.cpp
@@ -27,8 +27,10 @@
 constexpr milliseconds minTurnLength{600};
 // A turn that has lasted this long counts as a start.
 constexpr milliseconds startConfirmation{400};
-// After a longer gap between samples the present turn or quiet time is not counted.
-constexpr milliseconds maxSampleGap{1500};
+// Owners report a changed rate at once and an unchanged one every 1.5 s. After a longer gap between samples the present turn or quiet time is not counted.
+constexpr milliseconds maxSampleGap{2500};
+// A rate counts once for each such time until the next sample, so that the many samples of a changing rate do not outweigh the few of a steady one.
+constexpr milliseconds rateStep{100};
 // A start counts only if the pool was seen quiet for this long before it; a new reader gets several stored reports at once.
 constexpr milliseconds minQuietSeen{400};
 // A rate that exceeds this multiple of the typical rate of the present turn begins a new one: what came before was noise.
@@ -97,8 +99,10 @@
     bool isStartKnown = false;
     TimePoint highSince{};
     std::optional<TimePoint> lowSince;
-    // The rates of the present turn.
+    // The rates of the present turn, one for each rateStep; the last sample, and until when it is among them.
     std::vector<double> rates;
+    double lastRate = 0.0;
+    TimePoint countedUntil{};
 
     bool isStartConfirmed() const
     {
@@ -149,6 +153,7 @@
         this->isStartKnown = at - this->seenSince >= minQuietSeen;
         this->isHigh = true;
         this->highSince = at;
+        this->countedUntil = at;
         this->lowSince.reset();
         this->rates.clear();
     }
@@ -182,14 +187,16 @@
                 return;
             }
             this->startTurn(at);
+            this->lastRate = value;
         }
+        for (; this->countedUntil + rateStep <= at && this->rates.size() < maxTurnSamples; this->countedUntil += rateStep) {
+            this->rates.push_back(this->lastRate);
+        }
+        this->lastRate = value;
         if (at - this->highSince >= minTurnLength && value > restartFactor * median(this->rates)) {
             this->startTurn(at);
         }
-        if (this->rates.size() < maxTurnSamples) {
-            this->rates.push_back(value);
-        }
-        const double typical = median(this->rates);
+        const double typical = this->rates.empty() ? value : median(this->rates);
         if (at - this->highSince >= minTurnLength) {
             this->level = std::max(this->level, typical);
         }
@@ -321,7 +328,8 @@
     ExpectedDemand expected;
     expected.spread = toDuration(deviation);
     expected.nextRise = starts.front() + toDuration(offset + interval * static_cast<double>(starts.size()));
-    expected.isHigh = pool.isHigh && pool.isStartKnown;
+    // A rate that has fallen and stays low is not reported again for a while.
+    expected.isHigh = pool.isHigh && pool.isStartKnown && !(pool.lowSince && now - *pool.lowSince >= fallConfirmation);
     if (expected.isHigh && !pool.isStartConfirmed()) {
         // The present turn is not among the starts yet. One that comes too early may be another pattern.
         if (expected.nextRise - pool.highSince > toDuration(intervalTolerance * interval) + expected.spread) {
--- a/src/libmangocourse/fleetforecast.cpp
+++ b/src/libmangocourse/fleetforecast.cpp
@@ -15,12 +15,12 @@
 constexpr milliseconds moveCost{1100};
 // Idle time up to which a pool keeps its surplus, beyond the cost of moving it there and back.
 constexpr milliseconds idleAllowance{3000};
-// The expected rate of a turn counts for this long after its start; from then on the reported rate covers a full window.
-constexpr milliseconds turnStart{1000};
+// The expected rate of a turn counts for this long after its start. The reported one is extrapolated for a second, and may then be out of date.
+constexpr milliseconds turnStart{1800};
+// A report may exceed the highest expected rate by this factor before it is cut.
+constexpr double inflowHeadroom = 1.15;
 // A turn is ending if its expected time is over and the reported rate is below this share of the expected one.
 constexpr double endingShare = 0.75;
-// A report may exceed the highest expected rate by this factor before it is cut.
-constexpr double inflowHeadroom = 1.25;
 // Time allowed for late work when a pool with a pattern is parked. Fewer instances for longer do the same work with fuller cores.
 constexpr double lateParkingSeconds = 4.0;
 
--- a/src/libmangocourse/fleetforecast_test.cpp
+++ b/src/libmangocourse/fleetforecast_test.cpp
@@ -263,10 +263,26 @@
                     report.executors.push_back(ExecutorUsage{machine.executor, 7, isBusy ? 1 : 0, 0, true});
                 }
             }
-            this->planner->setReport(report, this->now());
+            if (this->isReportDue(report, this->sent[pool])) {
+                this->sentAt[pool] = this->time;
+                this->sent[pool] = report;
+                this->planner->setReport(report, this->now());
+            }
         }
     }
 
+    // As owners decide it: what has hardly changed is reported every 1.5 s.
+    bool isReportDue(const PoolReport &report, const PoolReport &last) const
+    {
+        const auto differs = [](std::int64_t one, std::int64_t other) {
+            return std::abs(one - other) > std::max<std::int64_t>(std::max(one, other) / 4, 64'000);
+        };
+        const bool isOverdue = this->time - this->sentAt[report.service.value[1] - '0'] > 1.5;
+        const bool hasEvacuationChange
+            = report.appliedEvacuationNumber != last.appliedEvacuationNumber || (!this->evacuating.empty() && report.executors != last.executors);
+        return isOverdue || hasEvacuationChange || differs(report.inflow, last.inflow) || differs(report.backlog, last.backlog);
+    }
+
     std::mt19937 random;
     PlannerSettings settings;
     FleetConfig config;
@@ -275,6 +291,8 @@
     // When an evacuated instance has no more runs; negative until its evacuation is seen.
     std::vector<double> drainedAt;
     decltype(EvacuationList::evacuating) evacuating;
+    PoolReport sent[poolCount];
+    double sentAt[poolCount] = {-9.0, -9.0, -9.0, -9.0};
     std::deque<Piece> open[poolCount];
     std::deque<Piece> arrived[poolCount];
     std::int64_t steps = 0;
@@ -300,7 +318,7 @@
 // Without a forecast the instances arrive in the second half of a turn and stand idle after it.
 TEST(FleetForecastTest, TurnsCostAQuarterLessAndFindTheirInstances)
 {
-    for (const unsigned seed : {1U, 2U}) {
+    for (const unsigned seed : {1U, 2U, 3U}) {
         BurstWorld with(true, seed);
         BurstWorld without(false, seed);
         std::vector<int> sizes;
