Let the soak's judge know that an appender stores records of other processes

Traces: job was refused by front-0 at 10.50 s; front-3's attempt from 6.30 to 8.31 s had no answer and had been relayed to front-0, which was paused from 7.37 to 10.48 s and appended it at 10.56 s. Job was refused by front-0 at 14.88 s; front-2's attempt from 14.93 s was relayed to front-0 and appended at 15.33 s. Both are allowed: not all attempts were refused, and each refusal was true of its own attempt. The judge took each record for one of the process that sent it. Change: a record that is sent after a refused attempt may be that of an attempt elsewhere that was not refused. Refusals after the record are reported as before, and a record whose attempts at other processes were all refused is reported now (before, records of other processes were passed over).

--- a/src/standin_fleet/faultsoak_test.py
+++ b/src/standin_fleet/faultsoak_test.py
@@ -101,12 +101,28 @@
         self.answer(second, 200)
         self.assertEqual(self.kinds(), [])
 
-    def test_records_of_other_processes_and_of_the_incarnation_before_are_allowed(self):
-        self.store(1.1, host="b")
+    def test_records_of_the_incarnation_before_are_allowed(self):
         self.store(1.1, incarnation=1)
         self.answer(self.send(), 503, incarnation=2)
         self.assertEqual(self.kinds(), [])
 
+    def test_refused_attempt_whose_record_another_process_has_appended(self):
+        self.answer(self.send(), 503)
+        self.store(1.1, host="b")
+        self.assertEqual(self.kinds(), ["RECORD"])
+
+    def test_appender_may_refuse_an_attempt_before_it_appends_that_of_another_process(self):
+        self.answer(self.send(host="b"), None)
+        self.answer(self.send(sent_at=2.0), 503)
+        self.store(2.5)
+        self.assertEqual(self.kinds(), [])
+
+    def test_appender_must_not_refuse_an_attempt_after_it_has_appended_that_of_another_process(self):
+        self.answer(self.send(host="b"), None)
+        self.store(1.5)
+        self.answer(self.send(sent_at=2.0), 503)
+        self.assertEqual(self.kinds(), ["RECORD"])
+
     def test_refusal_after_504_for_a_record_that_gets_stored_later(self):
         self.answer(self.send(), 504)
         self.answer(self.send(sent_at=3.0), 503)
--- a/src/standin_fleet/judge.py
+++ b/src/standin_fleet/judge.py
@@ -102,18 +102,33 @@
             self.report_refusal("REFUSED: %s was refused each time, and it started" % job, job)
 
     def judge_attempts(self, job):
-        """Reports refused attempts whose process had sent a record that is stored. Call it with the lock held."""
+        """Reports refused attempts whose process had sent a record that is stored. Call it with the lock held.
+
+        A process also appends the records that others relay to it, so a record that it sends after the refused attempt may be that of an attempt elsewhere
+        that was not refused.
+        """
         attempts = self.jobs.get(job, {}).get("attempts", [])
+        self.judge_relayed_records(job, attempts)
         for refused in [attempt for attempt in attempts if attempt["status"] in REFUSALS]:
             for host, incarnation, sent_at in self.records.get(job, []):
                 if (host, incarnation) != (refused["host"], refused["answered_by"]):
                     continue
                 # The record is that of an earlier attempt, or of one of several that were all refused.
-                senders = [attempt for attempt in attempts if attempt["host"] == host and attempt["sent_at"] <= sent_at]
+                senders = [attempt for attempt in attempts if attempt["sent_at"] <= sent_at
+                           and (attempt["host"] == host or attempt["status"] not in REFUSALS)]
                 if sent_at <= refused["sent_at"] or all(attempt["status"] in REFUSALS for attempt in senders):
                     self.report_refusal("RECORD: %s was refused by %s, whose record of it was sent at %.2f s and is stored" % (
                         job, refused["process"], sent_at - self.started_at), job)
 
+    def judge_relayed_records(self, job, attempts):
+        """Reports a record that a process stored which no attempt had reached, though all attempts until then were refused: one of them relayed it."""
+        for host, _incarnation, sent_at in self.records.get(job, []):
+            earlier = [attempt for attempt in attempts if attempt["sent_at"] <= sent_at]
+            is_relayed = earlier and all(attempt["host"] != host for attempt in earlier)
+            if is_relayed and all(attempt["status"] in REFUSALS for attempt in earlier):
+                self.report_refusal("RECORD: %s was refused each time, and its record was relayed at %.2f s and is stored" % (
+                    job, sent_at - self.started_at), job)
+
     def report_refusal(self, what, job):
         """Reports a kind of violation once for each job, with the job's attempts so far."""
         reported = self.jobs[job].setdefault("reported", set())
