Make a test of submissions in progress independent of timing

Traced by reading: if the first has ended by the time of the check, the second is a repeat of a job that belongs to nobody, which every valid caller may use; nothing is replaced. Change: the test allows that answer and checks what it guards against directly: the only stored record is that of the first submission, without an account.

--- a/src/scheduler/gatewayaccounts_test.cpp
+++ b/src/scheduler/gatewayaccounts_test.cpp
@@ -293,7 +293,14 @@
         return first && second;
     });
     EXPECT_EQ(*first, CallerOutcome::Accepted);
-    EXPECT_EQ(*second, CallerOutcome::IdTaken);
+    // If the first has ended by the time of the check, the second is a repeat of a job that belongs to nobody.
+    EXPECT_TRUE(*second == CallerOutcome::IdTaken || *second == CallerOutcome::Accepted);
+    const std::vector<StoredRecord> &records = this->store.partitions[{Stream::Jobs, 0}].records;
+    ASSERT_EQ(records.size(), 1U);
+    const Result<AcceptedJob> stored = decodeAcceptedJob(JobId{records.front().key}, records.front().value);
+    ASSERT_TRUE(stored.has_value());
+    EXPECT_EQ(stored->queue.value, "open");
+    EXPECT_TRUE(stored->account.isEmpty());
 }
 
 // Guards against two reads for each submission where the states are known already, and against relying on states that are too old.
