Withhold starts from unknown boots once another process may own the pool

Cause: an owner acts for 6 s from its last confirmation. The fencing token keeps it out of boots that its successor has called; an order names the executor's id, so one for the earlier boot is carried out by the next, which knows no token.

Ruled out: a fence that is not checked; a shorter age of the view (a boot can be younger than any view); a durable record of each boot (exists, and the order is meant for a recorded boot).

Change: OwnershipTerm has the time until which no other process can own the pool, which ends with the first failed renewal of the membership. After it a start is written only to a connection that was opened before the boot it is for is known to have been up; ConnectionPool asks right before the bytes go out, also for a repeat. Otherwise it is withheld, and the executor is asked at once, whose answer proves where the connection leads.

--- a/src/include/mangocourse/execution.h
+++ b/src/include/mangocourse/execution.h
@@ -53,13 +53,16 @@
     Unhealthy,
     // The order did not reach the executor.
     NotSent,
+    // Not sent: another process may own the pool, and the connection may lead to a later incarnation that the other owner has not called.
+    Withheld,
     // An attempt got no reply: the order may have been carried out, or may still be, even seconds later.
     Unknown,
 };
 
 constexpr std::string_view toString(OrderOutcome outcome)
 {
-    constexpr std::string_view names[] = {"done", "fenced", "stale", "late", "no-room", "no-pass", "other-boot", "invalid", "unhealthy", "not-sent", "unknown"};
+    constexpr std::string_view names[]
+        = {"done", "fenced", "stale", "late", "no-room", "no-pass", "other-boot", "invalid", "unhealthy", "not-sent", "withheld", "unknown"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -136,6 +136,8 @@
     TimePoint confirmedAt{};
     // No executor lease may extend beyond this time.
     TimePoint expiresAt{};
+    // No other process owns the pool before this time. Afterwards starts go only to incarnations that this owner has reached over the same connection.
+    TimePoint exclusiveUntil{};
 };
 
 // A lease renewal to send to an executor.
@@ -249,6 +251,10 @@
     // Returns true if the order may still be sent; call it right before sending. Otherwise the run is removed as never started.
     bool confirmStart(const StartOrder &order, const PoolWatermarks &watermarks, TimePoint now);
 
+    // Returns true if a start order to the executor may go now over a connection that was opened at the given time. Once another process may own the pool,
+    // the order must not reach a later incarnation, which knows the fencing token of that process only if it has been called by it.
+    bool mayStartOver(const ExecutorKey &executor, TimePoint connectionOpenedAt, const OwnershipTerm &term, TimePoint now) const;
+
     // Returns true if a call with the fencing token can have been refused because a later call of this owner has overtaken it, so that the refusal does
     // not prove that another owner has taken over.
     bool isOvertaken(const ExecutorId &executor, std::int64_t fencingToken) const;
--- a/src/include/mangocourse/poolwaiting.h
+++ b/src/include/mangocourse/poolwaiting.h
@@ -72,6 +72,8 @@
     // It is passed over for a while after failures or refused orders.
     Avoided,
     Evacuated,
+    // A start was withheld from it. It has to answer before it is known where a new connection leads.
+    Unproven,
     // Its list of ended runs is longer than one report, and has not been read to the end.
     UnreadEnds,
     // It holds runs of ended or unknown jobs, which take an unknown part of its capacity until they have stopped.
--- a/src/libmangocourse/poolhistoryworld_test.h
+++ b/src/libmangocourse/poolhistoryworld_test.h
@@ -18,6 +18,9 @@
 
 inline constexpr milliseconds tick{10};
 inline constexpr milliseconds callTimeout{1000};
+// An owner that has not been confirmed for this long may have a successor.
+inline constexpr milliseconds membershipTimeout{1200};
+inline constexpr int maxNetworkDelayMs = 30;
 inline constexpr milliseconds maxStopDuration{400};
 inline constexpr int executorCount = 4;
 // In the wide world, faults begin only in the first part of each period.
@@ -52,6 +55,8 @@
     std::unique_ptr<PoolScheduler> scheduler;
     std::int64_t token = 0;
     milliseconds confirmedAt{};
+    // Time of the takeover by the next owner.
+    milliseconds succeededAt{milliseconds::max()};
     milliseconds readsRecordsUntil{};
     milliseconds pausedUntil{};
     // Everything that callers and executors published before is known.
@@ -77,7 +82,8 @@
     // A call to an executor that is down or out of reach is sent again, and also reaches the next incarnation with the executor's id, which
     // knows no token yet. Calls of superseded owners reach the incarnation that they were sent to only.
     OutlivingRestarts,
-    // As above, and calls of superseded owners reach the next incarnation, too.
+    // As above, and calls of superseded owners reach the next incarnation, too, but for starts over connections to the one before. At times a start has
+    // only a connection that has just been opened.
     OutlivingOwners,
 };
 
@@ -202,7 +208,7 @@
     }
     milliseconds randomNetworkDelay()
     {
-        return milliseconds(1 + this->randomBelow(30));
+        return milliseconds(1 + this->randomBelow(maxNetworkDelayMs));
     }
 
     std::vector<ExecutorInfo> discoveredExecutors() const
@@ -224,6 +230,9 @@
         owner->token = ++this->tokens;
         owner->confirmedAt = this->now;
         owner->readsRecordsUntil = milliseconds::max();
+        if (!this->owners.empty()) {
+            this->owners.back()->succeededAt = this->now;
+        }
         owner->recorded = this->recorded;
         const TimePoint previousLeasesExpireAt = this->takeovers == 0 ? TimePoint{} : this->time() + maxLeaseLength + 350ms;
         SchedulerSettings settings;
@@ -867,8 +876,15 @@
         });
         FakeExecutor *executor = target == this->executors.end() ? nullptr : &*target;
         using Reply = decltype(this->execute(*executor, order));
-        const auto isReached = [this, owner, executor, incarnation = to.incarnation, id = to.id] {
-            const bool reachesNext = this->connections == Connections::OutlivingOwners || (this->outlivesRestarts() && owner == this->owners.back());
+        const bool isWithheld = std::is_same_v<Order, StartRun> && this->isWithheld(*owner, to);
+        const auto isReached = [this, owner, executor, incarnation = to.incarnation, id = to.id, sentAt = this->now] {
+            bool reachesNext = this->connections == Connections::OutlivingOwners || (this->outlivesRestarts() && owner == this->owners.back());
+            if (std::is_same_v<Order, StartRun> && this->connections == Connections::OutlivingOwners && executor != nullptr) {
+                // A start is written once its connection is open, to the next incarnation not before that has started.
+                const milliseconds writtenAt = this->now - sentAt <= milliseconds(maxNetworkDelayMs) ? sentAt : this->now;
+                const TimePoint start(100s);
+                reachesNext = owner->scheduler->mayStartOver(ExecutorKey{id, incarnation}, start + executor->bootedAt, this->termOf(*owner), start + writtenAt);
+            }
             const bool isAddressed = executor != nullptr && executor->info.id == id && (executor->info.incarnation == incarnation || reachesNext);
             return isAddressed && executor->isUp && executor->partitionedUntil <= this->now;
         };
@@ -891,6 +907,16 @@
                 }
             });
         };
+        if (isWithheld) {
+            this->schedule(this->randomNetworkDelay(), [owner, answer] {
+                Reply reply;
+                reply.outcome = OrderOutcome::Withheld;
+                if (!owner->isStopped) {
+                    answer(reply);
+                }
+            });
+            return;
+        }
         if (this->breakConnection()) {
             this->repeat(executor, isReached, order, [owner, answer](const Reply &reply) {
                 if (!owner->isStopped) {
@@ -913,6 +939,29 @@
         });
     }
 
+    // Returns the time until which the owner may regard itself as the only one.
+    milliseconds exclusiveUntil(const FakeOwner &owner) const
+    {
+        return std::min(owner.confirmedAt + membershipTimeout, owner.succeededAt);
+    }
+
+    OwnershipTerm termOf(const FakeOwner &owner) const
+    {
+        const TimePoint start(100s);
+        const milliseconds exclusive = this->connections == Connections::OutlivingOwners ? this->exclusiveUntil(owner) : milliseconds::max() / 4;
+        return OwnershipTerm{start + owner.confirmedAt, start + owner.confirmedAt + maxLeaseLength, start + exclusive};
+    }
+
+    // Returns true if the scheduler does not allow a start over the connection at hand, which at times has just been opened.
+    bool isWithheld(const FakeOwner &owner, const ExecutorInfo &to)
+    {
+        if (this->connections != Connections::OutlivingOwners) {
+            return false;
+        }
+        const TimePoint openedAt = this->randomBreaks() % 2 == 0 ? this->time() : TimePoint{};
+        return !owner.scheduler->mayStartOver(ExecutorKey{to.id, to.incarnation}, openedAt, this->termOf(owner), this->time());
+    }
+
     // Carries out a call once the executor is reached, or gives it up after the last retransmission.
     template<typename Order, typename IsReached, typename Deliver, typename TimeOut>
     void arrive(FakeExecutor *executor, IsReached isReached, Order order, Deliver deliver, TimeOut replyWithTimeout, std::size_t sentAgain)
@@ -1018,8 +1067,7 @@
             scheduler.setExecutors(this->discoveredExecutors(), this->time());
         }
         this->persist(owner, isCurrentOwner);
-        const TimePoint confirmedAt = TimePoint(100s) + owner->confirmedAt;
-        const OwnershipTerm term{confirmedAt, confirmedAt + maxLeaseLength};
+        const OwnershipTerm term = this->termOf(*owner);
         SchedulerOrders orders = scheduler.plan(this->time(), this->wall(), term, this->watermarks(*owner));
         for (const StopOrder &stop : orders.stops) {
             const ExecutorKey key{stop.executor.id, stop.executor.incarnation};
@@ -1093,6 +1141,7 @@
                 [this, owner, key, sentAt = this->time(), token = plan->renewal.token](const ExecutorReport &report) {
                     this->stopIfFenced(*owner, key.id, token, report.outcome);
                     if (!owner->isStopped && report.outcome == OrderOutcome::Fenced) {
+                        owner->scheduler->onReport(key, report, sentAt, this->time(), this->wall());
                         owner->activeRenewals.erase(key);
                     } else if (!owner->isStopped) {
                         owner->scheduler->onReport(key, report, sentAt, this->time(), this->wall());
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -251,7 +251,7 @@
     const bool hasWork = !executor->runs.empty() || !executor->orphans.empty();
     const bool hasEnds = executor->acknowledgedEnd < executor->persistedEnd;
     // Nothing is placed on an executor that does not answer, so without this probe an idle one would stay unused after it has recovered.
-    const bool needsProbe = executor->failingSince != TimePoint{} || executor->hasUnreadEnds;
+    const bool needsProbe = executor->failingSince != TimePoint{} || executor->hasUnreadEnds || executor->withheldAt != TimePoint{};
     if (executor->hasAnswered() && !hasWork && !hasEnds && !needsProbe) {
         return std::nullopt;
     }
@@ -276,6 +276,10 @@
         plan.renewal.until = this->d->computeLeaseExpiry(*executor, now, expiresAt);
         this->d->extendLease(*executor, *plan.renewal.until, now);
     }
+    if (executor->withheldAt != TimePoint{}) {
+        // Starts wait for the answer.
+        return plan;
+    }
     if (hasEnds) {
         // An executor that waits may restart meanwhile, and would acknowledge ends of its next incarnation.
         return plan;
--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -183,7 +183,7 @@
 TEST(PoolHistory, SeedsThatOnceFailedIfCallsReachTheNextIncarnation)
 {
     // Guards against starts and acknowledgements that the next incarnation carries out; docs/incidents/0009 has the causes by seed.
-    for (const std::uint32_t seed : {1158U, 3195U, 3642U}) {
+    for (const std::uint32_t seed : {1158U, 3195U, 3642U, 71228U}) {
         History history(seed, World::Wide, Connections::OutlivingRestarts);
         history.run(wideLength);
         history.settle();
@@ -194,7 +194,7 @@
     EXPECT_EQ(firstViolation(plain), "") << "seed 23319";
 }
 
-// Guards against starts of a superseded owner at an incarnation that the new owner has not called yet; docs/incidents/0009, "What remains".
+// Guards against starts of a superseded owner at an incarnation that the new owner has not called yet; docs/incidents/0020.
 TEST(PoolHistory, SeedsThatFailIfCallsOfSupersededOwnersReachTheNextIncarnation)
 {
     for (const std::uint32_t seed : {101611U, 101766U}) {
@@ -204,6 +204,36 @@
     }
 }
 
+TEST(PoolHistory, NoPromiseIsBrokenIfCallsOfSupersededOwnersReachTheNextIncarnation)
+{
+    const std::uint32_t first = environmentValue("SEED", 1);
+    const std::uint32_t count = environmentValue("HISTORIES", 60);
+    int completed = 0;
+    for (std::uint32_t seed = first; seed < first + count; ++seed) {
+        History history(seed, World::Plain, Connections::OutlivingOwners);
+        history.run(plainLength);
+        EXPECT_EQ(firstViolation(history), "") << "seed " << seed;
+        completed += history.completed;
+    }
+    EXPECT_GT(completed, static_cast<int>(count) * 10);
+}
+
+// Guards against work that waits because an owner that nobody confirms withholds its starts for longer than until its executors answer.
+TEST(PoolHistory, WaitingWorkRunsIfStartsAreWithheldWhileTheOwnershipIsUnconfirmed)
+{
+    const std::uint32_t first = environmentValue("SEED", 1);
+    const std::uint32_t count = environmentValue("HISTORIES", 100);
+    int completed = 0;
+    for (std::uint32_t seed = first; seed < first + count; ++seed) {
+        History history(seed, World::Wide, Connections::OutlivingOwners);
+        history.run(wideLength);
+        history.settle();
+        EXPECT_EQ(firstViolation(history), "") << "seed " << seed;
+        completed += history.completed;
+    }
+    EXPECT_GT(completed, static_cast<int>(count) * 10);
+}
+
 // Guards against a gang that is given up after one attempt because several of its members have failed in it, also after a takeover.
 TEST_F(PoolProgressTest, FailuresOfSeveralMembersInOneRunAreOneFailedAttemptOfTheGang)
 {
--- a/src/libmangocourse/poolrestarts.cpp
+++ b/src/libmangocourse/poolrestarts.cpp
@@ -45,7 +45,7 @@
 
 void PoolScheduler::Private::recordStrayLease(const ExecutorKey &sentTo, OrderOutcome outcome, TimePoint now)
 {
-    if (outcome == OrderOutcome::NotSent || outcome == OrderOutcome::OtherBoot) {
+    if (outcome == OrderOutcome::NotSent || outcome == OrderOutcome::Withheld || outcome == OrderOutcome::OtherBoot) {
         return;
     }
     const TimePoint end = after(this->longestLeaseEnd(now), adoptedLeaseMargin);
--- a/src/libmangocourse/poolrestarts_test.cpp
+++ b/src/libmangocourse/poolrestarts_test.cpp
@@ -299,6 +299,36 @@
     EXPECT_EQ(this->savedProgress.at(JobId{"a"}).state, JobState::Completed);
 }
 
+// Guards against a start of an owner that has a successor at an incarnation which the successor has not called (review/13).
+TEST_F(PoolRestartsTest, StartGoesOnlyToTheKnownIncarnationOnceAnotherOwnerIsPossible)
+{
+    const OwnershipTerm term{this->now, this->now + 6s, this->now + 1200ms};
+    const TimePoint openedAt = this->now;
+    EXPECT_TRUE(this->scheduler->mayStartOver(key(firstBoot), openedAt, term, this->now)) << "no other process owns the pool";
+    this->advance(1200ms);
+    EXPECT_FALSE(this->scheduler->mayStartOver(key(firstBoot), openedAt, term, this->now)) << "the executor may have restarted since it has answered";
+    this->report("one", {this->runOf(0), this->runOf(1)});
+    EXPECT_TRUE(this->scheduler->mayStartOver(key(firstBoot), openedAt, term, this->now)) << "the incarnation was up after the connection was opened";
+    this->advance(1ms);
+    EXPECT_FALSE(this->scheduler->mayStartOver(key(firstBoot), this->now, term, this->now));
+    this->discover(secondBoot);
+    EXPECT_FALSE(this->scheduler->mayStartOver(key(firstBoot), openedAt, term, this->now)) << "the incarnation has ended";
+}
+
+// Guards against work that waits, or loses an attempt, because a start was withheld: an answer of the executor is enough to go on.
+TEST_F(PoolRestartsTest, WithheldStartIsRepeatedAsSoonAsTheExecutorHasAnswered)
+{
+    this->answer(this->orders[0], OrderOutcome::Withheld);
+    this->answer(this->orders[1], OrderOutcome::Withheld);
+    EXPECT_TRUE(this->plan().starts.empty());
+    const std::optional<RenewalPlan> probe = this->renewal("one");
+    ASSERT_TRUE(probe) << "the executor is asked though it holds no work";
+    EXPECT_EQ(probe->renewal.wait, 0ms);
+    this->advance(10ms);
+    this->report("one");
+    EXPECT_EQ(this->plan().starts.size(), 2U);
+}
+
 // Guards against a second run of an item whose start was carried out without an answer, and whose repeat was refused because of a later call.
 TEST_F(PoolRestartsTest, RefusalOfAnOvertakenRepeatDoesNotProveThatTheFirstAttemptWasNotCarriedOut)
 {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -165,7 +165,8 @@
     if (!isOwnReport) {
         this->d->recordStrayLease(key, report.outcome, now);
     }
-    if (executor == nullptr) {
+    if (executor == nullptr || report.outcome == OrderOutcome::Fenced) {
+        // The executor is up. A renewal that it has refused now may have extended a lease before a later call overtook it.
         return;
     }
     if (report.outcome != OrderOutcome::Done) {
@@ -203,6 +204,9 @@
         executor->history = HistoryKnowledge::Known;
     }
     executor->hasUnreadEnds = report.hasMoreEnds;
+    if (sentAt >= executor->withheldAt) {
+        executor->withheldAt = TimePoint{};
+    }
     executor->upAt = std::max(executor->upAt, sentAt);
     if (report.hasAcknowledged) {
         executor->acknowledgedEnd = std::max(executor->acknowledgedEnd, executor->sentEnd);
@@ -340,12 +344,20 @@
     case OrderOutcome::Invalid:
     case OrderOutcome::Unhealthy:
     case OrderOutcome::NotSent:
+    case OrderOutcome::Withheld:
         break;
     }
     if (run->isListed) {
         // The executor's own list outweighs its reply.
         return;
     }
+    if (reply.outcome == OrderOutcome::Withheld) {
+        executor->withheldAt = now;
+        this->d->pendingRenewals.insert(key);
+        this->d->emitEvent("start_withheld", order.item, *executor, order.run, "another process may own the pool, and the executor may have restarted");
+        this->d->removeRun(*executor, executor->runs.find(order.item));
+        return;
+    }
     const milliseconds pause = reply.outcome == OrderOutcome::Unhealthy || reply.outcome == OrderOutcome::NotSent ? milliseconds(1000) : milliseconds(100);
     executor->avoidedUntil = std::max(executor->avoidedUntil, after(now, pause));
     if (reply.outcome == OrderOutcome::NoPass) {
--- a/src/libmangocourse/poolstate_pvt.h
+++ b/src/libmangocourse/poolstate_pvt.h
@@ -108,6 +108,8 @@
     TimePoint triedUntil{};
     // Time of the first failed renewal since the last success.
     TimePoint failingSince{};
+    // A start was withheld then, and the executor has not answered a later renewal; unset otherwise.
+    TimePoint withheldAt{};
     // Time of the last successful renewal.
     TimePoint reportedAt{};
     // Latest time at which the incarnation is known to have been up; no later one was up before.
--- a/src/libmangocourse/poolwaiting.cpp
+++ b/src/libmangocourse/poolwaiting.cpp
@@ -162,6 +162,9 @@
     if (this->isEvacuated(executor)) {
         return ExecutorUsability::Evacuated;
     }
+    if (executor.withheldAt != TimePoint{}) {
+        return ExecutorUsability::Unproven;
+    }
     if (executor.hasUnreadEnds) {
         // Another start would hold up the acknowledgement, without which the other ends are not listed.
         return ExecutorUsability::UnreadEnds;
--- a/src/libservice/connectionpool.cpp
+++ b/src/libservice/connectionpool.cpp
@@ -7,6 +7,8 @@
 #include <atomic>
 #include <deque>
 
+#include <mangocourse/bootclock.h>
+
 #include "controltraffic.h"
 #include "readmessage.h"
 #include "reusablesocket.h"
@@ -35,12 +37,20 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::chrono::steady_clock::time_point lastUsedAt{};
+    TimePoint openedAt{};
     bool isReused = false;
     std::uint64_t number = 0;
 };
 
+bool maySendOver(const Connection &connection, const SendCondition &condition)
+{
+    return !condition || condition(connection.openedAt);
+}
+
 enum class ExchangeResult {
     NotSent,
+    // As NotSent, and the connection is open.
+    Withheld,
     MaybeSent,
     Answered,
 };
@@ -67,16 +77,17 @@
     std::deque<std::shared_ptr<net::steady_timer>> waitingCalls;
 
     std::unique_ptr<Connection> makeConnection();
-    std::unique_ptr<Connection> takeIdleConnection();
+    // Prefers a connection that the condition allows.
+    std::unique_ptr<Connection> takeIdleConnection(const SendCondition &condition);
     std::unique_ptr<Connection> takeIdleConnection(std::uint64_t number);
     void returnConnection(std::unique_ptr<Connection> connection);
     void wakeWaitingCall();
     net::awaitable<bool> waitForConnection(std::chrono::steady_clock::time_point deadline);
-    net::awaitable<ExchangeResult> exchange(
-        Connection &connection, const HttpRequest &request, HttpResponse &response, std::chrono::steady_clock::time_point deadline);
+    net::awaitable<ExchangeResult> exchange(Connection &connection, const HttpRequest &request, const SendCondition &condition, HttpResponse &response,
+        std::chrono::steady_clock::time_point deadline);
 };
 
-std::unique_ptr<Connection> ConnectionPool::Private::takeIdleConnection()
+std::unique_ptr<Connection> ConnectionPool::Private::takeIdleConnection(const SendCondition &condition)
 {
     const auto now = std::chrono::steady_clock::now();
     while (!this->idle.empty() && now - this->idle.front()->lastUsedAt > maxIdleTime) {
@@ -84,8 +95,12 @@
         --this->openCount;
     }
     while (!this->idle.empty()) {
-        std::unique_ptr<Connection> connection = std::move(this->idle.back());
-        this->idle.pop_back();
+        const auto allowed = std::find_if(this->idle.rbegin(), this->idle.rend(), [&condition](const std::unique_ptr<Connection> &candidate) {
+            return maySendOver(*candidate, condition);
+        });
+        const auto chosen = allowed == this->idle.rend() ? std::prev(this->idle.end()) : std::prev(allowed.base());
+        std::unique_ptr<Connection> connection = std::move(*chosen);
+        this->idle.erase(chosen);
         if (isReusable(connection->stream.socket())) {
             return connection;
         }
@@ -150,7 +165,7 @@
 }
 
 net::awaitable<ExchangeResult> ConnectionPool::Private::exchange(
-    Connection &connection, const HttpRequest &request, HttpResponse &response, std::chrono::steady_clock::time_point deadline)
+    Connection &connection, const HttpRequest &request, const SendCondition &condition, HttpResponse &response, std::chrono::steady_clock::time_point deadline)
 {
     SystemErrorCode error;
     connection.stream.expires_at(deadline);
@@ -159,9 +174,13 @@
         if (error) {
             co_return ExchangeResult::NotSent;
         }
+        connection.openedAt = BootClock{}.now();
         connection.stream.socket().set_option(tcp::no_delay(true), error);
         connection.stream.socket().set_option(UserTimeout(static_cast<int>(unacknowledgedTimeout.count())), error);
     }
+    if (!maySendOver(connection, condition)) {
+        co_return ExchangeResult::Withheld;
+    }
     controlTraffic().sent += co_await http::async_write(connection.stream, request, captureError(error));
     if (error) {
         co_return ExchangeResult::MaybeSent;
@@ -218,7 +237,7 @@
         if (!isAvailable) {
             co_return makeError(ErrorCode::Unavailable, "no connection became free in time", toString(self->endpoint));
         }
-        connection = self->takeIdleConnection();
+        connection = self->takeIdleConnection(call.maySend);
     }
     if (!connection) {
         connection = self->makeConnection();
@@ -226,18 +245,20 @@
     }
     HttpAnswer answer;
     const bool wasReused = connection->isReused;
-    ExchangeResult result = co_await self->exchange(*connection, request, answer.response, deadline);
-    if (result != ExchangeResult::Answered && wasReused && !call.connection && std::chrono::steady_clock::now() < deadline) {
+    ExchangeResult result = co_await self->exchange(*connection, request, call.maySend, answer.response, deadline);
+    const bool hasFailed = result != ExchangeResult::Answered && result != ExchangeResult::Withheld;
+    if (hasFailed && wasReused && !call.connection && std::chrono::steady_clock::now() < deadline) {
         connection = self->makeConnection();
         answer.hasUnansweredAttempt = true;
-        const ExchangeResult retryResult = co_await self->exchange(*connection, request, answer.response, deadline);
+        const ExchangeResult retryResult = co_await self->exchange(*connection, request, call.maySend, answer.response, deadline);
         // The server may still carry out the first attempt.
         result = retryResult == ExchangeResult::Answered ? ExchangeResult::Answered : ExchangeResult::MaybeSent;
     }
     answer.connection = connection->number;
     // Bytes after the response would be read as the answer to the next call.
     const bool hasLeftover = connection->buffer.size() > 0;
-    if (result == ExchangeResult::Answered && answer.response.keep_alive() && !hasLeftover) {
+    const bool isReusable = result == ExchangeResult::Withheld || (result == ExchangeResult::Answered && answer.response.keep_alive());
+    if (isReusable && !hasLeftover) {
         self->returnConnection(std::move(connection));
     } else {
         connection.reset();
@@ -247,6 +268,8 @@
     switch (result) {
     case ExchangeResult::NotSent:
         co_return makeError(ErrorCode::Unavailable, "cannot connect", toString(self->endpoint));
+    case ExchangeResult::Withheld:
+        co_return makeError(ErrorCode::Unavailable, "no open connection may carry the call", toString(self->endpoint));
     case ExchangeResult::MaybeSent:
         co_return makeError(ErrorCode::Timeout, "no answer", toString(self->endpoint));
     case ExchangeResult::Answered:
--- a/src/libservice/connectionpool.h
+++ b/src/libservice/connectionpool.h
@@ -13,6 +13,7 @@
 
 #include "asiotypes.h"
 #include "httpanswer.h"
+#include "sendcondition.h"
 
 namespace MangoCourse {
 
@@ -29,6 +30,9 @@
     // The connection to use, for a call that must not reach a server which has started since that connection was opened. Without it, if it is closed or in
     // use, nothing is sent; the call is never sent again.
     std::optional<std::uint64_t> connection{};
+    // Asked right before the call is written, each time if it is sent once more. If it allows no open connection, a new one is opened, and kept if it
+    // doesn't allow that one either.
+    SendCondition maySend{};
 };
 
 // Calls may run concurrently, each on its own connection. Runs on the io_context it was created with.
--- a/src/libservice/connectionpool_test.cpp
+++ b/src/libservice/connectionpool_test.cpp
@@ -240,5 +240,84 @@
     EXPECT_EQ(answers[1]->response.body(), "/2");
 }
 
+// Guards against a call that is sent, or repeated, over a connection which may lead to another server than the caller has heard of.
+TEST(ConnectionPool, CallIsWithheldFromConnectionsThatItsConditionRulesOutAndTheConnectionIsKept)
+{
+    net::io_context context;
+    int requests = 0;
+    LoopbackServer server(context, [&requests](const HttpRequest &, int) -> std::optional<LoopbackReply> {
+        ++requests;
+        return loopbackReply(200, "");
+    });
+    const auto pool = ConnectionPool::create(context, server.endpoint(), 2);
+    std::vector<TimePoint> opened;
+    std::vector<Result<HttpAnswer>> answers;
+    const auto callWith = [&](bool isAllowed) {
+        HttpCall call;
+        call.target = "/";
+        call.timeout = 5s;
+        call.maySend = [&opened, isAllowed](TimePoint openedAt) {
+            opened.push_back(openedAt);
+            return isAllowed;
+        };
+        return (*pool)->call(std::move(call));
+    };
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            for (const bool isAllowed : {false, false, true}) {
+                answers.push_back(co_await callWith(isAllowed));
+            }
+        },
+        net::detached);
+    while (answers.size() < 3 && context.run_one_for(10s) > 0) {
+    }
+    ASSERT_EQ(answers.size(), 3U);
+    ASSERT_FALSE(answers[0]);
+    EXPECT_EQ(answers[0].error().code, ErrorCode::Unavailable);
+    EXPECT_FALSE(answers[1]);
+    EXPECT_TRUE(answers[2]);
+    EXPECT_EQ(requests, 1);
+    EXPECT_EQ(server.connections(), 1) << "a connection that was not used is kept";
+    EXPECT_NE(opened.front(), TimePoint{});
+    EXPECT_EQ(opened.front(), opened.back());
+}
+
+// Guards against a second attempt that reaches a server which has started since, after the caller has lost its authority.
+TEST(ConnectionPool, RepeatOverANewConnectionAsksTheConditionAnew)
+{
+    net::io_context context;
+    int requests = 0;
+    LoopbackServer server(context, [&requests](const HttpRequest &, int) -> std::optional<LoopbackReply> {
+        ++requests;
+        return requests == 2 ? std::nullopt : std::optional(loopbackReply(200, ""));
+    });
+    const auto pool = ConnectionPool::create(context, server.endpoint(), 2);
+    std::optional<TimePoint> firstOpened;
+    std::vector<Result<HttpAnswer>> answers;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            for (int number = 0; number < 2; ++number) {
+                HttpCall call;
+                call.target = "/";
+                call.timeout = 5s;
+                call.maySend = [&firstOpened](TimePoint openedAt) {
+                    firstOpened = firstOpened.value_or(openedAt);
+                    return openedAt == *firstOpened;
+                };
+                answers.push_back(co_await (*pool)->call(std::move(call)));
+            }
+        },
+        net::detached);
+    while (answers.size() < 2 && context.run_one_for(10s) > 0) {
+    }
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_TRUE(answers[0]);
+    ASSERT_FALSE(answers[1]);
+    EXPECT_EQ(answers[1].error().code, ErrorCode::Timeout) << "the first attempt may have been carried out";
+    EXPECT_EQ(requests, 2);
+}
+
 }
 }
--- a/src/scheduler/movedqueue_test.cpp
+++ b/src/scheduler/movedqueue_test.cpp
@@ -68,9 +68,9 @@
     {
         return this->of(executor).renew(executor, renewal);
     }
-    net::awaitable<OrderReply> start(const ExecutorInfo &executor, StartRun order) override
+    net::awaitable<OrderReply> start(const ExecutorInfo &executor, StartRun order, SendCondition maySend) override
     {
-        return this->of(executor).start(executor, std::move(order));
+        return this->of(executor).start(executor, std::move(order), std::move(maySend));
     }
     net::awaitable<OrderReply> stop(const ExecutorInfo &executor, StopRun order) override
     {
@@ -125,7 +125,7 @@
         const TimePoint now = BootClock().now();
         shard->setConfig(this->config);
         shard->setExecutors({executor(), other}, now);
-        shard->setTerm(OwnershipTerm{now, now + 60s});
+        shard->setTerm(OwnershipTerm{now, now + 60s, now + 60s});
         shard->start();
         return shard;
     }
@@ -267,7 +267,7 @@
     const TimePoint now = BootClock().now();
     shard->setConfig(this->after);
     shard->setExecutors({executor()}, now);
-    shard->setTerm(OwnershipTerm{now, now + 60s});
+    shard->setTerm(OwnershipTerm{now, now + 60s, now + 60s});
     shard->start();
     this->runUntil([this] {
         return !this->store.partitions[{Stream::QueuePlacements, 0}].records.empty();
@@ -302,7 +302,7 @@
         const TimePoint now = BootClock().now();
         shard->setConfig(this->after);
         shard->setExecutors({executor()}, now);
-        shard->setTerm(OwnershipTerm{now, now + 60s});
+        shard->setTerm(OwnershipTerm{now, now + 60s, now + 60s});
         shard->start();
         return shard;
     }
--- a/src/scheduler/ownership.cpp
+++ b/src/scheduler/ownership.cpp
@@ -28,7 +28,12 @@
           GroupMember::Handlers{[this](const MembershipConfirmation &confirmation) {
                                     this->apply(confirmation);
                                 },
-              onStoreContact})
+              [this](bool isReachable) {
+                  this->onStoreContact(isReachable);
+                  if (!isReachable) {
+                      this->updateTerms();
+                  }
+              }})
     , memberStopped(owner.context)
     , onStoreContact(std::move(onStoreContact))
 {
@@ -38,7 +43,7 @@
 {
     const TimePoint confirmedAt = this->member.confirmedAt();
     for (auto &[partition, shard] : this->owned) {
-        shard->setTerm(OwnershipTerm{confirmedAt, confirmedAt + this->owner.settings.scheduler.maxLeaseLength});
+        shard->setTerm(OwnershipTerm{confirmedAt, confirmedAt + this->owner.settings.scheduler.maxLeaseLength, this->member.exclusiveUntil()});
     }
 }
 
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -14,6 +14,7 @@
 #include <mangocourse/fleetplanner.h>
 
 #include "asiotypes.h"
+#include "sendcondition.h"
 
 namespace MangoCourse {
 
@@ -148,7 +149,8 @@
 public:
     virtual ~ExecutorPort() = default;
     virtual net::awaitable<ExecutorReport> renew(const ExecutorInfo &executor, LeaseRenewal renewal) = 0;
-    virtual net::awaitable<OrderReply> start(const ExecutorInfo &executor, StartRun order) = 0;
+    // The condition is asked right before the order is written, each time if it is repeated. The outcome is Withheld if it allowed no connection.
+    virtual net::awaitable<OrderReply> start(const ExecutorInfo &executor, StartRun order, SendCondition maySend) = 0;
     virtual net::awaitable<OrderReply> stop(const ExecutorInfo &executor, StopRun order) = 0;
     virtual net::awaitable<OrderReply> pace(const ExecutorInfo &executor, PaceRun order) = 0;
     // Closes idle connections to an executor that no longer exists.
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -109,7 +109,14 @@
     });
     EXPECT_FALSE(confirmations.back().isPossiblyReassigned);
     EXPECT_EQ(member.confirmedUntil() - member.confirmedAt(), Duration(300ms));
+    EXPECT_EQ(member.exclusiveUntil(), member.confirmedUntil());
     this->store.behaviour = StoreBehaviour::Refusing;
+    bool hasFailed = false;
+    this->runUntil([&member, &hasFailed] {
+        hasFailed = hasFailed || member.exclusiveUntil() < member.confirmedUntil();
+        return hasFailed;
+    });
+    EXPECT_LE(member.exclusiveUntil(), bootNow()) << "the store may end memberships early while it is away";
     this->runFor(600ms);
     this->store.behaviour = StoreBehaviour::Normal;
     this->store.membership.generation = 9;
@@ -168,6 +175,24 @@
     second->stop();
 }
 
+// Guards against starts of an owner that the store has turned away, at incarnations that its successor has not called (review/13).
+TEST_F(SchedulerTest, OwnerThatIsNotConfirmedStartsNothingOverNewConnections)
+{
+    const auto owner = this->startOwner(1);
+    const TimePoint now = bootNow();
+    owner->setTerm(OwnershipTerm{now, now + 60s, now});
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    this->runUntil([this] {
+        return this->executors.withheldStarts >= 3;
+    });
+    EXPECT_TRUE(this->executors.starts.empty());
+    owner->setTerm(OwnershipTerm{now, now + 60s, now + 60s});
+    this->runUntil([this] {
+        return this->executors.starts.size() == 3;
+    });
+    owner->stop();
+}
+
 TEST_F(SchedulerTest, HandOverHasAtMostOneAppendInProgress)
 {
     const auto owner = this->startOwner(1);
--- a/src/scheduler/scheduler_test.h
+++ b/src/scheduler/scheduler_test.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "batchappender.h"
+#include "clocks.h"
 #include "groupmember.h"
 #include "jobgateway.h"
 #include "recordcodec.h"
@@ -246,6 +247,8 @@
     std::vector<ReportedEnd> ended;
     bool endsRuns = true;
     int closedConnections = 0;
+    // Starts that were not allowed over a connection that had just been opened.
+    int withheldStarts = 0;
 
     net::awaitable<ExecutorReport> renew(const ExecutorInfo &executor, LeaseRenewal renewal) override
     {
@@ -267,9 +270,13 @@
         co_return report;
     }
 
-    net::awaitable<OrderReply> start(const ExecutorInfo &, StartRun order) override
+    net::awaitable<OrderReply> start(const ExecutorInfo &, StartRun order, SendCondition maySend) override
     {
         co_await sleepFor(this->context, 1ms);
+        if (!maySend(bootNow())) {
+            ++this->withheldStarts;
+            co_return OrderReply{OrderOutcome::Withheld, std::nullopt};
+        }
         if (order.token < this->highestToken) {
             co_return OrderReply{OrderOutcome::Fenced, this->clock()};
         }
@@ -349,7 +356,7 @@
         const TimePoint now = BootClock().now();
         shard->setConfig(this->config);
         shard->setExecutors({executor()}, now);
-        shard->setTerm(OwnershipTerm{now, now + 60s});
+        shard->setTerm(OwnershipTerm{now, now + 60s, now + 60s});
         shard->start();
         return shard;
     }
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -266,7 +266,11 @@
         this->state.planRequested.notify();
         co_return;
     }
-    const OrderReply reply = co_await this->state.owner.executors.start(order.executor, order.run);
+    SendCondition maySend = [self = this->self, &sharedState = this->state, pool, key](TimePoint connectionOpenedAt) {
+        const bool hasEnded = sharedState.isStopped || sharedState.isFenced;
+        return !hasEnded && pool->mayStartOver(key, connectionOpenedAt, sharedState.term, bootNow());
+    };
+    const OrderReply reply = co_await this->state.owner.executors.start(order.executor, order.run, std::move(maySend));
     this->checkFence(*pool, key.id, order.run.token, reply.outcome);
     this->state.owner.log.emit("run_start",
         {{"job", order.run.item.job.value}, {"occurrence", std::int64_t(order.run.item.occurrence)}, {"step", std::int64_t(order.run.item.step)},
@@ -332,7 +336,7 @@
             break;
         }
         if (report.outcome == OrderOutcome::Fenced) {
-            // Nothing was done, and the executor is up.
+            pool->onReport(key, report, sentAt, bootNow(), wallNow());
             co_await sleepFor(this->state.owner.context, renewalDelay);
             continue;
         }
--- a/src/scheduler/waitinglog.cpp
+++ b/src/scheduler/waitinglog.cpp
@@ -62,16 +62,16 @@
             {"usable", countOf(executors, ExecutorUsability::Usable)}, {"never_contacted", countOf(executors, ExecutorUsability::NeverContacted)},
             {"not_recorded", countOf(executors, ExecutorUsability::NotRecorded)}, {"no_clock", countOf(executors, ExecutorUsability::NoClock)},
             {"draining", countOf(executors, ExecutorUsability::Draining)}, {"evacuated", countOf(executors, ExecutorUsability::Evacuated)},
-            {"unread_ends", countOf(executors, ExecutorUsability::UnreadEnds)}, {"clearing", countOf(executors, ExecutorUsability::Clearing)},
-            {"avoided", countOf(executors, ExecutorUsability::Avoided)}, {"failing", countOf(executors, ExecutorUsability::Failing)},
-            {"failing_ms", std::int64_t(line.failingFor.count())}, {"suitable", countOf(obstacles, PlacementObstacle::None)},
-            {"no_cpu", countOf(obstacles, PlacementObstacle::Cpu)}, {"no_memory", countOf(obstacles, PlacementObstacle::Memory)},
-            {"no_accelerator", countOf(obstacles, PlacementObstacle::Accelerators)}, {"no_label", countOf(obstacles, PlacementObstacle::Label)},
-            {"runs_here", countOf(obstacles, PlacementObstacle::RunsHere)}, {"at_limit", countOf(obstacles, PlacementObstacle::PerExecutorLimit)},
-            {"no_pass", countOf(obstacles, PlacementObstacle::Pass)}, {"unlisted_runs", std::int64_t(line.unlistedRuns)},
-            {"plan_gap_ms", std::int64_t(line.planGap.count())}, {"requests_age_ms", std::int64_t(line.requestsAge.count())},
-            {"executors_age_ms", std::int64_t(line.executorsAge.count())}, {"confirmed_age_ms", std::int64_t(line.confirmedAge.count())},
-            {"term_left_ms", std::int64_t(line.termLeft.count())}, {"waits_for", line.waitsFor}});
+            {"unproven", countOf(executors, ExecutorUsability::Unproven)}, {"unread_ends", countOf(executors, ExecutorUsability::UnreadEnds)}, {"clearing", countOf(executors, ExecutorUsability::Clearing)}, {"avoided", countOf(executors, ExecutorUsability::Avoided)},
+            {"failing", countOf(executors, ExecutorUsability::Failing)}, {"failing_ms", std::int64_t(line.failingFor.count())},
+            {"suitable", countOf(obstacles, PlacementObstacle::None)}, {"no_cpu", countOf(obstacles, PlacementObstacle::Cpu)},
+            {"no_memory", countOf(obstacles, PlacementObstacle::Memory)}, {"no_accelerator", countOf(obstacles, PlacementObstacle::Accelerators)},
+            {"no_label", countOf(obstacles, PlacementObstacle::Label)}, {"runs_here", countOf(obstacles, PlacementObstacle::RunsHere)},
+            {"at_limit", countOf(obstacles, PlacementObstacle::PerExecutorLimit)}, {"no_pass", countOf(obstacles, PlacementObstacle::Pass)},
+            {"unlisted_runs", std::int64_t(line.unlistedRuns)}, {"plan_gap_ms", std::int64_t(line.planGap.count())},
+            {"requests_age_ms", std::int64_t(line.requestsAge.count())}, {"executors_age_ms", std::int64_t(line.executorsAge.count())},
+            {"confirmed_age_ms", std::int64_t(line.confirmedAge.count())}, {"term_left_ms", std::int64_t(line.termLeft.count())},
+            {"waits_for", line.waitsFor}});
 }
 
 }
