Count leases and stray starts that takeovers left out

Callers would have seen: a work item that had ended done runs again (TWICE).

Causes: (1) a boot that no owner has recorded, but that calls to the recorded boot before it may have reached, was no longer waited for once discovery had dropped it (181962). (2) Renewals of earlier owners to the boot before gave the next one a lease that the new owner did not know, and took for lapsed (137618, 144142). (3) One lost renewal ended the wait for unread ends after the previous leases, although this owner had extended the lease (300462).

Ruled out: starts of the superseded owners (the traces show none after their exclusive time).

Change: such boots are waited for until the leases are over; a boot that is young at its first answer may have a lease of maximum length; the wait for unread ends includes this owner's own lease.

--- a/src/libmangocourse/poolexecutors.cpp
+++ b/src/libmangocourse/poolexecutors.cpp
@@ -41,6 +41,7 @@
             executor.isRecordRequested = executor.isSilenceRecorded;
             if (wasRecorded && *recorded < key) {
                 // A call of a previous owner to the earlier incarnation may reach this one, which measures the lease in it by another clock.
+                executor.mayHoldStrayRuns = true;
                 executor.previousRunsEndAt = after(this->d->previousLeasesExpireAt, maxCallDuration);
                 executor.leaseEnd = executor.previousRunsEndAt;
             }
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -40,14 +40,25 @@
 
 }
 
+TimePoint PoolScheduler::Private::unknownRunsEndAt(const Executor &executor)
+{
+    // This owner extends the lease, too, and an end counts until the lease lapses.
+    return executor.hasAnswered() ? std::max(executor.previousRunsEndAt, executor.leaseEnd) : executor.previousRunsEndAt;
+}
+
 bool PoolScheduler::Private::mayHoldUnknownRuns(const Executor &executor, TimePoint now) const
 {
-    if (!executor.isListed || !executor.mayHoldPreviousRuns || executor.isHistoryKnown()) {
+    if (executor.hasEnded || !executor.mayHoldPreviousRuns || executor.isHistoryKnown()) {
         return false;
     }
+    const bool areLeasesOver = now >= unknownRunsEndAt(executor);
+    if (!executor.isListed) {
+        // Of those that are recorded and have not answered, `previousExecutors` tells.
+        return (executor.mayHoldStrayRuns || executor.hasAnswered()) && !areLeasesOver;
+    }
     // Even after all leases expired, an executor may hold the end of a finished item that no owner has read. It is waited for while reading goes on.
     const bool isReadingOver = executor.failingSince != TimePoint{} || (executor.hasAnswered() && !executor.hasUnreadEnds);
-    return now < executor.previousRunsEndAt || !isReadingOver;
+    return !areLeasesOver || !isReadingOver;
 }
 
 TimePoint PoolScheduler::Private::previousCallsEndAt() const
@@ -70,7 +81,8 @@
 bool PoolScheduler::Private::arePreviousRunsOver(const ExecutorKey &key, const PreviousExecutor &previous, TimePoint now) const
 {
     const auto found = this->executors.find(key);
-    return now >= previous.runsEndAt || (found != this->executors.end() && found->second.isHistoryKnown());
+    const bool hasAnswered = found != this->executors.end() && found->second.hasAnswered();
+    return hasAnswered ? !this->mayHoldUnknownRuns(found->second, now) : now >= previous.runsEndAt;
 }
 
 milliseconds PoolScheduler::Private::computeLeaseExpiry(const Executor &executor, TimePoint now, TimePoint expiresAt) const
--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -197,7 +197,7 @@
 // Guards against starts of a superseded owner at an incarnation that the new owner has not called yet; docs/incidents/0020.
 TEST(PoolHistory, SeedsThatFailIfCallsOfSupersededOwnersReachTheNextIncarnation)
 {
-    for (const std::uint32_t seed : {101611U, 101766U}) {
+    for (const std::uint32_t seed : {101149U, 101611U, 101766U, 137618U, 144142U, 181962U}) {
         History history(seed, World::Plain, Connections::OutlivingOwners);
         history.run(plainLength);
         EXPECT_EQ(firstViolation(history), "") << "seed " << seed;
--- a/src/libmangocourse/poolrestarts.cpp
+++ b/src/libmangocourse/poolrestarts.cpp
@@ -55,6 +55,16 @@
     }
 }
 
+void PoolScheduler::Private::noteStrayLeaseOfPreviousOwner(Executor &executor, const ExecutorReport &report, TimePoint now) const
+{
+    const bool arePreviousOwnersActive = this->previousLeasesExpireAt != TimePoint{} && now < after(this->previousLeasesExpireAt, maxCallDuration);
+    // A call to the earlier incarnation ends soon after that, and the clock of an incarnation starts with it.
+    const bool isYoung = !report.clock || *report.clock < this->settings.maxLeaseLength + maxCallDuration;
+    if (arePreviousOwnersActive && isYoung) {
+        executor.leaseEnd = std::max(executor.leaseEnd, after(this->longestLeaseEnd(now), adoptedLeaseMargin));
+    }
+}
+
 bool PoolScheduler::Private::canAcknowledge(const Executor &executor, TimePoint now) const
 {
     if (now < executor.acknowledgeableFrom) {
--- a/src/libmangocourse/poolscheduler.cpp
+++ b/src/libmangocourse/poolscheduler.cpp
@@ -199,6 +199,7 @@
     if (!executor->hasAnswered()) {
         executor->history = HistoryKnowledge::Partial;
         this->d->pendingRenewals.insert(key);
+        this->d->noteStrayLeaseOfPreviousOwner(*executor, report, now);
     }
     if (report.isComplete) {
         executor->history = HistoryKnowledge::Known;
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -229,6 +229,8 @@
     static bool mayBeOnNextIncarnation(const Executor &executor, const Run &run);
     // Records that a call which extends the lease may have reached the next incarnation instead of the one that it was sent to.
     void recordStrayLease(const ExecutorKey &sentTo, OrderOutcome outcome, TimePoint now);
+    // Notes that renewals of a previous owner, meant for an earlier incarnation, may have extended the lease of this one before its first answer.
+    void noteStrayLeaseOfPreviousOwner(Executor &executor, const ExecutorReport &report, TimePoint now) const;
     // Returns true if no start order that was sent before can still be carried out by a next incarnation. An acknowledgement that reaches that incarnation
     // after the run has ended makes it forget an end that nobody has read; one that is overtaken by a later start is refused, as its token is lower.
     bool canAcknowledge(const Executor &executor, TimePoint now) const;
@@ -303,6 +305,8 @@
     TimePoint previousCallsEndAt() const;
     // Returns true if the executor was reached, or no run of a previous owner can be active there.
     bool arePreviousRunsOver(const ExecutorKey &key, const PreviousExecutor &previous, TimePoint now) const;
+    // Returns the time by which no run of a previous owner can be active on the executor, and none of its ends can count that has not been acknowledged.
+    static TimePoint unknownRunsEndAt(const Executor &executor);
     // Returns true if the executor may hold runs or ends of a previous owner that this owner does not know.
     bool mayHoldUnknownRuns(const Executor &executor, TimePoint now) const;
     // Returns true if every run that a previous owner started and that may be active is known.
--- a/src/libmangocourse/poolstate_pvt.h
+++ b/src/libmangocourse/poolstate_pvt.h
@@ -95,6 +95,8 @@
     bool hasUnreadEnds = false;
     // A previous owner may have used the executor.
     bool mayHoldPreviousRuns = false;
+    // A previous owner used an earlier incarnation with the id, and its calls may have reached this one, of which it may have stored no record.
+    bool mayHoldStrayRuns = false;
     // Latest time at which a run of a previous owner can be active.
     TimePoint previousRunsEndAt{};
     std::optional<std::chrono::milliseconds> clock;
--- a/src/libmangocourse/pooltakeover_test.cpp
+++ b/src/libmangocourse/pooltakeover_test.cpp
@@ -56,6 +56,27 @@
     EXPECT_EQ(this->plan().starts.size(), 1U) << "the lease ended before the end could be read";
 }
 
+// Guards against one lost renewal that ends the wait for a list of ends, while this owner's own lease lets the ends count.
+TEST_F(PoolSchedulerTest, InheritedWorkWaitsForTheLeaseThatThisOwnerHasGivenToAnExecutorWithUnreadEnds)
+{
+    this->scheduler = this->makeScheduler(2, 100'000, this->now + 6s);
+    this->scheduler->setPreviousExecutors({{ExecutorKey{ExecutorId{"one"}, 100}, location("one")}});
+    this->setDiscovered({executor("one"), executor("two")});
+    this->addStartedJob("a");
+    this->addStartedJob("b");
+    this->report("two");
+    const std::vector<ReportedEnd> page{ReportedEnd{1, ItemId{JobId{"other"}, 0, 0, 0}, 7, RunEnd::Done, {}}};
+    this->reportPage("one", page, {ReportedRun{ItemId{JobId{"b"}, 0, 0, 0}, 7, {}, 100, 0}});
+    this->advance(5s);
+    this->reportPage("one", page, {ReportedRun{ItemId{JobId{"b"}, 0, 0, 0}, 7, {}, 100, 0}});
+    this->renewal("one");
+    this->advance(1200ms);
+    this->scheduler->onReport(ExecutorKey{ExecutorId{"one"}, 100}, ExecutorReport{}, this->now, this->now, this->wall);
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->advance(2500ms);
+    EXPECT_FALSE(this->plan().starts.empty());
+}
+
 // Guards against ends that are never read: a further start would keep them from being acknowledged.
 TEST_F(PoolSchedulerTest, NothingStartsOnAnExecutorWhoseListOfEndsIsNotReadToItsEnd)
 {
