Bound the orders to executors that are under way, and what is accepted

Cause: one plan placed all that fitted, and each order became a coroutine with copies of the description and the spec, its JSON and an HTTP request, 15 KB. Six connections an executor carried them while the rest waited in memory. The next owner found the same backlog.

Ruled out: the backlog itself and the reports of executors: both are unchanged.

Change: OrderBudget, for the process from its memory and for each executor; plan() asks it before it places or stops anything, starts leave a quarter free, and what isn't placed stays a waiting item. Gateways refuse a job that no process can hold with 400, and one that has no room beside the open jobs with 503; both name the limit. Gauges of memory and orders, events memory_high and memory_low.

--- a/src/include/mangocourse/job.h
+++ b/src/include/mangocourse/job.h
@@ -107,6 +107,9 @@
     bool operator==(const JobSpec &) const = default;
 };
 
+// Returns what an open job takes of its owner's memory in bytes, about. Work items that run take more, but their number is bounded by the executors.
+std::size_t memoryOf(const JobSpec &spec);
+
 // The settings of its queue that a job was accepted under. They hold for all of its life, whatever becomes of the queue.
 struct JobTerms {
     // 0 is the most urgent.
--- a/src/include/mangocourse/poolscheduler.h
+++ b/src/include/mangocourse/poolscheduler.h
@@ -14,6 +14,7 @@
 #include <mangocourse/fencing.h>
 #include <mangocourse/fleetconfig.h>
 #include <mangocourse/fleetplanner.h>
+#include <mangocourse/orderbudget.h>
 #include <mangocourse/placementrank.h>
 #include <mangocourse/policyturns.h>
 #include <mangocourse/poolwaiting.h>
@@ -34,6 +35,8 @@
     std::chrono::milliseconds maxCancelPropagation{3000};
     // No run starts on an executor later than this after the executor reported that it drains.
     std::chrono::milliseconds maxDrainPropagation{2000};
+    // Most orders to one executor that are under way at the same time, unless the members of a gang start there together.
+    std::size_t maxOrdersPerExecutor = 24;
 };
 
 // A failure of a run before the last this many failed ones of its item is taken for a repeated report.
@@ -108,11 +111,14 @@
     StartRun run;
     TimePoint decidedAt{};
     PoolWatermarks watermarks;
+    // To be kept until the order is answered or given up, like that of the other orders.
+    OrderBudget::Place place;
 };
 
 struct StopOrder {
     ExecutorInfo executor;
     StopRun run;
+    OrderBudget::Place place;
 };
 
 // Limits the speed of a run.
@@ -121,6 +127,7 @@
     PaceRun run;
     // Speed before the order.
     std::int32_t previousPercent = 100;
+    OrderBudget::Place place;
 };
 
 // Orders to send after one call of plan().
@@ -207,6 +214,11 @@
         ServiceId service, SchedulerSettings settings, std::int64_t ownershipToken, std::int64_t runNumberBase, TimePoint previousLeasesExpireAt);
     ~PoolScheduler();
 
+    // Sets the budget for all orders of the process. Without it only the orders to each executor are bounded.
+    void setOrderBudget(std::shared_ptr<OrderBudget> budget);
+    // Returns true if the last plan held orders back because too many were under way. Once one of them is answered the next plan can go on.
+    bool areOrdersHeld() const;
+
     void setObserver(std::function<void(const SchedulerEvent &)> observer);
 
     void setConfig(const FleetConfig &config);
--- a/src/libmangocourse/job.cpp
+++ b/src/libmangocourse/job.cpp
@@ -9,6 +9,10 @@
 
 constexpr std::int32_t maxSteps = 256;
 constexpr std::int32_t maxOccurrences = 10'000;
+// What an open job takes in bytes, without its payload and steps, and what each of its steps and work items take.
+constexpr std::size_t jobMemory = 3000;
+constexpr std::size_t stepMemory = 600;
+constexpr std::size_t itemMemory = 200;
 
 bool isAmount(std::int64_t amount)
 {
@@ -50,6 +54,16 @@
 
 }
 
+std::size_t memoryOf(const JobSpec &spec)
+{
+    std::size_t items = 0;
+    for (const StepSpec &step : spec.steps) {
+        items += static_cast<std::size_t>(step.count);
+    }
+    const auto occurrences = static_cast<std::size_t>(spec.occurrences());
+    return jobMemory + spec.payload.size() + occurrences * (spec.steps.size() * stepMemory + items * itemMemory);
+}
+
 Result<void> validate(const JobSpec &spec)
 {
     if (spec.steps.empty() || spec.steps.size() > maxSteps) {
--- a/src/libmangocourse/poolhistory_test.cpp
+++ b/src/libmangocourse/poolhistory_test.cpp
@@ -81,5 +81,21 @@
     EXPECT_GT(completed, static_cast<int>(count) * 10);
 }
 
+// Guards against orders that are forgotten, or repeated too soon, because only a few may be under way.
+TEST(PoolHistory, NoPromiseIsBrokenIfFewOrdersAreUnderWay)
+{
+    const std::uint32_t first = environmentValue("SEED", 1);
+    const std::uint32_t count = environmentValue("HISTORIES", 60);
+    int completed = 0;
+    for (std::uint32_t seed = first; seed < first + count; ++seed) {
+        const Connections connections = seed % 2 == 0 ? Connections::Breaking : Connections::OutlivingOwners;
+        History history(seed, World::Plain, connections, 2 + seed % 3, 2 + seed % 4);
+        history.run(40'000ms);
+        EXPECT_TRUE(history.checker.violations.empty()) << "seed " << seed << ": " << history.checker.violations.front();
+        completed += history.completed;
+    }
+    EXPECT_GT(completed, static_cast<int>(count) * 5);
+}
+
 }
 }
--- a/src/libmangocourse/poolhistoryworld_test.h
+++ b/src/libmangocourse/poolhistoryworld_test.h
@@ -87,16 +87,20 @@
     OutlivingOwners,
 };
 
+inline constexpr std::size_t manyOrders = 1000;
 inline constexpr std::size_t unlimitedEnds = std::numeric_limits<std::size_t>::max();
 
 class History
 {
 public:
-    // `endsPerReport`: the most ends that an executor lists at once.
-    explicit History(std::uint32_t seed, World world = World::Plain, Connections connections = Connections::Sound, std::size_t endsPerReport = unlimitedEnds)
+    // `endsPerReport`: the most ends that an executor lists at once. `maxOrders`: the most orders that an owner has under way at once, half of them to one
+    // executor; those of a gang may exceed it.
+    explicit History(std::uint32_t seed, World world = World::Plain, Connections connections = Connections::Sound, std::size_t endsPerReport = unlimitedEnds,
+        std::size_t maxOrders = manyOrders)
         : world(world)
         , connections(connections)
         , endsPerReport(endsPerReport)
+        , maxOrders(maxOrders)
         , random(seed)
         , randomBreaks(seed)
     {
@@ -238,7 +242,9 @@
         SchedulerSettings settings;
         settings.maxLeaseLength = maxLeaseLength;
         settings.maxStopDuration = maxStopDuration;
+        settings.maxOrdersPerExecutor = (this->maxOrders + 1) / 2;
         owner->scheduler = std::move(*PoolScheduler::create(ServiceId{"desk"}, settings, owner->token, this->takeovers * 100'000, previousLeasesExpireAt));
+        owner->scheduler->setOrderBudget(*OrderBudget::create(this->maxOrders));
         ++this->takeovers;
         owner->scheduler->setConfig(this->config);
         owner->scheduler->setEvacuations(this->evacuations, this->time());
@@ -1073,7 +1079,7 @@
             const ExecutorKey key{stop.executor.id, stop.executor.incarnation};
             this->call(
                 owner, stop.executor, stop.run,
-                [this, owner, key, run = stop.run](const OrderReply &reply) {
+                [this, owner, key, run = stop.run, place = stop.place](const OrderReply &reply) {
                     this->stopIfFenced(*owner, key.id, run.token, reply.outcome);
                     owner->scheduler->onStopped(key, run, reply, this->time());
                 },
@@ -1108,7 +1114,7 @@
         const ExecutorKey key{start.executor.id, start.executor.incarnation};
         this->call(
             owner, start.executor, start.run,
-            [this, owner, key, run = start.run, sentAt = this->time()](const OrderReply &reply) {
+            [this, owner, key, run = start.run, place = start.place, sentAt = this->time()](const OrderReply &reply) {
                 this->stopIfFenced(*owner, key.id, run.token, reply.outcome);
                 owner->scheduler->onStarted(key, run, reply, sentAt, this->time());
             },
@@ -1206,6 +1212,7 @@
     World world;
     Connections connections;
     std::size_t endsPerReport;
+    std::size_t maxOrders;
     std::mt19937 random;
     // Separate, so that a seed gives the same history whether connections break or not, up to the first break.
     std::mt19937 randomBreaks;
--- a/src/libmangocourse/poolleases.cpp
+++ b/src/libmangocourse/poolleases.cpp
@@ -117,8 +117,12 @@
     for (auto &[id, run] : executor.runs) {
         const bool isDue = run.stopSentAt == TimePoint{} || now - run.stopSentAt > stopRetryInterval;
         if (run.phase == RunPhase::Stopping && !run.isStopConfirmed && isDue) {
+            if (!this->hasOrderRoom(executor, OrderKind::Other)) {
+                return;
+            }
             run.stopSentAt = now;
-            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, run.number, this->tokens->current(executor.info.id)}});
+            this->orders.stops.push_back(
+                StopOrder{executor.info, StopRun{id, run.number, this->tokens->current(executor.info.id)}, this->budgetOf(executor).take()});
         }
     }
 }
@@ -147,9 +151,13 @@
 {
     for (auto &[id, orphan] : executor.orphans) {
         if (now - orphan.second > stopRetryInterval) {
+            if (!this->hasOrderRoom(executor, OrderKind::Other)) {
+                return;
+            }
             orphan.second = now;
             this->emitEvent("stop_requested", id, executor, orphan.first, "its job has ended or is unknown");
-            this->orders.stops.push_back(StopOrder{executor.info, StopRun{id, orphan.first, this->tokens->current(executor.info.id)}});
+            this->orders.stops.push_back(
+                StopOrder{executor.info, StopRun{id, orphan.first, this->tokens->current(executor.info.id)}, this->budgetOf(executor).take()});
         }
     }
 }
@@ -179,9 +187,13 @@
         }
         wanted = std::clamp(wanted, 0, 100);
         if (wanted != run.pacePercent) {
+            if (!this->hasOrderRoom(executor, OrderKind::Other)) {
+                return;
+            }
             const std::int32_t previous = std::exchange(run.pacePercent, wanted);
             run.pacedAt = now;
-            this->orders.paces.push_back(PaceOrder{executor.info, PaceRun{id, run.number, this->tokens->current(executor.info.id), wanted}, previous});
+            this->orders.paces.push_back(
+                PaceOrder{executor.info, PaceRun{id, run.number, this->tokens->current(executor.info.id), wanted}, previous, this->budgetOf(executor).take()});
         }
     }
 }
--- a/src/libmangocourse/poolplanner.cpp
+++ b/src/libmangocourse/poolplanner.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds stallCheckInterval{200};
 // An executor that has failed repeatedly gets one run at a time, and the next one when that has lasted this long.
 constexpr milliseconds trialTime{800};
+// Orders of other pools may hold those of this one back, and their ends do not wake it.
+constexpr milliseconds heldOrdersInterval{20};
 // Executors slower than others by this factor are avoided if there is a choice.
 constexpr double slownessThreshold = 2.0;
 
@@ -163,11 +165,43 @@
     return PlacementObstacle::None;
 }
 
+OrderBudget &PoolScheduler::Private::budgetOf(Executor &executor) const
+{
+    if (!executor.orderBudget) {
+        executor.orderBudget = *OrderBudget::create(std::max<std::size_t>(1, this->settings.maxOrdersPerExecutor), this->orderBudget);
+    }
+    return *executor.orderBudget;
+}
+
+bool PoolScheduler::Private::hasOrderRoom(Executor &executor, OrderKind kind)
+{
+    const bool hasRoom = this->budgetOf(executor).hasRoom(kind);
+    this->areOrdersHeld = this->areOrdersHeld || !hasRoom;
+    return hasRoom;
+}
+
+bool PoolScheduler::Private::hasStartRoom()
+{
+    const bool hasRoom = !this->orderBudget || this->orderBudget->hasRoom(OrderKind::Start);
+    this->areOrdersHeld = this->areOrdersHeld || !hasRoom;
+    return hasRoom;
+}
+
+void PoolScheduler::setOrderBudget(std::shared_ptr<OrderBudget> budget)
+{
+    this->d->orderBudget = std::move(budget);
+}
+
+bool PoolScheduler::areOrdersHeld() const
+{
+    return this->d->areOrdersHeld;
+}
+
 void PoolScheduler::Private::refreshIndex(TimePoint now)
 {
     for (auto &[key, executor] : this->executors) {
         endTrial(executor, now);
-        if (this->isUsable(executor, now) && !isOnTrial(executor, now)) {
+        if (this->isUsable(executor, now) && !isOnTrial(executor, now) && this->hasOrderRoom(executor, OrderKind::Start)) {
             this->index.put(executor);
         } else {
             this->index.remove(executor);
@@ -271,12 +305,14 @@
     }
     this->extendLease(executor, order.until, round.now);
     run.startableUntil = executor.leaseEnd;
-    if (executor.isTried(round.now) && !spec.isGang) {
+    const OrderBudget::Place place = this->budgetOf(executor).take();
+    const bool isFull = executor.isTried(round.now) || !this->hasOrderRoom(executor, OrderKind::Start);
+    if (isFull && !spec.isGang) {
         this->index.remove(executor);
     } else {
         this->updateIndex(executor);
     }
-    this->orders.starts.push_back(StartOrder{executor.info, std::move(order), round.now, round.watermarks});
+    this->orders.starts.push_back(StartOrder{executor.info, std::move(order), round.now, round.watermarks, place});
 }
 
 bool PoolScheduler::Private::placeGang(JobEntry &entry, std::int32_t occurrence, std::int32_t step, const PlacementRound &round)
@@ -324,7 +360,7 @@
     }
     for (const Item &item : state.items) {
         Executor &holder = *this->find(item.runningOn.front());
-        if (holder.isTried(round.now)) {
+        if (holder.isTried(round.now) || !this->hasOrderRoom(holder, OrderKind::Start)) {
             this->index.remove(holder);
         }
     }
@@ -375,6 +411,9 @@
             continue;
         }
         hasUnplacedItems = true;
+        if (!this->hasStartRoom()) {
+            break;
+        }
         // Another owner may have acknowledged the end of a run that this owner regards as lost.
         if (item.possiblyActiveUntil > round.confirmedAt && !spec.isSpeculative) {
             continue;
@@ -416,6 +455,9 @@
 bool PoolScheduler::Private::placeJob(JobEntry &entry, const PlacementRound &round, PlacementCursor &cursor)
 {
     cursor.isPaused = false;
+    if (!this->hasStartRoom()) {
+        return true;
+    }
     bool &hasUnplacedItems = cursor.hasUnplacedItems;
     for (; cursor.occurrence < entry.occurrences.size(); ++cursor.occurrence, cursor.step = 0) {
         const std::size_t number = cursor.occurrence;
@@ -492,6 +534,7 @@
     state.notePlan(now, term, watermarks);
     state.markJobsBeyondRate();
     state.orders = SchedulerOrders{};
+    state.areOrdersHeld = false;
     state.expireLeases(now, term.confirmedAt);
     state.updateQuotaUsage(now, term.confirmedAt);
     state.stopEvacuatedRuns(now);
@@ -574,7 +617,7 @@
 
 TimePoint PoolScheduler::nextWakeup(TimePoint now, WallTime wallNow) const
 {
-    TimePoint next = after(now, milliseconds(500));
+    TimePoint next = after(now, this->d->areOrdersHeld ? heldOrdersInterval : milliseconds(500));
     for (const auto &[key, executor] : this->d->executors) {
         if (!executor.runs.empty()) {
             next = std::min(next, std::max(executor.leaseEnd, after(now, milliseconds(20))));
--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -163,6 +163,23 @@
     EXPECT_GT(completed, static_cast<int>(count) * 10);
 }
 
+// Guards against work that waits for ever because the places of its orders are not given back, or because one gang takes more than there are.
+TEST(PoolHistory, WaitingWorkRunsIfFewOrdersAreUnderWay)
+{
+    const std::uint32_t first = environmentValue("SEED", 1);
+    const std::uint32_t count = environmentValue("HISTORIES", 100);
+    int completed = 0;
+    for (std::uint32_t seed = first; seed < first + count; ++seed) {
+        const Connections connections = seed % 2 == 0 ? Connections::Sound : Connections::OutlivingRestarts;
+        History history(seed, World::Wide, connections, unlimitedEnds, 8 + seed % 8);
+        history.run(wideLength);
+        history.settle();
+        EXPECT_EQ(firstViolation(history), "") << "seed " << seed;
+        completed += history.completed;
+    }
+    EXPECT_GT(completed, static_cast<int>(count) * 10);
+}
+
 // Guards against work that waits for a page of ends which the executor never lists because nothing is acknowledged.
 TEST(PoolHistory, WaitingWorkRunsIfExecutorsListTheirEndsInPages)
 {
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -152,6 +152,10 @@
     // Recently submitted finite work, in core-ms.
     std::deque<std::pair<TimePoint, std::int64_t>> arrivals;
     SchedulerOrders orders;
+    // Of the process; nullptr if it has none.
+    std::shared_ptr<OrderBudget> orderBudget;
+    // The plan has held orders back because too many were under way.
+    bool areOrdersHeld = false;
     WaitingWatch waiting;
     PoolQuota quota;
     // Items that the next incarnation of an executor may run without a known run; only those of jobs with an account.
@@ -254,6 +258,12 @@
     void updateDurationRatios(Executor &executor, const Run &run, TimePoint now);
 
     // Planning
+    // Returns the budget for orders to the executor, which counts against that of the process.
+    OrderBudget &budgetOf(Executor &executor) const;
+    // Returns true if an order to the executor may go on its way now, and otherwise notes that orders are held back.
+    bool hasOrderRoom(Executor &executor, OrderKind kind);
+    // As hasOrderRoom(), for any executor.
+    bool hasStartRoom();
     void expireLeases(TimePoint now, TimePoint confirmedAt);
     void stopStalledRuns(Executor &executor, TimePoint now);
     void stopOrphans(Executor &executor, TimePoint now);
--- a/src/libmangocourse/poolstate_pvt.h
+++ b/src/libmangocourse/poolstate_pvt.h
@@ -120,6 +120,8 @@
     // Run numbers that belong to no known item, and the time of their last stop order.
     std::map<ItemId, std::pair<std::int64_t, TimePoint>> orphans;
     Resources used;
+    // Created with the first order.
+    std::shared_ptr<OrderBudget> orderBudget;
     // Number of runs in phase Stopping.
     std::int32_t stoppingRuns = 0;
     std::int32_t bestEffortRuns = 0;
--- /dev/null
+++ b/src/libservice/processmemory.cpp
@@ -0,0 +1,19 @@
+#include "processmemory.h"
+
+#include <unistd.h>
+
+#include <fstream>
+
+namespace MangoCourse {
+
+std::size_t residentMemory()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    const long pageSize = sysconf(_SC_PAGESIZE);
+    return file && pageSize > 0 ? resident * static_cast<std::size_t>(pageSize) : 0;
+}
+
+}
--- a/src/scheduler/gatewaysubmission.cpp
+++ b/src/scheduler/gatewaysubmission.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::seconds placementTimeout{30};
 // From this number on, entries of submissions that are settled are removed.
 constexpr std::size_t maxSentSubmissions = 1000;
+// Other processes may submit as much meanwhile as this one has, so it reads a partition again after it has submitted this part of the memory for jobs.
+constexpr std::size_t readAfterPart = 64;
 
 }
 
@@ -133,6 +135,53 @@
     co_return std::nullopt;
 }
 
+std::size_t JobGateway::Private::openMemory() const
+{
+    std::size_t memory = 0;
+    for (const std::unique_ptr<PartitionView> &view : this->views) {
+        memory += view->openJobs.memory();
+    }
+    return memory;
+}
+
+net::awaitable<std::optional<CallerReply>> JobGateway::Private::findLackOfMemory(
+    PartitionView &view, QueueConfig queue, JobId id, const JobSpec &spec, steady_clock::time_point deadline)
+{
+    const std::size_t limit = this->settings.jobMemory();
+    const std::size_t needed = memoryOf(spec);
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        const auto members = static_cast<std::size_t>(spec.steps[step].isGang ? spec.steps[step].count : 0);
+        if (members > this->settings.maxOrders()) {
+            const std::string text = "steps[" + std::to_string(step) + "].count: must be " + std::to_string(this->settings.maxOrders())
+                + " at most, as the members of a gang start at the same time";
+            co_return CallerReply{CallerOutcome::Invalid, {}, 0, text, {}};
+        }
+    }
+    if (needed > limit) {
+        const std::string text = "steps: must have fewer work items, the job takes " + std::to_string(needed) + " of " + std::to_string(limit)
+            + " bytes of memory that a process has for jobs";
+        co_return CallerReply{CallerOutcome::Invalid, {}, 0, text, {}};
+    }
+    const bool isFull = this->openMemory() + needed > limit;
+    std::vector<std::shared_ptr<Event>> reads;
+    for (const std::unique_ptr<PartitionView> &known : this->views) {
+        const bool isOutdated = known.get() == &view && view.submittedMemory + needed > limit / readAfterPart;
+        if (isOutdated || (isFull && known->openJobs.memory() > 0)) {
+            reads.push_back(this->startReading(*known));
+        }
+    }
+    for (const std::shared_ptr<Event> &readEnded : reads) {
+        co_await readEnded->waitFor(std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now()));
+    }
+    const std::size_t open = this->openMemory();
+    if (open + needed <= limit) {
+        co_return std::nullopt;
+    }
+    const std::string error = "open jobs take " + std::to_string(open) + " of " + std::to_string(limit) + " bytes";
+    co_return this->refuseSubmission(
+        id, queue, this->findUnsettledView(queue, id) != nullptr, "the open jobs take all memory that a process has for jobs", error);
+}
+
 net::awaitable<CallerReply> JobGateway::Private::submit(
     QueueConfig queue, JobId id, CallerRequest request, CallerIdentity caller, steady_clock::time_point deadline)
 {
@@ -145,6 +194,13 @@
     if (findState(view, id)) {
         co_return this->replyToRepeat(view, id, queue, caller);
     }
+    const std::optional<CallerReply> lackOfMemory = co_await this->findLackOfMemory(view, queue, id, *spec, deadline);
+    if (lackOfMemory) {
+        co_return *lackOfMemory;
+    }
+    if (findState(view, id)) {
+        co_return this->replyToRepeat(view, id, queue, caller);
+    }
     JobPlacement placement;
     std::optional<CallerReply> conflict = co_await this->findConflict(queue, revision, id, caller, deadline, placement);
     if (!conflict && caller.hasAccounts) {
@@ -180,6 +236,8 @@
     switch (appended.outcome) {
     case AppendOutcome::Durable:
         view.accepted.emplace(id, KnownSubmission{queue.id, placement, -1, caller.account});
+        view.noteSubmission(id, memoryOf(job.spec));
+        view.submittedMemory += memoryOf(job.spec);
         if (!this->mayUse(view, id, queue, caller, CallerAction::Submit)) {
             // Another account's submission, at another gateway, was stored first.
             co_return CallerReply{CallerOutcome::IdTaken, {}, 0, "the ID is that of another job", {}};
--- a/src/scheduler/jobgateway.cpp
+++ b/src/scheduler/jobgateway.cpp
@@ -44,26 +44,33 @@
                 if (record.value.empty()) {
                     raw->progress.erase(key.job);
                     raw->accepted.erase(key.job);
+                    raw->openJobs.remove(key.job);
                 } else if (const auto known = decodeProgress(key.job, record.value)) {
                     KnownJob &job = raw->progress[key.job];
                     const auto submitted = raw->accepted.find(key.job);
                     // The previous version stores states without the account, which a job keeps for its whole life.
                     const AccountId earlier = job.account.isEmpty() && submitted != raw->accepted.end() ? submitted->second.account : job.account;
                     job = KnownJob{known->queue, known->state, known->account.isEmpty() ? earlier : known->account};
+                    if (isFinal(known->state)) {
+                        raw->openJobs.remove(key.job);
+                    }
                 }
             }});
     view->jobsReader = std::make_unique<StreamReader>(this->context, this->store, Stream::Jobs, partition,
-        StreamReader::Handlers{[] {
+        StreamReader::Handlers{[raw] {
+                                   raw->openJobs.clear();
                                },
             [raw](const StoredRecord &record) {
                 const ParsedKey key = parseKey(record.key);
                 raw->seals.apply(record);
                 if (record.value.empty()) {
                     raw->accepted.erase(key.job);
+                    raw->openJobs.remove(key.job);
                 } else if (key.kind == KeyKind::Cancellation) {
                     raw->cancelled.insert(key.job);
                 } else if (const auto job = decodeAcceptedJob(key.job, record.value)) {
                     raw->accepted.emplace(key.job, KnownSubmission{job->queue, job->placement, record.offset, job->account});
+                    raw->noteSubmission(key.job, memoryOf(job->spec));
                 }
             }});
     return view;
@@ -195,6 +202,7 @@
     net::co_spawn(
         this->context,
         [&view, readEnded, includesStates]() -> net::awaitable<void> {
+            const std::size_t submittedBefore = view.submittedMemory;
             Result<void> read;
             if (includesStates) {
                 read = co_await view.progressReader->catchUp();
@@ -204,6 +212,7 @@
             }
             // The record of a job that has ended may be deleted, so the jobs alone do not tell.
             if (read && includesStates) {
+                view.submittedMemory -= std::min(view.submittedMemory, submittedBefore);
                 view.appender->settle(view.jobsReader->currentAsOf());
             }
             readEnded->notify();
--- a/src/scheduler/jobgateway_pvt.h
+++ b/src/scheduler/jobgateway_pvt.h
@@ -35,6 +35,38 @@
     AccountId account{};
 };
 
+// What the open jobs of a partition take of their owner's memory, in bytes, as far as this process has read.
+class OpenJobs
+{
+public:
+    void add(const JobId &id, std::size_t memory)
+    {
+        const bool isNew = this->memoryOfJob.try_emplace(id, memory).second;
+        this->total += isNew ? memory : 0;
+    }
+    void remove(const JobId &id)
+    {
+        const auto job = this->memoryOfJob.find(id);
+        if (job != this->memoryOfJob.end()) {
+            this->total -= job->second;
+            this->memoryOfJob.erase(job);
+        }
+    }
+    void clear()
+    {
+        this->memoryOfJob.clear();
+        this->total = 0;
+    }
+    std::size_t memory() const
+    {
+        return this->total;
+    }
+
+private:
+    std::unordered_map<JobId, std::size_t> memoryOfJob;
+    std::size_t total = 0;
+};
+
 // The account whose submission of a job this process has sent to the store, while it may not have been read back.
 struct SentSubmission {
     QueueId queue;
@@ -49,6 +81,9 @@
     std::unordered_map<JobId, KnownJob> progress;
     // Jobs accepted by this or any other gateway.
     std::unordered_map<JobId, KnownSubmission> accepted;
+    OpenJobs openJobs;
+    // What this process has submitted since it has last read the partition.
+    std::size_t submittedMemory = 0;
     PlacementSeals seals;
     std::set<JobId> cancelled;
     // Kept only with client accounts.
@@ -57,6 +92,14 @@
     std::unique_ptr<StreamReader> progressReader;
     std::unique_ptr<StreamReader> jobsReader;
 
+    // Counts the job among the open ones, unless it is known to have ended.
+    void noteSubmission(const JobId &id, std::size_t memory)
+    {
+        const auto state = this->progress.find(id);
+        if (state == this->progress.end() || !isFinal(state->second.state)) {
+            this->openJobs.add(id, memory);
+        }
+    }
     // Returns true if the submission was stored after its placement was sealed, so that the owner moves it on.
     bool isVoid(const KnownSubmission &submission) const
     {
@@ -106,6 +149,12 @@
     std::unique_ptr<PartitionView> makeView(std::int32_t partition);
     // Returns true if a newer configuration may have to be in force by now.
     bool isConfigOutdated() const;
+    // Returns the reply to a submission that would take more memory than the owners may have to hold, nothing if there is room for it. Reads the partition
+    // before if what is known of it may be far from the truth.
+    net::awaitable<std::optional<CallerReply>> findLackOfMemory(
+        PartitionView &view, QueueConfig queue, JobId id, const JobSpec &spec, std::chrono::steady_clock::time_point deadline);
+    // Returns what the open jobs of all partitions take, as far as this process has read.
+    std::size_t openMemory() const;
     // Returns the time since the configuration was last confirmed; nothing if it does not expire.
     std::optional<std::chrono::nanoseconds> configAge() const;
     // Returns the reply to a request that only an older configuration may allow or deny; nothing if the request depends on no configuration.
--- a/src/scheduler/nodesettings.h
+++ b/src/scheduler/nodesettings.h
@@ -14,6 +14,8 @@
 struct NodeSettings {
     // CPU share in thousandths of a core that is sufficient for every duty.
     static constexpr std::int32_t sufficientMillicores = 500;
+    // Assumed if the settings do not specify the memory.
+    static constexpr std::size_t defaultMemory = std::size_t(128) * 1024 * 1024;
 
     ProcessId name;
     DataCentreId dataCentre;
@@ -24,6 +26,8 @@
     std::int32_t partitions = 8;
     // CPU share of this process in thousandths of a core; 0 if the settings do not specify it.
     std::int32_t cpuMillicores = 0;
+    // Memory of this process in bytes, beyond which it is killed.
+    std::size_t memory = defaultMemory;
     SchedulerSettings scheduler;
     PlannerSettings planner;
     // Time between the request to stop and the forced termination.
@@ -53,6 +57,20 @@
         return this->cpuMillicores >= sufficientMillicores;
     }
 
+    // Orders to executors that may be under way at the same time. They take a sixteenth of the memory.
+    std::size_t maxOrders() const
+    {
+        return std::max<std::size_t>(1, this->memory / 16 / orderMemory);
+    }
+
+    // Memory for all open jobs together. After the loss of the others one process has to hold them, and the settings do not tell the memory of the others,
+    // so a process with more memory than most accepts no more for it.
+    std::size_t jobMemory() const
+    {
+        constexpr std::size_t most = std::size_t(64) * 1024 * 1024;
+        return std::min(this->memory / 3, most);
+    }
+
     // Time after which a group member that has not renewed its membership is replaced.
     std::chrono::milliseconds membershipTimeout() const
     {
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -414,5 +414,80 @@
     EXPECT_EQ(results.front().outcome, AppendOutcome::Durable);
 }
 
+// Guards against a job that is accepted although no process can hold it (review/14).
+TEST_F(SchedulerTest, JobThatNoProcessCanHoldIsRefusedWithTheLimit)
+{
+    this->settings.memory = 30'000;
+    this->gateway = std::move(*JobGateway::create(this->context, this->store, *this->log, this->metrics, this->settings));
+    this->gateway->setConfig(this->config);
+    this->itemCount = 50;
+    const CallerReply reply = this->call(CallerAction::Submit, this->job);
+    EXPECT_EQ(reply.outcome, CallerOutcome::Invalid);
+    EXPECT_NE(reply.message.find("steps: must have fewer work items, the job takes"), std::string::npos) << reply.message;
+    EXPECT_NE(reply.message.find("of 10000 bytes"), std::string::npos) << reply.message;
+    EXPECT_TRUE((this->store.partitions[{Stream::Jobs, 0}].records.empty()));
+}
+
+// Guards against a gang whose start orders alone take more memory than the process has for orders.
+TEST_F(SchedulerTest, GangWithMoreMembersThanOrdersMayBeUnderWayIsRefused)
+{
+    this->settings.memory = 10 * 16 * orderMemory;
+    this->gateway = std::move(*JobGateway::create(this->context, this->store, *this->log, this->metrics, this->settings));
+    this->gateway->setConfig(this->config);
+    this->isGang = true;
+    this->itemCount = 11;
+    const CallerReply reply = this->call(CallerAction::Submit, this->job);
+    EXPECT_EQ(reply.outcome, CallerOutcome::Invalid);
+    EXPECT_NE(reply.message.find("steps[0].count: must be 10 at most"), std::string::npos) << reply.message;
+    this->itemCount = 10;
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+}
+
+// Guards against jobs that are accepted while those that are open take all the memory that a process has for them, and against refusals that go on after
+// they have ended.
+TEST_F(SchedulerTest, JobsAreRefusedWhileTheOpenOnesTakeAllMemoryForJobs)
+{
+    this->settings.memory = 36'000;
+    this->gateway = std::move(*JobGateway::create(this->context, this->store, *this->log, this->metrics, this->settings));
+    this->gateway->setConfig(this->config);
+    const auto jobNumber = [](int number) {
+        return "/counter/00000000000000" + std::to_string(10 + number);
+    };
+    int accepted = 0;
+    CallerReply reply;
+    while (accepted < 10 && (reply = this->call(CallerAction::Submit, jobNumber(accepted))).outcome == CallerOutcome::Accepted) {
+        ++accepted;
+    }
+    EXPECT_EQ(accepted, 2) << "a job of three work items takes 4,204 of 12,000 bytes";
+    EXPECT_EQ(reply.outcome, CallerOutcome::NotAccepted);
+    EXPECT_GT(reply.retryAfter, 0ms);
+    EXPECT_NE(reply.message.find("memory"), std::string::npos) << reply.message;
+    EXPECT_EQ(this->call(CallerAction::Submit, jobNumber(0)).outcome, CallerOutcome::Accepted) << "a repeat of a stored submission";
+    const auto owner = this->startOwner(1);
+    this->runUntil([this, &jobNumber] {
+        return this->call(CallerAction::Read, jobNumber(0)).state == JobState::Completed
+            && this->call(CallerAction::Read, jobNumber(1)).state == JobState::Completed;
+    });
+    EXPECT_EQ(this->call(CallerAction::Submit, jobNumber(accepted)).outcome, CallerOutcome::Accepted);
+    owner->stop();
+}
+
+// Guards against an owner that keeps an order under way for each work item of a backlog that it has found.
+TEST_F(SchedulerTest, OrdersUnderWayAreBoundedForABacklogOfAnyLength)
+{
+    this->orderBudget = *OrderBudget::create(8);
+    this->itemCount = 200;
+    EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
+    const auto owner = this->startOwner(1);
+    std::size_t most = 0;
+    this->runUntil([this, &most] {
+        most = std::max(most, this->orderBudget->used());
+        return this->executors.starts.size() == 200;
+    });
+    EXPECT_LE(most, this->orderBudget->limit());
+    EXPECT_GT(most, 1U);
+    owner->stop();
+}
+
 }
 }
--- a/src/scheduler/scheduler_test.h
+++ b/src/scheduler/scheduler_test.h
@@ -351,7 +351,8 @@
 
     std::shared_ptr<ShardOwner> startOwner(std::int64_t token)
     {
-        const OwnerContext owner{this->context, this->store, this->executors, this->policyWanted, *this->log, this->metrics, this->settings};
+        OwnerContext owner{this->context, this->store, this->executors, this->policyWanted, *this->log, this->metrics, this->settings};
+        owner.orderBudget = this->orderBudget;
         const auto shard = ShardOwner::create(owner, 0, token);
         const TimePoint now = BootClock().now();
         shard->setConfig(this->config);
@@ -368,9 +369,10 @@
         request.host = "host";
         request.path = path;
         request.timeout = timeout;
-        request.decodeJob = [] {
+        request.decodeJob = [count = this->itemCount, isGang = this->isGang] {
             StepSpec step;
-            step.count = 3;
+            step.count = count;
+            step.isGang = isGang;
             step.resources = Resources{1000, 10, 0};
             return Result<JobSpec>(JobSpec{"work", {step}, {}});
         };
@@ -410,6 +412,11 @@
     MemoryStore store;
     FakeExecutors executors;
     std::unique_ptr<EventLog> log;
+    // Work items of the jobs that call() submits, and whether they form a gang.
+    std::int32_t itemCount = 3;
+    bool isGang = false;
+    // For the owners; without it only the orders to each executor are bounded.
+    std::shared_ptr<OrderBudget> orderBudget;
     // For the owners; without one they ask for no placement policy.
     Event *policyWanted = nullptr;
     Metrics metrics;
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -16,6 +16,7 @@
 #include "ownership.h"
 #include "planningduty.h"
 #include "policyduty.h"
+#include "processmemory.h"
 #include "quotafeed.h"
 #include "quotalog.h"
 #include "recordcodec.h"
@@ -54,6 +55,10 @@
 constexpr milliseconds callerDrainTime{3200};
 // Part of the grace time that is reserved for the termination itself.
 constexpr milliseconds stopMargin{1200};
+constexpr milliseconds memoryCheckInterval{1000};
+// Shares of the memory limit beyond and below which the use of memory is logged.
+constexpr double highMemoryShare = 0.8;
+constexpr double lowMemoryShare = 0.7;
 // Limit for each event name.
 constexpr std::uint32_t maxRoutineEventsPerSecond = 60;
 
@@ -87,9 +92,10 @@
                   }})
         , placements(std::make_shared<QueuePlacements>(context, this->platform->store(), *this->log))
         , quotas(std::make_shared<QuotaFeed>(*this->log))
+        , orderBudget(*OrderBudget::create(this->platform->settings().maxOrders()))
         , policyWanted(context)
         , ownership(OwnerContext{context, this->platform->store(), this->platform->executors(), &this->policyWanted, *this->log, this->metrics,
-                        this->platform->settings(), this->placements, this->quotas},
+                        this->platform->settings(), this->placements, this->quotas, this->orderBudget},
               [this](bool isReachable) {
                   this->gateway->noteStoreContact(isReachable);
               })
@@ -122,6 +128,7 @@
     OperatorFeed feed;
     std::shared_ptr<QueuePlacements> placements;
     std::shared_ptr<QuotaFeed> quotas;
+    std::shared_ptr<OrderBudget> orderBudget;
     Event policyWanted;
     Ownership ownership;
     // Absent if there is no placement policy.
@@ -159,6 +166,8 @@
     bool isReportDue(const PoolReport &report) const;
 
     net::awaitable<void> followDirectory();
+    // Logs when the memory of the process comes close to its limit, and when it is well below again.
+    net::awaitable<void> watchMemory();
     void startPolicyDuty();
     nlohmann::json stateAsJson() const;
     // Sets the gauges of the pools that this process owns now.
@@ -191,6 +200,24 @@
     }
 }
 
+net::awaitable<void> SchedulerProcess::Private::watchMemory()
+{
+    const auto limit = static_cast<double>(this->platform->settings().memory);
+    bool isHigh = false;
+    while (!this->isStopping) {
+        const std::size_t resident = residentMemory();
+        const double share = static_cast<double>(resident) / limit;
+        if (isHigh ? share < lowMemoryShare : share >= highMemoryShare) {
+            isHigh = !isHigh;
+            this->log->emit(isHigh ? "memory_high" : "memory_low",
+                {{"bytes", static_cast<std::int64_t>(resident)}, {"limit_bytes", static_cast<std::int64_t>(limit)},
+                    {"orders", static_cast<std::int64_t>(this->orderBudget->used())}, {"orders_limit", static_cast<std::int64_t>(this->orderBudget->limit())}},
+                EventPriority::Essential);
+        }
+        co_await sleepFor(this->context, memoryCheckInterval);
+    }
+}
+
 void SchedulerProcess::Private::setPlanningToken(std::int64_t token)
 {
     this->log->emit(token != 0 ? "planning_gained" : "planning_lost", {{"token", token}}, EventPriority::Essential);
@@ -480,6 +507,10 @@
         }
         unassigned += shard->unassignedJobs();
     }
+    this->metrics.set("mangocourse_orders_under_way", "Orders to executors that are under way.", static_cast<double>(this->orderBudget->used()));
+    this->metrics.set("mangocourse_orders_limit", "Orders to executors that may be under way.", static_cast<double>(this->orderBudget->limit()));
+    this->metrics.set("mangocourse_memory_bytes", "Resident memory of the process.", static_cast<double>(residentMemory()));
+    this->metrics.set("mangocourse_memory_limit_bytes", "Memory beyond which the process is killed.", static_cast<double>(this->platform->settings().memory));
     this->metrics.set("mangocourse_unassigned_jobs", "Jobs whose service is not in the configuration.", static_cast<double>(unassigned));
 }
 
@@ -545,6 +576,7 @@
     net::co_spawn(state->context, state->ownership.run(), net::detached);
     net::co_spawn(state->context, state->joinPlanners(), net::detached);
     net::co_spawn(state->context, state->followDirectory(), net::detached);
+    net::co_spawn(state->context, state->watchMemory(), net::detached);
     net::co_spawn(state->context, state->followPlan(), net::detached);
     net::co_spawn(state->context, state->reportPools(), net::detached);
     state->startPolicyDuty();
--- a/src/scheduler/shardowner.cpp
+++ b/src/scheduler/shardowner.cpp
@@ -41,6 +41,7 @@
     raw->setObserver([this](const SchedulerEvent &event) {
         this->logSchedulerEvent(event);
     });
+    raw->setOrderBudget(this->owner.orderBudget);
     raw->setConfig(*this->config);
     raw->setPreviousExecutors(this->previousExecutors);
     raw->setEvacuations(this->evacuations, bootNow());
--- a/src/scheduler/shardowner.h
+++ b/src/scheduler/shardowner.h
@@ -31,6 +31,8 @@
     std::shared_ptr<QueuePlacements> placements{};
     // Shared with the reader of the plan stream; without it no item of a limited account starts.
     std::shared_ptr<const QuotaFeed> quotas{};
+    // For all orders of the process; nullptr if only those to each executor are bounded.
+    std::shared_ptr<OrderBudget> orderBudget{};
 };
 
 // Schedules one partition. Does no harm after a successor has taken over: its records and orders are fenced by the token, and no lease that it grants
--- a/src/scheduler/shardowner_pvt.h
+++ b/src/scheduler/shardowner_pvt.h
@@ -176,6 +176,8 @@
     net::awaitable<void> send(PoolScheduler *pool, StopOrder order);
     net::awaitable<void> send(PoolScheduler *pool, PaceOrder order);
     void dispatch(PoolScheduler *pool, SchedulerOrders orders);
+    // Gives the place of an order back, and plans the orders that waited for one.
+    void endOrder(const PoolScheduler &pool, OrderBudget::Place &place);
     // Ends the ownership if the executor refused the call because of another owner.
     void checkFence(const PoolScheduler &pool, const ExecutorId &executor, std::int64_t fencingToken, OrderOutcome outcome);
     // Starts lease renewals for executors that have none yet.
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -263,6 +263,7 @@
         co_return;
     }
     if (!pool->confirmStart(order, this->state.watermarks(), sentAt)) {
+        order.place.reset();
         this->state.planRequested.notify();
         co_return;
     }
@@ -282,6 +283,7 @@
     if (reply.outcome != OrderOutcome::Done) {
         this->state.planRequested.notify();
     }
+    this->endOrder(*pool, order.place);
 }
 
 net::awaitable<void> ShardOwner::Tasks::send(PoolScheduler *pool, StopOrder order)
@@ -290,6 +292,7 @@
     const OrderReply reply = co_await this->state.owner.executors.stop(order.executor, order.run);
     this->checkFence(*pool, key.id, order.run.token, reply.outcome);
     pool->onStopped(key, order.run, reply, bootNow());
+    this->endOrder(*pool, order.place);
 }
 
 net::awaitable<void> ShardOwner::Tasks::send(PoolScheduler *pool, PaceOrder order)
@@ -301,6 +304,15 @@
         {{"job", order.run.item.job.value}, {"index", std::int64_t(order.run.item.index)}, {"executor", order.executor.id.value},
             {"percent", std::int64_t(order.run.percent)}, {"outcome", toString(reply.outcome)}});
     pool->onPaced(key, order, reply, bootNow());
+    this->endOrder(*pool, order.place);
+}
+
+void ShardOwner::Tasks::endOrder(const PoolScheduler &pool, OrderBudget::Place &place)
+{
+    place.reset();
+    if (pool.areOrdersHeld()) {
+        this->state.planRequested.notify();
+    }
 }
 
 void ShardOwner::Tasks::checkFence(const PoolScheduler &pool, const ExecutorId &executor, std::int64_t fencingToken, OrderOutcome outcome)
