Soak: jobs of a thousand items, whose ends executors list in pages

Cause: no run of the soak had more than 500 ends on an executor, so neither pages nor orders without a bound could be met.

The judge knows that such items need their executor.

--- a/src/standin_fleet/callers.py
+++ b/src/standin_fleet/callers.py
@@ -251,6 +251,28 @@
         self.checker.jobs[job]["unsure"] = True
 
 
+class LargeJobCaller(Caller):
+    """Submits jobs of many tiny items, one after the other, each for one executor, which then has more ends than it lists at once."""
+
+    ITEMS = (700, 1200)
+    PAUSE_S = (1.0, 3.0)
+    # By service.
+    executor_names = {}
+
+    def run(self):
+        count = 0
+        while not self.stop.is_set():
+            count += 1
+            prefix = self.random.choice(list(SERVICE_BY_PREFIX))
+            job = "%06x%010x" % (self.number, count)
+            executor = self.random.choice(self.executor_names[SERVICE_BY_PREFIX[prefix]])
+            step = {"count": self.random.randint(*self.ITEMS), "cpu": 10, "mem_mb": 1, "estimate_ms": 2000, "requires": executor}
+            self.submit(prefix, job, [step, {"count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 500, "depends_on": [0]}])
+            self.stop.wait(self.random.uniform(*self.PAUSE_S))
+            if self.random.random() < 0.1:
+                self.cancel(prefix, job)
+
+
 class RepeatingCaller(Caller):
     """Submits small jobs and repeats them as impatient clients do: at the same process or at others, one by one or several at once."""
 
--- a/src/standin_fleet/faultsoak.py
+++ b/src/standin_fleet/faultsoak.py
@@ -17,7 +17,7 @@
 from collections import Counter
 
 from accounts import AccountCheck, Accounts, OPEN_PREFIX
-from callers import Caller, PARTITION_COUNT, Process, Proxy, RepeatingCaller
+from callers import Caller, LargeJobCaller, PARTITION_COUNT, Process, Proxy, RepeatingCaller
 from faults import LossAndRefusal
 from fleet import Executor, Store
 from judge import InvariantChecker, LASTING_RESTART_S, MAX_ATTEMPTS, MAX_START_AFTER_CANCEL_S, MAX_WAIT_S, SERVICE_BY_PREFIX, WaitingWorkCheck
@@ -55,6 +55,7 @@
         self.restart_random = random.Random("restarts %d" % seed)
         self.has_refusals = arguments.refusals
         self.has_restarts = arguments.restarts
+        self.has_large_jobs = arguments.large
         self.accounts = Accounts(seed) if arguments.accounts else None
         self.publish_lock = threading.Lock()
         random.seed(seed)
@@ -310,6 +311,10 @@
         callers = [self.make_caller(Caller, number, self.random.randrange(10 ** 6)) for number in range(4)]
         if self.has_refusals:
             callers += [self.make_caller(RepeatingCaller, number, self.refusal_random.randrange(10 ** 6)) for number in range(16, 20)]
+        if self.has_large_jobs:
+            LargeJobCaller.executor_names = {service: [executor.name for executor in self.executors if executor.service == service]
+                                             for service in SERVICE_BY_PREFIX.values()}
+            callers.append(self.make_caller(LargeJobCaller, 24, self.refusal_random.randrange(10 ** 6)))
         self.waiting_work_check.start()
         time.sleep(2.0)
         for caller in callers:
@@ -428,6 +433,7 @@
     parser.add_argument("--executors", type=int, default=8)
     parser.add_argument("--refusals", action="store_true", help="adds faults that lose answers and refuse the calls that follow, and callers that repeat")
     parser.add_argument("--restarts", action="store_true", help="adds executors that restart under their ids and carry out calls to their earlier boots")
+    parser.add_argument("--large", action="store_true", help="adds jobs of a thousand items, of which executors list the ends in pages")
     parser.add_argument("--accounts", action="store_true", help="adds client accounts whose keys change during the run")
     parser.add_argument("--logs", help="directory for the logs of failed seeds")
     arguments = parser.parse_args()
--- a/src/standin_fleet/fleet.py
+++ b/src/standin_fleet/fleet.py
@@ -19,6 +19,9 @@
 CAPACITY = {"cpu": 16000, "mem_mb": 64000}
 # Run times of finite and of lasting items, and the longest delay of an order that is carried out late.
 FINITE_RUN_S = (0.1, 0.8)
+# Items with so little CPU come by the hundred. Their runs outlast a takeover, so that more of them end than an executor lists at once.
+TINY_CPU = 10
+TINY_RUN_S = (1.5, 2.5)
 LASTING_RUN_S = (4.0, 30.0)
 MAX_ORDER_DELAY_S = 3.5
 # Longest time after a restart at which a call to the boot before is carried out.
@@ -303,7 +306,7 @@
                     last_report = time.monotonic()
                     self.store.append_record("keyed.servers", self.name, {
                         "service": self.service, "address": self.advertised_address, "zone": "z", "state": "ready", "born": self.boot_id,
-                        "machine": "m-" + self.name, "sequence": int(last_report), "capacity": CAPACITY, "labels": ["a", "rack-1"]})
+                        "machine": "m-" + self.name, "sequence": int(last_report), "capacity": CAPACITY, "labels": ["a", "rack-1", self.name]})
                 is_lapsed = self.lease_until < self.clock_ms()
                 if is_lapsed:
                     self.last_end_before_lapse = self.last_end_sequence
@@ -397,8 +400,10 @@
         free = self.compute_free()
         if any(demand[name] > free[name] for name in CAPACITY):
             return 409, dict(clock_field, reason="room")
-        outcome = "failed" if is_lasting or random.random() < 0.05 else "done"
-        self.running[item] = {"run": run, "until": time.monotonic() + random.uniform(*LASTING_RUN_S if is_lasting else FINITE_RUN_S),
+        is_tiny = demand["cpu"] <= TINY_CPU
+        outcome = "failed" if is_lasting or (not is_tiny and random.random() < 0.05) else "done"
+        run_s = TINY_RUN_S if is_tiny else LASTING_RUN_S if is_lasting else FINITE_RUN_S
+        self.running[item] = {"run": run, "until": time.monotonic() + random.uniform(*run_s),
                               "outcome": outcome, "demand": demand}
         self.checker.run_started(item, self.name, run)
         return 200, clock_field
--- a/src/standin_fleet/judge.py
+++ b/src/standin_fleet/judge.py
@@ -219,6 +219,8 @@
         """Returns how many items of the step fit into the room beside what runs there."""
         places = 0
         for executor, free in room.items():
+            if step.get("requires", executor) != executor:
+                continue
             fitting = min(free[name] // step[name] for name in CAPACITY)
             allowed = step.get("anti_affinity", fitting + taken.count(executor)) - taken.count(executor)
             places += max(0, min(fitting, allowed))
