Name held orders as a reason for waiting, and log refusals for size

A job refused with 400 because no process can hold it left no line. An unreadable memory counted as 0. The log field fencing_token was the platform's word.

Limits of memory are named constants.

--- a/src/include/mangocourse/poolwaiting.h
+++ b/src/include/mangocourse/poolwaiting.h
@@ -48,6 +48,8 @@
     NoPass,
     // The account's share of its limit is in use, or is not known yet.
     AccountLimit,
+    // Usable executors have room, but as many orders are under way as may be, to these executors or in the process.
+    OrdersHeld,
     // A usable executor has room and nothing hinders the item.
     NotTried,
     // A start order is in flight, or the executor lists neither the run nor its end.
--- a/src/libmangocourse/poolhistoryworld_test.h
+++ b/src/libmangocourse/poolhistoryworld_test.h
@@ -945,7 +945,8 @@
         });
     }
 
-    // Returns the time until which the owner may regard itself as the only one.
+    // Returns the time until which the owner regards itself as the only one. The store names no successor before a membership has ended or been left, so the
+    // earliest takeover that is possible comes at the end of this time, whenever the history lets it come.
     milliseconds exclusiveUntil(const FakeOwner &owner) const
     {
         return std::min(owner.confirmedAt + membershipTimeout, owner.succeededAt);
--- a/src/libmangocourse/poolorders_test.cpp
+++ b/src/libmangocourse/poolorders_test.cpp
@@ -115,6 +115,23 @@
     EXPECT_EQ(this->plan().starts.size(), 100U);
 }
 
+// Guards against work that waits for a place of its order and is logged as if nothing hindered it.
+TEST_F(PoolOrdersTest, WorkThatWaitsForAPlaceIsNamed)
+{
+    this->addItems("a", 400);
+    const SchedulerOrders underWay = this->plan();
+    EXPECT_FALSE(underWay.starts.empty());
+    this->scheduler->cancelJob(JobId{"a"}, this->now, this->wall);
+    this->addItems("b", 1);
+    this->plan();
+    this->scheduler->reviewWaiting(this->now, this->wall);
+    this->advance(1000ms);
+    this->plan();
+    const WaitingReview found = this->scheduler->reviewWaiting(this->now, this->wall);
+    ASSERT_FALSE(found.items.empty());
+    EXPECT_EQ(toString(found.items[0].reason), toString(WaitReason::OrdersHeld));
+}
+
 // Guards against a pool that gets no place because those of the process are taken by another pool, and that is not planned again.
 TEST_F(PoolOrdersTest, HeldOrdersAreTriedAgainSoon)
 {
--- a/src/libmangocourse/poolprogress_test.cpp
+++ b/src/libmangocourse/poolprogress_test.cpp
@@ -221,6 +221,7 @@
     }
 }
 
+// Guards against runs of an owner that goes on after its successor has taken over, on executors that restart under their ids.
 TEST(PoolHistory, NoPromiseIsBrokenIfCallsOfSupersededOwnersReachTheNextIncarnation)
 {
     const std::uint32_t first = environmentValue("SEED", 1);
--- a/src/libmangocourse/poolrestarts_test.cpp
+++ b/src/libmangocourse/poolrestarts_test.cpp
@@ -278,8 +278,7 @@
     EXPECT_EQ(this->renewal("one")->renewal.acknowledgedEnd, 57);
 }
 
-// Guards against ends that are never acknowledged (review/12): the end of a run whose start got no answer may follow those that the executor lists, and
-// is listed only once those are acknowledged.
+// Guards against ends that are never acknowledged because the end of an unanswered start is listed only after an acknowledgement (review/12).
 TEST_F(PoolRestartsTest, UnansweredStartHoldsAnAcknowledgementUpOnlyWhileItCanBeCarriedOut)
 {
     this->answer(this->orders[0], OrderOutcome::Done);
--- a/src/libmangocourse/poolscheduler_pvt.h
+++ b/src/libmangocourse/poolscheduler_pvt.h
@@ -257,13 +257,17 @@
     void requestStop(Executor &executor, Run &run, const char *reason);
     void updateDurationRatios(Executor &executor, const Run &run, TimePoint now);
 
-    // Planning
+    // Orders under way; see poolorders.cpp.
     // Returns the budget for orders to the executor, which counts against that of the process.
     OrderBudget &budgetOf(Executor &executor) const;
     // Returns true if an order to the executor may go on its way now, and otherwise notes that orders are held back.
     bool hasOrderRoom(Executor &executor, OrderKind kind);
-    // As hasOrderRoom(), for any executor.
+    // As hasOrderRoom() for a start, whatever the executor.
     bool hasStartRoom();
+    // Returns true if a start order to the executor may go on its way now.
+    bool hasStartRoom(const Executor &executor) const;
+
+    // Planning
     void expireLeases(TimePoint now, TimePoint confirmedAt);
     void stopStalledRuns(Executor &executor, TimePoint now);
     void stopOrphans(Executor &executor, TimePoint now);
--- a/src/libmangocourse/poolwaiting.cpp
+++ b/src/libmangocourse/poolwaiting.cpp
@@ -74,7 +74,7 @@
 {
     static constexpr std::array<std::string_view, waitReasonCount> names{"unexamined", "no-plan", "short-term", "old-watermarks", "unassigned", "not-placeable",
         "intent-not-durable", "previous-runs", "possibly-active", "gang-incomplete", "policy-unanswered", "no-executor", "no-usable-executor", "no-room",
-        "constraint", "no-pass", "account-limit", "not-tried", "run-unlisted"};
+        "constraint", "no-pass", "account-limit", "orders-held", "not-tried", "run-unlisted"};
     return nameOf(reason, names);
 }
 
@@ -465,6 +465,7 @@
     Resources demand = spec.resources;
     demand.cpu = spec.isBestEffort ? 0 : demand.cpu;
     std::int32_t fitting = 0;
+    bool canOrder = false;
     for (const auto &[key, executor] : this->pool.executors) {
         if (this->pool.usabilityOf(executor, this->now) != ExecutorUsability::Usable) {
             continue;
@@ -472,6 +473,7 @@
         PlacementObstacle obstacle = findShortage(executor.free(), demand);
         obstacle = obstacle == PlacementObstacle::None ? this->pool.findConstraint(executor, entry, id, spec) : obstacle;
         ++countOf(line.obstacles, obstacle);
+        canOrder = canOrder || (obstacle == PlacementObstacle::None && this->pool.hasStartRoom(executor));
         if (obstacle == PlacementObstacle::None && spec.isGang) {
             fitting += countFitting(executor.free(), demand, spec.perExecutorLimit > 0 ? spec.perExecutorLimit : spec.count);
         }
@@ -482,6 +484,9 @@
     if (spec.isGang && fitting < spec.count) {
         return WaitReason::NoRoom;
     }
+    if (!canOrder) {
+        return WaitReason::OrdersHeld;
+    }
     return entry.mayStart ? WaitReason::NotTried : WaitReason::IntentNotDurable;
 }
 
--- a/src/libservice/processmemory.cpp
+++ b/src/libservice/processmemory.cpp
@@ -6,14 +6,14 @@
 
 namespace MangoCourse {
 
-std::size_t residentMemory()
+std::optional<std::size_t> residentMemory()
 {
     std::ifstream file("/proc/self/statm");
     std::size_t total = 0;
     std::size_t resident = 0;
     file >> total >> resident;
     const long pageSize = sysconf(_SC_PAGESIZE);
-    return file && pageSize > 0 ? resident * static_cast<std::size_t>(pageSize) : 0;
+    return file && pageSize > 0 ? std::optional(resident * static_cast<std::size_t>(pageSize)) : std::nullopt;
 }
 
 }
--- a/src/libservice/processmemory.h
+++ b/src/libservice/processmemory.h
@@ -2,10 +2,11 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 
 namespace MangoCourse {
 
-// Returns the resident memory in bytes; 0 if the operating system does not tell.
-std::size_t residentMemory();
+// Returns the resident memory in bytes, or nothing if the operating system does not tell.
+std::optional<std::size_t> residentMemory();
 
 }
--- a/src/scheduler/gatewaysubmission.cpp
+++ b/src/scheduler/gatewaysubmission.cpp
@@ -154,12 +154,14 @@
         if (members > this->settings.maxOrders()) {
             const std::string text = "steps[" + std::to_string(step) + "].count: must be " + std::to_string(this->settings.maxOrders())
                 + " at most, as the members of a gang start at the same time";
+            this->logUnstored("job_refused", id, queue, "a gang has too many members", AppendResult{AppendOutcome::NotStored, text});
             co_return CallerReply{CallerOutcome::Invalid, {}, 0, text, {}};
         }
     }
     if (needed > limit) {
         const std::string text = "steps: must have fewer work items, the job takes " + std::to_string(needed) + " of " + std::to_string(limit)
             + " bytes of memory that a process has for jobs";
+        this->logUnstored("job_refused", id, queue, "no process can hold the job", AppendResult{AppendOutcome::NotStored, text});
         co_return CallerReply{CallerOutcome::Invalid, {}, 0, text, {}};
     }
     const bool isFull = this->openMemory() + needed > limit;
--- a/src/scheduler/nodesettings.h
+++ b/src/scheduler/nodesettings.h
@@ -16,6 +16,10 @@
     static constexpr std::int32_t sufficientMillicores = 500;
     // Assumed if the settings do not specify the memory.
     static constexpr std::size_t defaultMemory = std::size_t(128) * 1024 * 1024;
+    // Fractions of the memory for orders under way and for open jobs, and the most bytes for jobs.
+    static constexpr std::size_t memoryPerOrderMemory = 16;
+    static constexpr std::size_t memoryPerJobMemory = 3;
+    static constexpr std::size_t maxJobMemory = std::size_t(64) * 1024 * 1024;
 
     ProcessId name;
     DataCentreId dataCentre;
@@ -57,18 +61,17 @@
         return this->cpuMillicores >= sufficientMillicores;
     }
 
-    // Orders to executors that may be under way at the same time. They take a sixteenth of the memory.
+    // Orders to executors that may be under way at the same time.
     std::size_t maxOrders() const
     {
-        return std::max<std::size_t>(1, this->memory / 16 / orderMemory);
+        return std::max<std::size_t>(1, this->memory / memoryPerOrderMemory / orderMemory);
     }
 
-    // Memory for all open jobs together. After the loss of the others one process has to hold them, and the settings do not tell the memory of the others,
-    // so a process with more memory than most accepts no more for it.
+    // Memory in bytes for all open jobs together. Any process may have to hold them after the loss of the others, whose memory the settings do not tell, so
+    // there is an upper limit for processes with much memory.
     std::size_t jobMemory() const
     {
-        constexpr std::size_t most = std::size_t(64) * 1024 * 1024;
-        return std::min(this->memory / 3, most);
+        return std::min(this->memory / memoryPerJobMemory, maxJobMemory);
     }
 
     // Time after which a group member that has not renewed its membership is replaced.
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the scheduler's duties with an in-memory store.
 #include "scheduler_test.h"
+#include "memorywatch.h"
 
 namespace MangoCourse {
 namespace {
@@ -443,8 +444,7 @@
     EXPECT_EQ(this->call(CallerAction::Submit, this->job).outcome, CallerOutcome::Accepted);
 }
 
-// Guards against jobs that are accepted while those that are open take all the memory that a process has for them, and against refusals that go on after
-// they have ended.
+// Guards against jobs that are accepted beyond what a process can hold, and against refusals that go on after those before have ended.
 TEST_F(SchedulerTest, JobsAreRefusedWhileTheOpenOnesTakeAllMemoryForJobs)
 {
     this->settings.memory = 36'000;
@@ -489,5 +489,19 @@
     owner->stop();
 }
 
+// Guards against an operator who cannot see how close a process is to its limits.
+TEST_F(SchedulerTest, MemoryAndOrdersAreGauges)
+{
+    const std::shared_ptr<OrderBudget> budget = *OrderBudget::create(8);
+    const OrderBudget::Place place = budget->take();
+    MemoryWatch watch(this->context, *this->log, this->metrics, 1000, budget);
+    watch.setGauges();
+    const std::string text = this->metrics.toText();
+    EXPECT_NE(text.find("mangocourse_orders_under_way 1"), std::string::npos) << text;
+    EXPECT_NE(text.find("mangocourse_orders_limit 8"), std::string::npos) << text;
+    EXPECT_NE(text.find("mangocourse_memory_limit_bytes 1000"), std::string::npos) << text;
+    EXPECT_NE(text.find("mangocourse_memory_bytes "), std::string::npos) << text;
+}
+
 }
 }
--- a/src/scheduler/schedulerprocess.cpp
+++ b/src/scheduler/schedulerprocess.cpp
@@ -11,12 +11,12 @@
 #include "executordirectory.h"
 #include "httpserver.h"
 #include "jobgateway.h"
+#include "memorywatch.h"
 #include "metrics.h"
 #include "operatorfeed.h"
 #include "ownership.h"
 #include "planningduty.h"
 #include "policyduty.h"
-#include "processmemory.h"
 #include "quotafeed.h"
 #include "quotalog.h"
 #include "recordcodec.h"
@@ -55,10 +55,6 @@
 constexpr milliseconds callerDrainTime{3200};
 // Part of the grace time that is reserved for the termination itself.
 constexpr milliseconds stopMargin{1200};
-constexpr milliseconds memoryCheckInterval{1000};
-// Shares of the memory limit beyond and below which the use of memory is logged.
-constexpr double highMemoryShare = 0.8;
-constexpr double lowMemoryShare = 0.7;
 // Limit for each event name.
 constexpr std::uint32_t maxRoutineEventsPerSecond = 60;
 
@@ -93,6 +89,7 @@
         , placements(std::make_shared<QueuePlacements>(context, this->platform->store(), *this->log))
         , quotas(std::make_shared<QuotaFeed>(*this->log))
         , orderBudget(*OrderBudget::create(this->platform->settings().maxOrders()))
+        , memoryWatch(context, *this->log, metrics, this->platform->settings().memory, this->orderBudget)
         , policyWanted(context)
         , ownership(OwnerContext{context, this->platform->store(), this->platform->executors(), &this->policyWanted, *this->log, this->metrics,
                         this->platform->settings(), this->placements, this->quotas, this->orderBudget},
@@ -129,6 +126,7 @@
     std::shared_ptr<QueuePlacements> placements;
     std::shared_ptr<QuotaFeed> quotas;
     std::shared_ptr<OrderBudget> orderBudget;
+    MemoryWatch memoryWatch;
     Event policyWanted;
     Ownership ownership;
     // Absent if there is no placement policy.
@@ -166,8 +164,6 @@
     bool isReportDue(const PoolReport &report) const;
 
     net::awaitable<void> followDirectory();
-    // Logs when the memory of the process comes close to its limit, and when it is well below again.
-    net::awaitable<void> watchMemory();
     void startPolicyDuty();
     nlohmann::json stateAsJson() const;
     // Sets the gauges of the pools that this process owns now.
@@ -200,24 +196,6 @@
     }
 }
 
-net::awaitable<void> SchedulerProcess::Private::watchMemory()
-{
-    const auto limit = static_cast<double>(this->platform->settings().memory);
-    bool isHigh = false;
-    while (!this->isStopping) {
-        const std::size_t resident = residentMemory();
-        const double share = static_cast<double>(resident) / limit;
-        if (isHigh ? share < lowMemoryShare : share >= highMemoryShare) {
-            isHigh = !isHigh;
-            this->log->emit(isHigh ? "memory_high" : "memory_low",
-                {{"bytes", static_cast<std::int64_t>(resident)}, {"limit_bytes", static_cast<std::int64_t>(limit)},
-                    {"orders", static_cast<std::int64_t>(this->orderBudget->used())}, {"orders_limit", static_cast<std::int64_t>(this->orderBudget->limit())}},
-                EventPriority::Essential);
-        }
-        co_await sleepFor(this->context, memoryCheckInterval);
-    }
-}
-
 void SchedulerProcess::Private::setPlanningToken(std::int64_t token)
 {
     this->log->emit(token != 0 ? "planning_gained" : "planning_lost", {{"token", token}}, EventPriority::Essential);
@@ -507,10 +485,7 @@
         }
         unassigned += shard->unassignedJobs();
     }
-    this->metrics.set("mangocourse_orders_under_way", "Orders to executors that are under way.", static_cast<double>(this->orderBudget->used()));
-    this->metrics.set("mangocourse_orders_limit", "Orders to executors that may be under way.", static_cast<double>(this->orderBudget->limit()));
-    this->metrics.set("mangocourse_memory_bytes", "Resident memory of the process.", static_cast<double>(residentMemory()));
-    this->metrics.set("mangocourse_memory_limit_bytes", "Memory beyond which the process is killed.", static_cast<double>(this->platform->settings().memory));
+    this->memoryWatch.setGauges();
     this->metrics.set("mangocourse_unassigned_jobs", "Jobs whose service is not in the configuration.", static_cast<double>(unassigned));
 }
 
@@ -576,7 +551,7 @@
     net::co_spawn(state->context, state->ownership.run(), net::detached);
     net::co_spawn(state->context, state->joinPlanners(), net::detached);
     net::co_spawn(state->context, state->followDirectory(), net::detached);
-    net::co_spawn(state->context, state->watchMemory(), net::detached);
+    net::co_spawn(state->context, state->memoryWatch.run(), net::detached);
     net::co_spawn(state->context, state->followPlan(), net::detached);
     net::co_spawn(state->context, state->reportPools(), net::detached);
     state->startPolicyDuty();
@@ -591,6 +566,7 @@
     state.gateway->startDraining();
     state.callerFrontend->disableKeepAlive();
     state.isStopping = true;
+    state.memoryWatch.stop();
     if (state.planningToken != 0) {
         state.setPlanningToken(0);
     }
--- a/src/scheduler/shardownertasks.cpp
+++ b/src/scheduler/shardownertasks.cpp
@@ -322,7 +322,7 @@
     }
     if (pool.isOvertaken(executor, fencingToken)) {
         this->state.owner.log.emit("call_overtaken",
-            {{"executor", executor.value}, {"fencing_token", fencingToken}, {"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}});
+            {{"executor", executor.value}, {"call_token", fencingToken}, {"partition", std::int64_t(this->state.partition)}, {"token", this->state.token}});
         return;
     }
     this->state.markFenced("executor");
